Add design page, core runtime and shared types

Cause: the repository was empty, and parallel work needs fixed interfaces first. Conclusion: the interfaces are ready for the concerns to be built on them.

--- /dev/null
+++ b/gooseberryhall/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for models whose replica spans several VMs."""
--- /dev/null
+++ b/gooseberryhall/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration program."""
--- /dev/null
+++ b/gooseberryhall/config/__init__.py
@@ -0,0 +1,1 @@
+"""Declared objects, selectors and revisions."""
--- /dev/null
+++ b/gooseberryhall/config/operations.py
@@ -0,0 +1,52 @@
+"""Edits of the declared objects."""
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from .models import AnyObject, Name, ObjectKind
+from .state import ObjectKey
+
+
+class PutObject(BaseModel):
+    """Create or replace one object."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    op: Literal["put"] = "put"
+    object: AnyObject
+
+    @property
+    def key(self) -> ObjectKey:
+        """Return the key of the object that changes."""
+        return (self.object.kind, self.object.name)
+
+
+class DeleteObject(BaseModel):
+    """Remove one object."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    op: Literal["delete"] = "delete"
+    kind: ObjectKind
+    name: Name
+
+    @property
+    def key(self) -> ObjectKey:
+        """Return the key of the object that changes."""
+        return (self.kind, self.name)
+
+
+Operation = Annotated[PutObject | DeleteObject, Field(discriminator="op")]
+
+
+class Change(BaseModel):
+    """An accepted edit: applying it to `revision - 1` gives `revision`."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    revision: Annotated[int, Field(ge=1)]
+    actor: str
+    token: str
+    accepted_at_s: float = 0.0
+    operations: tuple[Operation, ...]
--- /dev/null
+++ b/gooseberryhall/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control program."""
--- /dev/null
+++ b/gooseberryhall/core/__init__.py
@@ -0,0 +1,1 @@
+"""Event reducer, runtime, clock and timer service."""
--- /dev/null
+++ b/gooseberryhall/core/events.py
@@ -0,0 +1,13 @@
+"""Base type of the events that the reducer handles."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Something that happened and may change the state."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick(Event):
+    """The periodic timer of a program fired."""
--- /dev/null
+++ b/gooseberryhall/core/timer.py
@@ -0,0 +1,81 @@
+"""Timer service that calls subscribers periodically."""
+
+import asyncio
+import heapq
+import itertools
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .clock import now_s
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class _Subscription:
+    """A periodic callback."""
+
+    period_s: float
+    jitter: float
+    callback: Callable[[], None]
+    active: bool = True
+
+
+class TimerService:
+    """Call subscribers from one task, each with its own period."""
+
+    def __init__(self, clock: Callable[[], float] = now_s) -> None:
+        """Create a service that holds no subscriptions."""
+        self._clock = clock
+        self._order = itertools.count()
+        self._queue: list[tuple[float, int, _Subscription]] = []
+        self._changed = asyncio.Event()
+
+    def async_subscribe(
+        self, period_s: float, callback: Callable[[], None], *, jitter: float = 0.0
+    ) -> Callable[[], None]:
+        """Call `callback` every `period_s` seconds, varied by the jitter fraction.
+
+        Returns a function that ends the subscription.
+        """
+        subscription = _Subscription(period_s, jitter, callback)
+        self._push(subscription)
+        self._changed.set()
+
+        def unsubscribe() -> None:
+            subscription.active = False
+
+        return unsubscribe
+
+    async def async_run(self) -> None:
+        """Call subscribers until cancelled."""
+        while True:
+            self._run_due()
+            await self._async_wait()
+
+    def _push(self, subscription: _Subscription) -> None:
+        spread = random.uniform(-subscription.jitter, subscription.jitter)
+        due_s = self._clock() + subscription.period_s * (1 + spread)
+        heapq.heappush(self._queue, (due_s, next(self._order), subscription))
+
+    def _run_due(self) -> None:
+        while self._queue and self._queue[0][0] <= self._clock():
+            _, _, subscription = heapq.heappop(self._queue)
+            if not subscription.active:
+                continue
+            # One failing subscriber must not stop the timers of the others.
+            try:
+                subscription.callback()
+            except Exception:
+                _LOGGER.exception("timer callback failed", extra={"event": "GH1001"})
+            self._push(subscription)
+
+    async def _async_wait(self) -> None:
+        self._changed.clear()
+        timeout = self._queue[0][0] - self._clock() if self._queue else None
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout)
+        except TimeoutError:
+            return
--- /dev/null
+++ b/gooseberryhall/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program."""
--- /dev/null
+++ b/gooseberryhall/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Group planning, life cycle, leases and orders."""
--- /dev/null
+++ b/gooseberryhall/groups/models.py
@@ -0,0 +1,67 @@
+"""Data of serving groups and VMs."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class GroupPhase(StrEnum):
+    """Phase of a group's life, as kept in the table."""
+
+    LOADING = "loading"
+    SERVING = "serving"
+    DRAINING = "draining"
+    RELEASING = "releasing"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A VM in a group, with the boot id it had when the group was formed."""
+
+    vm: str
+    boot_id: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """A group of VMs that together serve one replica of a model.
+
+    `generation` is the table revision of the transaction that assigned the members and
+    also the fencing number of the orders that form the group. `members[0]` is the lead,
+    which takes requests. `version` is the row version, 0 when not known.
+    """
+
+    group: str
+    spec: str
+    zone: str
+    fabric_domain: str
+    model: str
+    model_version: str
+    generation: int
+    phase: GroupPhase
+    members: tuple[Member, ...]
+    version: int = 0
+
+    @property
+    def lead(self) -> Member:
+        """Return the member that takes the group's requests."""
+        return self.members[0]
+
+
+class VmState(StrEnum):
+    """State of a VM in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """A backend VM as the platform lists it; `address` is `http://ip:port`."""
+
+    vm: str
+    zone: str
+    fabric_domain: str
+    address: str
+    accelerators: int
+    state: VmState
--- /dev/null
+++ b/gooseberryhall/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Team limits, fair queueing and retry budget."""
--- /dev/null
+++ b/gooseberryhall/links/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated WebSocket links between the processes of the system."""
--- /dev/null
+++ b/gooseberryhall/links/messages.py
@@ -0,0 +1,139 @@
+"""Messages between the processes of the system.
+
+Every message is a CBOR map with the field `type`. `MESSAGE_ADAPTER` validates a decoded
+map; unknown types and fields are refused.
+"""
+
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter
+
+from ..config.models import AnyObject
+from ..config.operations import Change
+from ..groups.models import Group
+from ..membership.models import MemberHealth, Node
+
+NodeName = Annotated[str, Field(min_length=1, max_length=64)]
+
+
+class Message(BaseModel):
+    """Base of all messages."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Ping(Message):
+    """Carries a number that later digests echo."""
+
+    type: Literal["ping"] = "ping"
+    n: int
+
+
+class Heartbeat(Message):
+    """Says that a node is alive, and which nodes it knows."""
+
+    type: Literal["heartbeat"] = "heartbeat"
+    node: Node
+    seq: int
+    config_revision: int
+    known: tuple[Node, ...] = ()
+
+
+class MemberReport(Message):
+    """A member's health and its age in milliseconds when the message was sent.
+
+    `health` is None when the member did not answer.
+    """
+
+    vm: str
+    health: MemberHealth | None
+    age_ms: Annotated[int, Field(ge=0)]
+
+
+class EvidenceDigest(Message):
+    """Evidence about members.
+
+    `echo` is the number of the last ping received on this link, 0 for none. The
+    receiver dates each report at the time it sent that ping, minus the age.
+    """
+
+    type: Literal["evidence"] = "evidence"
+    echo: int
+    reports: tuple[MemberReport, ...]
+
+
+class GroupView(Message):
+    """All groups of a zone as read at a table revision."""
+
+    type: Literal["groups"] = "groups"
+    zone: str
+    revision: int
+    groups: tuple[Group, ...]
+
+
+class ConfigChanges(Message):
+    """Accepted edits, in the order of their revisions."""
+
+    type: Literal["config_changes"] = "config_changes"
+    changes: tuple[Change, ...]
+
+
+class ConfigSnapshot(Message):
+    """The whole configuration at a revision."""
+
+    type: Literal["config_snapshot"] = "config_snapshot"
+    revision: int
+    objects: tuple[AnyObject, ...]
+
+
+class ConfigRequest(Message):
+    """Asks for the configuration after a revision."""
+
+    type: Literal["config_request"] = "config_request"
+    after: int
+
+
+class SuspectReport(Message):
+    """A request was in flight when a member crashed."""
+
+    type: Literal["suspect"] = "suspect"
+    fingerprint: str
+    vm: str
+    boot_id: str
+    age_s: float
+
+
+class MemberFailure(Message):
+    """A process could not reach a member, or the member broke a stream."""
+
+    type: Literal["member_failure"] = "member_failure"
+    vm: str
+    boot_id: str
+    group: str
+    generation: int
+    reason: str
+
+
+class LoadReport(Message):
+    """Requests in flight from one entry process, by group."""
+
+    type: Literal["load"] = "load"
+    node: NodeName
+    in_flight: dict[str, int]
+
+
+AnyMessage = Annotated[
+    Ping
+    | Heartbeat
+    | EvidenceDigest
+    | GroupView
+    | ConfigChanges
+    | ConfigSnapshot
+    | ConfigRequest
+    | SuspectReport
+    | MemberFailure
+    | LoadReport,
+    Field(discriminator="type"),
+]
+
+MESSAGE_ADAPTER: TypeAdapter[Any] = TypeAdapter(AnyMessage)
--- /dev/null
+++ b/gooseberryhall/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes, heartbeats, probes and evidence."""
--- /dev/null
+++ b/gooseberryhall/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Request life cycle, claims and crash suspects."""
--- /dev/null
+++ b/gooseberryhall/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the group that serves a request."""
--- /dev/null
+++ b/gooseberryhall/routing/state.py
@@ -0,0 +1,8 @@
+"""State of the routing concern."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class RoutingState:
+    """State of the routing concern."""
--- /dev/null
+++ b/gooseberryhall/settings/models.py
@@ -0,0 +1,86 @@
+"""Settings of one entry VM, shared by its programs and validated at start."""
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+
+from ..config.models import HttpAddress, Name, Sha256Hex
+
+Port = Annotated[int, Field(ge=1, le=65535)]
+LinkAddress = Annotated[str, StringConstraints(pattern=r"^ws://[^/\s]+$")]
+
+
+class _Section(BaseModel):
+    """Base of all sections; unknown keys are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class ListenSettings(_Section):
+    """Addresses on which a program listens."""
+
+    host: str = "127.0.0.1"
+    port: Port
+    ops_port: Port
+
+
+class EntrySettings(ListenSettings):
+    """Settings of the entry program."""
+
+    balancer_notice_s: Annotated[float, Field(ge=0, le=60)] = 2.0
+    drain_limit_s: Annotated[float, Field(gt=0)] = 600.0
+    first_token_limit_s: Annotated[float, Field(gt=0)] = 20.0
+    chunk_limit_s: Annotated[float, Field(gt=0)] = 5.0
+    queue_limit: Annotated[int, Field(ge=0)] = 256
+    queue_wait_limit_s: Annotated[float, Field(gt=0)] = 10.0
+
+
+class ControlSettings(ListenSettings):
+    """Settings of the control program; `port` takes links."""
+
+
+class AdminSettings(ListenSettings):
+    """Settings of the administration program."""
+
+    editor_token_sha256: tuple[Sha256Hex, ...] = ()
+    reader_token_sha256: tuple[Sha256Hex, ...] = ()
+
+
+class PeerSettings(_Section):
+    """The control program of another entry VM."""
+
+    node: Name
+    zone: Name
+    control_address: LinkAddress
+
+
+class PlatformSettings(_Section):
+    """Addresses of the platform's services."""
+
+    table_address: HttpAddress
+    objects_address: HttpAddress
+    weights_address: HttpAddress
+    vms_address: HttpAddress
+
+
+class EngineSettings(_Section):
+    """How the deployment's engines take orders."""
+
+    order_token: str | None = None
+    refuse_old_fence: bool = False
+
+
+class NodeSettings(_Section):
+    """All settings of an entry VM."""
+
+    node: Name
+    zone: Name
+    region: Name
+    link_secret: Annotated[str, StringConstraints(min_length=16)]
+    entry: EntrySettings
+    control: ControlSettings
+    admin: AdminSettings
+    peers: tuple[PeerSettings, ...] = ()
+    platform: PlatformSettings
+    engines: EngineSettings = EngineSettings()
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
--- /dev/null
+++ b/gooseberryhall/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, time line and the ops port."""
--- /dev/null
+++ b/gooseberryhall/telemetry/logs.py
@@ -0,0 +1,40 @@
+"""Structured logs: one JSON object a line on standard error."""
+
+import logging
+import sys
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+from .catalogue import LogEvent
+
+_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+def setup_logging(*, program: str, node: str, level: str) -> None:
+    """Send all log records to standard error as JSON."""
+    formatter = JsonFormatter(
+        _FIELDS,
+        rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
+        static_fields={"program": program, "node": node},
+    )
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    # These log each request or connection at INFO, which repeats our own events.
+    for name in ("aiohttp.access", "sanic.access", "websockets", "sanic.root"):
+        logging.getLogger(name).setLevel(logging.WARNING)
+
+
+def log_event(
+    logger: logging.Logger,
+    event: LogEvent,
+    message: str,
+    *,
+    level: int = logging.INFO,
+    **fields: Any,
+) -> None:
+    """Write a numbered event. Fields must not hold tokens, prompts or bodies."""
+    logger.log(level, message, extra={"event": event.value, **fields})
--- /dev/null
+++ b/gooseberryhall/telemetry/ops.py
@@ -0,0 +1,68 @@
+"""The ops port of a program: metrics, readiness, status and time line."""
+
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+from aioprometheus import REGISTRY, render
+
+from .timeline import Timeline
+
+StatusSource = Callable[[], dict[str, Any]]
+
+
+class OpsState:
+    """What the ops port reports."""
+
+    def __init__(self, timeline: Timeline) -> None:
+        """Start as not ready, with an empty status."""
+        self.timeline = timeline
+        self.ready = False
+        self._sources: dict[str, StatusSource] = {}
+        self._collectors: list[Callable[[], None]] = []
+
+    def add_status(self, name: str, source: StatusSource) -> None:
+        """Show `source()` under `name` in the status."""
+        self._sources[name] = source
+
+    def add_collector(self, collector: Callable[[], None]) -> None:
+        """Call `collector` before metrics are rendered."""
+        self._collectors.append(collector)
+
+    def status(self) -> dict[str, Any]:
+        """Return the status of all parts."""
+        return {name: source() for name, source in self._sources.items()}
+
+    def collect(self) -> None:
+        """Let the collectors update their metrics."""
+        for collector in self._collectors:
+            collector()
+
+
+def create_ops_app(ops: OpsState) -> web.Application:
+    """Return the web application of the ops port."""
+
+    async def async_metrics(req: web.Request) -> web.Response:
+        ops.collect()
+        content, headers = render(REGISTRY, req.headers.getall("Accept", []))
+        return web.Response(body=content, headers=headers)
+
+    async def async_ready(_req: web.Request) -> web.Response:
+        return web.json_response({"ready": ops.ready}, status=200 if ops.ready else 503)
+
+    async def async_status(_req: web.Request) -> web.Response:
+        return web.json_response(ops.status())
+
+    async def async_timeline(req: web.Request) -> web.Response:
+        after = req.query.get("after", "0")
+        if not after.isdigit():
+            error = {"code": "invalid_input", "message": "after must be a number"}
+            return web.json_response({"error": error}, status=400)
+        return web.json_response(ops.timeline.page(int(after)))
+
+    app = web.Application()
+    app.router.add_get("/metrics", async_metrics)
+    app.router.add_get("/ready", async_ready)
+    app.router.add_get("/status", async_status)
+    app.router.add_get("/timeline", async_timeline)
+    return app
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, model engines and plain services (development only)."""
