Add an in-memory table for tests

Tests of the configuration, leases and claims need a table that is down, loses answers or delays, without a process. The class follows the outcomes of the HTTP adapter: one lost answer is recovered by the repeated commit, two leave the outcome unknown.

--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,111 @@
+"""In-memory stand-ins that several test folders share."""
+
+from collections.abc import Awaitable, Callable, Mapping
+
+from result import Err, Ok, Result
+
+from gooseberryhall.adapters.exceptions import TableUnavailableError
+from gooseberryhall.adapters.table import (
+    ABSENT,
+    DEFAULT_TIMEOUT_S,
+    TOKEN_FIELD,
+    Conflict,
+    Row,
+    RowValue,
+    Snapshot,
+    Transaction,
+)
+
+# The real adapter sends a commit again after a lost answer, within its timeout.
+COMMIT_ATTEMPTS = 2
+
+
+class FakeTable:
+    """A transactional table in memory with the outcomes of the real adapter.
+
+    `down` refuses every call. `lose_answers` is the number of coming commit attempts
+    that are applied but not answered: one is recovered by the repeated commit, two make
+    the commit raise although it was applied. `delay` is awaited before each read and
+    each commit attempt.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty table that answers."""
+        self.down = False
+        self.lose_answers = 0
+        self.delay: Callable[[], Awaitable[None]] | None = None
+        self.revision = 0
+        self.rows: dict[str, Row] = {}
+        self.reads = 0
+        self.commits = 0
+
+    def put(self, key: str, value: RowValue) -> Row:
+        """Write a row unconditionally, as another writer would."""
+        self.revision += 1
+        self.rows[key] = Row(key, self.revision, dict(value))
+        return self.rows[key]
+
+    async def async_read(self, key: str) -> Row | None:
+        """Return a row or None. Raises TableUnavailableError."""
+        await self._async_enter()
+        self.reads += 1
+        return self.rows.get(key)
+
+    async def async_read_prefix(self, prefix: str) -> Snapshot:
+        """Return all rows whose key has the prefix. Raises TableUnavailableError."""
+        await self._async_enter()
+        self.reads += 1
+        keys = sorted(key for key in self.rows if key.startswith(prefix))
+        return Snapshot(self.revision, tuple(self.rows[key] for key in keys))
+
+    async def async_commit(
+        self, transaction: Transaction, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> Result[int, Conflict]:
+        """Apply a transaction; Ok holds the revision of the write.
+
+        Raises TableUnavailableError when the outcome is not known.
+        """
+        for _ in range(COMMIT_ATTEMPTS):
+            await self._async_enter()
+            self.commits += 1
+            outcome = self._apply(transaction)
+            if not self.lose_answers:
+                return outcome
+            self.lose_answers -= 1
+        raise TableUnavailableError("commit was not confirmed in time")
+
+    async def _async_enter(self) -> None:
+        if self.delay is not None:
+            await self.delay()
+        if self.down:
+            raise TableUnavailableError("table is down")
+
+    def _apply(self, transaction: Transaction) -> Result[int, Conflict]:
+        conflict = self._conflict(transaction.checks)
+        if conflict is not None:
+            applied = _applied_revision(transaction, conflict)
+            return Err(conflict) if applied is None else Ok(applied)
+        self.revision += 1
+        for key, value in transaction.stamped_puts().items():
+            self.rows[key] = Row(key, self.revision, value)
+        for key in transaction.deletes:
+            self.rows.pop(key, None)
+        return Ok(self.revision)
+
+    def _conflict(self, checks: Mapping[str, int]) -> Conflict | None:
+        rows = {key: self.rows.get(key) for key in checks}
+        differing = {
+            key: row
+            for key, row in rows.items()
+            if (row.version if row else ABSENT) != checks[key]
+        }
+        return Conflict(differing) if differing else None
+
+
+def _applied_revision(transaction: Transaction, conflict: Conflict) -> int | None:
+    """Find the transaction's own token in the conflicting rows, as the adapter does."""
+    for key in transaction.puts:
+        row = conflict.rows.get(key)
+        if row is not None and row.value.get(TOKEN_FIELD) == transaction.token:
+            return row.version
+    return None
