Run non-idempotent requests at most once by claims in the table

Cause: a fan command or charge that is sent again, through the same or another entry node, ran again; nothing recorded that it had been sent. Ruled out: claims that another node takes over after a timeout (the first holder may have sent already); keeping claims in memory (lost with a diskless VM); sending without a claim while the table is down. Change: a claim row under the caller's key is written before the request is sent, its answer is kept and replayed, a claim that was never sent is abandoned explicitly, a claim with an unknown outcome stays so.

--- /dev/null
+++ b/gooseberryhall/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent requests by claims in the table."""
--- /dev/null
+++ b/gooseberryhall/claims/models.py
@@ -0,0 +1,131 @@
+"""Claims, requests and answers."""
+
+import base64
+import binascii
+import hashlib
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from .const import KEY_MAX_CHARACTERS
+from .exceptions import IdempotencyKeyError, MalformedClaimError
+
+
+class ClaimState(StrEnum):
+    """State of a claim.
+
+    `ABANDONED` claims were never sent and may be claimed again. `UNKNOWN` claims were
+    sent without a known outcome and stay so.
+    """
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    ABANDONED = "abandoned"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An HTTP answer of a plain service."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class OnceRequest:
+    """A non-idempotent request that has passed authentication."""
+
+    team: str
+    key: str
+    method: str
+    path: str
+    body: bytes
+    weight: int = 1
+
+    @property
+    def row_key(self) -> str:
+        """Return the key of the claim row."""
+        digest = hashlib.sha256(self.key.encode()).hexdigest()
+        return f"claim/{self.team}/{digest}"
+
+    @property
+    def body_sha256(self) -> str:
+        """Return the digest by which a reused key is recognised."""
+        parts = (self.method.encode(), self.path.encode(), self.body)
+        # Each part is digested first, so that the parts cannot run into each other.
+        digests = b"".join(hashlib.sha256(part).digest() for part in parts)
+        return hashlib.sha256(digests).hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """The value of a claim row.
+
+    `object_key` is set when the answer's body is in the object store.
+    """
+
+    body_sha256: str
+    node: str
+    incarnation: str
+    created_at_s: float
+    state: ClaimState
+    answer: Answer | None = None
+    object_key: str | None = None
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the row value."""
+        value: dict[str, Any] = {
+            "body_sha256": self.body_sha256,
+            "node": self.node,
+            "incarnation": self.incarnation,
+            "created_at_s": self.created_at_s,
+            "state": self.state.value,
+        }
+        if self.answer is not None:
+            value["status"] = self.answer.status
+            value["headers"] = [list(item) for item in self.answer.headers]
+            value["body_base64"] = base64.b64encode(self.answer.body).decode()
+        if self.object_key is not None:
+            value["object_key"] = self.object_key
+        return value
+
+    @classmethod
+    def from_value(cls, value: dict[str, Any]) -> "Claim":
+        """Return the claim of a row value. Raises MalformedClaimError."""
+        try:
+            state = ClaimState(value["state"])
+            answer = _answer(value) if state is ClaimState.DONE else None
+            return cls(
+                body_sha256=str(value["body_sha256"]),
+                node=str(value["node"]),
+                incarnation=str(value["incarnation"]),
+                created_at_s=float(value["created_at_s"]),
+                state=state,
+                answer=answer,
+                object_key=value.get("object_key"),
+            )
+        except (KeyError, TypeError, ValueError, binascii.Error) as exc:
+            raise MalformedClaimError("malformed claim row") from exc
+
+
+def _answer(value: dict[str, Any]) -> Answer:
+    headers = tuple((str(name), str(text)) for name, text in value["headers"])
+    body = base64.b64decode(value["body_base64"], validate=True)
+    return Answer(int(value["status"]), headers, body)
+
+
+def check_key(key: str | None) -> str:
+    """Return the idempotency key. Raises IdempotencyKeyError."""
+    if key is None or not key:
+        raise IdempotencyKeyError(
+            "a non-idempotent request needs the header Idempotency-Key, "
+            "so that a retry can be recognised"
+        )
+    if len(key) > KEY_MAX_CHARACTERS or not key.isascii() or not key.isprintable():
+        raise IdempotencyKeyError(
+            f"Idempotency-Key must have 1 to {KEY_MAX_CHARACTERS} printable "
+            "ASCII characters"
+        )
+    return key
