--- a/gooseberryhall/core/timer.py
+++ b/gooseberryhall/core/timer.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
 from .clock import now_s
 
 _LOGGER = logging.getLogger(__name__)
@@ -68,8 +70,14 @@
             # One failing subscriber must not stop the timers of the others.
             try:
                 subscription.callback()
-            except Exception:
-                _LOGGER.exception("timer callback failed", extra={"event": "GH1001"})
+            except Exception:  # noqa: BLE001
+                log_event(
+                    _LOGGER,
+                    LogEvent.TIMER_CALLBACK_FAILED,
+                    "timer callback failed",
+                    level=logging.ERROR,
+                    exc_info=True,
+                )
             self._push(subscription)
 
     async def _async_wait(self) -> None:
--- a/gooseberryhall/settings/models.py
+++ b/gooseberryhall/settings/models.py
@@ -1,8 +1,14 @@
 """Settings of one entry VM, shared by its programs and validated at start."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    model_validator,
+)
 
 from ..config.models import HttpAddress, Name, Sha256Hex
 
@@ -31,9 +37,18 @@
     drain_limit_s: Annotated[float, Field(gt=0)] = 600.0
     first_token_limit_s: Annotated[float, Field(gt=0)] = 20.0
     chunk_limit_s: Annotated[float, Field(gt=0)] = 5.0
+    request_limit_s: Annotated[float, Field(gt=0)] = 300.0
     queue_limit: Annotated[int, Field(ge=0)] = 256
     queue_wait_limit_s: Annotated[float, Field(gt=0)] = 10.0
 
+    @model_validator(mode="after")
+    def _check_limits(self) -> Self:
+        if self.drain_limit_s <= self.balancer_notice_s:
+            raise ValueError("drain_limit_s must be longer than balancer_notice_s")
+        if self.request_limit_s <= self.first_token_limit_s:
+            raise ValueError("request_limit_s must be longer than first_token_limit_s")
+        return self
+
 
 class ControlSettings(ListenSettings):
     """Settings of the control program; `port` takes links."""
@@ -84,3 +99,15 @@
     platform: PlatformSettings
     engines: EngineSettings = EngineSettings()
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+    @model_validator(mode="after")
+    def _check_ports(self) -> Self:
+        sections = (self.entry, self.control, self.admin)
+        listening = [
+            (section.host, port)
+            for section in sections
+            for port in (section.port, section.ops_port)
+        ]
+        if len(set(listening)) < len(listening):
+            raise ValueError("two programs have the same host and ports")
+        return self
--- a/gooseberryhall/telemetry/logs.py
+++ b/gooseberryhall/telemetry/logs.py
@@ -34,7 +34,9 @@
     message: str,
     *,
     level: int = logging.INFO,
+    exc_info: bool = False,
     **fields: Any,
 ) -> None:
     """Write a numbered event. Fields must not hold tokens, prompts or bodies."""
-    logger.log(level, message, extra={"event": event.value, **fields})
+    extra = {"event": event.value, **fields}
+    logger.log(level, message, exc_info=exc_info, extra=extra)
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_runner.py
@@ -27,7 +27,7 @@
     RequestInProgressError,
 )
 from gooseberryhall.claims.models import Answer, OnceRequest, check_key
-from gooseberryhall.claims.service import ClaimService
+from gooseberryhall.claims.runner import ClaimService
 from gooseberryhall.claims.sweep import async_sweep
 from gooseberryhall.exceptions import Ran
 from tests.fakes import FakeTable
