Add authenticated links between processes

Cause: the programs of an entry VM need a channel to each other and to the control programs of other entry VMs.

Change: links/ carries CBOR frames over WebSocket after a mutual challenge and response. Bad frames are counted, logged with a number and close only their link. Digests are dated by the echoed ping.

Ruled out: counting a close frame with code 1009 as a received oversized frame; the sender of the frame sees the same code and was counted too.

--- /dev/null
+++ b/gooseberryhall/links/link.py
@@ -0,0 +1,256 @@
+"""An open link to another process."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from ..core.clock import now_s
+from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
+from .codec import decode_message, encode_message, received_too_big
+from .const import (
+    CLOSE_GOING_AWAY,
+    LOCAL_PING_PERIOD_S,
+    PEER_PING_PERIOD_S,
+    PING_MEMORY_S,
+    SEND_QUEUE_BYTES,
+    SILENCE_LIMIT_S,
+    WATCHDOG_GRACE_S,
+    WATCHDOG_LATE_S,
+)
+from .exceptions import (
+    LinkError,
+    MalformedFrameError,
+    OversizedFrameError,
+    SendQueueFullError,
+    SilentLinkError,
+)
+from .identity import PeerIdentity, Role
+from .messages import Message, Ping
+from .metrics import FRAMES_REFUSED, LINK_BYTES, LINKS_CLOSED
+
+_LOGGER = logging.getLogger(__name__)
+_SENT = {"direction": "sent"}
+_RECEIVED = {"direction": "received"}
+
+
+@dataclass(frozen=True, slots=True)
+class LinkHandlers:
+    """Functions that a link calls in the event loop."""
+
+    on_open: "Callable[[Link], None]"
+    on_message: "Callable[[Link, Message], None]"
+    on_close: "Callable[[Link], None]"
+
+
+class Link:
+    """An authenticated connection that carries messages in both directions."""
+
+    def __init__(
+        self,
+        ws: Connection,
+        peer: PeerIdentity,
+        own_role: Role,
+        handlers: LinkHandlers,
+        *,
+        dialled: bool,
+    ) -> None:
+        """Take over a connection after its handshake."""
+        self.peer = peer
+        self.dialled = dialled
+        self.last_ping_received = 0
+        self.error: LinkError | None = None
+        self.closed = asyncio.Event()
+        self._ws = ws
+        self._handlers = handlers
+        both_control = own_role is Role.CONTROL and peer.role is Role.CONTROL
+        self._ping_period_s = (
+            PEER_PING_PERIOD_S if both_control else LOCAL_PING_PERIOD_S
+        )
+        self._pings_sent: deque[tuple[int, float]] = deque()
+        self._queue: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._queue_changed = asyncio.Event()
+        self._last_received_s = now_s()
+
+    @property
+    def node(self) -> str:
+        """Return the node of the other end."""
+        return self.peer.node
+
+    @property
+    def zone(self) -> str:
+        """Return the zone of the other end."""
+        return self.peer.zone
+
+    @property
+    def role(self) -> Role:
+        """Return the role of the other end."""
+        return self.peer.role
+
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation of the other end."""
+        return self.peer.incarnation
+
+    @property
+    def ended_on_purpose(self) -> bool:
+        """Return whether the other end said that it is going away."""
+        return self.error is None and self._ws.close_code == CLOSE_GOING_AWAY
+
+    def async_send(self, message: Message) -> bool:
+        """Queue a message; return False when it cannot be sent on this link."""
+        try:
+            frame = encode_message(message)
+        except OversizedFrameError as exc:
+            _log(LogEvent.MESSAGE_NOT_SENT, self, logging.ERROR, error=str(exc))
+            return False
+        return self.async_send_frame(frame)
+
+    def async_send_frame(self, frame: bytes) -> bool:
+        """Queue an encoded message; a link that is not drained in time is closed."""
+        if self.closed.is_set() or self.error is not None:
+            return False
+        if self._queued_bytes + len(frame) > SEND_QUEUE_BYTES:
+            self.async_abort(SendQueueFullError(f"{self._queued_bytes} B queued"))
+            return False
+        self._queue.append(frame)
+        self._queued_bytes += len(frame)
+        self._queue_changed.set()
+        return True
+
+    def evidence_time_s(self, echo: int, age_ms: int) -> float | None:
+        """Return the latest time for which a digest is proof, or None.
+
+        The digest was sent after the echoed ping arrived. Its content is therefore at
+        least as new as the time of sending that ping, minus the age, however long the
+        digest was delayed.
+        """
+        for number, sent_at_s in self._pings_sent:
+            if number == echo:
+                return sent_at_s - age_ms / 1000
+        return None
+
+    def async_abort(self, error: LinkError) -> None:
+        """Close the connection at once, without a closing handshake."""
+        if self.error is None:
+            self.error = error
+        self._ws.transport.abort()
+
+    async def async_run(self) -> None:
+        """Carry messages until the link closes."""
+        helpers = (
+            asyncio.create_task(self._async_write(), name="link writer"),
+            asyncio.create_task(self._async_ping(), name="link pinger"),
+        )
+        self._last_received_s = now_s()
+        self._watchdog = self._watch(SILENCE_LIMIT_S)
+        _log(LogEvent.LINK_OPENED, self)
+        self._call(lambda: self._handlers.on_open(self))
+        try:
+            await self._async_read()
+        finally:
+            for task in helpers:
+                task.cancel()
+            self._watchdog.cancel()
+            self._queue.clear()
+            self.closed.set()
+            self._report_close()
+            self._call(lambda: self._handlers.on_close(self))
+            await self._ws.close(CLOSE_GOING_AWAY)
+
+    async def _async_read(self) -> None:
+        try:
+            while self.error is None:
+                frame = await self._ws.recv()
+                self._last_received_s = now_s()
+                LINK_BYTES.add(_RECEIVED, len(frame))
+                self._handle(decode_message(frame))
+        except MalformedFrameError as exc:
+            self.async_abort(exc)
+        except ConnectionClosed as exc:
+            if received_too_big(exc) and self.error is None:
+                self.error = OversizedFrameError("frame over the limit")
+
+    def _handle(self, message: Message) -> None:
+        if isinstance(message, Ping):
+            self.last_ping_received = max(self.last_ping_received, message.n)
+            return
+        self._call(lambda: self._handlers.on_message(self, message))
+
+    async def _async_write(self) -> None:
+        try:
+            while True:
+                await self._queue_changed.wait()
+                self._queue_changed.clear()
+                while self._queue:
+                    frame = self._queue.popleft()
+                    await self._ws.send(frame)
+                    self._queued_bytes -= len(frame)
+                    LINK_BYTES.add(_SENT, len(frame))
+        except ConnectionClosed:
+            return
+
+    async def _async_ping(self) -> None:
+        number = 0
+        while True:
+            number += 1
+            sent_at_s = now_s()
+            # The time is taken before queueing, so that evidence is never dated late.
+            self._pings_sent.append((number, sent_at_s))
+            while self._pings_sent[0][1] < sent_at_s - PING_MEMORY_S:
+                self._pings_sent.popleft()
+            self.async_send(Ping(n=number))
+            await asyncio.sleep(self._ping_period_s)
+
+    def _watch(self, delay_s: float) -> asyncio.TimerHandle:
+        loop = asyncio.get_running_loop()
+        return loop.call_later(delay_s, self._check_silence, now_s() + delay_s)
+
+    def _check_silence(self, due_s: float) -> None:
+        silent_s = now_s() - self._last_received_s
+        if silent_s < SILENCE_LIMIT_S:
+            self._watchdog = self._watch(SILENCE_LIMIT_S - silent_s)
+        elif now_s() - due_s > WATCHDOG_LATE_S:
+            # This process was held up; frames that already arrived are read first.
+            self._watchdog = self._watch(WATCHDOG_GRACE_S)
+        else:
+            self.async_abort(SilentLinkError(f"no message for {silent_s:.1f} s"))
+
+    def _call(self, handler: Callable[[], None]) -> None:
+        # A fault in one handler must not close links, which would spread it to peers.
+        try:
+            handler()
+        except Exception:
+            _LOGGER.exception(
+                "link handler failed",
+                extra={"event": LogEvent.LINK_HANDLER_FAILED.value, "node": self.node},
+            )
+
+    def _report_close(self) -> None:
+        code = "ended" if self.error is None else self.error.code
+        LINKS_CLOSED.inc({"error": code})
+        if isinstance(self.error, MalformedFrameError | OversizedFrameError):
+            FRAMES_REFUSED.inc({"error": code})
+            _log(LogEvent.FRAME_REFUSED, self, logging.WARNING, error=str(self.error))
+        _log(LogEvent.LINK_CLOSED, self, error=code)
+
+
+def _log(
+    event: LogEvent, link: Link, level: int = logging.INFO, **fields: object
+) -> None:
+    message = event.name.lower().replace("_", " ")
+    log_event(
+        _LOGGER,
+        event,
+        message,
+        level=level,
+        peer=link.node,
+        role=link.role.value,
+        **fields,
+    )
--- /dev/null
+++ b/tests/links/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the links between processes."""
