Fix the type of log fields in links

Cause: log_event gained a typed keyword, so a mapping of objects no longer fits. Ruled out: an untyped keyword. Change: fields are typed as Any. Result: mypy passes.

--- a/gooseberryhall/links/link.py
+++ b/gooseberryhall/links/link.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
@@ -242,7 +243,7 @@
 
 
 def _log(
-    event: LogEvent, link: Link, level: int = logging.INFO, **fields: object
+    event: LogEvent, link: Link, level: int = logging.INFO, **fields: Any
 ) -> None:
     message = event.name.lower().replace("_", " ")
     log_event(
