Add stand-ins for the platform, engines and plain services

The programs need outside systems to run against: a transactional table, an object store, a weight store, a VM list, model engines and a plain service. A TCP fault proxy, a cluster launcher and an open-loop load generator with verified answers use them.

Processes get PR_SET_PDEATHSIG, because exit handlers do not run when the launcher itself is killed.

--- /dev/null
+++ b/standins/engine_group.py
@@ -0,0 +1,185 @@
+"""Orders, weight loading and the lead's view of its members in the engine stand-in."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from .engine_state import Engine, EngineState, Placement
+from .engine_streams import StreamPool
+from .http import async_json_object, boot_time_s, error_response
+from .prefix_cache import PrefixCache
+
+MEMBER_POLL_PERIOD_S = 0.2
+MEMBER_POLL_TIMEOUT_S = 1.0
+LOAD_RETRY_S = 0.2
+LOAD_CHUNK_BYTES = 256 * 1024
+ORDERS = ("form", "release", "load_adapter", "role")
+
+
+@dataclass(slots=True)
+class GroupRunner:
+    """The tasks of the group that an engine runs."""
+
+    engine: Engine
+    pool: StreamPool
+    cache: PrefixCache
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    _session: aiohttp.ClientSession | None = None
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the client session, which `async_start` opens."""
+        if self._session is None:
+            raise RuntimeError("the runner is not started")
+        return self._session
+
+    async def async_start(self) -> None:
+        """Open the client session."""
+        self._session = aiohttp.ClientSession()
+
+    async def async_stop(self) -> None:
+        """End the tasks and close the client session."""
+        for task in self.tasks:
+            task.cancel()
+        await self.session.close()
+
+    def async_form(self, placement: Placement) -> None:
+        """Run a group unless the engine already runs it."""
+        if placement == self.engine.placement:
+            return
+        self._async_clear(placement)
+        self.tasks.append(asyncio.create_task(self._async_load()))
+        if placement.is_lead:
+            self.tasks.extend(
+                asyncio.create_task(self._async_watch(vm, address))
+                for vm, address in placement.others
+            )
+
+    def async_release(self) -> None:
+        """Run no group."""
+        self._async_clear(Placement())
+
+    def _async_clear(self, placement: Placement) -> None:
+        for task in self.tasks:
+            task.cancel()
+        self.tasks.clear()
+        self.pool.break_all()
+        self.cache.clear(boot_time_s())
+        self.engine.place(placement)
+
+    async def _async_load(self) -> None:
+        while True:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+                if await self._async_load_once():
+                    return
+            await asyncio.sleep(LOAD_RETRY_S)
+
+    async def _async_load_once(self) -> bool:
+        engine, options = self.engine, self.engine.options
+        placement = engine.placement
+        url = f"{options.platform}/weights/{placement.model}/{placement.version}"
+        params = {"vm": options.vm, "bytes": str(options.weight_bytes)}
+        async with self.session.get(url, params=params) as response:
+            if response.status != HTTPStatus.OK:
+                return False
+            loaded = 0
+            async for chunk in response.content.iter_chunked(LOAD_CHUNK_BYTES):
+                loaded += len(chunk)
+                engine.load_fraction = min(loaded / max(options.weight_bytes, 1), 0.99)
+        engine.load_fraction = 1.0
+        return True
+
+    async def _async_watch(self, vm: str, address: str) -> None:
+        """Join a member, then break the streams whenever it is lost."""
+        while True:
+            health = await self._async_health(address)
+            self._note_member(vm, health)
+            await asyncio.sleep(MEMBER_POLL_PERIOD_S)
+
+    def _note_member(self, vm: str, health: dict[str, Any] | None) -> None:
+        engine = self.engine
+        joined = engine.joined.get(vm)
+        is_present = (
+            health is not None
+            and health["group"] == engine.placement.group
+            and health["generation"] == engine.placement.generation
+            and health["state"] == EngineState.SERVING
+            and joined in (None, health["boot_id"])
+        )
+        if is_present and health is not None:
+            engine.joined[vm] = health["boot_id"]
+            engine.lost.discard(vm)
+        elif joined is not None and vm not in engine.lost:
+            engine.lost.add(vm)
+            self.pool.break_all()
+
+    async def _async_health(self, address: str) -> dict[str, Any] | None:
+        timeout = aiohttp.ClientTimeout(total=MEMBER_POLL_TIMEOUT_S)
+        try:
+            url = f"{address}/health"
+            async with self.session.get(url, timeout=timeout) as response:
+                health: dict[str, Any] = await response.json()
+                return health
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
+
+
+def add_order_routes(app: web.Application, runner: GroupRunner) -> None:
+    """Take orders."""
+    engine = runner.engine
+
+    async def async_order(req: web.Request) -> web.Response:
+        body = await async_json_object(req)
+        token = engine.options.order_token
+        if token and req.headers.get("Authorization") != f"Bearer {token}":
+            engine.records.add_order(body, "wrong_token")
+            return error_response(HTTPStatus.UNAUTHORIZED, "wrong_token")
+        try:
+            fence, placement = _parse_order(body)
+        except (KeyError, TypeError, ValueError) as exc:
+            engine.records.add_order(body, "malformed")
+            return error_response(
+                HTTPStatus.BAD_REQUEST, "malformed_order", reason=repr(exc)
+            )
+        if engine.faults.honour_fence and fence < engine.fence:
+            engine.records.add_order(body, "stale_fence")
+            return error_response(
+                HTTPStatus.CONFLICT, "stale_fence", fence=engine.fence
+            )
+        engine.fence = max(engine.fence, fence)
+        engine.records.add_order(body, "accepted")
+        if body["order"] == "form":
+            runner.async_form(placement)
+        elif body["order"] == "release":
+            runner.async_release()
+        return web.json_response(
+            {"vm": engine.options.vm, "boot_id": engine.boot_id, "fence": engine.fence}
+        )
+
+    app.router.add_post("/orders", async_order)
+
+
+def _parse_order(body: dict[str, Any]) -> tuple[int, Placement]:
+    if body["order"] not in ORDERS:
+        raise ValueError(f"unknown order {body['order']}")
+    fence = int(body["fence"])
+    if body["order"] != "form":
+        return fence, Placement()
+    members = tuple((str(m["vm"]), str(m["address"])) for m in body["members"])
+    placement = Placement(
+        group=str(body["group"]),
+        generation=int(body["generation"]),
+        rank=int(body["rank"]),
+        members=members,
+        model=str(body["model"]),
+        version=str(body["version"]),
+        adapters=tuple(str(name) for name in body.get("adapters", ())),
+    )
+    if not placement.group or not 0 <= placement.rank < len(members):
+        raise ValueError("group is empty or rank is outside the members")
+    return fence, placement
--- /dev/null
+++ b/standins/prefix_cache.py
@@ -0,0 +1,80 @@
+"""The prefix cache of the engine stand-in and its events."""
+
+import hashlib
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+BLOCK_CHARACTERS = 256
+HASH_CHARACTERS = 16
+MAX_EVENTS = 2000
+
+
+def prompt_blocks(messages: Sequence[Any]) -> list[str]:
+    """Return the chained hashes of the prompt's whole blocks."""
+    parts = (f"{item.get('role')}\n{item.get('content')}\n" for item in messages)
+    text = "".join(parts)
+    hashes: list[str] = []
+    previous = ""
+    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
+        block = previous + text[start : start + BLOCK_CHARACTERS]
+        previous = hashlib.sha256(block.encode()).hexdigest()[:HASH_CHARACTERS]
+        hashes.append(previous)
+    return hashes
+
+
+@dataclass(slots=True)
+class PrefixCache:
+    """Least recently used blocks; `drop_events` of the next events are not listed."""
+
+    limit_blocks: int
+    drop_events: int = 0
+    last_seq: int = 0
+    blocks: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    events: deque[dict[str, Any]] = field(
+        default_factory=lambda: deque(maxlen=MAX_EVENTS)
+    )
+
+    def use(self, hashes: Sequence[str], now_s: float) -> int:
+        """Store the blocks of a prompt; return how many leading ones were cached."""
+        cached = 0
+        for block in hashes:
+            if block not in self.blocks:
+                break
+            cached += 1
+        stored = [block for block in hashes if block not in self.blocks]
+        for block in hashes:
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        removed = []
+        while len(self.blocks) > self.limit_blocks:
+            removed.append(self.blocks.popitem(last=False)[0])
+        self._add_event("stored", stored, now_s)
+        self._add_event("removed", removed, now_s)
+        return cached
+
+    def clear(self, now_s: float) -> None:
+        """Forget all blocks."""
+        removed = list(self.blocks)
+        self.blocks.clear()
+        self._add_event("removed", removed, now_s)
+
+    def events_after(self, after: int, until_s: float) -> list[dict[str, Any]]:
+        """Return the events with a greater number that happened until a time."""
+        return [
+            {name: event[name] for name in ("seq", "type", "blocks")}
+            for event in self.events
+            if event["seq"] > after and event["at_s"] <= until_s
+        ]
+
+    def _add_event(self, kind: str, blocks: list[str], now_s: float) -> None:
+        if not blocks:
+            return
+        self.last_seq += 1
+        if self.drop_events > 0:
+            self.drop_events -= 1
+            return
+        self.events.append(
+            {"seq": self.last_seq, "type": kind, "blocks": blocks, "at_s": now_s}
+        )
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,138 @@
+"""Processes that a cluster starts, with signals by their own id."""
+
+import asyncio
+import ctypes
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+POLL_PERIOD_S = 0.02
+_PR_SET_PDEATHSIG = 1
+_LIBC = ctypes.CDLL(None)
+
+
+class ProcessError(Exception):
+    """A process did not start, end or become ready in time."""
+
+
+@dataclass(slots=True)
+class ManagedProcess:
+    """A process, its command and its log file."""
+
+    name: str
+    command: list[str]
+    log: Path
+    popen: subprocess.Popen[bytes] | None = None
+    is_paused: bool = False
+
+    @property
+    def pid(self) -> int:
+        """Return the id of the running process. Raises ProcessError."""
+        if self.popen is None:
+            raise ProcessError(f"{self.name} is not started")
+        return self.popen.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its output is appended to the log file."""
+        if self.is_running:
+            raise ProcessError(f"{self.name} runs already")
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, *self.command],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+                env=environment,
+                start_new_session=True,
+                # The process must end even when this one is killed.
+                preexec_fn=_end_with_parent,  # noqa: PLW1509
+            )
+        self.is_paused = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to a running process."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for its end."""
+        self.send(signal.SIGKILL)
+        if self.popen is not None:
+            self.popen.wait()
+
+    def pause(self) -> None:
+        """Stop the process without its knowledge."""
+        self.send(signal.SIGSTOP)
+        self.is_paused = True
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.send(signal.SIGCONT)
+        self.is_paused = False
+
+    def terminate(self) -> None:
+        """Ask the process to stop."""
+        self.send(signal.SIGTERM)
+
+    async def async_wait_ended(self, limit_s: float) -> int:
+        """Return the exit code. Raises ProcessError after the limit."""
+        deadline_s = time.monotonic() + limit_s
+        while self.popen is not None:
+            code = self.popen.poll()
+            if code is not None:
+                return code
+            if time.monotonic() > deadline_s:
+                break
+            await asyncio.sleep(POLL_PERIOD_S)
+        raise ProcessError(f"{self.name} did not end within {limit_s} s")
+
+    async def async_restart(self) -> None:
+        """Kill the process if it runs and start it again with empty memory."""
+        self.kill()
+        self.start()
+
+    def log_tail(self, lines: int = 20) -> str:
+        """Return the last lines of the log."""
+        if not self.log.exists():
+            return ""
+        return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
+
+
+@dataclass(slots=True)
+class ProcessSet:
+    """All processes of a cluster."""
+
+    directory: Path
+    by_name: dict[str, ManagedProcess] = field(default_factory=dict)
+
+    def add(self, name: str, command: Sequence[str]) -> ManagedProcess:
+        """Start a process and own it."""
+        log = self.directory / f"{name}.log"
+        process = ManagedProcess(name, list(command), log)
+        self.by_name[name] = process
+        process.start()
+        return process
+
+    def kill_all(self) -> None:
+        """End every process at once."""
+        for process in self.by_name.values():
+            process.send(signal.SIGKILL)
+        for process in self.by_name.values():
+            process.kill()
+
+
+def _end_with_parent() -> None:
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,213 @@
+"""TCP proxy on loopback that injects network faults, in the test's own process."""
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+from types import TracebackType
+
+from .http import BACKLOG, HOST
+
+CHUNK_BYTES = 64 * 1024
+MAX_PENDING_CHUNKS = 256
+
+
+class Direction(StrEnum):
+    """Direction of the forwarded bytes."""
+
+    TO_TARGET = "to_target"
+    TO_CLIENT = "to_client"
+
+
+@dataclass(slots=True, eq=False)
+class _Connection:
+    """An accepted connection; a silent one stays open and forwards nothing."""
+
+    task: asyncio.Task[None]
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+    is_silent: bool = False
+
+
+class FaultProxy:
+    """Forwards connections to a target and injects faults.
+
+    Held bytes are delivered late, in order, as TCP does after a network partition.
+    """
+
+    def __init__(self, target_port: int, target_host: str = HOST) -> None:
+        """Forward to the target; `async_start` opens the port."""
+        self.delay_s = 0.0
+        self.port = 0
+        self._target = (target_host, target_port)
+        self._held: set[Direction] = set()
+        self._changed = asyncio.Event()
+        self._connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._connections)
+
+    async def __aenter__(self) -> "FaultProxy":
+        """Open the port."""
+        await self.async_start()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close everything."""
+        await self.async_stop()
+
+    async def async_start(self, port: int = 0) -> None:
+        """Listen, on the former port when there was one."""
+        self._server = await asyncio.start_server(
+            self._async_accept, HOST, port or self.port, backlog=BACKLOG
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def async_stop(self) -> None:
+        """Refuse new connections and close all open ones."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        connections = list(self._connections)
+        for connection in connections:
+            for writer in connection.writers:
+                writer.transport.abort()
+            connection.task.cancel()
+        tasks = [connection.task for connection in connections]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def async_cut(self) -> None:
+        """Refuse new connections and close all open ones, until `async_heal`."""
+        await self.async_stop()
+
+    async def async_heal(self) -> None:
+        """End every fault except silent connections; deliver what was held."""
+        self.delay_s = 0.0
+        self.resume()
+        if self._server is None:
+            await self.async_start()
+
+    def freeze(self, *directions: Direction) -> None:
+        """Hold bytes in the given directions, both by default."""
+        self._held.update(directions or Direction)
+
+    def cut_one_way(self, direction: Direction) -> None:
+        """Let bytes pass in the other direction only."""
+        self._held = {direction}
+
+    def resume(self) -> None:
+        """Deliver held bytes and go on forwarding."""
+        self._held.clear()
+        self._wake()
+
+    def silence_open_connections(self) -> int:
+        """Let the present connections go silent for ever; new ones work."""
+        for connection in self._connections:
+            connection.is_silent = True
+        return len(self._connections)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        if task is None:
+            return
+        connection = _Connection(task, [writer])
+        self._connections.add(connection)
+        try:
+            with contextlib.suppress(OSError, asyncio.CancelledError):
+                await self._async_forward(connection, reader, writer)
+        finally:
+            self._connections.discard(connection)
+            for item in connection.writers:
+                item.transport.abort()
+
+    async def _async_forward(
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await self._async_wait_open(connection, Direction.TO_TARGET)
+        target_reader, target_writer = await asyncio.open_connection(*self._target)
+        connection.writers.append(target_writer)
+        for item in connection.writers:
+            sock: socket.socket = item.get_extra_info("socket")
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        pumps = (
+            self._async_pump(connection, reader, target_writer, Direction.TO_TARGET),
+            self._async_pump(connection, target_reader, writer, Direction.TO_CLIENT),
+        )
+        tasks = [asyncio.create_task(pump) for pump in pumps]
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _async_wait_open(
+        self, connection: _Connection, direction: Direction
+    ) -> None:
+        while connection.is_silent or direction in self._held:
+            await self._changed.wait()
+
+    async def _async_pump(
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
+    ) -> None:
+        """Forward one direction; the end of the data passes on as well."""
+        pending: deque[tuple[float, bytes | None]] = deque()
+        room = asyncio.Semaphore(MAX_PENDING_CHUNKS)
+        arrived = asyncio.Event()
+        loop = asyncio.get_running_loop()
+
+        async def async_read() -> None:
+            while True:
+                await room.acquire()
+                data: bytes | None = None
+                with contextlib.suppress(OSError):
+                    data = await reader.read(CHUNK_BYTES)
+                pending.append((loop.time() + self.delay_s, data))
+                arrived.set()
+                if not data:
+                    return
+
+        async def async_write() -> None:
+            while True:
+                while not pending:
+                    arrived.clear()
+                    await arrived.wait()
+                due_s, data = pending.popleft()
+                room.release()
+                if due_s > loop.time():
+                    await asyncio.sleep(due_s - loop.time())
+                await self._async_wait_open(connection, direction)
+                if data is None:
+                    raise ConnectionResetError
+                if not data:
+                    writer.write_eof()
+                    return
+                writer.write(data)
+                await writer.drain()
+
+        reading = asyncio.create_task(async_read())
+        try:
+            await async_write()
+        finally:
+            reading.cancel()
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,159 @@
+"""The engine stand-in runs groups and streams as the design page says."""
+
+import json
+from typing import Any
+
+import aiohttp
+
+from standins.answers import expected_answer
+from standins.cluster import Cluster, async_wait_for
+
+MESSAGES = [{"role": "user", "content": "how dry is silo 4"}]
+START_LIMIT_S = 5.0
+
+
+async def _async_order(
+    cluster: Cluster, vm: str, rank: int, fence: int, order: str = "form"
+) -> int:
+    members = [
+        {"vm": item.vm, "address": cluster.engine_address(item.vm)}
+        for item in cluster.vms[:2]
+    ]
+    body = {"order": order, "fence": fence, "group": "g1", "generation": fence}
+    body |= {"rank": rank, "members": members, "model": "m", "version": "1"}
+    headers = {"Authorization": f"Bearer {cluster.layout.sizes.order_token}"}
+    url = f"{cluster.engine_address(vm)}/orders"
+    async with cluster.session.post(url, json=body, headers=headers) as response:
+        return response.status
+
+
+async def _async_health(cluster: Cluster, vm: str) -> dict[str, Any]:
+    return (await cluster.async_get(f"{cluster.engine_address(vm)}/health"))[1] or {}
+
+
+async def _async_wait_state(cluster: Cluster, vm: str, state: str) -> None:
+    async def async_has_state() -> bool:
+        return (await _async_health(cluster, vm)).get("state") == state
+
+    await async_wait_for(async_has_state, START_LIMIT_S, f"{vm} {state}")
+
+
+async def _async_form(cluster: Cluster, fence: int = 7) -> str:
+    for rank, item in enumerate(cluster.vms[:2]):
+        assert await _async_order(cluster, item.vm, rank, fence) == 200
+    await _async_wait_state(cluster, cluster.vms[0].vm, "serving")
+    return cluster.engine_address(cluster.vms[0].vm)
+
+
+def _post(
+    cluster: Cluster, lead: str, request_id: str, tokens: int, generation: int = 7
+) -> Any:
+    headers = {"X-Request-Id": request_id, "X-Group": "g1"}
+    headers["X-Generation"] = str(generation)
+    body = {"model": "m", "messages": MESSAGES, "max_tokens": tokens, "stream": True}
+    url = f"{lead}/v1/chat/completions"
+    return cluster.session.post(url, json=body, headers=headers)
+
+
+def _text(raw: bytes) -> str:
+    lines = [line[6:] for line in raw.splitlines() if line.startswith(b"data: ")]
+    chunks = [json.loads(line) for line in lines if line != b"[DONE]"]
+    parts = [c["delta"].get("content", "") for k in chunks for c in k["choices"]]
+    return "".join(parts)
+
+
+async def test_a_group_serves_only_with_all_members(cluster: Cluster) -> None:
+    """Guards against a lead that serves while a member is missing."""
+    lead, other = cluster.vms[0].vm, cluster.vms[1].vm
+    assert await _async_order(cluster, lead, 0, 7) == 200
+
+    async def async_is_loaded() -> bool:
+        return (await _async_health(cluster, lead))["load_fraction"] == 1.0
+
+    await async_wait_for(async_is_loaded, START_LIMIT_S, "weights")
+    assert (await _async_health(cluster, lead))["state"] == "loading"
+    assert await _async_order(cluster, other, 1, 7) == 200
+    await _async_wait_state(cluster, lead, "serving")
+    cluster.kill(other)
+    await _async_wait_state(cluster, lead, "failed")
+    await cluster.async_restart(other)
+    await cluster.async_wait_ready(other)
+    assert (await _async_health(cluster, lead))["state"] == "failed"
+
+
+async def test_the_answer_is_whole_and_echoed(cluster: Cluster) -> None:
+    """Guards against answers that a caller could not verify as its own."""
+    lead = await _async_form(cluster)
+    async with _post(cluster, lead, "r1", 40) as response:
+        raw = await response.read()
+        echoed = [response.headers[f"X-{n}"] for n in ("Request-Id", "Group")]
+    assert echoed == ["r1", "g1"]
+    assert _text(raw) == expected_answer(MESSAGES, 40)
+    ids = [int(line[4:]) for line in raw.splitlines() if line.startswith(b"id: ")]
+    assert ids == list(range(1, 43))
+    assert raw.endswith(b"data: [DONE]\n\n")
+    async with _post(cluster, lead, "r2", 4, generation=6) as response:
+        assert response.status == 409
+        assert await response.json() == {"error": "wrong_group"}
+
+
+async def test_a_broken_stream_goes_on_and_resumes(cluster: Cluster) -> None:
+    """Guards against a stream that is lost with its first connection."""
+    lead = await _async_form(cluster)
+    async with _post(cluster, lead, "r1", 60) as response:
+        head = await response.content.readuntil(b"\n\n")
+        response.close()
+    async with cluster.session.get(f"{lead}/v1/streams/r1?after=1") as response:
+        rest = await response.read()
+    assert _text(head + rest) == expected_answer(MESSAGES, 60)
+    async with cluster.session.delete(f"{lead}/v1/streams/r1") as response:
+        assert response.status == 200
+    assert (await cluster.async_get(f"{lead}/v1/streams/r1"))[0] == 404
+
+
+async def test_the_loss_of_a_member_breaks_streams(cluster: Cluster) -> None:
+    """Guards against a stream that ends as if it were whole without its group."""
+    lead = await _async_form(cluster)
+    async with _post(cluster, lead, "r1", 2000) as response:
+        await response.content.readuntil(b"\n\n")
+        cluster.kill(cluster.vms[1].vm)
+        try:
+            await response.read()
+            raise AssertionError("the stream ended without an error")
+        except aiohttp.ClientError:
+            pass
+    records = await cluster.async_records(lead)
+    assert (records["broken"], records["finished"]) == (1, 0)
+
+
+async def test_stale_orders_are_refused_or_followed(cluster: Cluster) -> None:
+    """Guards against engines that do not differ in how they treat fencing."""
+    vm = cluster.vms[0].vm
+    address = cluster.engine_address(vm)
+    await _async_form(cluster, fence=9)
+    assert await _async_order(cluster, vm, 0, 8, "release") == 409
+    await cluster.async_control(address, honour_fence=False)
+    assert await _async_order(cluster, vm, 0, 8, "release") == 200
+    assert (await _async_health(cluster, vm))["state"] == "idle"
+    async with cluster.session.post(f"{address}/orders", json={}) as response:
+        assert response.status == 401
+    orders = (await cluster.async_records(address))["orders"]
+    results = [order["result"] for order in orders]
+    assert results == ["accepted", "stale_fence", "accepted", "wrong_token"]
+
+
+async def test_a_pause_stops_the_whole_engine(cluster: Cluster) -> None:
+    """Guards against a paused engine that still answers probes."""
+    address = cluster.engine_address(cluster.vms[0].vm)
+    await cluster.async_control(address, pause_s=1.0)
+    timeout = aiohttp.ClientTimeout(total=0.3)
+
+    async def async_is_silent() -> bool:
+        try:
+            async with cluster.session.get(f"{address}/health", timeout=timeout):
+                return False
+        except TimeoutError:
+            return True
+
+    await async_wait_for(async_is_silent, 1.0, "pause")
+    await cluster.async_wait_ready(cluster.vms[0].vm)
--- /dev/null
+++ b/tests/standins/test_proxy.py
@@ -0,0 +1,101 @@
+"""The fault proxy delays, holds and cuts as a network does."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from standins.proxy import Direction, FaultProxy
+
+SILENCE_S = 0.2
+LIMIT_S = 2.0
+
+
+@pytest.fixture
+async def proxy() -> AsyncIterator[FaultProxy]:
+    """Return a proxy in front of a server that echoes."""
+
+    async def async_echo(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    server = await asyncio.start_server(async_echo, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with FaultProxy(port) as running:
+        yield running
+    server.close()
+
+
+class _Caller:
+    """A connection through the proxy."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def async_echo(self, text: bytes, limit_s: float = LIMIT_S) -> bytes:
+        self.writer.write(text)
+        return await self.async_read(len(text), limit_s)
+
+    async def async_read(self, size: int, limit_s: float = LIMIT_S) -> bytes:
+        async with asyncio.timeout(limit_s):
+            return await self.reader.readexactly(size)
+
+
+async def _async_connect(proxy: FaultProxy) -> _Caller:
+    return _Caller(*await asyncio.open_connection("127.0.0.1", proxy.port))
+
+
+@pytest.mark.parametrize("direction", [*Direction, None])
+async def test_held_bytes_arrive_late(
+    proxy: FaultProxy, direction: Direction | None
+) -> None:
+    """Guards against a partition that drops bytes inside a connection."""
+    caller = await _async_connect(proxy)
+    assert await caller.async_echo(b"one") == b"one"
+    if direction is None:
+        proxy.freeze()
+    else:
+        proxy.cut_one_way(direction)
+    with pytest.raises(TimeoutError):
+        await caller.async_echo(b"two", SILENCE_S)
+    proxy.resume()
+    assert await caller.async_read(3) == b"two"
+    caller.writer.close()
+
+
+async def test_open_connections_go_silent_and_new_ones_work(proxy: FaultProxy) -> None:
+    """Guards against a fault that closes the silent connection or reaches new ones."""
+    silent = await _async_connect(proxy)
+    assert await silent.async_echo(b"one") == b"one"
+    assert proxy.silence_open_connections() == 1
+    with pytest.raises(TimeoutError):
+        await silent.async_echo(b"two", SILENCE_S)
+    working = await _async_connect(proxy)
+    assert await working.async_echo(b"three") == b"three"
+    assert not silent.reader.at_eof()
+    silent.writer.close()
+    working.writer.close()
+
+
+async def test_a_cut_closes_and_refuses_until_healed(proxy: FaultProxy) -> None:
+    """Guards against a cut that new connections pass."""
+    caller = await _async_connect(proxy)
+    assert await caller.async_echo(b"one") == b"one"
+    await proxy.async_cut()
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        await caller.async_echo(b"two")
+    with pytest.raises(ConnectionError):
+        await _async_connect(proxy)
+    await proxy.async_heal()
+    healed = await _async_connect(proxy)
+    loop = asyncio.get_running_loop()
+    proxy.delay_s = 0.1
+    start_s = loop.time()
+    assert await healed.async_echo(b"four") == b"four"
+    assert loop.time() - start_s >= 0.2
+    healed.writer.close()
