--- a/standins/engine_chat.py
+++ b/standins/engine_chat.py
@@ -97,7 +97,7 @@
     count = body.get("max_tokens") or body.get("max_completion_tokens")
     if count is not None and (not isinstance(count, int) or count < 1):
         raise web.HTTPBadRequest(text="max_tokens must be a positive number")
-    blocks = prompt_blocks(messages)
+    blocks = prompt_blocks(str(body.get("model")), messages)
     uncached = len(blocks) - cache.use(blocks, boot_time_s())
     options = engine.options
     request_id = req.headers["X-Request-Id"]
@@ -120,7 +120,7 @@
     request_id: str, model: str, words: Sequence[str], prompt_tokens: int
 ) -> list[bytes]:
     base = {
-        "id": f"chatcmpl-{request_id}",
+        "id": request_id,
         "object": "chat.completion.chunk",
         "created": int(time.time()),
         "model": model,
--- a/standins/engine_group.py
+++ b/standins/engine_group.py
@@ -73,9 +73,18 @@
         self.engine.place(placement)
 
     async def _async_load(self) -> None:
+        """Load the weights unless they are still in memory."""
+        engine = self.engine
+        wanted = (engine.placement.model, engine.placement.version)
+        if engine.loaded == wanted:
+            engine.load_fraction = 1.0
+            return
+        engine.loaded = ("", "")
         while True:
             with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
                 if await self._async_load_once():
+                    engine.loaded = wanted
+                    engine.load_fraction = 1.0
                     return
             await asyncio.sleep(LOAD_RETRY_S)
 
@@ -91,7 +100,6 @@
             async for chunk in response.content.iter_chunked(LOAD_CHUNK_BYTES):
                 loaded += len(chunk)
                 engine.load_fraction = min(loaded / max(options.weight_bytes, 1), 0.99)
-        engine.load_fraction = 1.0
         return True
 
     async def _async_watch(self, vm: str, address: str) -> None:
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -100,8 +100,9 @@
 class Engine:
     """Memory of one engine process; all of it is lost when the process ends.
 
-    `joined` holds the boot id that the lead saw for each other member, `lost` the
-    members that it lost since.
+    `loaded` holds model and version of the weights in memory, which stay there after a
+    release. `joined` holds the boot id that the lead saw for each other member, `lost`
+    the members that it lost since.
     """
 
     options: EngineOptions
@@ -110,6 +111,7 @@
     placement: Placement = field(default_factory=Placement)
     fence: int = 0
     load_fraction: float = 0.0
+    loaded: tuple[str, str] = ("", "")
     joined: dict[str, str] = field(default_factory=dict)
     lost: set[str] = field(default_factory=set)
     records: Records = field(default_factory=Records)
--- a/standins/engine_streams.py
+++ b/standins/engine_streams.py
@@ -1,13 +1,13 @@
 """Streams of the engine stand-in: batching, generation and the resume buffer."""
 
 import asyncio
-import contextlib
 import heapq
 import itertools
 import os
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import partial
 
 from .engine_state import Records
 from .http import boot_time_s
@@ -139,16 +139,14 @@
             stream = heapq.heappop(self.queue)[2]
             if stream.result is not StreamResult.RUNNING:
                 continue
-            task = asyncio.create_task(self._async_generate(stream))
+            task = asyncio.create_task(self._async_produce(stream))
             self.active[stream] = task
+            # A task that is cancelled before it runs executes no `finally`.
+            task.add_done_callback(partial(self._free_slot, stream))
 
-    async def _async_generate(self, stream: Stream) -> None:
-        try:
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._async_produce(stream)
-        finally:
-            self.active.pop(stream, None)
-            self._start_queued()
+    def _free_slot(self, stream: Stream, _task: asyncio.Task[None]) -> None:
+        self.active.pop(stream, None)
+        self._start_queued()
 
     async def _async_produce(self, stream: Stream) -> None:
         loop = asyncio.get_running_loop()
--- a/standins/prefix_cache.py
+++ b/standins/prefix_cache.py
@@ -1,26 +1,29 @@
 """The prefix cache of the engine stand-in and its events."""
 
 import hashlib
+import json
 from collections import OrderedDict, deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
-BLOCK_CHARACTERS = 256
-HASH_CHARACTERS = 16
+BLOCK_BYTES = 256
+BLOCK_HASH_BYTES = 8
 MAX_EVENTS = 2000
 
 
-def prompt_blocks(messages: Sequence[Any]) -> list[str]:
-    """Return the chained hashes of the prompt's whole blocks."""
-    parts = (f"{item.get('role')}\n{item.get('content')}\n" for item in messages)
-    text = "".join(parts)
+def prompt_blocks(model: str, messages: Sequence[Any]) -> list[str]:
+    """Return the chained hashes of the full blocks at the start of a prompt.
+
+    Each hash covers all bytes up to the end of its block, as in the cache events that
+    the routing of the package reads.
+    """
+    prompt = json.dumps([model, messages], separators=(",", ":")).encode()
+    chain = hashlib.blake2b(digest_size=BLOCK_HASH_BYTES)
     hashes: list[str] = []
-    previous = ""
-    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
-        block = previous + text[start : start + BLOCK_CHARACTERS]
-        previous = hashlib.sha256(block.encode()).hexdigest()[:HASH_CHARACTERS]
-        hashes.append(previous)
+    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        chain.update(prompt[start : start + BLOCK_BYTES])
+        hashes.append(chain.hexdigest())
     return hashes
 
 
@@ -63,7 +66,7 @@
     def events_after(self, after: int, until_s: float) -> list[dict[str, Any]]:
         """Return the events with a greater number that happened until a time."""
         return [
-            {name: event[name] for name in ("seq", "type", "blocks")}
+            {name: event[name] for name in ("seq", "kind", "blocks")}
             for event in self.events
             if event["seq"] > after and event["at_s"] <= until_s
         ]
@@ -76,5 +79,5 @@
             self.drop_events -= 1
             return
         self.events.append(
-            {"seq": self.last_seq, "type": kind, "blocks": blocks, "at_s": now_s}
+            {"seq": self.last_seq, "kind": kind, "blocks": blocks, "at_s": now_s}
         )
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -157,3 +157,21 @@
 
     await async_wait_for(async_is_silent, 1.0, "pause")
     await cluster.async_wait_ready(cluster.vms[0].vm)
+
+
+async def test_a_marked_prompt_crashes_the_engine(cluster: Cluster) -> None:
+    """Guards against a crash marker that only fails the request."""
+    lead = await _async_form(cluster)
+    before = await _async_health(cluster, cluster.vms[0].vm)
+    marked = [{"role": "user", "content": "please CRASH-SERVER now"}]
+    headers = {"X-Request-Id": "r1", "X-Group": "g1", "X-Generation": "7"}
+    body = {"model": "m", "messages": marked, "max_tokens": 9, "stream": True}
+    url = f"{lead}/v1/chat/completions"
+    async with cluster.session.post(url, json=body, headers=headers) as response:
+        assert (await response.content.readline()).startswith(b"id: 1")
+    process = cluster.process(cluster.vms[0].vm)
+    assert await process.async_wait_ended(START_LIMIT_S) == 70
+    process.start()
+    await cluster.async_wait_ready(cluster.vms[0].vm)
+    after = await _async_health(cluster, cluster.vms[0].vm)
+    assert after["boot_id"] != before["boot_id"]
