Test that the load generator counts only whole answers as whole

A generator that counted cut or foreign answers as whole would hide every fault of the request path. The test runs it against an entry program that fails in turn in each way.

--- /dev/null
+++ b/tests/standins/test_load.py
@@ -0,0 +1,62 @@
+"""The load generator judges every answer."""
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from aiohttp import test_utils, web
+
+from standins.answers import expected_words
+from standins.load import LoadPlan, async_run_load
+
+KINDS = ("whole", "cut", "wrong", "error", "refused")
+
+
+@pytest.fixture
+async def entry() -> AsyncIterator[str]:
+    """Return the address of an entry program that fails in turn in every way."""
+    turn = 0
+
+    async def async_chat(req: web.Request) -> web.StreamResponse:
+        nonlocal turn
+        kind = KINDS[turn % len(KINDS)]
+        turn += 1
+        body = await req.json()
+        if kind == "refused":
+            error = {"code": "overloaded", "ran": "no"}
+            return web.json_response({"error": error}, status=503)
+        response = web.StreamResponse()
+        await response.prepare(req)
+        words = expected_words(body["messages"], body["max_tokens"])
+        if kind == "wrong":
+            words = words[1:]
+        for index, word in enumerate(words):
+            delta = {"content": f" {word}" if index else word}
+            await _async_event(response, {"choices": [{"delta": delta}]})
+        if kind == "error":
+            await _async_event(response, {"error": {"code": "stream_broken"}})
+        if kind not in ("cut", "error"):
+            await response.write(b"data: [DONE]\n\n")
+        return response
+
+    async def _async_event(response: web.StreamResponse, data: Any) -> None:
+        await response.write(f"data: {json.dumps(data)}\n\n".encode())
+
+    app = web.Application()
+    app.router.add_post("/v1/chat/completions", async_chat)
+    async with test_utils.TestServer(app) as server:
+        yield f"http://127.0.0.1:{server.port}"
+
+
+async def test_only_whole_answers_count_as_whole(entry: str) -> None:
+    """Guards against a cut or foreign answer that counts as whole."""
+    plan = LoadPlan([entry], "t", "m", requests_per_s=200, duration_s=0.25)
+    report = await async_run_load(plan)
+    assert report.sent >= 10
+    seen = [report.whole, report.wrong, report.refused["no"], report.cut // 2]
+    assert max(seen) - min(seen) <= 1
+    assert report.whole + report.wrong + report.cut + report.refused["no"] == (
+        report.sent
+    )
+    assert report.errors["stream_broken"] > 0
