Add configuration store, administration API and command line

Operators had no way to declare teams, specs and labels. Edits are now one table transaction on the head, the objects and the change row. The check on the change row, which is written once, lets a repeated commit recognise itself even after a later edit has rewritten the head; a check on the head alone would report such an edit as a conflict although it was accepted.

The reducer only raises the revision and asks for missing changes. The administration API validates edits, answers both sides of a conflict and shows status, audit and explanations. The command line has apply, get, delete, label, plan, drain, status and explain.

The link to the control process is not connected yet; control processes poll the table.

--- /dev/null
+++ b/gooseberryhall/admin/auth.py
@@ -0,0 +1,68 @@
+"""Roles of the administration API's tokens."""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+from enum import IntEnum
+
+from ..settings.models import AdminSettings
+from .const import ACTOR_DIGITS
+from .exceptions import ForbiddenError, UnauthenticatedError
+
+_SCHEME = "Bearer "
+
+
+class Role(IntEnum):
+    """Roles, each including the ones below."""
+
+    READER = 1
+    EDITOR = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Actor:
+    """The holder of a token, named by the start of the token's SHA-256."""
+
+    name: str
+    role: Role
+
+
+def authenticate(settings: AdminSettings, header: str | None) -> Actor:
+    """Return the holder of the token in an Authorization header.
+
+    Raises UnauthenticatedError. Every listed hash is compared in constant time, so the
+    answer's time does not depend on which one matches.
+    """
+    if header is None or not header.startswith(_SCHEME):
+        raise UnauthenticatedError(
+            "the request has no bearer token",
+            field="Authorization",
+            fix="send `Authorization: Bearer <token>`",
+        )
+    digest = hashlib.sha256(header[len(_SCHEME) :].strip().encode()).hexdigest()
+    role = None
+    for allowed, hashes in (
+        (Role.READER, settings.reader_token_sha256),
+        (Role.EDITOR, settings.editor_token_sha256),
+    ):
+        matches = [hmac.compare_digest(digest, known) for known in hashes]
+        if any(matches):
+            role = allowed
+    if role is None:
+        raise UnauthenticatedError(
+            "the token is not known",
+            field="Authorization",
+            fix="use a token whose SHA-256 is in the admin settings",
+        )
+    return Actor(f"{role.name.lower()}-{digest[:ACTOR_DIGITS]}", role)
+
+
+def require(actor: Actor, role: Role) -> None:
+    """Raise ForbiddenError unless the actor has the role."""
+    if actor.role < role:
+        raise ForbiddenError(
+            f"this needs the {role.name.lower()} role; the token has the role "
+            f"{actor.role.name.lower()}",
+            field="Authorization",
+            fix="use an editor token",
+        )
--- /dev/null
+++ b/gooseberryhall/admin/openapi.py
@@ -0,0 +1,99 @@
+"""The OpenAPI description of the administration API."""
+
+import json
+import re
+from typing import Any
+
+from pydantic import BaseModel
+from pydantic.json_schema import models_json_schema
+
+from .const import API_TITLE, API_VERSION
+from .models import ErrorResponse
+from .routes import ROUTES, Parameter, Route
+
+OPENAPI_VERSION = "3.1.0"
+OPENAPI_PATH = "/v1/openapi.json"
+REF_TEMPLATE = "#/components/schemas/{model}"
+_ERRORS = {
+    400: "The body or a parameter is malformed.",
+    401: "The token is missing or not known.",
+    403: "The token's role does not allow this.",
+    404: "The named thing does not exist.",
+    413: "The body is too large.",
+    503: "The table does not answer.",
+}
+_PATH_PARAMETER = re.compile(r"<(\w+):\w+>")
+
+
+def openapi_description() -> dict[str, Any]:
+    """Return the description."""
+    models = sorted(_models(), key=lambda model: model.__name__)
+    _, definitions = models_json_schema(
+        [(model, "serialization") for model in models], ref_template=REF_TEMPLATE
+    )
+    paths: dict[str, dict[str, Any]] = {}
+    for route in ROUTES:
+        path = _PATH_PARAMETER.sub(r"{\1}", route.path)
+        paths.setdefault(path, {})[route.method.lower()] = _operation(route)
+    return {
+        "openapi": OPENAPI_VERSION,
+        "info": {"title": API_TITLE, "version": API_VERSION},
+        "security": [{"token": []}],
+        "paths": paths,
+        "components": {
+            "securitySchemes": {"token": {"type": "http", "scheme": "bearer"}},
+            "schemas": definitions["$defs"],
+        },
+    }
+
+
+def openapi_text() -> str:
+    """Return the description as it is committed in docs/openapi.json."""
+    return json.dumps(openapi_description(), indent=2) + "\n"
+
+
+def _models() -> set[type[BaseModel]]:
+    models: set[type[BaseModel]] = {ErrorResponse}
+    for route in ROUTES:
+        models.update(route.answers.values())
+        if route.body is not None:
+            models.add(route.body)
+    return models
+
+
+def _operation(route: Route) -> dict[str, Any]:
+    answers = {str(code): _answer(model) for code, model in route.answers.items()}
+    for code, description in _ERRORS.items():
+        answers[str(code)] = _answer(ErrorResponse, description)
+    operation: dict[str, Any] = {
+        "summary": route.summary,
+        "description": f"Needs the {route.role.name.lower()} role.",
+        "responses": answers,
+    }
+    if route.parameters:
+        operation["parameters"] = [_parameter(item) for item in route.parameters]
+    if route.body is not None:
+        operation["requestBody"] = {"required": True, "content": _content(route.body)}
+    return operation
+
+
+def _answer(model: type[BaseModel], description: str = "") -> dict[str, Any]:
+    return {"description": description or model.__doc__, "content": _content(model)}
+
+
+def _content(model: type[BaseModel]) -> dict[str, Any]:
+    reference = {"$ref": REF_TEMPLATE.format(model=model.__name__)}
+    return {"application/json": {"schema": reference}}
+
+
+def _parameter(parameter: Parameter) -> dict[str, Any]:
+    schema: dict[str, Any] = {"type": "string"}
+    if parameter.values:
+        schema["enum"] = list(parameter.values)
+    return {
+        "name": parameter.name,
+        "in": parameter.place,
+        "required": parameter.place == "path",
+        "description": parameter.description,
+        "schema": schema,
+    }
--- /dev/null
+++ b/gooseberryhall/admin/services.py
@@ -0,0 +1,32 @@
+"""What the handlers of the administration API work with."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from ..adapters.table import Table
+from ..config.operations import Change
+from ..core.clock import now_s
+from ..core.runtime import Runtime
+from ..settings.models import NodeSettings
+
+TimelineReader = Callable[[str], Awaitable[list[dict[str, Any]]]]
+"""Returns the time line entries of this entry VM that mention a text."""
+
+
+@dataclass(slots=True)
+class AdminServices:
+    """Collaborators of the API's handlers.
+
+    `send_change` hands an accepted change to the control process at once; it does
+    nothing while no link is open, since control processes also poll the table.
+    """
+
+    settings: NodeSettings
+    runtime: Runtime
+    table: Table
+    send_change: Callable[[Change], None]
+    is_linked: Callable[[], bool]
+    async_read_timeline: TimelineReader
+    record: Callable[..., None]
+    clock: Callable[[], float] = now_s
--- /dev/null
+++ b/gooseberryhall/admin/timelines.py
@@ -0,0 +1,51 @@
+"""Reads the time lines of the programs on this entry VM."""
+
+import asyncio
+import json
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+
+from ..settings.models import NodeSettings
+from .services import TimelineReader
+
+READ_TIMEOUT_S = 2.0
+# A time line of 10,000 events has 10 pages.
+MAX_PAGES = 10
+
+
+def create_timeline_reader(
+    session: aiohttp.ClientSession, settings: NodeSettings
+) -> TimelineReader:
+    """Return a function that finds the entries that mention a text."""
+    sections = (settings.entry, settings.control)
+    urls = [f"http://{item.host}:{item.ops_port}/timeline" for item in sections]
+
+    async def async_read(text: str) -> list[dict[str, Any]]:
+        found = await asyncio.gather(*(_async_read(session, url) for url in urls))
+        entries = [entry for page in found for entry in page]
+        return [entry for entry in entries if text in json.dumps(entry["fields"])]
+
+    return async_read
+
+
+async def _async_read(
+    session: aiohttp.ClientSession, url: str
+) -> Sequence[dict[str, Any]]:
+    """Return all entries of a time line; none when the program does not answer."""
+    entries: list[dict[str, Any]] = []
+    timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+    after = 0
+    for _ in range(MAX_PAGES):
+        try:
+            params = {"after": str(after)}
+            async with session.get(url, params=params, timeout=timeout) as response:
+                page = await response.json()
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            break
+        entries += page["entries"]
+        if not page["more"]:
+            break
+        after = entries[-1]["seq"]
+    return entries
--- /dev/null
+++ b/gooseberryhall/cli/client.py
@@ -0,0 +1,152 @@
+"""Client of the administration API."""
+
+import secrets
+from collections.abc import Sequence
+from typing import Any, TypeVar
+
+import aiohttp
+from pydantic import BaseModel, ValidationError
+
+from ..admin.models import (
+    ConfigView,
+    ConflictResponse,
+    EditAccepted,
+    EditRequest,
+    ErrorResponse,
+    Explanation,
+    PlanRequest,
+    PlanView,
+    RefusedResponse,
+    StatusView,
+)
+from ..config.operations import Operation
+from .const import CALL_TIMEOUT_S, CONNECT_TIMEOUT_S, EDIT_TOKEN_BYTES
+from .exceptions import (
+    CliError,
+    EditConflictError,
+    EditRefusedError,
+    UnreachableError,
+)
+from .output import conflict_lines, finding_lines
+
+ModelT = TypeVar("ModelT", bound=BaseModel)
+_TIMEOUT = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+_OK = 200
+_UNAVAILABLE = 503
+
+
+class AdminClient:
+    """Calls the first administration program that answers.
+
+    Every call may be repeated on the next address: reads change nothing, and an edit
+    carries a token by which it is accepted at most once.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, addresses: Sequence[str], token: str
+    ) -> None:
+        """Use `session`, which the caller owns."""
+        self._session = session
+        self._addresses = tuple(address.rstrip("/") for address in addresses)
+        self._headers = {"Authorization": f"Bearer {token}"}
+
+    async def async_get_config(self) -> ConfigView:
+        """Return the configuration."""
+        return await self._async_call("GET", "/v1/config", ConfigView)
+
+    async def async_get_status(self) -> StatusView:
+        """Return the status."""
+        return await self._async_call("GET", "/v1/status", StatusView)
+
+    async def async_explain(self, kind: str, name: str) -> Explanation:
+        """Return an explanation."""
+        return await self._async_call("GET", f"/v1/explain/{kind}/{name}", Explanation)
+
+    async def async_plan(self, operations: tuple[Operation, ...]) -> PlanView:
+        """Return what an edit would do."""
+        body = PlanRequest(operations=operations)
+        return await self._async_call("POST", "/v1/config/plan", PlanView, body)
+
+    async def async_edit(
+        self, base_revision: int, operations: tuple[Operation, ...]
+    ) -> EditAccepted:
+        """Send an edit. Raises EditConflictError and EditRefusedError."""
+        body = EditRequest(
+            base_revision=base_revision,
+            operations=operations,
+            token=secrets.token_hex(EDIT_TOKEN_BYTES),
+        )
+        return await self._async_call("POST", "/v1/config/edits", EditAccepted, body)
+
+    async def _async_call(
+        self,
+        method: str,
+        path: str,
+        model: type[ModelT],
+        body: BaseModel | None = None,
+    ) -> ModelT:
+        failures: list[CliError] = []
+        for address in self._addresses:
+            try:
+                return await self._async_call_one(address + path, method, model, body)
+            except UnreachableError as exc:
+                failures.append(exc)
+        # An answer about the table says more than an address that did not answer.
+        failures.sort(key=lambda failure: failure.code == UnreachableError.code)
+        raise failures[0]
+
+    async def _async_call_one(
+        self, url: str, method: str, model: type[ModelT], body: BaseModel | None
+    ) -> ModelT:
+        data = None if body is None else body.model_dump_json().encode()
+        try:
+            async with self._session.request(
+                method, url, data=data, headers=self._headers, timeout=_TIMEOUT
+            ) as response:
+                content = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise UnreachableError(
+                f"{url}: {str(exc) or type(exc).__name__}",
+                field="--admin",
+                fix="check the address, or name the addresses of other entry VMs",
+            ) from exc
+        if response.status == _OK:
+            return _parse(url, model, content)
+        raise _error(url, response.status, content)
+
+
+def _parse(url: str, model: type[ModelT], content: bytes) -> ModelT:
+    try:
+        return model.model_validate_json(content)
+    except ValidationError as exc:
+        raise CliError(
+            f"{url} answered in a form that this version does not know",
+            fix="use the command line of the same version as the admin program",
+        ) from exc
+
+
+def _error(url: str, status: int, content: bytes) -> CliError:
+    details: dict[str, Any]
+    match status:
+        case 409:
+            conflict = _parse(url, ConflictResponse, content).error
+            details = conflict.model_dump(mode="json", exclude={"code", "message"})
+            return EditConflictError(
+                "\n".join(conflict_lines(conflict)),
+                field="base_revision",
+                fix="read the accepted changes, then apply to the new revision",
+                details=details,
+            )
+        case 422:
+            refused = _parse(url, RefusedResponse, content).error
+            details = refused.model_dump(mode="json", exclude={"code", "message"})
+            lines = [refused.message, *finding_lines(refused.findings)]
+            return EditRefusedError("\n".join(lines), details=details)
+    error = _parse(url, ErrorResponse, content).error
+    kind = UnreachableError if status == _UNAVAILABLE else CliError
+    return kind(
+        error.message,
+        field=error.field or "",
+        fix=error.fix or "",
+        code=error.code,
+    )
--- /dev/null
+++ b/gooseberryhall/cli/files.py
@@ -0,0 +1,57 @@
+"""Reads files with declared objects."""
+
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from ..admin.models import ConfigView
+from ..config.models import AnyObject
+from ..config.operations import Operation, PutObject
+from .exceptions import CliError
+
+
+class ObjectsFile(BaseModel):
+    """A file with declared objects.
+
+    `revision` and `source` are there when the file was written by `get --output json`;
+    the revision is then the base of the edit.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    objects: tuple[AnyObject, ...]
+    revision: int | None = None
+    source: str | None = None
+
+
+def read_objects(file: Path) -> ObjectsFile:
+    """Return the checked objects of a file. Raises CliError."""
+    try:
+        return ObjectsFile.model_validate_json(file.read_bytes())
+    except OSError as exc:
+        raise CliError(
+            f"{file}: {exc.strerror}", field="FILE", fix="check the path"
+        ) from exc
+    except ValidationError as exc:
+        errors = exc.errors(include_url=False, include_input=False)
+        lines = [f"{_path(item['loc'])}: {item['msg']}" for item in errors]
+        raise CliError(
+            "\n".join([f"{file} has {len(lines)} errors", *lines]),
+            field="FILE",
+            fix="correct the named fields; docs/configuration.md describes them",
+            code="malformed_file",
+        ) from exc
+
+
+def changed_operations(file: ObjectsFile, current: ConfigView) -> tuple[Operation, ...]:
+    """Return the operations for the objects that differ from the current ones."""
+    known = {(item.kind, item.name): item for item in current.objects}
+    return tuple(
+        PutObject(object=item)
+        for item in file.objects
+        if known.get((item.kind, item.name)) != item
+    )
+
+
+def _path(location: tuple[int | str, ...]) -> str:
+    return ".".join(str(part) for part in location) or "(top level)"
--- /dev/null
+++ b/gooseberryhall/cli/labels.py
@@ -0,0 +1,39 @@
+"""Label arguments of the command line."""
+
+from collections.abc import Iterable
+
+from pydantic import ValidationError
+
+from ..config.models import RequestKind, Team, VmLabels
+from .exceptions import CliError
+
+Labelled = Team | RequestKind | VmLabels
+
+
+def change_labels(item: Labelled, arguments: Iterable[str]) -> Labelled:
+    """Return the object with labels set and removed. Raises CliError."""
+    labels = dict(item.labels)
+    for argument in arguments:
+        key, separator, value = argument.partition("=")
+        if separator:
+            labels[key] = value
+        elif argument.endswith("-"):
+            labels.pop(argument[:-1], None)
+        else:
+            raise CliError(
+                f"{argument!r} neither sets nor removes a label",
+                field="labels",
+                fix=f"write {argument}=VALUE to set it or {argument}- to remove it",
+                code="malformed_label",
+            )
+    try:
+        return type(item).model_validate(item.model_dump() | {"labels": labels})
+    except ValidationError as exc:
+        first = exc.errors(include_url=False)[0]
+        field = ".".join(str(part) for part in first["loc"])
+        raise CliError(
+            first["msg"],
+            field=field,
+            fix="use letters, digits, '-', '_' and '.', at most 63 characters",
+            code="malformed_label",
+        ) from exc
--- /dev/null
+++ b/gooseberryhall/cli/output.py
@@ -0,0 +1,154 @@
+"""Text and JSON output."""
+
+import json
+from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+from ..admin.models import EditConflictView, Explanation, PlanView, StatusView
+from ..config.difference import ObjectDifference
+from ..config.findings import Finding
+from ..config.models import AnyObject
+from ..config.operations import Operation, PutObject
+
+INDENT = "  "
+
+
+def to_json(data: Any) -> str:
+    """Return indented JSON."""
+    return json.dumps(data, indent=2, sort_keys=False)
+
+
+def format_time(time_s: float) -> str:
+    """Return a wall-clock time in UTC with milliseconds."""
+    text = datetime.fromtimestamp(time_s, UTC).isoformat(timespec="milliseconds")
+    return text.replace("+00:00", "Z")
+
+
+def table_lines(rows: Sequence[Sequence[str]]) -> list[str]:
+    """Return rows as aligned columns."""
+    if not rows:
+        return []
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    ]
+
+
+def object_rows(objects: Iterable[AnyObject]) -> list[list[str]]:
+    """Return one row for each object: kind, name and its fields in short."""
+    rows = [["KIND", "NAME", "FIELDS"]]
+    for item in objects:
+        fields = item.model_dump(mode="json", exclude={"kind", "name"})
+        rows.append([item.kind, item.name, _short(fields)])
+    return rows
+
+
+def operation_line(operation: Operation) -> str:
+    """Return an operation in one line."""
+    name = "/".join(operation.key)
+    if isinstance(operation, PutObject):
+        fields = operation.object.model_dump(mode="json", exclude={"kind", "name"})
+        return f"put {name} {_short(fields)}"
+    return f"delete {name}"
+
+
+def conflict_lines(conflict: EditConflictView) -> list[str]:
+    """Return both sides of a conflict."""
+    lines = [conflict.message, "your change:"]
+    lines += [INDENT + operation_line(item) for item in conflict.operations]
+    lines.append(f"accepted after revision {conflict.base_revision}:")
+    if not conflict.accepted:
+        lines.append(INDENT + "(the changes are no longer kept)")
+    for change in conflict.accepted:
+        when = format_time(change.accepted_at_s)
+        lines.append(f"{INDENT}revision {change.revision} by {change.actor} at {when}")
+        lines += [2 * INDENT + operation_line(item) for item in change.operations]
+    return lines
+
+
+def finding_lines(findings: Iterable[Finding]) -> list[str]:
+    """Return findings with the field and the fix."""
+    lines: list[str] = []
+    for item in findings:
+        name = f"{item.kind}/{item.name} " if item.kind else ""
+        lines.append(f"{item.level}: {name}{item.field}: {item.message}")
+        lines.append(f"{INDENT}fix: {item.fix}")
+    return lines
+
+
+def difference_lines(differences: Iterable[ObjectDifference]) -> list[str]:
+    """Return the changed fields of objects."""
+    lines: list[str] = []
+    for item in differences:
+        lines.append(f"{item.action} {item.kind}/{item.name}")
+        lines += [
+            f"{INDENT}{field.field}: {_value(field.before)} -> {_value(field.after)}"
+            for field in item.fields
+        ]
+    return lines
+
+
+def plan_lines(plan: PlanView) -> list[str]:
+    """Return what an edit would do."""
+    verdict = "would be accepted" if plan.accepted else "would be refused"
+    return [
+        f"at revision {plan.revision} the edit {verdict}",
+        *finding_lines(plan.findings),
+        *difference_lines(plan.differences),
+        f"affected groups: {', '.join(plan.affected_groups) or '(none)'}",
+        f"affected VMs: {', '.join(plan.affected_vms) or '(none)'}",
+    ]
+
+
+def status_lines(status: StatusView) -> list[str]:
+    """Return the status."""
+    table = (
+        f"revision {status.table_revision}"
+        if status.table_reachable
+        else "not reachable"
+    )
+    specs = [["SPEC", "SERVING", "GROUPS", "MIN", "MAX"]]
+    specs += [
+        [s.spec, *map(str, (s.serving, s.groups, s.min_groups, s.max_groups))]
+        for s in status.specs
+    ]
+    groups = [["GROUP", "SPEC", "ZONE", "PHASE", "TAKES REQUESTS", "MEMBERS"]]
+    groups += [
+        [g.group, g.spec, g.zone, g.phase, _takes(g.closed), ",".join(g.members)]
+        for g in status.groups
+    ]
+    silent = ", ".join(status.vms_not_answering) or "(none)"
+    return [
+        f"node {status.node} in {status.zone}: configuration revision "
+        f"{status.revision}; table: {table}; "
+        f"control link: {'open' if status.control_linked else 'closed'}",
+        f"VMs with evidence: {status.vms_with_evidence}; not answering: {silent}",
+        *table_lines(specs),
+        *table_lines(groups),
+    ]
+
+
+def explanation_lines(explanation: Explanation) -> list[str]:
+    """Return an explanation."""
+    lines = [f"{explanation.kind} {explanation.name}: {explanation.summary}"]
+    lines += [f"{INDENT}- {reason}" for reason in explanation.reasons]
+    lines += [
+        f"{INDENT}{key}: {_value(value)}" for key, value in explanation.details.items()
+    ]
+    return lines
+
+
+def _takes(closed: str | None) -> str:
+    return "yes" if closed is None else f"no ({closed})"
+
+
+def _short(fields: dict[str, Any]) -> str:
+    return " ".join(f"{key}={_value(value)}" for key, value in fields.items())
+
+
+def _value(value: Any) -> str:
+    return json.dumps(value, separators=(",", ":"))
--- a/gooseberryhall/config/exceptions.py
+++ b/gooseberryhall/config/exceptions.py
@@ -1,6 +1,6 @@
 """Errors of the config concern."""
 
-from ..exceptions import GooseberryhallError
+from ..exceptions import GooseberryhallError, UnavailableError
 
 
 class SelectorError(GooseberryhallError, ValueError):
@@ -13,3 +13,14 @@
         super().__init__(f"selector {selector!r}: {reason}")
         self.selector = selector
         self.reason = reason
+
+
+class ConfigUnreadableError(UnavailableError):
+    """A configuration row in the table does not have the expected form."""
+
+    code = "config_unreadable"
+
+    def __init__(self, key: str, reason: str) -> None:
+        """Keep the key of the row and the reason."""
+        super().__init__(f"table row {key}: {reason}")
+        self.key = key
--- a/gooseberryhall/config/operations.py
+++ b/gooseberryhall/config/operations.py
@@ -1,5 +1,6 @@
 """Edits of the declared objects."""
 
+from collections.abc import Iterable, Mapping
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field
@@ -50,3 +51,34 @@
     token: str
     accepted_at_s: float = 0.0
     operations: tuple[Operation, ...]
+
+
+def apply_operations(
+    objects: dict[ObjectKey, AnyObject], operations: Iterable[Operation]
+) -> set[ObjectKey]:
+    """Carry out operations in place and return the keys they name."""
+    keys: set[ObjectKey] = set()
+    for operation in operations:
+        keys.add(operation.key)
+        if isinstance(operation, PutObject):
+            objects[operation.key] = operation.object
+        else:
+            objects.pop(operation.key, None)
+    return keys
+
+
+def diff_objects(
+    before: Mapping[ObjectKey, AnyObject], after: Mapping[ObjectKey, AnyObject]
+) -> tuple[Operation, ...]:
+    """Return the operations that turn `before` into `after`, sorted by key."""
+    changed = (
+        key
+        for key in sorted(before.keys() | after.keys())
+        if before.get(key) != after.get(key)
+    )
+    return tuple(
+        PutObject(object=after[key])
+        if key in after
+        else DeleteObject(kind=key[0], name=key[1])
+        for key in changed
+    )
--- /dev/null
+++ b/gooseberryhall/config/service.py
@@ -0,0 +1,118 @@
+"""Keeps the configuration of a control process current."""
+
+import logging
+from collections.abc import Callable
+
+from ..adapters.exceptions import TableUnavailableError
+from ..adapters.table import HttpTable, Table
+from ..core.context import ProgramContext
+from ..core.runtime import Runtime
+from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
+from .const import MAX_CHANGES_READ, POLL_JITTER, POLL_PERIOD_S
+from .effects import ConfigApplied, RequestConfig
+from .events import ConfigChangesReceived, ConfigSnapshotReceived
+from .exceptions import ConfigUnreadableError
+from .store import async_load_changes, async_load_revision, async_load_snapshot
+
+_LOGGER = logging.getLogger(__name__)
+
+
+async def async_setup(
+    ctx: ProgramContext,
+    *,
+    table: Table | None = None,
+    ask_peers: Callable[[int], None] | None = None,
+) -> None:
+    """Poll the table for new revisions and close gaps.
+
+    `ask_peers` is called with the revision in force when changes are missing. The
+    effect ConfigApplied is carried out by the part that owns the links.
+    """
+    source = table or HttpTable(ctx.session, ctx.settings.platform.table_address)
+    poll = create_poll(ctx, source)
+
+    def request_config(effect: RequestConfig) -> None:
+        if ask_peers is not None:
+            ask_peers(effect.after)
+        poll()
+
+    ctx.runtime.register(RequestConfig, request_config)
+    ctx.ops.add_status("config", lambda: config_status(ctx.runtime))
+    ctx.stack.callback(
+        ctx.timer.async_subscribe(POLL_PERIOD_S, poll, jitter=POLL_JITTER)
+    )
+    poll()
+
+
+def create_poll(ctx: ProgramContext, table: Table) -> Callable[[], None]:
+    """Return a function that starts one poll unless one is under way."""
+    polling = False
+    reachable = True
+
+    async def async_poll() -> None:
+        nonlocal polling, reachable
+        try:
+            await async_fetch_missing(ctx.runtime, table)
+        except (TableUnavailableError, ConfigUnreadableError) as exc:
+            if reachable:
+                _log_unreachable(exc)
+            reachable = False
+        else:
+            reachable = True
+        finally:
+            polling = False
+
+    def poll() -> None:
+        nonlocal polling
+        if not polling:
+            polling = True
+            ctx.async_create_task(async_poll(), "config poll")
+
+    return poll
+
+
+async def async_fetch_missing(runtime: Runtime, table: Table) -> None:
+    """Fetch and apply what the table has beyond the revision in force."""
+    config = runtime.state.config
+    missing = await async_load_revision(table) - config.revision
+    if missing <= 0:
+        return
+    if missing <= MAX_CHANGES_READ:
+        changes = await async_load_changes(table, config.revision)
+        if changes:
+            runtime.async_dispatch(ConfigChangesReceived(changes))
+            return
+    snapshot = await async_load_snapshot(table)
+    objects = tuple(snapshot.objects.values())
+    runtime.async_dispatch(ConfigSnapshotReceived(snapshot.revision, objects))
+
+
+def record_applied(ctx: ProgramContext, effect: ConfigApplied) -> None:
+    """Log and time-line a configuration that came into force."""
+    log_event(
+        _LOGGER,
+        LogEvent.CONFIG_IN_FORCE,
+        "configuration in force",
+        revision=effect.revision,
+        objects=len(effect.keys),
+    )
+    ctx.ops.timeline.record(
+        "config_in_force", revision=effect.revision, objects=len(effect.keys)
+    )
+
+
+def config_status(runtime: Runtime) -> dict[str, int]:
+    """Return the revision in force and the number of objects."""
+    config = runtime.state.config
+    return {"revision": config.revision, "objects": len(config.objects)}
+
+
+def _log_unreachable(exc: Exception) -> None:
+    log_event(
+        _LOGGER,
+        LogEvent.CONFIG_POLL_FAILED,
+        "configuration cannot be read; the revision in force is kept",
+        level=logging.WARNING,
+        error=str(exc),
+    )
