--- a/gooseberryhall/groups/state.py
+++ b/gooseberryhall/groups/state.py
@@ -7,7 +7,11 @@
 
 @dataclass(slots=True)
 class GroupsState:
-    """Groups by name and VMs by name, as last read or announced."""
+    """Groups by name and VMs by name, as last read or announced.
+
+    `revisions` holds the table revision of the groups of each zone.
+    """
 
     groups: dict[str, Group] = field(default_factory=dict)
     vms: dict[str, Vm] = field(default_factory=dict)
+    revisions: dict[str, int] = field(default_factory=dict)
--- a/gooseberryhall/links/client.py
+++ b/gooseberryhall/links/client.py
@@ -16,6 +16,7 @@
     MAX_FRAME_BYTES,
     RECONNECT_MAX_S,
     RECONNECT_MIN_S,
+    RETURN_PERIOD_S,
 )
 from .exceptions import LinkError, LinkUnavailableError
 from .handshake import async_client_handshake
@@ -46,24 +47,65 @@
     except BaseException:
         ws.transport.abort()
         raise
-    return Link(ws, peer, identity.role, handlers, dialled=True)
+    return Link(ws, peer, identity.role, handlers, address=address)
 
 
 async def async_maintain(
     addresses: Iterable[str], identity: LinkIdentity, handlers: LinkHandlers
 ) -> None:
-    """Keep a link to the first address that answers, until cancelled."""
+    """Keep a link to the first address that answers, until cancelled.
+
+    While a later address is in use, the first one is tried again periodically.
+    """
     candidates = tuple(addresses)
+    failures = 0
     while True:
         link = await _async_open_first(candidates, identity, handlers)
+        failures = failures + 1 if link is None else 0
         if link is not None:
-            await link.async_run()
-        await asyncio.sleep(reconnect_pause_s())
+            await _async_run_link(link, candidates, identity, handlers)
+        await asyncio.sleep(reconnect_pause_s(failures))
 
 
-def reconnect_pause_s() -> float:
+def reconnect_pause_s(failures: int) -> float:
     """Return a pause with full jitter, so that processes do not reconnect together."""
-    return random.uniform(RECONNECT_MIN_S, RECONNECT_MAX_S)
+    longest_s = min(RECONNECT_MAX_S, 2 * RECONNECT_MIN_S * 2 ** min(failures, 10))
+    return random.uniform(RECONNECT_MIN_S, longest_s)
+
+
+async def _async_run_link(
+    link: Link,
+    addresses: tuple[str, ...],
+    identity: LinkIdentity,
+    handlers: LinkHandlers,
+) -> None:
+    """Run a link; return when it closed or the first address answers again."""
+    if link.address == addresses[0]:
+        await link.async_run()
+        return
+    running = asyncio.create_task(link.async_run(), name="link")
+    try:
+        while not running.done():
+            pause_s = random.uniform(RETURN_PERIOD_S / 2, RETURN_PERIOD_S)
+            await asyncio.wait((running,), timeout=pause_s)
+            first = await _async_open_first(addresses[:1], identity, handlers)
+            if first is not None:
+                await _async_replace(running, first)
+                return
+    finally:
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+
+async def _async_replace(running: asyncio.Task[None], first: Link) -> None:
+    """Run the link to the first address; end the other once it carries messages."""
+    opened = asyncio.create_task(first.async_run(), name="link")
+    try:
+        running.cancel()
+        await opened
+    finally:
+        opened.cancel()
+        await asyncio.gather(opened, return_exceptions=True)
 
 
 async def _async_open_first(
--- a/gooseberryhall/links/codec.py
+++ b/gooseberryhall/links/codec.py
@@ -38,7 +38,8 @@
 
     String references keep field names from being repeated in each report of a digest.
     """
-    frame = cbor2.dumps(message.model_dump(mode="json"), string_referencing=True)
+    content = message.model_dump(mode="json", exclude_none=True)
+    frame = cbor2.dumps(content, string_referencing=True)
     if len(frame) > MAX_FRAME_BYTES:
         raise OversizedFrameError(f"{type(message).__name__} of {len(frame)} B")
     return frame
--- a/gooseberryhall/links/const.py
+++ b/gooseberryhall/links/const.py
@@ -13,6 +13,8 @@
 CLOSE_LIMIT_S: Final = 0.3
 RECONNECT_MIN_S: Final = 0.1
 RECONNECT_MAX_S: Final = 2.0
+# How often a process that uses a later address tries the first one again.
+RETURN_PERIOD_S: Final = 5.0
 
 LOCAL_PING_PERIOD_S: Final = 0.25
 PEER_PING_PERIOD_S: Final = 0.5
--- a/gooseberryhall/links/link.py
+++ b/gooseberryhall/links/link.py
@@ -58,11 +58,11 @@
         own_role: Role,
         handlers: LinkHandlers,
         *,
-        dialled: bool,
+        address: str = "",
     ) -> None:
-        """Take over a connection after its handshake."""
+        """Take over a connection after its handshake; `address` is what was dialled."""
         self.peer = peer
-        self.dialled = dialled
+        self.address = address
         self.last_ping_received = 0
         self.error: LinkError | None = None
         self.closed = asyncio.Event()
@@ -98,6 +98,11 @@
         """Return the incarnation of the other end."""
         return self.peer.incarnation
 
+    @property
+    def dialled(self) -> bool:
+        """Return whether this end opened the link."""
+        return bool(self.address)
+
     @property
     def ended_on_purpose(self) -> bool:
         """Return whether the other end said that it is going away."""
@@ -136,6 +141,10 @@
                 return sent_at_s - age_ms / 1000
         return None
 
+    def async_close(self) -> None:
+        """Close the link in order; the other end keeps this node as a peer."""
+        asyncio.create_task(self._ws.close(), name="link close")
+
     def async_abort(self, error: LinkError) -> None:
         """Close the connection at once, without a closing handshake."""
         if self.error is None:
--- a/gooseberryhall/links/messages.py
+++ b/gooseberryhall/links/messages.py
@@ -30,10 +30,13 @@
 
 
 class Heartbeat(Message):
-    """Says that a node is alive, and which nodes it knows."""
+    """Says that a node is alive, and which nodes it knows.
+
+    `node` and `known` are set in the first heartbeat of a link and when they changed.
+    """
 
     type: Literal["heartbeat"] = "heartbeat"
-    node: Node
+    node: Node | None = None
     seq: int
     config_revision: int
     known: tuple[Node, ...] = ()
@@ -46,7 +49,7 @@
     """
 
     vm: str
-    health: MemberHealth | None
+    health: MemberHealth | None = None
     age_ms: Annotated[int, Field(ge=0)]
 
 
--- a/gooseberryhall/links/server.py
+++ b/gooseberryhall/links/server.py
@@ -31,7 +31,7 @@
             report_refusal(exc, str(ws.remote_address))
             ws.transport.abort()
             return
-        await Link(ws, peer, identity.role, handlers, dialled=False).async_run()
+        await Link(ws, peer, identity.role, handlers).async_run()
 
     async with serve(
         async_handle,
--- /dev/null
+++ b/gooseberryhall/membership/const.py
@@ -0,0 +1,28 @@
+"""Constants of the membership concern."""
+
+from typing import Final
+
+HEARTBEAT_PERIOD_S: Final = 0.4
+PEER_LIMIT_S: Final = 1.2
+PEER_CHECK_PERIOD_S: Final = 0.2
+# A check that runs later than this was held up together with the heartbeats.
+CHECK_LATE_S: Final = 0.5
+
+PROBE_PERIOD_S: Final = 1.0
+PROBE_TIMEOUT_S: Final = 0.7
+# Reports of one failure by many entry processes cause one probe.
+PROBE_MIN_PAUSE_S: Final = 0.1
+ASSIGN_PERIOD_S: Final = 0.5
+
+DIGEST_PERIOD_S: Final = 0.5
+DIGEST_MAX_REPORTS: Final = 500
+# Older evidence keeps no group open and would only delay newer reports.
+DIGEST_MAX_AGE_S: Final = 10.0
+
+VM_LIST_PERIOD_S: Final = 2.0
+VM_LIST_JITTER: Final = 0.2
+
+PEER_DIAL_PERIOD_S: Final = 0.5
+# The node with the higher name lets the other one dial first.
+PEER_DIAL_YIELD_S: Final = 0.5
+FORGET_NODE_S: Final = 60.0
--- /dev/null
+++ b/gooseberryhall/membership/events.py
@@ -0,0 +1,49 @@
+"""Events of the membership concern."""
+
+from dataclasses import dataclass
+
+from ..core.events import Event
+from ..groups.models import Vm
+from .models import Evidence, Node
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatReceived(Event):
+    """A control process of another node is alive."""
+
+    node: Node
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLinkOpened(Event):
+    """A link to the control process of another node opened."""
+
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLinkClosed(Event):
+    """A link to a control process closed; `on_purpose` when that process stops."""
+
+    node: str
+    incarnation: str
+    on_purpose: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PeersChecked(Event):
+    """Peers without a recent heartbeat are to be removed."""
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceReceived(Event):
+    """Probe results of this process, or dated reports of another one."""
+
+    evidence: tuple[Evidence, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class VmsListed(Event):
+    """The platform's list of VMs was read."""
+
+    vms: tuple[Vm, ...]
--- a/gooseberryhall/membership/reducer.py
+++ b/gooseberryhall/membership/reducer.py
@@ -1,11 +1,175 @@
-"""Event handlers of the membership concern."""
+"""Event handlers of the membership concern.
+
+Evidence from another process is dated at a lower bound of the time at which the member
+answered (see `Link.evidence_time_s`), so two reports cannot always be put in order.
+Doubt closes the group: only evidence that is certainly newer opens it again.
+"""
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from ..const import EVIDENCE_LIMIT_S
+from ..core.effects import Effect
 from ..core.events import Event
+from .const import PEER_LIMIT_S
+from .effects import MemberChange, MemberChanged, PeerChange, PeerChanged
+from .events import (
+    EvidenceReceived,
+    HeartbeatReceived,
+    PeerLinkClosed,
+    PeerLinkOpened,
+    PeersChecked,
+    VmsListed,
+)
+from .models import Evidence, MemberHealth, MemberState
+from .state import EvidenceOrder, MembershipState, PeerState
 
 if TYPE_CHECKING:
     from ..core.reducer import Handler
+    from ..core.state import State
+
+# Evidence in doubt keeps its boot id, but is dated too old to open a group.
+_DOUBTED_AGE_S = 2 * EVIDENCE_LIMIT_S
+_NO_ORDER = EvidenceOrder(floor_s=float("-inf"), received_s=float("-inf"), boot_id="")
+
+
+def _reduce_heartbeat(
+    state: "State", event: HeartbeatReceived, now_s: float
+) -> list[Effect]:
+    node = event.node
+    known = state.membership.peers.get(node.node)
+    state.membership.peers[node.node] = PeerState(node, now_s)
+    if known is not None and known.node.incarnation == node.incarnation:
+        return []
+    return [PeerChanged(node.node, node.incarnation, PeerChange.UP)]
+
+
+def _reduce_link_opened(
+    state: "State", event: PeerLinkOpened, _now_s: float
+) -> list[Effect]:
+    state.membership.linked.add(event.node)
+    return []
+
+
+def _reduce_link_closed(
+    state: "State", event: PeerLinkClosed, _now_s: float
+) -> list[Effect]:
+    state.membership.linked.discard(event.node)
+    peer = state.membership.peers.get(event.node)
+    if not event.on_purpose or peer is None:
+        return []
+    if peer.node.incarnation != event.incarnation:
+        return []
+    return [_remove_peer(state.membership, event.node)]
+
+
+def _reduce_peers_checked(
+    state: "State", _event: PeersChecked, now_s: float
+) -> list[Effect]:
+    peers = state.membership.peers
+    silent = [
+        name for name, peer in peers.items() if now_s - peer.last_heard_s > PEER_LIMIT_S
+    ]
+    return [_remove_peer(state.membership, name) for name in silent]
+
+
+def _remove_peer(membership: MembershipState, name: str) -> Effect:
+    peer = membership.peers.pop(name)
+    return PeerChanged(name, peer.node.incarnation, PeerChange.DOWN)
+
+
+def _reduce_evidence(
+    state: "State", event: EvidenceReceived, now_s: float
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for evidence in event.evidence:
+        before = state.membership.evidence.get(evidence.vm)
+        if evidence.health is None:
+            _accept_failure(state.membership, evidence)
+        else:
+            _accept_answer(state.membership, evidence, evidence.health, now_s)
+        after = state.membership.evidence.get(evidence.vm)
+        if after is not None and after is not before:
+            effects.extend(_changes(before, after))
+    return effects
+
+
+def _accept_failure(membership: MembershipState, evidence: Evidence) -> None:
+    """Store a failed probe, also when it cannot be shown to be the newer report."""
+    order = membership.order.get(evidence.vm, _NO_ORDER)
+    if evidence.observed_at_s < order.floor_s - EVIDENCE_LIMIT_S:
+        return
+    floor_s = max(order.floor_s, evidence.observed_at_s)
+    # Dated at the floor, so that a copy of the last answer does not override it.
+    membership.evidence[evidence.vm] = replace(evidence, observed_at_s=floor_s)
+    membership.order[evidence.vm] = replace(order, floor_s=floor_s)
+
+
+def _accept_answer(
+    membership: MembershipState, evidence: Evidence, health: MemberHealth, now_s: float
+) -> None:
+    order = membership.order.get(evidence.vm, _NO_ORDER)
+    other_boot = order.boot_id not in ("", health.boot_id)
+    if other_boot and evidence.observed_at_s <= order.received_s:
+        # Either boot may be the later one. The member did restart, so neither counts
+        # until an answer that was certainly given after this moment.
+        doubted_s = min(evidence.observed_at_s, now_s - _DOUBTED_AGE_S)
+        membership.evidence[evidence.vm] = replace(evidence, observed_at_s=doubted_s)
+        membership.order[evidence.vm] = EvidenceOrder(now_s, now_s, health.boot_id)
+        return
+    if evidence.observed_at_s <= order.floor_s:
+        return
+    membership.evidence[evidence.vm] = evidence
+    membership.order[evidence.vm] = EvidenceOrder(
+        evidence.observed_at_s, now_s, health.boot_id
+    )
+
+
+def _changes(before: Evidence | None, after: Evidence) -> list[Effect]:
+    old = None if before is None else before.health
+    new = after.health
+    if new is None:
+        if old is None and before is not None:
+            return []
+        boot_id = "" if old is None else old.boot_id
+        return [MemberChanged(after.vm, boot_id, MemberChange.DOWN)]
+    if old is None:
+        return [MemberChanged(after.vm, new.boot_id, MemberChange.UP)]
+    if old.boot_id != new.boot_id:
+        return [MemberChanged(after.vm, new.boot_id, MemberChange.RESTARTED)]
+    if _is_withdrawn(old, new):
+        return [MemberChanged(after.vm, new.boot_id, MemberChange.WITHDRAWN)]
+    return []
+
+
+def _is_withdrawn(old: MemberHealth, new: MemberHealth) -> bool:
+    if old.state is not MemberState.SERVING:
+        return new.leaving and not old.leaving
+    return (
+        new.state is not MemberState.SERVING
+        or (new.leaving and not old.leaving)
+        or (new.group, new.generation) != (old.group, old.generation)
+    )
+
+
+def _reduce_vms_listed(state: "State", event: VmsListed, _now_s: float) -> list[Effect]:
+    state.groups.vms = {vm.vm: vm for vm in event.vms}
+    kept = set(state.groups.vms)
+    for group in state.groups.groups.values():
+        kept.update(member.vm for member in group.members)
+    membership = state.membership
+    for vm in [vm for vm in membership.evidence if vm not in kept]:
+        del membership.evidence[vm]
+        membership.order.pop(vm, None)
+    return []
+
 
-HANDLERS: "Mapping[type[Event], Handler]" = {}
+HANDLERS: "Mapping[type[Event], Handler]" = {
+    HeartbeatReceived: _reduce_heartbeat,
+    PeerLinkOpened: _reduce_link_opened,
+    PeerLinkClosed: _reduce_link_closed,
+    PeersChecked: _reduce_peers_checked,
+    EvidenceReceived: _reduce_evidence,
+    VmsListed: _reduce_vms_listed,
+}
