Add zone leases, group planner and controller

The groups concern had only its data classes. This adds the lease of a zone over the table, the planner as a pure function, and a reducer that turns its decisions into transactions and orders. A group's generation is the version of the VM rows of the transaction that assigned it; the group row stores 0 for numbers that equal its own version, because a transaction does not know its revision in advance.

One decision of a zone is in flight at a time, and after an unknown outcome or a conflict the zone is read again. Reading vm/ rows was ruled out: their versions equal the generation of their group, so the group rows suffice.

A simulated table and engines (standins/planner_world.py) drive the reducer without time or network.

--- /dev/null
+++ b/gooseberryhall/adapters/engine.py
@@ -0,0 +1,107 @@
+"""Adapter to the model engines."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Final
+
+import aiohttp
+
+from ..groups.models import Member
+from .exceptions import EngineUnavailableError, OrderRefusedError, StaleFenceError
+
+ORDER_TIMEOUT_S: Final = 5.0
+
+_HTTP_OK: Final = 200
+_HTTP_CONFLICT: Final = 409
+_HTTP_SERVER_ERROR: Final = 500
+
+
+class OrderKind(StrEnum):
+    """What an engine is told to do."""
+
+    FORM = "form"
+    RELEASE = "release"
+    LOAD_ADAPTER = "load_adapter"
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An order to the engine of one VM.
+
+    `fence` is the table revision of the transaction that decided the order.
+    """
+
+    kind: OrderKind
+    vm: str
+    address: str
+    fence: int
+    group: str
+    generation: int
+    rank: int = 0
+    members: tuple[Member, ...] = ()
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+
+
+async def async_send_order(
+    session: aiohttp.ClientSession,
+    order: Order,
+    order_token: str | None,
+    timeout_s: float = ORDER_TIMEOUT_S,
+) -> None:
+    """Send an order and wait until the engine has accepted it.
+
+    Raises StaleFenceError, OrderRefusedError or EngineUnavailableError. After the last
+    one the order may still take effect.
+    """
+    headers = {"Authorization": f"Bearer {order_token}"} if order_token else {}
+    try:
+        async with session.post(
+            f"{order.address}/orders",
+            json=_order_body(order),
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=timeout_s),
+        ) as response:
+            if response.status != _HTTP_OK:
+                await _async_raise_refusal(response)
+    except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        raise EngineUnavailableError(str(exc) or type(exc).__name__) from exc
+
+
+def _order_body(order: Order) -> dict[str, Any]:
+    return {
+        "order": order.kind.value,
+        "fence": order.fence,
+        "group": order.group,
+        "generation": order.generation,
+        "rank": order.rank,
+        "members": [
+            {"vm": member.vm, "address": member.address} for member in order.members
+        ],
+        "model": order.model,
+        "version": order.version,
+        "adapters": list(order.adapters),
+    }
+
+
+async def _async_raise_refusal(response: aiohttp.ClientResponse) -> None:
+    if response.status >= _HTTP_SERVER_ERROR:
+        raise EngineUnavailableError(f"engine answered {response.status}")
+    code = await _async_error_code(response)
+    if response.status == _HTTP_CONFLICT and code == StaleFenceError.code:
+        raise StaleFenceError("engine has accepted a newer order")
+    raise OrderRefusedError(f"engine answered {response.status} {code}".strip())
+
+
+async def _async_error_code(response: aiohttp.ClientResponse) -> str:
+    """Return the error code of a refusal; both usual forms of the body are read."""
+    try:
+        body = await response.json(content_type=None)
+    except ValueError:
+        return ""
+    error = body.get("error") if isinstance(body, Mapping) else None
+    if isinstance(error, Mapping):
+        error = error.get("code")
+    return error if isinstance(error, str) else ""
--- /dev/null
+++ b/gooseberryhall/groups/effects.py
@@ -0,0 +1,78 @@
+"""Effects of the groups concern."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from ..adapters.engine import Order
+from ..adapters.table import Transaction
+from ..core.effects import Effect
+from ..telemetry.catalogue import LogEvent
+
+
+class Outcome(StrEnum):
+    """How an order ended."""
+
+    ACCEPTED = "accepted"
+    STALE_FENCE = "stale_fence"
+    REFUSED = "refused"
+    UNAVAILABLE = "unavailable"
+    LEASE_LAPSED = "lease_lapsed"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLease(Effect):
+    """Read the lease and epoch rows of a zone."""
+
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class WriteLease(Effect):
+    """Send a lease transaction; `decided_s` is when its duration starts to count."""
+
+    zone: str
+    transaction: Transaction
+    decided_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadZone(Effect):
+    """Read the groups of a zone; `epoch_version` is 0 for a process without lease."""
+
+    zone: str
+    epoch_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class CommitDecision(Effect):
+    """Send a decision's transaction if the lease is still held."""
+
+    zone: str
+    epoch_version: int
+    transaction: Transaction
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder(Effect):
+    """Send an order to an engine if the lease is still held."""
+
+    zone: str
+    epoch_version: int
+    order: Order
+
+
+@dataclass(frozen=True, slots=True)
+class AnnounceGroups(Effect):
+    """Send the groups of a zone to all peers and linked processes."""
+
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReportGroups(Effect):
+    """Record an event of this concern in the log and the time line."""
+
+    event: LogEvent
+    message: str
+    fields: tuple[tuple[str, Any], ...] = ()
--- /dev/null
+++ b/gooseberryhall/groups/lease.py
@@ -0,0 +1,191 @@
+"""Leases of zones: who may assign the VMs of a zone.
+
+The row `lease/<zone>` names the holder, the row `epoch/<zone>` is written only when
+the holder changes. Every transaction of a holder checks the epoch row, so it fails at
+the table once another holder exists. No clock values are compared between nodes.
+"""
+
+from dataclasses import dataclass
+
+from ..adapters.table import ABSENT, Row, Transaction
+from .const import (
+    LEASE_DURATION_S,
+    LEASE_POLL_PERIOD_S,
+    LEASE_RENEW_PERIOD_S,
+    LEASE_WAIT_OTHER_ZONE_S,
+    LEASE_WAIT_S,
+)
+
+
+def lease_key(zone: str) -> str:
+    """Return the key of the zone's lease row."""
+    return f"lease/{zone}"
+
+
+def epoch_key(zone: str) -> str:
+    """Return the key of the row that every assignment transaction checks."""
+    return f"epoch/{zone}"
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """The process that asks for leases."""
+
+    node: str
+    zone: str
+    incarnation: str
+
+
+@dataclass(slots=True)
+class Lease:
+    """What this process knows of a zone's lease.
+
+    `owned` says that the last known holder is this process; it may act only while
+    `held_until_s` is in the future.
+    """
+
+    zone: str
+    owned: bool = False
+    held_until_s: float = 0.0
+    lease_version: int = ABSENT
+    epoch_version: int = ABSENT
+    epoch: int = 0
+    seen_version: int = -1
+    seen_since_s: float = 0.0
+    last_call_s: float = float("-inf")
+    pending: bool = False
+    releasing: bool = False
+
+    def is_held(self, now_s: float) -> bool:
+        """Return whether this process may act for the zone."""
+        return self.owned and now_s < self.held_until_s
+
+    def is_renewal_due(self, now_s: float) -> bool:
+        """Return whether the owner should renew."""
+        return (
+            self.owned
+            and not self.pending
+            and now_s - self.last_call_s >= LEASE_RENEW_PERIOD_S
+        )
+
+    def is_poll_due(self, now_s: float) -> bool:
+        """Return whether a contender should read the rows again."""
+        return (
+            not self.owned
+            and not self.pending
+            and now_s - self.last_call_s >= LEASE_POLL_PERIOD_S
+        )
+
+
+def renewal(lease: Lease, holder: Holder) -> Transaction:
+    """Return the transaction that extends an owned lease."""
+    return Transaction(
+        checks={
+            lease_key(lease.zone): lease.lease_version,
+            epoch_key(lease.zone): lease.epoch_version,
+        },
+        puts={lease_key(lease.zone): _lease_value(holder, lease.epoch)},
+    )
+
+
+def release(lease: Lease, holder: Holder) -> Transaction:
+    """Return the transaction that lets a successor take the lease at once."""
+    value = {**_lease_value(holder, lease.epoch), "released": True}
+    return Transaction(
+        checks={lease_key(lease.zone): lease.lease_version},
+        puts={lease_key(lease.zone): value},
+    )
+
+
+def takeover(
+    zone: str, holder: Holder, lease_row: Row | None, epoch_row: Row | None
+) -> Transaction:
+    """Return the transaction that makes this process the holder."""
+    epoch = _epoch_of(epoch_row) + 1
+    return Transaction(
+        checks={
+            lease_key(zone): lease_row.version if lease_row else ABSENT,
+            epoch_key(zone): epoch_row.version if epoch_row else ABSENT,
+        },
+        puts={
+            lease_key(zone): _lease_value(holder, epoch),
+            epoch_key(zone): {"epoch": epoch, "node": holder.node},
+        },
+    )
+
+
+def observe_rows(
+    lease: Lease,
+    holder: Holder,
+    lease_row: Row | None,
+    epoch_row: Row | None,
+    now_s: float,
+) -> Transaction | None:
+    """Note what a contender read and return the transaction to send, if any."""
+    version = lease_row.version if lease_row else ABSENT
+    if version != lease.seen_version:
+        lease.seen_version = version
+        lease.seen_since_s = now_s
+    if lease_row is not None and is_own_row(lease_row, holder):
+        adopt(lease, lease_row, epoch_row)
+        return renewal(lease, holder)
+    if now_s - lease.seen_since_s < _wait_s(lease.zone, holder, lease_row):
+        return None
+    return takeover(lease.zone, holder, lease_row, epoch_row)
+
+
+def adopt(lease: Lease, lease_row: Row, epoch_row: Row | None) -> None:
+    """Take over the versions of this process's own row, whose write was not confirmed.
+
+    The time of that write is not known, so only a new renewal gives the right to act.
+    """
+    lease.owned = True
+    lease.lease_version = lease_row.version
+    if epoch_row is not None:
+        lease.epoch_version = epoch_row.version
+        lease.epoch = _epoch_of(epoch_row)
+
+
+def grant(lease: Lease, transaction: Transaction, revision: int, sent_s: float) -> None:
+    """Note that a renewal or takeover was applied at `revision`."""
+    lease.owned = True
+    lease.lease_version = revision
+    lease.seen_version = revision
+    lease.held_until_s = sent_s + LEASE_DURATION_S
+    epoch_value = transaction.puts.get(epoch_key(lease.zone))
+    if epoch_value is not None:
+        lease.epoch_version = revision
+        lease.epoch = int(epoch_value["epoch"])
+
+
+def lose(lease: Lease) -> None:
+    """Note that another process holds the lease, or that it is not known who does."""
+    lease.owned = False
+    lease.held_until_s = 0.0
+
+
+def is_own_row(row: Row, holder: Holder) -> bool:
+    """Return whether this process wrote the lease row and did not release it."""
+    return row.value.get("incarnation") == holder.incarnation and not row.value.get(
+        "released", False
+    )
+
+
+def _lease_value(holder: Holder, epoch: int) -> dict[str, object]:
+    return {
+        "node": holder.node,
+        "incarnation": holder.incarnation,
+        "epoch": epoch,
+        "released": False,
+    }
+
+
+def _epoch_of(row: Row | None) -> int:
+    return int(row.value["epoch"]) if row is not None else 0
+
+
+def _wait_s(zone: str, holder: Holder, row: Row | None) -> float:
+    free = row is None or bool(row.value.get("released", False))
+    if zone == holder.zone:
+        return 0.0 if free else LEASE_WAIT_S
+    return LEASE_WAIT_S if free else LEASE_WAIT_OTHER_ZONE_S
--- /dev/null
+++ b/gooseberryhall/groups/lease_reducer.py
@@ -0,0 +1,120 @@
+"""Event handlers for the leases of zones."""
+
+from typing import TYPE_CHECKING
+
+from ..adapters.table import Conflict, Transaction
+from ..core.effects import Effect
+from ..telemetry.catalogue import LogEvent
+from .effects import ReadLease, ReportGroups, WriteLease
+from .events import LeaseRead, LeaseWritten
+from .lease import (
+    Holder,
+    Lease,
+    adopt,
+    epoch_key,
+    grant,
+    is_own_row,
+    lease_key,
+    lose,
+    observe_rows,
+    release,
+    renewal,
+)
+from .state import GroupsState
+
+if TYPE_CHECKING:
+    from ..core.state import State
+
+
+def holder_of(state: "State") -> Holder:
+    """Return this process as a holder of leases."""
+    identity = state.identity
+    return Holder(identity.node, identity.zone, state.groups.incarnation)
+
+
+def reduce_lease_tick(
+    groups: GroupsState, holder: Holder, zone: str, now_s: float
+) -> list[Effect]:
+    """Renew an owned lease or look whether the lease of the zone is free."""
+    lease = groups.leases.setdefault(zone, Lease(zone))
+    if lease.is_renewal_due(now_s):
+        return [_write(lease, renewal(lease, holder), now_s)]
+    if lease.is_poll_due(now_s):
+        lease.pending = True
+        lease.last_call_s = now_s
+        return [ReadLease(zone)]
+    return []
+
+
+def reduce_lease_read(state: "State", event: LeaseRead, now_s: float) -> list[Effect]:
+    """Take the lease when it is free or was not renewed for long enough."""
+    lease = state.groups.leases[event.zone]
+    lease.pending = False
+    if not event.ok or state.groups.stopping:
+        return []
+    transaction = observe_rows(
+        lease, holder_of(state), event.lease_row, event.epoch_row, now_s
+    )
+    return [_write(lease, transaction, now_s)] if transaction else []
+
+
+def reduce_lease_written(
+    state: "State", event: LeaseWritten, now_s: float
+) -> list[Effect]:
+    """Note whether this process holds the lease now."""
+    lease = state.groups.leases[event.zone]
+    lease.pending = False
+    was_owned = lease.owned
+    if event.revision is not None and lease.releasing:
+        lose(lease)
+    elif event.revision is not None:
+        grant(lease, event.transaction, event.revision, event.sent_s)
+    elif event.conflict is not None:
+        _note_conflict(lease, holder_of(state), event.conflict)
+    if state.groups.stopping:
+        return _release_if_owned(lease, holder_of(state), now_s)
+    if lease.owned == was_owned:
+        return []
+    gained = lease.owned
+    number = LogEvent.LEASE_GAINED if gained else LogEvent.LEASE_LOST
+    message = "lease gained" if gained else "lease lost"
+    fields = (("zone", lease.zone), ("epoch", lease.epoch))
+    return [ReportGroups(number, message, fields)]
+
+
+def reduce_leases_released(
+    groups: GroupsState, holder: Holder, now_s: float
+) -> list[Effect]:
+    """Give up all owned leases, so that successors need not wait."""
+    effects: list[Effect] = []
+    for lease in groups.leases.values():
+        effects += _release_if_owned(lease, holder, now_s)
+    return effects
+
+
+def _release_if_owned(lease: Lease, holder: Holder, now_s: float) -> list[Effect]:
+    """Release the lease now, or when the answer to a pending renewal is known."""
+    lease.held_until_s = 0.0
+    if not lease.owned or lease.pending:
+        return []
+    effect = _write(lease, release(lease, holder), now_s)
+    lease.releasing = True
+    return [effect]
+
+
+def _write(lease: Lease, transaction: Transaction, now_s: float) -> WriteLease:
+    lease.pending = True
+    lease.last_call_s = now_s
+    return WriteLease(lease.zone, transaction, now_s)
+
+
+def _note_conflict(lease: Lease, holder: Holder, conflict: Conflict) -> None:
+    """Find out from the conflicting rows who holds the lease."""
+    row = conflict.rows.get(lease_key(lease.zone))
+    epoch_changed = epoch_key(lease.zone) in conflict.rows
+    if lease.owned and row and is_own_row(row, holder) and not epoch_changed:
+        # An earlier renewal was applied without an answer.
+        adopt(lease, row, None)
+        lease.last_call_s = float("-inf")
+        return
+    lose(lease)
--- /dev/null
+++ b/gooseberryhall/groups/lifecycle.py
@@ -0,0 +1,217 @@
+"""Decides the next step of each existing group."""
+
+from collections.abc import Iterator
+
+from ..membership.evidence import ClosedReason
+from ..membership.models import MemberState
+from .const import (
+    DRAIN_LIMIT_S,
+    DRAIN_NOTICE_S,
+    LOADING_LIMIT_S,
+    ORDER_RETRY_S,
+    ORDER_TIMEOUT_S,
+    UNLISTED_LIMIT_S,
+)
+from .decisions import (
+    Decision,
+    DrainGroup,
+    FreeMembers,
+    MarkServing,
+    Reason,
+    ReleaseGroup,
+    ReleaseStray,
+    SendGroupOrder,
+    WaitForMember,
+)
+from .models import GroupPhase, Member, VmState
+from .rows import GroupRow
+from .shares import is_drained, selected_vms
+from .view import PlanView
+from .waiting import missing_limit_s
+
+_SILENT = (ClosedReason.NO_EVIDENCE, ClosedReason.NOT_ANSWERING, ClosedReason.STALE)
+
+
+def step_group(view: PlanView, row: GroupRow) -> list[Decision]:
+    """Return the next decisions for one group."""
+    match row.phase:
+        case GroupPhase.LOADING:
+            return _step_loading(view, row)
+        case GroupPhase.SERVING:
+            return _step_serving(view, row)
+        case GroupPhase.DRAINING:
+            return _step_draining(view, row)
+        case GroupPhase.RELEASING:
+            return _step_releasing(view, row)
+
+
+def find_strays(view: PlanView) -> list[Decision]:
+    """Return orders to VMs that run a group to which they are not assigned.
+
+    An order of an earlier lease holder can arrive late at an engine that ignores
+    fencing numbers. Without a release the VM would stay unusable.
+    """
+    strays: list[Decision] = []
+    for vm in view.zone_vms:
+        health = view.health(vm.vm)
+        if health is None or not health.group or vm.vm in view.group_of_vm:
+            continue
+        if _is_order_due(view, vm.vm, fence=None):
+            strays.append(ReleaseStray(health.group, vm.vm, health.generation))
+    return strays
+
+
+def _step_loading(view: PlanView, row: GroupRow) -> list[Decision]:
+    broken = _broken_reason(view, row)
+    if broken is not None:
+        return [ReleaseGroup(row.name, broken)]
+    stop = _stop_reason(view, row)
+    if stop is not None:
+        return [ReleaseGroup(row.name, stop)]
+    if view.phase_age_s(row) > LOADING_LIMIT_S:
+        return [ReleaseGroup(row.name, Reason.LOADING_LIMIT)]
+    if all(view.closed_reason(row, member) is None for member in row.group.members):
+        return [MarkServing(row.name)]
+    return [*_form_orders(view, row), *_waits(view, row)]
+
+
+def _step_serving(view: PlanView, row: GroupRow) -> list[Decision]:
+    broken = _broken_reason(view, row)
+    if broken is not None:
+        return [ReleaseGroup(row.name, broken)]
+    stop = _stop_reason(view, row)
+    if stop is not None:
+        return [DrainGroup(row.name, stop)]
+    return [*_form_orders(view, row), *_waits(view, row)]
+
+
+def _step_draining(view: PlanView, row: GroupRow) -> list[Decision]:
+    broken = _broken_reason(view, row)
+    if broken is not None:
+        return [ReleaseGroup(row.name, broken)]
+    age_s = view.phase_age_s(row)
+    if age_s > DRAIN_LIMIT_S:
+        return [ReleaseGroup(row.name, Reason.DRAIN_LIMIT)]
+    settled_s = view.now_s - age_s + DRAIN_NOTICE_S
+    if all(_has_no_work(view, member, settled_s) for member in row.group.members):
+        return [ReleaseGroup(row.name, Reason.DRAINED)]
+    return []
+
+
+def _step_releasing(view: PlanView, row: GroupRow) -> list[Decision]:
+    freed = tuple(
+        member.vm for member in row.group.members if _is_released(view, row, member)
+    )
+    decisions: list[Decision] = [FreeMembers(row.name, freed)] if freed else []
+    for member in row.group.members:
+        health = view.health(member.vm)
+        first = not _was_ordered(view, row, member)
+        if member.vm not in freed and (first or (health and health.group)):
+            decisions += _order_if_due(view, row, member)
+    return decisions
+
+
+def _broken_reason(view: PlanView, row: GroupRow) -> Reason | None:
+    """Return why the group can't serve again with these members."""
+    limit_s = missing_limit_s(view, row)
+    for member in row.group.members:
+        closed = view.closed_reason(row, member)
+        if closed is ClosedReason.RESTARTED:
+            return Reason.MEMBER_RESTARTED
+        if closed in _SILENT and view.silent_s(member.vm) > limit_s:
+            return Reason.MEMBER_LOST
+        health = view.health(member.vm)
+        failed = health is not None and health.state is MemberState.FAILED
+        if closed is ClosedReason.NOT_SERVING and failed:
+            return Reason.MEMBER_FAILED
+    return None
+
+
+def _stop_reason(view: PlanView, row: GroupRow) -> Reason | None:
+    """Return why the group should stop although its members are sound."""
+    spec = view.spec_by_name.get(row.group.spec)
+    if spec is None:
+        return Reason.SPEC_REMOVED
+    if spec.members != len(row.group.members) or spec.model != row.group.model:
+        return Reason.SPEC_CHANGED
+    for member in row.group.members:
+        health = view.health(member.vm)
+        vm = view.vms.get(member.vm)
+        if (health and health.leaving) or (vm and vm.state is VmState.LEAVING):
+            return Reason.MEMBER_LEAVING
+        if is_drained(view.labels.get(member.vm, {})):
+            return Reason.DRAIN_LABEL
+        if vm is not None and not selected_vms(spec, [vm], view.labels):
+            return Reason.SELECTOR_CHANGED
+    return None
+
+
+def _waits(view: PlanView, row: GroupRow) -> Iterator[Decision]:
+    for member in row.group.members:
+        if view.closed_reason(row, member) in _SILENT:
+            since_s = view.now_s - view.silent_s(member.vm)
+            yield WaitForMember(
+                row.name, member.vm, since_s + missing_limit_s(view, row)
+            )
+
+
+def _form_orders(view: PlanView, row: GroupRow) -> list[Decision]:
+    """Return orders to members that were not ordered or report something else."""
+    decisions: list[Decision] = []
+    for member in row.group.members:
+        closed = view.closed_reason(row, member)
+        first = row.phase is GroupPhase.LOADING and not _was_ordered(view, row, member)
+        if first or closed is ClosedReason.OTHER_GROUP:
+            decisions += _order_if_due(view, row, member)
+    return decisions
+
+
+def _order_if_due(view: PlanView, row: GroupRow, member: Member) -> list[Decision]:
+    if not _is_order_due(view, member.vm, row.fence):
+        return []
+    return [SendGroupOrder(row.name, member.vm)]
+
+
+def _was_ordered(view: PlanView, row: GroupRow, member: Member) -> bool:
+    order = view.orders.get(member.vm)
+    return order is not None and order.fence == row.fence
+
+
+def _is_order_due(view: PlanView, vm: str, fence: int | None) -> bool:
+    """Return whether an order may be sent; an answer has to have had its effect."""
+    order = view.orders.get(vm)
+    if order is None or (fence is not None and order.fence != fence):
+        return True
+    evidence = view.evidence.get(vm)
+    return (
+        not order.in_flight
+        and view.now_s - order.sent_s >= ORDER_RETRY_S
+        and evidence is not None
+        and evidence.observed_at_s > order.sent_s
+    )
+
+
+def _has_no_work(view: PlanView, member: Member, settled_s: float) -> bool:
+    evidence = view.evidence.get(member.vm)
+    health = view.health(member.vm)
+    if evidence is None or health is None or evidence.observed_at_s < settled_s:
+        return False
+    return health.active == 0 and health.queued == 0
+
+
+def _is_released(view: PlanView, row: GroupRow, member: Member) -> bool:
+    age_s = view.phase_age_s(row)
+    if not view.refuse_old_fence and age_s < ORDER_TIMEOUT_S:
+        return False
+    if member.vm not in view.vms and view.silent_s(member.vm) > UNLISTED_LIMIT_S:
+        return True
+    health = view.health(member.vm)
+    evidence = view.evidence.get(member.vm)
+    if health is None or evidence is None:
+        return False
+    order = view.orders.get(member.vm)
+    ordered = order is not None and order.fence == row.fence
+    restarted = health.boot_id != member.boot_id
+    # An idle report from before the release order says nothing about its effect.
+    seen = ordered and order is not None and evidence.observed_at_s > order.sent_s
+    return not health.group and health.state is MemberState.IDLE and (seen or restarted)
--- /dev/null
+++ b/gooseberryhall/groups/planner.py
@@ -0,0 +1,140 @@
+"""Plans the groups of one zone: a pure function from what is known to decisions."""
+
+from typing import Final
+
+from ..config.models import GroupSpec
+from .decisions import Decision, DrainGroup, FormGroup, Reason
+from .lifecycle import find_strays, step_group
+from .models import GroupPhase
+from .placement import may_load, place_group
+from .preemption import choose_victim
+from .rows import GroupRow
+from .shares import spec_order
+from .view import PlanView
+
+_ACTIVE = (GroupPhase.LOADING, GroupPhase.SERVING)
+
+# Evidence that is late by one probe is no reason to load another group.
+REPLACE_AFTER_S: Final = 3.0
+
+
+def plan(view: PlanView) -> list[Decision]:
+    """Return what to do now; at most one group is formed or drained for others."""
+    decisions = [
+        decision
+        for _, row in sorted(view.rows.items())
+        for decision in step_group(view, row)
+    ]
+    decisions += find_strays(view)
+    change = _next_change(view)
+    if change is not None:
+        decisions.append(change)
+    return decisions
+
+
+def _next_change(view: PlanView) -> Decision | None:
+    ordered = sorted(view.specs, key=spec_order)
+    load_allowed = may_load(view)
+    for spec in ordered:
+        change = _complete_minimum(view, spec, load_allowed)
+        if change is not None:
+            return change
+    for spec in ordered:
+        change = _roll_out(view, spec) or _remove_surplus(view, spec)
+        if change is not None:
+            return change
+    if not load_allowed:
+        return None
+    for spec in ordered:
+        change = _add_group(view, spec)
+        if change is not None:
+            return change
+    return None
+
+
+def _complete_minimum(
+    view: PlanView, spec: GroupSpec, load_allowed: bool
+) -> Decision | None:
+    """Return a group that the minimum lacks, or the group to dissolve for it."""
+    usable = [row for row in view.rows_of(spec.name) if _is_usable(view, row)]
+    if len(usable) >= view.share(spec.name).min_groups:
+        return None
+    if load_allowed:
+        formed = place_group(view, spec)
+        if formed is not None:
+            return formed
+    waiting = len(view.rows_of(spec.name)) > len(usable)
+    victim = None if waiting else choose_victim(view, spec)
+    return DrainGroup(victim.name, Reason.PREEMPTED) if victim else None
+
+
+def _is_usable(view: PlanView, row: GroupRow) -> bool:
+    """Return whether the group serves or is expected to serve without its members."""
+    if row.phase is GroupPhase.LOADING:
+        return True
+    return all(
+        view.silent_s(member.vm) < REPLACE_AFTER_S for member in row.group.members
+    )
+
+
+def _add_group(view: PlanView, spec: GroupSpec) -> FormGroup | None:
+    """Return a group above the minimum."""
+    rows = view.rows_of(spec.name)
+    share = view.share(spec.name)
+    surge = 1 if any(is_outdated(spec, row) for row in rows) else 0
+    total = len(rows) + sum(
+        group.spec == spec.name and group.phase in _ACTIVE
+        for group in view.other_groups
+    )
+    if len(rows) >= share.max_groups + surge or total >= spec.max_groups + surge:
+        return None
+    return place_group(view, spec, spares=_wanted_spares(view))
+
+
+def _wanted_spares(view: PlanView) -> int:
+    """Return how many VMs of a domain groups above the minimum leave free."""
+    policy = view.policy
+    return 1 if policy.downtime_weight > policy.stranded_weight else 0
+
+
+def is_outdated(spec: GroupSpec, row: GroupRow) -> bool:
+    """Return whether the group serves another version than the declared one."""
+    return row.group.model_version != spec.version
+
+
+def _roll_out(view: PlanView, spec: GroupSpec) -> DrainGroup | None:
+    """Return one outdated group to drain, if the others keep the minimum serving."""
+    rows = [row for row in view.rows.values() if row.group.spec == spec.name]
+    if any(row.phase is not GroupPhase.SERVING for row in rows):
+        return None
+    outdated = sorted(row.name for row in rows if is_outdated(spec, row))
+    return _drain_one(view, spec, outdated, Reason.NEW_VERSION)
+
+
+def _remove_surplus(view: PlanView, spec: GroupSpec) -> DrainGroup | None:
+    """Return a group above the maximum, counted in the zone and in total."""
+    rows = view.rows_of(spec.name)
+    others = [
+        group
+        for group in view.other_groups
+        if group.spec == spec.name and group.phase is GroupPhase.SERVING
+    ]
+    serving = [row for row in rows if row.phase is GroupPhase.SERVING]
+    surge = 1 if any(is_outdated(spec, row) for row in rows) else 0
+    if len(rows) <= view.share(spec.name).max_groups + surge:
+        return None
+    if len(serving) + len(others) <= spec.max_groups + surge:
+        return None
+    names = sorted((row.name for row in serving), reverse=True)
+    return _drain_one(view, spec, names, Reason.SURPLUS)
+
+
+def _drain_one(
+    view: PlanView, spec: GroupSpec, names: list[str], reason: Reason
+) -> DrainGroup | None:
+    """Return the first group without which the minimum still serves."""
+    sound = {row.name for row in view.rows_of(spec.name) if view.is_sound(row)}
+    for name in sorted(names, key=lambda item: item in sound):
+        if len(sound - {name}) >= view.share(spec.name).min_groups:
+            return DrainGroup(name, reason)
+    return None
--- /dev/null
+++ b/standins/planner_world.py
@@ -0,0 +1,279 @@
+"""A simulated table, engines and control processes that run the groups reducer.
+
+Time is a number that the driver advances. Effects wait in a queue until the driver
+carries them out, so a driver can place a pause or a fault between decision and effect.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from gooseberryhall.adapters.engine import Order, OrderKind
+from gooseberryhall.adapters.table import (
+    ABSENT,
+    TOKEN_FIELD,
+    Conflict,
+    Row,
+    RowValue,
+    Snapshot,
+    Transaction,
+)
+from gooseberryhall.config.models import AnyObject
+from gooseberryhall.core.effects import Effect
+from gooseberryhall.core.events import Event
+from gooseberryhall.core.reducer import reduce
+from gooseberryhall.core.state import Identity, State
+from gooseberryhall.groups.effects import (
+    AnnounceGroups,
+    CommitDecision,
+    Outcome,
+    ReadLease,
+    ReadZone,
+    SendOrder,
+    WriteLease,
+)
+from gooseberryhall.groups.events import (
+    DecisionCommitted,
+    GroupViewReceived,
+    LeaseRead,
+    LeaseWritten,
+    OrderFinished,
+    PlanningStarted,
+    PlanningTick,
+    VmsListed,
+    ZoneRead,
+)
+from gooseberryhall.groups.lease import epoch_key, lease_key
+from gooseberryhall.groups.models import Vm
+from gooseberryhall.groups.rows import group_prefix
+from gooseberryhall.membership.models import Evidence, MemberHealth, MemberState
+
+
+class SimTable:
+    """Rows with versions and conditional writes, as the platform's table has them."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.rows: dict[str, Row] = {}
+        self.revision = 0
+        self.down = False
+
+    def commit(self, transaction: Transaction) -> Result[int, Conflict]:
+        """Apply a transaction or return the rows that differ from its checks."""
+        conflicts = {
+            key: self.rows.get(key)
+            for key, version in transaction.checks.items()
+            if self._version(key) != version
+        }
+        if conflicts:
+            return Err(Conflict(conflicts))
+        self.revision += 1
+        for key, value in transaction.stamped_puts().items():
+            self.rows[key] = Row(key, self.revision, value)
+        for key in transaction.deletes:
+            self.rows.pop(key, None)
+        return Ok(self.revision)
+
+    def read(self, key: str) -> Row | None:
+        """Return a row or None."""
+        return self.rows.get(key)
+
+    def read_prefix(self, prefix: str) -> Snapshot:
+        """Return all rows whose key has the prefix."""
+        rows = sorted(
+            (row for key, row in self.rows.items() if key.startswith(prefix)),
+            key=lambda row: row.key,
+        )
+        return Snapshot(self.revision, tuple(rows))
+
+    def value(self, key: str) -> RowValue:
+        """Return a row's value without its token, empty if it is absent."""
+        row = self.rows.get(key)
+        if row is None:
+            return {}
+        return {name: item for name, item in row.value.items() if name != TOKEN_FIELD}
+
+    def _version(self, key: str) -> int:
+        row = self.rows.get(key)
+        return row.version if row else ABSENT
+
+
+@dataclass(slots=True)
+class SimEngine:
+    """The model engine of one VM."""
+
+    vm: Vm
+    boot: int = 1
+    alive: bool = True
+    refuse_old_fence: bool = True
+    load_s: float = 20.0
+    warm_load_s: float = 4.0
+    group: str = ""
+    generation: int = 0
+    fence: int = 0
+    loaded: tuple[str, str] = ("", "")
+    loading_until_s: float = 0.0
+    leaving: bool = False
+    active: int = 0
+
+    def restart(self) -> None:
+        """Start again with empty memory."""
+        self.boot += 1
+        self.alive = True
+        self.group, self.generation, self.fence = "", 0, 0
+        self.loaded = ("", "")
+        self.active = 0
+
+    def take_order(self, order: Order, now_s: float) -> Outcome:
+        """Carry out an order unless its fencing number is honoured and too old."""
+        if not self.alive:
+            return Outcome.UNAVAILABLE
+        if self.refuse_old_fence and order.fence < self.fence:
+            return Outcome.STALE_FENCE
+        self.fence = max(self.fence, order.fence)
+        if order.kind is OrderKind.RELEASE:
+            self.group, self.generation = "", 0
+            return Outcome.ACCEPTED
+        if (self.group, self.generation) == (order.group, order.generation):
+            return Outcome.ACCEPTED
+        self.group, self.generation = order.group, order.generation
+        weights = (order.model, order.version)
+        load_s = self.warm_load_s if self.loaded == weights else self.load_s
+        self.loading_until_s = now_s + load_s
+        self.loaded = weights
+        return Outcome.ACCEPTED
+
+    def health(self, now_s: float) -> MemberHealth | None:
+        """Return the answer to a probe, or None while the engine is silent."""
+        if not self.alive:
+            return None
+        state = MemberState.IDLE
+        if self.group:
+            loading = now_s < self.loading_until_s
+            state = MemberState.LOADING if loading else MemberState.SERVING
+        return MemberHealth(
+            vm=self.vm.vm,
+            boot_id=f"{self.vm.vm}-{self.boot}",
+            group=self.group,
+            generation=self.generation,
+            state=state,
+            leaving=self.leaving,
+            active=self.active,
+            queued=0,
+            fence=self.fence,
+        )
+
+
+@dataclass(slots=True)
+class SimNode:
+    """The control process of an entry VM: its state and the effects to carry out."""
+
+    state: State
+    now_s: float = 0.0
+    queue: list[Effect] = field(default_factory=list)
+    views: list[GroupViewReceived] = field(default_factory=list)
+
+    @classmethod
+    def create(
+        cls, node: str, zone: str, objects: Iterable[AnyObject], refuse_old_fence: bool
+    ) -> "SimNode":
+        """Return a process with the configuration in force."""
+        state = State(Identity(node, zone, "sim"))
+        state.config.revision = 1
+        state.config.objects = {(item.kind, item.name): item for item in objects}
+        created = cls(state)
+        created.dispatch(PlanningStarted(f"{node}-1", refuse_old_fence))
+        return created
+
+    def dispatch(self, event: Event) -> None:
+        """Apply an event and queue its effects."""
+        self.queue += reduce(self.state, event, self.now_s)
+
+    def observe(self, vms: Iterable[Vm], engines: Iterable[SimEngine]) -> None:
+        """Take in the VM list and one answer of each engine."""
+        self.dispatch(VmsListed(tuple(vms)))
+        evidence = self.state.membership.evidence
+        for engine in engines:
+            vm = engine.vm.vm
+            health = engine.health(self.now_s)
+            evidence[vm] = Evidence(vm, health, self.now_s)
+
+    def tick(self) -> None:
+        """Let the timer fire."""
+        self.dispatch(PlanningTick())
+
+    def run(
+        self, effect: Effect, table: SimTable, engines: dict[str, SimEngine]
+    ) -> None:
+        """Carry out one effect as the service does."""
+        match effect:
+            case ReadLease(zone=zone):
+                self.dispatch(self._read_lease(zone, table))
+            case WriteLease():
+                self.dispatch(self._write_lease(effect, table))
+            case ReadZone(zone=zone, epoch_version=epoch_version):
+                prefix = group_prefix(zone)
+                snapshot = None if table.down else table.read_prefix(prefix)
+                self.dispatch(ZoneRead(zone, epoch_version, snapshot))
+            case CommitDecision():
+                self.dispatch(self._commit(effect, table))
+            case SendOrder():
+                self.dispatch(self._order(effect, engines))
+            case AnnounceGroups(zone=zone):
+                self._announce(zone)
+            case _:
+                pass
+
+    def run_all(self, table: SimTable, engines: dict[str, SimEngine]) -> None:
+        """Carry out effects until none is left."""
+        while self.queue:
+            self.run(self.queue.pop(0), table, engines)
+
+    def may_act(self, zone: str, epoch_version: int) -> bool:
+        """Return whether the lease under which an effect was decided is still held."""
+        lease = self.state.groups.leases[zone]
+        return lease.epoch_version == epoch_version and lease.is_held(self.now_s)
+
+    def _read_lease(self, zone: str, table: SimTable) -> LeaseRead:
+        if table.down:
+            return LeaseRead(zone, ok=False)
+        lease_row = table.read(lease_key(zone))
+        return LeaseRead(zone, True, lease_row, table.read(epoch_key(zone)))
+
+    def _write_lease(self, effect: WriteLease, table: SimTable) -> LeaseWritten:
+        revision, conflict = _outcome(effect.transaction, table)
+        return LeaseWritten(
+            effect.zone, effect.transaction, effect.decided_s, revision, conflict
+        )
+
+    def _commit(self, effect: CommitDecision, table: SimTable) -> DecisionCommitted:
+        revision = conflict = None
+        if self.may_act(effect.zone, effect.epoch_version):
+            revision, conflict = _outcome(effect.transaction, table)
+        return DecisionCommitted(effect.zone, effect.epoch_version, revision, conflict)
+
+    def _order(self, effect: SendOrder, engines: dict[str, SimEngine]) -> OrderFinished:
+        outcome = Outcome.LEASE_LAPSED
+        if self.may_act(effect.zone, effect.epoch_version):
+            outcome = engines[effect.order.vm].take_order(effect.order, self.now_s)
+        order = effect.order
+        return OrderFinished(effect.zone, order.vm, order.fence, outcome)
+
+    def _announce(self, zone: str) -> None:
+        plan_state = self.state.groups.plans.get(zone)
+        if plan_state is not None and plan_state.rows is not None:
+            groups = tuple(row.group for row in plan_state.rows.values())
+            self.views.append(GroupViewReceived(zone, plan_state.revision, groups))
+
+
+def _outcome(
+    transaction: Transaction, table: SimTable
+) -> tuple[int | None, Conflict | None]:
+    if table.down:
+        return None, None
+    match table.commit(transaction):
+        case Ok(revision):
+            return revision, None
+        case Err(conflict):
+            return None, conflict
