--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -382,9 +382,9 @@
 
 
 _REPORTS = {
-    FormGroup: (LogEvent.GROUP_FORMED, "group assigned"),
+    FormGroup: (LogEvent.GROUP_ASSIGNED, "group assigned"),
     MarkServing: (LogEvent.GROUP_SERVING, "group serving"),
-    DrainGroup: (LogEvent.GROUP_DRAINED, "group drains"),
+    DrainGroup: (LogEvent.GROUP_DRAINING, "group drains"),
     ReleaseGroup: (LogEvent.GROUP_RELEASED, "group released"),
     FreeMembers: (LogEvent.MEMBERS_FREED, "members freed"),
 }
