--- a/gooseberryhall/groups/const.py
+++ b/gooseberryhall/groups/const.py
@@ -27,7 +27,16 @@
 # Entry processes send no new work to a draining group after this time.
 DRAIN_NOTICE_S: Final = 3.0
 LOADING_LIMIT_S: Final = 900.0
+# A lead reports a failure while it misses a member, also for a moment after its return.
+FAILED_LIMIT_S: Final = 10.0
+# Evidence that is late by one probe is no reason to load another group.
+ANSWER_LIMIT_S: Final = 3.0
 # A VM that the platform no longer lists and that is silent for this long is gone.
 UNLISTED_LIMIT_S: Final = 60.0
 
 DRAIN_LABEL: Final = "gooseberryhall.io/drain"
+
+# A VM row without a group in the zone belongs to a write that is not yet visible.
+BLOCKED_VM_S: Final = 30.0
+# VMs silent for longer no longer count when the declared groups are divided.
+SHARE_GRACE_S: Final = 15.0
--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -7,58 +7,26 @@
 
 from typing import TYPE_CHECKING
 
-from ..adapters.engine import Order, OrderKind
-from ..adapters.table import Transaction
 from ..config.models import GroupSpec
 from ..core.effects import Effect
+from ..membership.models import MemberState
 from ..telemetry.catalogue import LogEvent
-from .const import VIEW_PERIOD_S, ZONE_READ_PERIOD_S
-from .decisions import (
-    Decision,
-    DrainGroup,
-    FormGroup,
-    FreeMembers,
-    MarkServing,
-    ReleaseGroup,
-    ReleaseStray,
-    SendGroupOrder,
-    WaitForMember,
-)
-from .effects import (
-    AnnounceGroups,
-    CommitDecision,
-    Outcome,
-    ReadZone,
-    ReportGroups,
-    SendOrder,
-)
+from .const import BLOCKED_VM_S, SHARE_GRACE_S, VIEW_PERIOD_S, ZONE_READ_PERIOD_S
+from .decisions import LoadAdapters, ReleaseStray, SendGroupOrder, WaitForMember
+from .effects import AnnounceGroups, Outcome, ReadZone, ReportGroups
 from .events import DecisionCommitted, OrderFinished, ZoneRead
+from .execution import commit, report, send_order, urgency
 from .lease import Lease
-from .models import Group, GroupPhase
+from .models import Group
 from .planner import plan
-from .rows import (
-    GroupRow,
-    assignment,
-    parse_rows,
-    removal,
-    rewrite,
-    vm_key,
-    with_phase,
-    with_version,
-    without_members,
-)
+from .rows import parse_rows, vm_key, with_version
 from .shares import divide
-from .state import GroupsState, OrderState, PendingDecision, ViewState, ZonePlan
+from .state import Division, GroupsState, ViewState, ZonePlan
 from .view import PlanView, phase_key
 
 if TYPE_CHECKING:
     from ..core.state import State
 
-# A VM row without a group in the zone belongs to a write that is not yet visible.
-BLOCKED_VM_S = 30.0
-# VMs silent for longer no longer count when the declared groups are divided.
-SHARE_GRACE_S = 15.0
-
 
 def known_zones(state: "State") -> list[str]:
     """Return all zones with VMs or groups and the own zone."""
@@ -172,22 +140,17 @@
     groups = state.groups
     plan_state = groups.plans.get(zone, ZonePlan())
     specs = tuple(state.config.of_type(GroupSpec))
-    labels = {vm: state.config.labels_of_vm(vm) for vm in groups.vms}
-    long_silent = {
-        vm
-        for vm, since_s in groups.silent_since_s.items()
-        if now_s - since_s > SHARE_GRACE_S
-    }
+    division = current_division(state, specs, now_s)
     return PlanView(
         zone=zone,
         now_s=now_s,
         specs=specs,
         policy=state.config.policy,
-        labels=labels,
+        labels=division.labels,
         vms=groups.vms,
         evidence=state.membership.evidence,
         rows=plan_state.rows or {},
-        shares=divide(specs, groups.vms.values(), labels, long_silent),
+        shares=division.shares,
         other_groups=tuple(
             group for group in groups.groups.values() if group.zone != zone
         ),
@@ -195,6 +158,7 @@
         revision=plan_state.revision,
         silent_since_s=groups.silent_since_s,
         phase_since_s=plan_state.phase_since_s,
+        failed_since_s=plan_state.failed_since_s,
         orders=plan_state.orders,
         loaded=groups.loaded,
         blocked=frozenset(
@@ -203,6 +167,24 @@
     )
 
 
+def current_division(
+    state: "State", specs: tuple[GroupSpec, ...], now_s: float
+) -> Division:
+    """Return the division of the declared groups, computed when its input changed."""
+    groups = state.groups
+    long_silent = frozenset(
+        vm
+        for vm, since_s in groups.silent_since_s.items()
+        if now_s - since_s > SHARE_GRACE_S
+    )
+    key = (state.config.revision, groups.vms_changes, long_silent)
+    if groups.division is None or groups.division.key != key:
+        labels = {vm: state.config.labels_of_vm(vm) for vm in groups.vms}
+        shares = divide(specs, groups.vms.values(), labels, long_silent)
+        groups.division = Division(key, labels, shares)
+    return groups.division
+
+
 def _carry_out(state: "State", zone: str, now_s: float) -> list[Effect]:
     """Plan once; return the orders and the first transaction that follow."""
     plan_state = state.groups.plans[zone]
@@ -210,112 +192,30 @@
         return []
     effects: list[Effect] = []
     view = make_view(state, zone, now_s)
-    plan_state.notes = {}
-    for decision in plan(view):
+    _note_failures(plan_state, view)
+    plan_state.waits = {}
+    for decision in sorted(plan(view), key=urgency):
         match decision:
             case WaitForMember():
-                plan_state.notes[decision.group] = f"waits for {decision.vm}"
-            case SendGroupOrder() | ReleaseStray():
-                effects.append(_send_order(plan_state, view, decision))
+                plan_state.waits[decision.group] = decision
+            case SendGroupOrder() | LoadAdapters() | ReleaseStray():
+                effects.append(send_order(plan_state, view, decision))
             case _ if plan_state.pending is None and not plan_state.reading:
-                effects += _commit(plan_state, view, decision)
+                effects += commit(plan_state, view, decision)
     return effects
 
 
-def _send_order(
-    plan_state: ZonePlan, view: PlanView, decision: SendGroupOrder | ReleaseStray
-) -> SendOrder:
-    if isinstance(decision, ReleaseStray):
-        order = _stray_order(view, decision)
-    else:
-        order = _group_order(view, decision)
-    plan_state.orders[order.vm] = OrderState(order.fence, view.now_s)
-    return SendOrder(view.zone, plan_state.epoch_version, order)
-
-
-def _group_order(view: PlanView, decision: SendGroupOrder) -> Order:
-    """Return the order that the group's phase asks for."""
-    row = view.rows[decision.group]
-    group = row.group
-    rank, member = next(
-        (rank, member)
-        for rank, member in enumerate(group.members)
-        if member.vm == decision.vm
-    )
-    releasing = row.phase is GroupPhase.RELEASING
-    return Order(
-        kind=OrderKind.RELEASE if releasing else OrderKind.FORM,
-        vm=member.vm,
-        address=member.address,
-        fence=row.fence,
-        group=group.group,
-        generation=group.generation,
-        rank=rank,
-        members=group.members,
-        model=group.model,
-        version=group.model_version,
-        adapters=row.adapters,
-    )
-
-
-def _stray_order(view: PlanView, decision: ReleaseStray) -> Order:
-    """Return a release whose fence is the revision at which the VM had no group."""
-    return Order(
-        kind=OrderKind.RELEASE,
-        vm=decision.vm,
-        address=view.vms[decision.vm].address,
-        fence=view.revision,
-        group=decision.group,
-        generation=decision.generation,
-    )
-
-
-def _commit(plan_state: ZonePlan, view: PlanView, decision: Decision) -> list[Effect]:
-    pending, transaction = _transaction(plan_state, view, decision)
-    plan_state.pending = pending
-    return [CommitDecision(view.zone, plan_state.epoch_version, transaction)]
-
-
-def _transaction(
-    plan_state: ZonePlan, view: PlanView, decision: Decision
-) -> tuple[PendingDecision, Transaction]:
-    epoch_version = plan_state.epoch_version
-    if isinstance(decision, FormGroup):
-        formed = _new_row(view, decision)
-        return PendingDecision(decision, None, formed), assignment(
-            formed, epoch_version
-        )
-    old = view.rows[decision.group]
-    if isinstance(decision, FreeMembers):
-        left = without_members(old, frozenset(decision.vms))
-        new = left if left.group.members else None
-        return PendingDecision(decision, old, new), removal(
-            old, decision.vms, epoch_version
-        )
-    match decision:
-        case DrainGroup():
-            new = with_phase(old, GroupPhase.DRAINING, decision.reason.value)
-        case ReleaseGroup():
-            new = with_phase(old, GroupPhase.RELEASING, decision.reason.value)
-        case _:
-            new = with_phase(old, GroupPhase.SERVING, "")
-    return PendingDecision(decision, old, new), rewrite(old, new, epoch_version)
-
-
-def _new_row(view: PlanView, decision: FormGroup) -> GroupRow:
-    spec = view.spec_by_name[decision.spec]
-    group = Group(
-        group=decision.group,
-        spec=spec.name,
-        zone=view.zone,
-        fabric_domain=decision.fabric_domain,
-        model=spec.model,
-        model_version=spec.version,
-        generation=0,
-        phase=GroupPhase.LOADING,
-        members=decision.members,
-    )
-    return GroupRow(group, adapters=spec.adapters)
+def _note_failures(plan_state: ZonePlan, view: PlanView) -> None:
+    """Note since when members fail although all members of their group answer."""
+    failing = {}
+    for row in view.rows.values():
+        states = [view.health(member.vm) for member in row.group.members]
+        if any(health is None for health in states):
+            continue
+        if any(health and health.state is MemberState.FAILED for health in states):
+            key = (row.name, row.group.generation)
+            failing[key] = plan_state.failed_since_s.get(key, view.now_s)
+    plan_state.failed_since_s = failing
 
 
 def reduce_decision_committed(
@@ -339,7 +239,7 @@
     _note_change(state.groups, event.zone, plan_state, now_s)
     return [
         AnnounceGroups(event.zone),
-        _report(event.zone, pending.decision),
+        report(event.zone, pending.decision),
         *_plan_if_held(state, event.zone, now_s),
     ]
 
@@ -365,26 +265,12 @@
     if order is None or order.fence != event.fence:
         return []
     order.in_flight = False
-    order.outcome = event.outcome.value
+    order.outcome = event.outcome
     if event.outcome is Outcome.ACCEPTED:
         return []
-    fields = (("vm", event.vm), ("fence", event.fence), ("outcome", order.outcome))
+    fields = (
+        ("vm", event.vm),
+        ("fence", event.fence),
+        ("outcome", event.outcome.value),
+    )
     return [ReportGroups(LogEvent.ORDER_FAILED, "order failed", fields)]
-
-
-def _report(zone: str, decision: Decision) -> ReportGroups:
-    name, message = _REPORTS[type(decision)]
-    fields = [("zone", zone), ("group", decision.group)]
-    reason = getattr(decision, "reason", None)
-    if reason is not None:
-        fields.append(("reason", reason.value))
-    return ReportGroups(name, message, tuple(fields))
-
-
-_REPORTS = {
-    FormGroup: (LogEvent.GROUP_ASSIGNED, "group assigned"),
-    MarkServing: (LogEvent.GROUP_SERVING, "group serving"),
-    DrainGroup: (LogEvent.GROUP_DRAINING, "group drains"),
-    ReleaseGroup: (LogEvent.GROUP_RELEASED, "group released"),
-    FreeMembers: (LogEvent.MEMBERS_FREED, "members freed"),
-}
--- a/gooseberryhall/groups/decisions.py
+++ b/gooseberryhall/groups/decisions.py
@@ -15,7 +15,6 @@
     MEMBER_LEAVING = "member_leaving"
     DRAIN_LABEL = "drain_label"
     SPEC_REMOVED = "spec_removed"
-    SPEC_CHANGED = "spec_changed"
     SELECTOR_CHANGED = "selector_changed"
     NEW_VERSION = "new_version"
     SURPLUS = "surplus"
@@ -82,6 +81,21 @@
     vm: str
 
 
+@dataclass(frozen=True, slots=True)
+class LoadAdapters(Decision):
+    """Order a member of a serving group to load other adapters."""
+
+    vm: str
+    adapters: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MarkAdapters(Decision):
+    """All members accepted the order to load these adapters."""
+
+    adapters: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ReleaseStray(Decision):
     """Order a VM that is assigned to no group to leave the group it reports."""
--- a/gooseberryhall/groups/effects.py
+++ b/gooseberryhall/groups/effects.py
@@ -22,9 +22,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadLease(Effect):
-    """Read the lease and epoch rows of a zone."""
+    """Read the lease row of a zone, and the epoch row when it is about to be used."""
 
     zone: str
+    with_epoch: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/groups/events.py
+++ b/gooseberryhall/groups/events.py
@@ -43,6 +43,7 @@
 
     zone: str
     ok: bool
+    with_epoch: bool = False
     lease_row: Row | None = None
     epoch_row: Row | None = None
 
--- /dev/null
+++ b/gooseberryhall/groups/execution.py
@@ -0,0 +1,182 @@
+"""Turns decisions of the planner into transactions and orders."""
+
+from dataclasses import replace
+
+from ..adapters.engine import Order, OrderKind
+from ..adapters.table import Transaction
+from ..core.effects import Effect
+from ..telemetry.catalogue import LogEvent
+from .decisions import (
+    Decision,
+    DrainGroup,
+    FormGroup,
+    FreeMembers,
+    LoadAdapters,
+    MarkAdapters,
+    MarkServing,
+    ReleaseGroup,
+    ReleaseStray,
+    SendGroupOrder,
+    WaitForMember,
+)
+from .effects import CommitDecision, ReportGroups, SendOrder
+from .models import Group, GroupPhase
+from .rows import (
+    GroupRow,
+    assignment,
+    removal,
+    rewrite,
+    with_phase,
+    without_members,
+)
+from .state import OrderState, PendingDecision, ZonePlan
+from .view import PlanView
+
+# A group that must end goes first, then what frees or uses VMs.
+_URGENCY = (
+    WaitForMember,
+    SendGroupOrder,
+    LoadAdapters,
+    ReleaseStray,
+    ReleaseGroup,
+    DrainGroup,
+    MarkServing,
+    FreeMembers,
+    MarkAdapters,
+    FormGroup,
+)
+
+_REPORTS = {
+    FormGroup: (LogEvent.GROUP_ASSIGNED, "group assigned"),
+    MarkAdapters: (LogEvent.ADAPTERS_LOADED, "adapters loaded"),
+    MarkServing: (LogEvent.GROUP_SERVING, "group serving"),
+    DrainGroup: (LogEvent.GROUP_DRAINING, "group drains"),
+    ReleaseGroup: (LogEvent.GROUP_RELEASED, "group released"),
+    FreeMembers: (LogEvent.MEMBERS_FREED, "members freed"),
+}
+
+
+def urgency(decision: Decision) -> int:
+    """Return the rank of a decision; a group that must end goes first."""
+    return _URGENCY.index(type(decision))
+
+
+def send_order(
+    plan_state: ZonePlan,
+    view: PlanView,
+    decision: SendGroupOrder | LoadAdapters | ReleaseStray,
+) -> SendOrder:
+    """Return the order that a decision asks for and note it as in flight."""
+    adapters = None
+    match decision:
+        case ReleaseStray():
+            order = _stray_order(view, decision)
+        case LoadAdapters():
+            adapters = decision.adapters
+            order = replace(
+                _group_order(view, decision),
+                kind=OrderKind.LOAD_ADAPTER,
+                adapters=adapters,
+            )
+        case SendGroupOrder():
+            order = _group_order(view, decision)
+    plan_state.orders[order.vm] = OrderState(order.fence, view.now_s, adapters=adapters)
+    return SendOrder(view.zone, plan_state.epoch_version, order)
+
+
+def _group_order(view: PlanView, decision: SendGroupOrder | LoadAdapters) -> Order:
+    """Return the order that the group's phase asks for."""
+    row = view.rows[decision.group]
+    group = row.group
+    rank, member = next(
+        (rank, member)
+        for rank, member in enumerate(group.members)
+        if member.vm == decision.vm
+    )
+    releasing = row.phase is GroupPhase.RELEASING
+    return Order(
+        kind=OrderKind.RELEASE if releasing else OrderKind.FORM,
+        vm=member.vm,
+        address=member.address,
+        fence=row.fence,
+        group=group.group,
+        generation=group.generation,
+        rank=rank,
+        members=group.members,
+        model=group.model,
+        version=group.model_version,
+        adapters=row.adapters,
+    )
+
+
+def _stray_order(view: PlanView, decision: ReleaseStray) -> Order:
+    """Return a release whose fence is the revision at which the VM had no group."""
+    return Order(
+        kind=OrderKind.RELEASE,
+        vm=decision.vm,
+        address=view.vms[decision.vm].address,
+        fence=view.revision,
+        group=decision.group,
+        generation=decision.generation,
+    )
+
+
+def commit(plan_state: ZonePlan, view: PlanView, decision: Decision) -> list[Effect]:
+    """Return the transaction of a decision and note it as in flight."""
+    pending, transaction = _transaction(plan_state, view, decision)
+    plan_state.pending = pending
+    return [CommitDecision(view.zone, plan_state.epoch_version, transaction)]
+
+
+def _transaction(
+    plan_state: ZonePlan, view: PlanView, decision: Decision
+) -> tuple[PendingDecision, Transaction]:
+    epoch_version = plan_state.epoch_version
+    if isinstance(decision, FormGroup):
+        formed = _new_row(view, decision)
+        return PendingDecision(decision, None, formed), assignment(
+            formed, epoch_version
+        )
+    old = view.rows[decision.group]
+    if isinstance(decision, FreeMembers):
+        left = without_members(old, frozenset(decision.vms))
+        new = left if left.group.members else None
+        return PendingDecision(decision, old, new), removal(
+            old, decision.vms, epoch_version
+        )
+    match decision:
+        case DrainGroup():
+            new = with_phase(old, GroupPhase.DRAINING, decision.reason.value)
+        case ReleaseGroup():
+            new = with_phase(old, GroupPhase.RELEASING, decision.reason.value)
+        case MarkAdapters():
+            new = replace(old, adapters=decision.adapters)
+        case _:
+            new = with_phase(old, GroupPhase.SERVING, "")
+    return PendingDecision(decision, old, new), rewrite(old, new, epoch_version)
+
+
+def _new_row(view: PlanView, decision: FormGroup) -> GroupRow:
+    spec = view.spec_by_name[decision.spec]
+    group = Group(
+        group=decision.group,
+        spec=spec.name,
+        zone=view.zone,
+        fabric_domain=decision.fabric_domain,
+        model=spec.model,
+        model_version=spec.version,
+        generation=0,
+        phase=GroupPhase.LOADING,
+        members=decision.members,
+    )
+    return GroupRow(group, adapters=spec.adapters)
+
+
+def report(zone: str, decision: Decision) -> ReportGroups:
+    """Return the report of a decision that was confirmed."""
+    name, message = _REPORTS[type(decision)]
+    fields = [("zone", zone), ("group", decision.group)]
+    reason = getattr(decision, "reason", None)
+    if reason is not None:
+        fields.append(("reason", reason.value))
+    return ReportGroups(name, message, tuple(fields))
--- a/gooseberryhall/groups/lease.py
+++ b/gooseberryhall/groups/lease.py
@@ -114,23 +114,26 @@
     )
 
 
-def observe_rows(
-    lease: Lease,
-    holder: Holder,
-    lease_row: Row | None,
-    epoch_row: Row | None,
-    now_s: float,
-) -> Transaction | None:
-    """Note what a contender read and return the transaction to send, if any."""
+def observe_row(
+    lease: Lease, holder: Holder, lease_row: Row | None, now_s: float
+) -> bool:
+    """Note what a contender read; return whether it may write the lease now."""
     version = lease_row.version if lease_row else ABSENT
     if version != lease.seen_version:
         lease.seen_version = version
         lease.seen_since_s = now_s
+    if lease_row is not None and is_own_row(lease_row, holder):
+        return True
+    return now_s - lease.seen_since_s >= _wait_s(lease.zone, holder, lease_row)
+
+
+def contend(
+    lease: Lease, holder: Holder, lease_row: Row | None, epoch_row: Row | None
+) -> Transaction:
+    """Return the transaction that renews an own row or takes the lease over."""
     if lease_row is not None and is_own_row(lease_row, holder):
         adopt(lease, lease_row, epoch_row)
         return renewal(lease, holder)
-    if now_s - lease.seen_since_s < _wait_s(lease.zone, holder, lease_row):
-        return None
     return takeover(lease.zone, holder, lease_row, epoch_row)
 
 
--- a/gooseberryhall/groups/lease_reducer.py
+++ b/gooseberryhall/groups/lease_reducer.py
@@ -5,18 +5,20 @@
 from ..adapters.table import Conflict, Transaction
 from ..core.effects import Effect
 from ..telemetry.catalogue import LogEvent
+from .const import VIEW_LIMIT_S
 from .effects import ReadLease, ReportGroups, WriteLease
 from .events import LeaseRead, LeaseWritten
 from .lease import (
     Holder,
     Lease,
     adopt,
+    contend,
     epoch_key,
     grant,
     is_own_row,
     lease_key,
     lose,
-    observe_rows,
+    observe_row,
     release,
     renewal,
 )
@@ -39,23 +41,38 @@
     lease = groups.leases.setdefault(zone, Lease(zone))
     if lease.is_renewal_due(now_s):
         return [_write(lease, renewal(lease, holder), now_s)]
-    if lease.is_poll_due(now_s):
+    if lease.is_poll_due(now_s) and (
+        zone == holder.zone or _is_unannounced(groups, zone, now_s)
+    ):
         lease.pending = True
         lease.last_call_s = now_s
         return [ReadLease(zone)]
     return []
 
 
+def _is_unannounced(groups: GroupsState, zone: str, now_s: float) -> bool:
+    """Return whether no holder of another zone has announced its groups lately.
+
+    All nodes reading the leases of all zones would use up the table's reads.
+    """
+    view = groups.views.get(zone)
+    return view is None or now_s - view.seen_s > VIEW_LIMIT_S
+
+
 def reduce_lease_read(state: "State", event: LeaseRead, now_s: float) -> list[Effect]:
     """Take the lease when it is free or was not renewed for long enough."""
     lease = state.groups.leases[event.zone]
     lease.pending = False
     if not event.ok or state.groups.stopping:
         return []
-    transaction = observe_rows(
-        lease, holder_of(state), event.lease_row, event.epoch_row, now_s
-    )
-    return [_write(lease, transaction, now_s)] if transaction else []
+    holder = holder_of(state)
+    if not observe_row(lease, holder, event.lease_row, now_s):
+        return []
+    if not event.with_epoch:
+        lease.pending = True
+        return [ReadLease(event.zone, with_epoch=True)]
+    transaction = contend(lease, holder, event.lease_row, event.epoch_row)
+    return [_write(lease, transaction, now_s)]
 
 
 def reduce_lease_written(
--- a/gooseberryhall/groups/lifecycle.py
+++ b/gooseberryhall/groups/lifecycle.py
@@ -7,6 +7,7 @@
 from .const import (
     DRAIN_LIMIT_S,
     DRAIN_NOTICE_S,
+    FAILED_LIMIT_S,
     LOADING_LIMIT_S,
     ORDER_RETRY_S,
     ORDER_TIMEOUT_S,
@@ -16,6 +17,8 @@
     Decision,
     DrainGroup,
     FreeMembers,
+    LoadAdapters,
+    MarkAdapters,
     MarkServing,
     Reason,
     ReleaseGroup,
@@ -23,6 +26,7 @@
     SendGroupOrder,
     WaitForMember,
 )
+from .effects import Outcome
 from .models import GroupPhase, Member, VmState
 from .rows import GroupRow
 from .shares import is_drained, selected_vms
@@ -82,7 +86,52 @@
     stop = _stop_reason(view, row)
     if stop is not None:
         return [DrainGroup(row.name, stop)]
-    return [*_form_orders(view, row), *_waits(view, row)]
+    return [
+        *_form_orders(view, row),
+        *_adapter_steps(view, row),
+        *_waits(view, row),
+    ]
+
+
+def _adapter_steps(view: PlanView, row: GroupRow) -> list[Decision]:
+    """Return orders that load other adapters, then the decision that they are loaded.
+
+    Health does not show adapters, so the engines' acceptance counts.
+    """
+    wanted = view.spec_by_name[row.group.spec].adapters
+    if wanted == row.adapters or not view.is_sound(row):
+        return []
+    lacking = [
+        member.vm
+        for member in row.group.members
+        if not _has_adapters(view, row, member.vm, wanted)
+    ]
+    if not lacking:
+        return [MarkAdapters(row.name, wanted)]
+    return [
+        LoadAdapters(row.name, vm, wanted)
+        for vm in lacking
+        if _is_adapter_order_due(view, vm, wanted)
+    ]
+
+
+def _has_adapters(
+    view: PlanView, row: GroupRow, vm: str, wanted: tuple[str, ...]
+) -> bool:
+    order = view.orders.get(vm)
+    return (
+        order is not None
+        and order.fence == row.fence
+        and order.adapters == wanted
+        and order.outcome is Outcome.ACCEPTED
+    )
+
+
+def _is_adapter_order_due(view: PlanView, vm: str, wanted: tuple[str, ...]) -> bool:
+    order = view.orders.get(vm)
+    if order is None or order.adapters != wanted:
+        return True
+    return not order.in_flight and view.now_s - order.sent_s >= ORDER_RETRY_S
 
 
 def _step_draining(view: PlanView, row: GroupRow) -> list[Decision]:
@@ -120,11 +169,20 @@
             return Reason.MEMBER_RESTARTED
         if closed in _SILENT and view.silent_s(member.vm) > limit_s:
             return Reason.MEMBER_LOST
-        health = view.health(member.vm)
-        failed = health is not None and health.state is MemberState.FAILED
-        if closed is ClosedReason.NOT_SERVING and failed:
-            return Reason.MEMBER_FAILED
-    return None
+    return Reason.MEMBER_FAILED if _has_failed(view, row) else None
+
+
+def _has_failed(view: PlanView, row: GroupRow) -> bool:
+    """Return whether a member keeps failing although all members answer.
+
+    A lead fails while it misses a member and recovers when a paused member returns, so
+    a failure counts only once no member is silent.
+    """
+    healths = [view.health(member.vm) for member in row.group.members]
+    if any(health is None for health in healths):
+        return False
+    failed = any(health and health.state is MemberState.FAILED for health in healths)
+    return failed and view.failed_s(row) > FAILED_LIMIT_S
 
 
 def _stop_reason(view: PlanView, row: GroupRow) -> Reason | None:
@@ -132,8 +190,6 @@
     spec = view.spec_by_name.get(row.group.spec)
     if spec is None:
         return Reason.SPEC_REMOVED
-    if spec.members != len(row.group.members) or spec.model != row.group.model:
-        return Reason.SPEC_CHANGED
     for member in row.group.members:
         health = view.health(member.vm)
         vm = view.vms.get(member.vm)
--- a/gooseberryhall/groups/planner.py
+++ b/gooseberryhall/groups/planner.py
@@ -1,9 +1,7 @@
 """Plans the groups of one zone: a pure function from what is known to decisions."""
 
-from typing import Final
-
 from ..config.models import GroupSpec
-from .decisions import Decision, DrainGroup, FormGroup, Reason
+from .decisions import Decision, DrainGroup, FormGroup, Reason, ReleaseGroup
 from .lifecycle import find_strays, step_group
 from .models import GroupPhase
 from .placement import may_load, place_group
@@ -14,9 +12,6 @@
 
 _ACTIVE = (GroupPhase.LOADING, GroupPhase.SERVING)
 
-# Evidence that is late by one probe is no reason to load another group.
-REPLACE_AFTER_S: Final = 3.0
-
 
 def plan(view: PlanView) -> list[Decision]:
     """Return what to do now; at most one group is formed or drained for others."""
@@ -65,16 +60,19 @@
             return formed
     waiting = len(view.rows_of(spec.name)) > len(usable)
     victim = None if waiting else choose_victim(view, spec)
-    return DrainGroup(victim.name, Reason.PREEMPTED) if victim else None
+    return _dissolve(victim) if victim else None
+
+
+def _dissolve(victim: GroupRow) -> Decision:
+    """Return the end of a group that gives way; one that loads has no work yet."""
+    if victim.phase is GroupPhase.LOADING:
+        return ReleaseGroup(victim.name, Reason.PREEMPTED)
+    return DrainGroup(victim.name, Reason.PREEMPTED)
 
 
 def _is_usable(view: PlanView, row: GroupRow) -> bool:
     """Return whether the group serves or is expected to serve without its members."""
-    if row.phase is GroupPhase.LOADING:
-        return True
-    return all(
-        view.silent_s(member.vm) < REPLACE_AFTER_S for member in row.group.members
-    )
+    return row.phase is GroupPhase.LOADING or view.is_answering(row)
 
 
 def _add_group(view: PlanView, spec: GroupSpec) -> FormGroup | None:
@@ -88,7 +86,8 @@
     )
     if len(rows) >= share.max_groups + surge or total >= spec.max_groups + surge:
         return None
-    return place_group(view, spec, spares=_wanted_spares(view))
+    spares = 0 if surge else _wanted_spares(view)
+    return place_group(view, spec, spares)
 
 
 def _wanted_spares(view: PlanView) -> int:
@@ -98,16 +97,26 @@
 
 
 def is_outdated(spec: GroupSpec, row: GroupRow) -> bool:
-    """Return whether the group serves another version than the declared one."""
-    return row.group.model_version != spec.version
+    """Return whether the group was formed for another model, version or size."""
+    group = row.group
+    declared = (spec.model, spec.version, spec.members)
+    return (group.model, group.model_version, len(group.members)) != declared
 
 
-def _roll_out(view: PlanView, spec: GroupSpec) -> DrainGroup | None:
-    """Return one outdated group to drain, if the others keep the minimum serving."""
+def _roll_out(view: PlanView, spec: GroupSpec) -> Decision | None:
+    """Return one outdated group to end, if the others keep the minimum serving."""
     rows = [row for row in view.rows.values() if row.group.spec == spec.name]
-    if any(row.phase is not GroupPhase.SERVING for row in rows):
+    for row in rows:
+        if row.phase is GroupPhase.LOADING and is_outdated(spec, row):
+            return ReleaseGroup(row.name, Reason.NEW_VERSION)
+    changing = (GroupPhase.LOADING, GroupPhase.DRAINING)
+    if any(row.phase in changing for row in rows):
         return None
-    outdated = sorted(row.name for row in rows if is_outdated(spec, row))
+    outdated = sorted(
+        row.name
+        for row in rows
+        if row.phase is GroupPhase.SERVING and is_outdated(spec, row)
+    )
     return _drain_one(view, spec, outdated, Reason.NEW_VERSION)
 
 
--- a/gooseberryhall/groups/reducer.py
+++ b/gooseberryhall/groups/reducer.py
@@ -45,7 +45,10 @@
 
 def reduce_vms_listed(state: "State", event: VmsListed, now_s: float) -> list[Effect]:
     """Keep the platform's newest list."""
-    state.groups.vms = {vm.vm: vm for vm in event.vms}
+    vms = {vm.vm: vm for vm in event.vms}
+    if vms != state.groups.vms:
+        state.groups.vms = vms
+        state.groups.vms_changes += 1
     return []
 
 
--- a/gooseberryhall/groups/service.py
+++ b/gooseberryhall/groups/service.py
@@ -156,11 +156,15 @@
 async def _async_read_lease(service: _Service, effect: ReadLease) -> None:
     try:
         lease_row = await service.table.async_read(lease_key(effect.zone))
-        epoch_row = await service.table.async_read(epoch_key(effect.zone))
+        epoch_row = None
+        if effect.with_epoch:
+            epoch_row = await service.table.async_read(epoch_key(effect.zone))
     except TableUnavailableError:
         service.dispatch(LeaseRead(effect.zone, ok=False))
         return
-    service.dispatch(LeaseRead(effect.zone, True, lease_row, epoch_row))
+    service.dispatch(
+        LeaseRead(effect.zone, True, effect.with_epoch, lease_row, epoch_row)
+    )
 
 
 async def _async_write_lease(service: _Service, effect: WriteLease) -> None:
--- a/gooseberryhall/groups/state.py
+++ b/gooseberryhall/groups/state.py
@@ -1,12 +1,14 @@
 """State of the groups concern."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any
 
-from .decisions import Decision
+from .decisions import Decision, WaitForMember
+from .effects import Outcome
 from .lease import Lease
 from .models import Group, Vm
 from .rows import GroupRow
+from .shares import Share
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,7 +27,8 @@
     fence: int
     sent_s: float
     in_flight: bool = True
-    outcome: str = ""
+    outcome: Outcome | None = None
+    adapters: tuple[str, ...] | None = None
 
 
 @dataclass(slots=True)
@@ -42,7 +45,8 @@
     """What the lease holder of a zone needs to plan it.
 
     `rows` is None until the table was read under the current epoch. `phase_since_s`
-    holds when this process first saw a group in its phase.
+    holds when this process first saw a group in its phase, `failed_since_s` since when
+    a member fails although all members answer.
     """
 
     rows: dict[str, GroupRow] | None = None
@@ -53,8 +57,9 @@
     epoch_version: int = 0
     orders: dict[str, OrderState] = field(default_factory=dict)
     phase_since_s: dict[tuple[str, int, str], float] = field(default_factory=dict)
+    failed_since_s: dict[tuple[str, int], float] = field(default_factory=dict)
     blocked_until_s: dict[str, float] = field(default_factory=dict)
-    notes: dict[str, str] = field(default_factory=dict)
+    waits: dict[str, WaitForMember] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -67,6 +72,15 @@
     reading: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Division:
+    """The declared groups divided between zones, and what it was computed from."""
+
+    key: tuple[int, int, frozenset[str]]
+    labels: Mapping[str, Mapping[str, str]]
+    shares: Mapping[tuple[str, str], Share]
+
+
 @dataclass(slots=True)
 class MeasureState:
     """Totals of the two measures, by spec and zone or by zone and reason."""
@@ -80,12 +94,13 @@
 class GroupsState:
     """Groups by name and VMs by name, as last read or announced.
 
-    `silent_since_s` holds the VMs without fresh evidence. The fields from `incarnation`
-    on are used by the control program only.
+    `vms_changes` counts the lists that differed. `silent_since_s` holds the VMs without
+    fresh evidence. The fields from `incarnation` on are used by control programs only.
     """
 
     groups: dict[str, Group] = field(default_factory=dict)
     vms: dict[str, Vm] = field(default_factory=dict)
+    vms_changes: int = 0
     views: dict[str, ViewState] = field(default_factory=dict)
     incarnation: str = ""
     refuse_old_fence: bool = False
@@ -94,5 +109,5 @@
     loaded: dict[str, LoadedModel] = field(default_factory=dict)
     leases: dict[str, Lease] = field(default_factory=dict)
     plans: dict[str, ZonePlan] = field(default_factory=dict)
-    shares: dict[str, Any] = field(default_factory=dict)
+    division: Division | None = None
     measures: MeasureState = field(default_factory=MeasureState)
--- a/gooseberryhall/groups/view.py
+++ b/gooseberryhall/groups/view.py
@@ -8,6 +8,7 @@
 from ..const import EVIDENCE_LIMIT_S
 from ..membership.evidence import ClosedReason, member_closed_reason
 from ..membership.models import Evidence, MemberHealth, MemberState
+from .const import ANSWER_LIMIT_S
 from .models import Group, GroupPhase, Member, Vm, VmState
 from .rows import GroupRow
 from .shares import Labels, Share, is_drained, selected_vms
@@ -38,6 +39,7 @@
     revision: int = 0
     silent_since_s: Mapping[str, float] = field(default_factory=dict)
     phase_since_s: Mapping[tuple[str, int, str], float] = field(default_factory=dict)
+    failed_since_s: Mapping[tuple[str, int], float] = field(default_factory=dict)
     orders: Mapping[str, OrderState] = field(default_factory=dict)
     loaded: Mapping[str, LoadedModel] = field(default_factory=dict)
     blocked: frozenset[str] = frozenset()
@@ -70,6 +72,11 @@
             for spec in self.specs
         }
 
+    @cached_property
+    def is_dark(self) -> bool:
+        """Return whether no VM of the zone gives fresh evidence."""
+        return all(self.health(vm.vm) is None for vm in self.zone_vms)
+
     def share(self, spec: str) -> Share:
         """Return how many groups of a spec the zone should have."""
         return self.shares.get((spec, self.zone), Share())
@@ -111,6 +118,17 @@
             self.closed_reason(row, member) is None for member in row.group.members
         )
 
+    def is_answering(self, row: GroupRow) -> bool:
+        """Return whether all members answered lately."""
+        return all(
+            self.silent_s(member.vm) < ANSWER_LIMIT_S for member in row.group.members
+        )
+
+    def failed_s(self, row: GroupRow) -> float:
+        """Return for how long a member has failed while all members answered."""
+        key = (row.name, row.group.generation)
+        return self.now_s - self.failed_since_s.get(key, self.now_s)
+
     def phase_age_s(self, row: GroupRow) -> float:
         """Return for how long this process has seen the group in its phase."""
         since_s = self.phase_since_s.get(phase_key(row), self.now_s)
--- a/gooseberryhall/groups/waiting.py
+++ b/gooseberryhall/groups/waiting.py
@@ -1,11 +1,18 @@
-"""Decides how long a group waits for a member that stopped answering."""
+"""Decides how long a group waits for members that stopped answering.
+
+A paused member that comes back makes its group serve at once. A regroup costs a load of
+all members. Waiting is therefore worth while for about the time that a regroup takes,
+and for longer when no regroup is possible.
+"""
 
 from typing import Final
 
+from .models import GroupPhase
 from .rows import GroupRow
+from .shares import selected_vms
 from .view import PlanView
 
-# With replacements at hand, waiting is worth less than the time of a load.
+# With replacements at hand, a longer wait costs more than the load that it may save.
 WAIT_FOR_MEMBER_S: Final = 10.0
 # Without replacements a release would not bring the group back any sooner.
 HOLD_FOR_MEMBER_S: Final = 120.0
@@ -13,12 +20,43 @@
 
 def missing_limit_s(view: PlanView, row: GroupRow) -> float:
     """Return how long members of the group may be silent before it is released."""
-    silent = {
-        member.vm for member in row.group.members if view.health(member.vm) is None
-    }
-    free = [
-        vm
-        for vm in view.free_vms.get(row.group.spec, ())
-        if vm.fabric_domain == row.group.fabric_domain
-    ]
-    return WAIT_FOR_MEMBER_S if len(free) >= len(silent) else HOLD_FOR_MEMBER_S
+    if view.is_dark:
+        # When no VM of the zone answers, this process is more likely cut off than
+        # all VMs are dead, and a release could not reach them anyway.
+        return float("inf")
+    silent = sum(view.health(member.vm) is None for member in row.group.members)
+    if _replacements(view, row) >= silent:
+        return WAIT_FOR_MEMBER_S
+    return HOLD_FOR_MEMBER_S
+
+
+def _replacements(view: PlanView, row: GroupRow) -> int:
+    """Return how many VMs of the group's domain could replace its silent members."""
+    spec = view.spec_by_name.get(row.group.spec)
+    if spec is None:
+        return len(row.group.members)
+    domain = row.group.fabric_domain
+    usable = {vm.vm for vm in view.free_vms[spec.name] if vm.fabric_domain == domain}
+    answering = [vm for vm in view.zone_vms if view.health(vm.vm) is not None]
+    selected = {vm.vm for vm in selected_vms(spec, answering, view.labels)}
+    others = [other for other in view.rows.values() if other.name != row.name]
+    for other in others:
+        if other.group.fabric_domain == domain and _may_give(view, row, other):
+            usable |= {member.vm for member in other.group.members} & selected
+    return len(usable)
+
+
+def _may_give(view: PlanView, row: GroupRow, other: GroupRow) -> bool:
+    """Return whether the other group's VMs may complete a new group for this one."""
+    if other.phase in (GroupPhase.DRAINING, GroupPhase.RELEASING):
+        return True
+    own = view.spec_by_name[row.group.spec]
+    spec = view.spec_by_name.get(other.group.spec)
+    if spec is None:
+        return True
+    usable = [item for item in view.rows_of(own.name) if view.is_answering(item)]
+    below = len(usable) < view.share(own.name).min_groups
+    if below and spec.priority < own.priority:
+        return True
+    # Two broken groups can make one whole group.
+    return spec.priority <= own.priority and not view.is_answering(other)
