--- a/gooseberryhall/membership/reducer.py
+++ b/gooseberryhall/membership/reducer.py
@@ -154,8 +154,7 @@
 
 
 def _reduce_vms_listed(state: "State", event: VmsListed, _now_s: float) -> list[Effect]:
-    state.groups.vms = {vm.vm: vm for vm in event.vms}
-    kept = set(state.groups.vms)
+    kept = {vm.vm for vm in event.vms}
     for group in state.groups.groups.values():
         kept.update(member.vm for member in group.members)
     membership = state.membership
