--- /dev/null
+++ b/gooseberryhall/adapters/engine_stream.py
@@ -0,0 +1,302 @@
+"""Adapter to the request side of the engines: streams and cache events.
+
+Each stream uses a connection of its own. A pooled connection that went silent would
+cost the whole first-token limit before it is noticed.
+"""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from ..const import (
+    HEADER_BOOT_ID,
+    HEADER_DEADLINE_MS,
+    HEADER_GENERATION,
+    HEADER_GROUP,
+    HEADER_PRIORITY,
+    HEADER_REQUEST_ID,
+)
+from .exceptions import (
+    EchoMismatchError,
+    EngineRefusedError,
+    EngineUnavailableError,
+    MalformedResponseError,
+    NotConnectedError,
+    SequenceError,
+    StreamBrokenError,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+SHORT_CALL_TIMEOUT_S = 1.0
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_ERROR_BYTES = 16 * 1024
+FIRST_SEQUENCE = 1
+
+_OK = 200
+_DONE = b"[DONE]"
+_EVENT_END = b"\n\n"
+_ID_FIELD = b"id: "
+_DATA_FIELD = b"data: "
+_ERROR_PREFIXES = (b'{"error"', b'{ "error"')
+
+_STREAM_TIMEOUT = aiohttp.ClientTimeout(
+    total=None, connect=CONNECT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+)
+_SHORT_TIMEOUT = aiohttp.ClientTimeout(total=SHORT_CALL_TIMEOUT_S)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTarget:
+    """The engine that a request goes to and what it has to echo."""
+
+    address: str
+    group: str
+    generation: int
+    boot_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCall:
+    """A request as it is sent to an engine; `body` asks for a stream."""
+
+    request_id: str
+    priority: int
+    deadline_ms: int | None
+    body: bytes
+
+
+class EngineStream:
+    """An open stream of one request, checked chunk by chunk."""
+
+    def __init__(
+        self, response: aiohttp.ClientResponse, request_id: str, after: int
+    ) -> None:
+        """Read `response`, whose next chunk must have the sequence `after + 1`."""
+        self._response = response
+        self._request_id = request_id
+        self._id_prefixes = (
+            b'{"id":"%b"' % request_id.encode(),
+            b'{"id": "%b"' % request_id.encode(),
+        )
+        self._buffer = b""
+        self.last_seq = after
+        self.done = False
+
+    async def async_read(self) -> list[bytes]:
+        """Wait for chunks and return their data, without the end marker.
+
+        `done` is set once the end marker was read. Raises StreamBrokenError.
+        """
+        try:
+            received = await self._response.content.readany()
+        except (aiohttp.ClientError, OSError) as exc:
+            raise StreamBrokenError(str(exc) or type(exc).__name__) from exc
+        if not received:
+            raise StreamBrokenError("the engine closed the stream before its end")
+        *events, self._buffer = (self._buffer + received).split(_EVENT_END)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise SequenceError("the engine sent an oversize event")
+        chunks = []
+        for event in events:
+            data = self._take(event)
+            if data is not None:
+                chunks.append(data)
+        return chunks
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._response.close()
+
+    def _take(self, event: bytes) -> bytes | None:
+        if self.done:
+            raise SequenceError("the engine sent a chunk after the end marker")
+        head, _, rest = event.partition(b"\n")
+        if not head.startswith(_ID_FIELD) or not rest.startswith(_DATA_FIELD):
+            self._take_unnumbered(event)
+            return None
+        data = rest[len(_DATA_FIELD) :]
+        self._check_sequence(head[len(_ID_FIELD) :])
+        if data == _DONE:
+            self.done = True
+            return None
+        self._check_owner(data)
+        return data
+
+    def _take_unnumbered(self, event: bytes) -> None:
+        """Accept the end marker and comments; nothing else may lack a number."""
+        if event == _DATA_FIELD + _DONE:
+            self.done = True
+        elif _DATA_FIELD + _ERROR_PREFIXES[0] in event:
+            raise StreamBrokenError("the engine failed the stream")
+        elif event and not event.startswith(b":"):
+            raise SequenceError("the engine sent an event without a number")
+
+    def _check_sequence(self, number: bytes) -> None:
+        if not number.isdigit() or int(number) != self.last_seq + 1:
+            raise SequenceError(
+                f"expected the sequence number {self.last_seq + 1}, got {number[:20]!r}"
+            )
+        self.last_seq += 1
+
+    def _check_owner(self, data: bytes) -> None:
+        if data.startswith(self._id_prefixes):
+            return
+        if data.startswith(_ERROR_PREFIXES):
+            raise StreamBrokenError("the engine failed the stream")
+        try:
+            owner = json.loads(data)["id"]
+        except (ValueError, KeyError, TypeError) as exc:
+            raise SequenceError("a chunk has no request id") from exc
+        if owner != self._request_id:
+            raise SequenceError("a chunk has the id of another request")
+
+
+async def async_open_stream(
+    session: aiohttp.ClientSession, target: EngineTarget, call: EngineCall
+) -> EngineStream:
+    """Send a request and return its stream after the echo was checked.
+
+    Raises NotConnectedError, EngineRefusedError and StreamBrokenError.
+    """
+    headers = _identity_headers(target, call.request_id)
+    headers["Content-Type"] = "application/json"
+    headers[HEADER_PRIORITY] = str(call.priority)
+    if call.deadline_ms is not None:
+        headers[HEADER_DEADLINE_MS] = str(call.deadline_ms)
+    url = f"{target.address}/v1/chat/completions"
+    response = await _async_request(session, "POST", url, headers, call.body)
+    return await _async_checked(response, target, call.request_id, FIRST_SEQUENCE - 1)
+
+
+async def async_resume_stream(
+    session: aiohttp.ClientSession, target: EngineTarget, request_id: str, after: int
+) -> EngineStream:
+    """Continue a stream after a sequence number, on a new connection.
+
+    Raises NotConnectedError, EngineRefusedError and StreamBrokenError.
+    """
+    url = f"{target.address}/v1/streams/{request_id}?after={after}"
+    headers = _identity_headers(target, request_id)
+    response = await _async_request(session, "GET", url, headers, None)
+    return await _async_checked(response, target, request_id, after)
+
+
+async def async_cancel_stream(
+    session: aiohttp.ClientSession, target: EngineTarget, request_id: str
+) -> None:
+    """Tell an engine to stop a stream. Raises EngineUnavailableError."""
+    url = f"{target.address}/v1/streams/{request_id}"
+    headers = _identity_headers(target, request_id)
+    try:
+        async with session.delete(url, headers=headers, timeout=_SHORT_TIMEOUT):
+            return
+    except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        raise EngineUnavailableError(str(exc) or type(exc).__name__) from exc
+
+
+def _identity_headers(target: EngineTarget, request_id: str) -> dict[str, str]:
+    return {
+        HEADER_REQUEST_ID: request_id,
+        HEADER_GROUP: target.group,
+        HEADER_GENERATION: str(target.generation),
+    }
+
+
+async def _async_request(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    headers: dict[str, str],
+    body: bytes | None,
+) -> aiohttp.ClientResponse:
+    try:
+        return await session.request(
+            method,
+            url,
+            headers=headers,
+            data=body,
+            timeout=_STREAM_TIMEOUT,
+            allow_redirects=False,
+        )
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        raise NotConnectedError(str(exc)) from exc
+    except (aiohttp.ClientError, OSError) as exc:
+        raise StreamBrokenError(str(exc) or type(exc).__name__) from exc
+
+
+async def _async_checked(
+    response: aiohttp.ClientResponse, target: EngineTarget, request_id: str, after: int
+) -> EngineStream:
+    try:
+        if response.status != _OK:
+            raise await _async_refusal(response)
+        _check_echo(response, target, request_id)
+    except BaseException:
+        response.close()
+        raise
+    return EngineStream(response, request_id, after)
+
+
+def _check_echo(
+    response: aiohttp.ClientResponse, target: EngineTarget, request_id: str
+) -> None:
+    expected = {
+        HEADER_REQUEST_ID: request_id,
+        HEADER_GROUP: target.group,
+        HEADER_GENERATION: str(target.generation),
+        HEADER_BOOT_ID: target.boot_id,
+    }
+    for name, value in expected.items():
+        if response.headers.get(name) != value:
+            raise EchoMismatchError(f"the engine echoed another {name}")
+
+
+async def _async_refusal(response: aiohttp.ClientResponse) -> EngineRefusedError:
+    try:
+        data = await response.content.read(MAX_ERROR_BYTES)
+        error = json.loads(data)["error"]
+        if isinstance(error, str):
+            return EngineRefusedError(response.status, error, "")
+        code, message = str(error["code"]), str(error.get("message", ""))
+    except (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError):
+        code, message = "unknown", "the engine gave no reason"
+    return EngineRefusedError(response.status, code, message)
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Blocks that an engine's prefix cache stored or evicted."""
+
+    seq: int
+    stored: bool
+    blocks: tuple[str, ...]
+
+
+async def async_read_cache_events(
+    session: aiohttp.ClientSession, address: str, after: int
+) -> tuple[CacheEvent, ...]:
+    """Return the cache events after a sequence number.
+
+    Raises EngineUnavailableError and MalformedResponseError.
+    """
+    url = f"{address}/cache/events"
+    try:
+        async with session.get(
+            url, params={"after": str(after)}, timeout=_SHORT_TIMEOUT
+        ) as response:
+            if response.status != _OK:
+                raise EngineUnavailableError(f"engine answered {response.status}")
+            body = await response.json()
+    except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        raise EngineUnavailableError(str(exc) or type(exc).__name__) from exc
+    try:
+        return tuple(_cache_event(item) for item in body["events"])
+    except (KeyError, TypeError, ValueError) as exc:
+        raise MalformedResponseError("malformed cache events") from exc
+
+
+def _cache_event(item: dict[str, Any]) -> CacheEvent:
+    blocks = tuple(str(block) for block in item["blocks"])
+    return CacheEvent(int(item["seq"]), item["kind"] == "stored", blocks)
--- a/gooseberryhall/adapters/exceptions.py
+++ b/gooseberryhall/adapters/exceptions.py
@@ -43,3 +43,46 @@
     """An outside system answered in a form that the adapter does not know."""
 
     code = "malformed_response"
+
+
+class NotConnectedError(UnavailableError):
+    """No connection to a backend server was established, so no byte was sent."""
+
+    code = "not_connected"
+
+
+class ExchangeBrokenError(UnavailableError):
+    """A connection failed after bytes can have reached the backend server."""
+
+    code = "exchange_broken"
+
+
+class EngineRefusedError(UnavailableError):
+    """An engine answered a request with an error status."""
+
+    code = "engine_refused"
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        """Keep the status and the engine's own code and message."""
+        super().__init__(f"engine answered {status} {code}: {message}")
+        self.status = status
+        self.engine_code = code
+        self.engine_message = message
+
+
+class StreamBrokenError(UnavailableError):
+    """A stream ended before its end marker."""
+
+    code = "stream_broken"
+
+
+class EchoMismatchError(StreamBrokenError):
+    """An engine answered for another group, generation, boot id or request."""
+
+    code = "echo_mismatch"
+
+
+class SequenceError(StreamBrokenError):
+    """A chunk has an unexpected sequence number or the id of another request."""
+
+    code = "sequence_error"
--- /dev/null
+++ b/gooseberryhall/entry/auth.py
@@ -0,0 +1,29 @@
+"""Recognises the team of a caller by its bearer token."""
+
+import hmac
+from hashlib import sha256
+
+from ..config.models import Team
+from ..config.state import ConfigState
+from .errors import unauthorized
+
+_SCHEME = "bearer "
+
+
+def find_team(config: ConfigState, authorization: str | None) -> Team:
+    """Return the team of a caller. Raises RequestFailedError.
+
+    All hashes are compared, so that the time tells nothing about which one matched.
+    """
+    if authorization is None or not authorization.lower().startswith(_SCHEME):
+        raise unauthorized()
+    token = authorization[len(_SCHEME) :].strip()
+    digest = sha256(token.encode(errors="surrogateescape")).hexdigest()
+    found = None
+    for team in config.of_type(Team):
+        for known in team.token_sha256:
+            if hmac.compare_digest(known, digest):
+                found = team
+    if found is None or not token:
+        raise unauthorized()
+    return found
--- /dev/null
+++ b/gooseberryhall/entry/completions.py
@@ -0,0 +1,155 @@
+"""Chat completions: checks the request and writes the response."""
+
+import json
+import secrets
+from collections.abc import Mapping
+from dataclasses import dataclass
+from hashlib import sha256
+from typing import Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from sanic import HTTPResponse, Request
+
+from ..config.models import Team
+from ..config.state import ConfigState
+from ..const import HEADER_DEADLINE_MS, HEADER_REQUEST_ID
+from ..core.clock import now_s
+from ..requests.answer import assemble_answer
+from ..requests.exceptions import RequestFailedError
+from ..requests.models import ModelRequest
+from ..routing.prefix import prompt_blocks
+from ..routing.specs import choose_spec, find_model_kind
+from .const import MAX_DEADLINE_MS, MODEL_PATH, REQUEST_ID_BYTES
+from .errors import close_after, error_body, invalid
+from .front import Front
+
+_STREAM_HEADERS = {"Cache-Control": "no-cache"}
+_DATA = b"data: "
+_EVENT_END = b"\n\n"
+_EVENT_SEPARATOR = _EVENT_END + _DATA
+_DONE = b"data: [DONE]\n\n"
+
+
+class ChatBody(BaseModel):
+    """The fields of a chat completion that this program reads."""
+
+    model_config = ConfigDict(extra="allow", frozen=True, strict=True)
+
+    model: Annotated[str, Field(min_length=1, max_length=128)]
+    messages: Annotated[list[dict[str, Any]], Field(min_length=1)]
+    stream: bool | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Chat:
+    """A checked chat completion request and the body for the engine."""
+
+    request: ModelRequest
+    body: bytes
+    stream: bool
+
+
+def parse_deadline(headers: Mapping[str, str]) -> float | None:
+    """Return the deadline on the local clock. Raises RequestFailedError."""
+    text = headers.get(HEADER_DEADLINE_MS)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()) or int(text) > MAX_DEADLINE_MS:
+        raise invalid(
+            "invalid_deadline", f"{HEADER_DEADLINE_MS} must be a number of milliseconds"
+        )
+    return now_s() + int(text) / 1000
+
+
+def parse_chat(
+    config: ConfigState, team: Team, headers: Mapping[str, str], body: bytes
+) -> Chat:
+    """Check a chat completion request. Raises RequestFailedError."""
+    data, fields = _parse_body(body)
+    kind = find_model_kind(config, fields.model, "POST", MODEL_PATH)
+    spec = choose_spec(config, team, kind, fields.model)
+    if spec is None:
+        raise invalid("model_not_found", "the team has no access to this model", 404)
+    request = ModelRequest(
+        request_id=f"chatcmpl-{secrets.token_hex(REQUEST_ID_BYTES)}",
+        team=team.name,
+        weight=team.weight,
+        priority=team.priority,
+        spec=spec.name,
+        fingerprint=_fingerprint(team.name, body),
+        blocks=prompt_blocks(_prompt(fields)),
+        deadline_s=parse_deadline(headers),
+    )
+    stream = bool(fields.stream)
+    return Chat(request, body if stream else _streamed(data), stream)
+
+
+async def async_stream_chat(front: Front, http: Request, chat: Chat) -> None:
+    """Pass a response on as server-sent events."""
+    headers = {HEADER_REQUEST_ID: chat.request.request_id, **_STREAM_HEADERS}
+    response: HTTPResponse | None = None
+
+    async def async_deliver(chunks: list[bytes]) -> None:
+        nonlocal response
+        if response is None:
+            response = await http.respond(
+                headers=headers, content_type="text/event-stream"
+            )
+        await response.send(_DATA + _EVENT_SEPARATOR.join(chunks) + _EVENT_END)
+
+    try:
+        await front.async_run(chat.request, chat.body, async_deliver)
+    except RequestFailedError as exc:
+        if response is None:
+            raise
+        # Without the end marker a client sees that the response is incomplete.
+        error = error_body(exc.failure, chat.request.request_id)
+        await response.send(_DATA + json.dumps(error).encode() + _EVENT_END)
+        close_after(http)
+        await response.send(end_stream=True)
+        return
+    if response is None:
+        response = await http.respond(headers=headers, content_type="text/event-stream")
+    await response.send(_DONE, end_stream=True)
+
+
+async def async_plain_chat(front: Front, chat: Chat) -> HTTPResponse:
+    """Answer with the whole response in one body."""
+    received: list[bytes] = []
+
+    async def async_deliver(chunks: list[bytes]) -> None:
+        received.extend(chunks)
+
+    await front.async_run(chat.request, chat.body, async_deliver)
+    headers = {HEADER_REQUEST_ID: chat.request.request_id}
+    body = json.dumps(assemble_answer(received))
+    return HTTPResponse(body, 200, headers, "application/json")
+
+
+def _parse_body(body: bytes) -> tuple[dict[str, Any], ChatBody]:
+    try:
+        data = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise invalid("invalid_json", "the body is not valid JSON") from exc
+    try:
+        return data, ChatBody.model_validate(data)
+    except ValidationError as exc:
+        first = exc.errors(include_url=False, include_input=False)[0]
+        place = ".".join(str(part) for part in first["loc"]) or "body"
+        raise invalid("invalid_request", f"{place}: {first['msg']}") from exc
+
+
+def _fingerprint(team: str, body: bytes) -> str:
+    return sha256(b"\0".join((team.encode(), MODEL_PATH.encode(), body))).hexdigest()
+
+
+def _prompt(fields: ChatBody) -> bytes:
+    """Return the messages in a form in which equal prompts have equal prefixes."""
+    text = json.dumps([fields.model, fields.messages], separators=(",", ":"))
+    return text.encode()
+
+
+def _streamed(data: dict[str, Any]) -> bytes:
+    """Return a plain request as a streamed one, whose last chunk states the usage."""
+    changed = {**data, "stream": True, "stream_options": {"include_usage": True}}
+    return json.dumps(changed, separators=(",", ":")).encode()
--- /dev/null
+++ b/gooseberryhall/entry/const.py
@@ -0,0 +1,15 @@
+"""Constants of the entry program."""
+
+from typing import Final
+
+REQUEST_TIMEOUT_S: Final = 10
+KEEP_ALIVE_TIMEOUT_S: Final = 120
+# Sanic ends a connection that wrote nothing for this long. The drain limit is the
+# longest time that a plain answer may take.
+RESPONSE_MARGIN_S: Final = 30
+STOP_GRACE_S: Final = 2.0
+LISTEN_BACKLOG: Final = 1024
+
+MODEL_PATH: Final = "/v1/chat/completions"
+MAX_DEADLINE_MS: Final = 24 * 3600 * 1000
+REQUEST_ID_BYTES: Final = 12
--- /dev/null
+++ b/gooseberryhall/entry/server.py
@@ -0,0 +1,173 @@
+"""The callers' HTTP server."""
+
+import json
+import logging
+import secrets
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from sanic import HTTPResponse, Request, Sanic
+from sanic.exceptions import SanicException
+
+from ..config.models import GroupSpec
+from ..const import EVIDENCE_LIMIT_S, MAX_BODY_BYTES, MAX_HEADER_BYTES
+from ..core.clock import now_s
+from ..core.state import State
+from ..exceptions import Ran
+from ..requests.exceptions import RequestFailedError
+from ..routing.specs import choose_spec, find_model_kind
+from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
+from .auth import find_team
+from .completions import async_plain_chat, async_stream_chat, parse_chat
+from .const import (
+    KEEP_ALIVE_TIMEOUT_S,
+    LISTEN_BACKLOG,
+    MODEL_PATH,
+    REQUEST_ID_BYTES,
+    REQUEST_TIMEOUT_S,
+    RESPONSE_MARGIN_S,
+)
+from .errors import close_after, error_response, internal, sanic_failure, stopping
+from .front import Front
+
+_LOGGER = logging.getLogger(__name__)
+
+Handler = Callable[[Request], Coroutine[Any, Any, HTTPResponse | None]]
+
+
+def create_app(front: Front) -> Sanic[Any, Any]:
+    """Return the application that answers callers."""
+    app: Sanic[Any, Any] = Sanic(
+        f"entry-{front.ctx.incarnation}", configure_logging=False, dumps=json.dumps
+    )
+    app.config.update(_server_limits(front))
+    app.add_route(
+        _guarded(front, _chat(front)), MODEL_PATH, methods=["POST"], name="chat"
+    )
+    app.add_route(
+        _guarded(front, _models(front)), "/v1/models", methods=["GET"], name="models"
+    )
+    app.add_route(_ready(front), "/ready", methods=["GET"], name="ready")
+    app.error_handler.add(Exception, _on_error)
+    return app
+
+
+async def async_start_server(front: Front) -> None:
+    """Listen for callers until the program ends."""
+    settings = front.ctx.settings.entry
+    app = create_app(front)
+    server: Any = await app.create_server(
+        host=settings.host,
+        port=settings.port,
+        backlog=LISTEN_BACKLOG,
+        access_log=False,
+        return_asyncio_server=True,
+    )
+    await server.startup()
+    await server.before_start()
+    await server.after_start()
+    await server.start_serving()
+
+
+def is_ready(front: Front, state: State) -> bool:
+    """Return whether the load balancer should send requests to this node."""
+    if front.stopping or state.config.revision == 0:
+        return False
+    if not state.groups.groups:
+        return True
+    # Without evidence from any control process this node would refuse model requests
+    # that other nodes can serve.
+    oldest_s = now_s() - EVIDENCE_LIMIT_S
+    return any(
+        item.observed_at_s >= oldest_s for item in state.membership.evidence.values()
+    )
+
+
+def _server_limits(front: Front) -> dict[str, int]:
+    response_s = int(front.ctx.settings.entry.drain_limit_s) + RESPONSE_MARGIN_S
+    return {
+        "REQUEST_MAX_SIZE": MAX_BODY_BYTES,
+        "REQUEST_MAX_HEADER_SIZE": MAX_HEADER_BYTES,
+        "REQUEST_TIMEOUT": REQUEST_TIMEOUT_S,
+        "RESPONSE_TIMEOUT": response_s,
+        "KEEP_ALIVE_TIMEOUT": KEEP_ALIVE_TIMEOUT_S,
+        # Touch-up rewrites methods of Sanic for the whole process.
+        "TOUCHUP": False,
+    }
+
+
+def _guarded(front: Front, handler: Handler) -> Handler:
+    """Count a request and answer its errors."""
+
+    async def async_handle(http: Request) -> HTTPResponse | None:
+        request_id = f"req-{secrets.token_hex(REQUEST_ID_BYTES)}"
+        front.enter()
+        try:
+            if not front.accepting:
+                close_after(http)
+                raise stopping()
+            return await handler(http)
+        except RequestFailedError as exc:
+            return error_response(exc.failure, request_id)
+        finally:
+            front.leave()
+
+    return async_handle
+
+
+def _chat(front: Front) -> Handler:
+    async def async_chat(http: Request) -> HTTPResponse | None:
+        config = front.ctx.runtime.state.config
+        team = find_team(config, http.headers.get("authorization"))
+        chat = parse_chat(config, team, http.headers, http.body)
+        if not chat.stream:
+            return await async_plain_chat(front, chat)
+        await async_stream_chat(front, http, chat)
+        return None
+
+    return async_chat
+
+
+def _models(front: Front) -> Handler:
+    async def async_models(http: Request) -> HTTPResponse:
+        config = front.ctx.runtime.state.config
+        team = find_team(config, http.headers.get("authorization"))
+        names = sorted({spec.model for spec in config.of_type(GroupSpec)})
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "gooseberryhall"}
+            for name in names
+            if choose_spec(
+                config, team, find_model_kind(config, name, "POST", MODEL_PATH), name
+            )
+        ]
+        body = json.dumps({"object": "list", "data": data})
+        return HTTPResponse(body, 200, content_type="application/json")
+
+    return async_models
+
+
+def _ready(front: Front) -> Handler:
+    async def async_ready(_http: Request) -> HTTPResponse:
+        ready = is_ready(front, front.ctx.runtime.state)
+        body = json.dumps({"ready": ready})
+        status = 200 if ready else 503
+        return HTTPResponse(body, status, content_type="application/json")
+
+    return async_ready
+
+
+async def _on_error(http: Request, exc: Exception) -> HTTPResponse:
+    """Answer what the HTTP server refuses, and faults of this program."""
+    request_id = f"req-{secrets.token_hex(REQUEST_ID_BYTES)}"
+    if isinstance(exc, SanicException):
+        return error_response(sanic_failure(exc), request_id)
+    log_event(
+        _LOGGER,
+        LogEvent.HANDLER_FAILED,
+        "a request handler failed",
+        level=logging.ERROR,
+        request_id=request_id,
+        error=type(exc).__name__,
+    )
+    return error_response(internal(Ran.UNKNOWN), request_id)
--- /dev/null
+++ b/gooseberryhall/limits/admission.py
@@ -0,0 +1,72 @@
+"""Decides whether a new request is queued or refused."""
+
+import math
+
+from ..config.models import ObjectKind, Team
+from ..core.state import State
+from ..exceptions import Ran
+from ..requests.const import STATUS_TOO_MANY, STATUS_UNAVAILABLE
+from ..requests.models import Failure, ModelRequest
+from . import queue
+from .const import MIN_RETRY_AFTER_S
+from .rate import note_request, take_rate
+
+
+def live_nodes(state: State) -> int:
+    """Return the number of live entry VMs, this one included."""
+    others = set(state.membership.peers) - {state.identity.node}
+    return len(others) + 1
+
+
+def take_team_rate(state: State, team: Team, now_s: float) -> Failure | None:
+    """Take one request from this node's share of a team's rate."""
+    rate_per_s = team.requests_per_s / live_nodes(state)
+    wait_s = take_rate(state.limits, team.name, rate_per_s, now_s)
+    if wait_s is None:
+        note_request(state.limits, now_s)
+        return None
+    message = "the team's request rate is used up"
+    return refusal(STATUS_TOO_MANY, "rate_limited", message, wait_s)
+
+
+def check_queue(state: State, request: ModelRequest, now_s: float) -> Failure | None:
+    """Refuse a request whose wait would exceed its deadline or the limit."""
+    limits = state.limits
+    if not has_slot(state, request.team):
+        wait_s = queue.expected_team_wait_s(limits, request.team)
+        if wait_s > limits.queue_wait_limit_s:
+            message = "the team has too many requests in flight"
+            return refusal(STATUS_TOO_MANY, "too_many_in_flight", message, wait_s)
+    wait_s = queue.expected_wait_s(limits, queue.requests_ahead(limits, request))
+    if request.deadline_s is not None and now_s + wait_s >= request.deadline_s:
+        message = "the expected wait exceeds the request's deadline"
+        return refusal(STATUS_UNAVAILABLE, "deadline_too_short", message, wait_s)
+    if wait_s > limits.queue_wait_limit_s:
+        message = "the expected wait exceeds the limit"
+        return refusal(STATUS_UNAVAILABLE, "overloaded", message, wait_s)
+    return None
+
+
+def queue_full(state: State) -> Failure:
+    """Return the refusal of a request that finds the queue full."""
+    wait_s = queue.expected_wait_s(state.limits, len(state.limits.waiting))
+    message = "too many requests are waiting"
+    return refusal(STATUS_UNAVAILABLE, "overloaded", message, wait_s)
+
+
+def refusal(
+    status: int, code: str, message: str, retry_after_s: float | None
+) -> Failure:
+    """Return the answer to a request that was not run."""
+    kind = "rate_limit_error" if status == STATUS_TOO_MANY else "unavailable_error"
+    after = None if retry_after_s is None else max(retry_after_s, MIN_RETRY_AFTER_S)
+    return Failure(status, kind, code, message, Ran.NO, after)
+
+
+def has_slot(state: State, team_name: str) -> bool:
+    """Return whether a team may run one more request on this node."""
+    team = state.config.objects.get((ObjectKind.TEAM, team_name))
+    if not isinstance(team, Team):
+        return True
+    share = max(1, math.ceil(team.max_in_flight / live_nodes(state)))
+    return state.limits.running.get(team_name, 0) < share
--- a/gooseberryhall/limits/state.py
+++ b/gooseberryhall/limits/state.py
@@ -1,8 +1,55 @@
 """State of the limits concern."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..requests.models import ModelRequest
+from .const import DEFAULT_QUEUE_LIMIT, DEFAULT_QUEUE_WAIT_LIMIT_S
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Token bucket of a team on this node."""
+
+    tokens: float
+    updated_at_s: float
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request in the queue; `start_tag` is its place in virtual time.
+
+    `restarted` requests were dispatched before and are not charged again.
+    """
+
+    request: ModelRequest
+    start_tag: float
+    queued_at_s: float
+    restarted: bool = False
+
+
+@dataclass(slots=True)
+class RetryWindow:
+    """Times of the requests and retries of the last seconds."""
+
+    requests: deque[float] = field(default_factory=deque)
+    retries: deque[float] = field(default_factory=deque)
 
 
 @dataclass(slots=True)
 class LimitsState:
-    """State of the limits concern."""
+    """Rates, running requests, the queue and the retry budget of this node.
+
+    `last_finish` holds the virtual finish time of each team's newest queued request;
+    `service_s` is the average time that a request occupies a slot.
+    """
+
+    queue_limit: int = DEFAULT_QUEUE_LIMIT
+    queue_wait_limit_s: float = DEFAULT_QUEUE_WAIT_LIMIT_S
+    buckets: dict[str, Bucket] = field(default_factory=dict)
+    running: dict[str, int] = field(default_factory=dict)
+    waiting: dict[str, Waiting] = field(default_factory=dict)
+    virtual_time: float = 0.0
+    last_finish: dict[str, float] = field(default_factory=dict)
+    service_s: float = 0.0
+    retry_window: RetryWindow = field(default_factory=RetryWindow)
--- /dev/null
+++ b/gooseberryhall/requests/exceptions.py
@@ -0,0 +1,21 @@
+"""Errors of the requests concern."""
+
+from ..exceptions import GooseberryhallError
+from .models import Failure
+
+
+class RequestFailedError(GooseberryhallError):
+    """A request is answered with an error body."""
+
+    code = "request_failed"
+
+    def __init__(self, failure: Failure) -> None:
+        """Keep the answer."""
+        super().__init__(f"{failure.code}: {failure.message}")
+        self.failure = failure
+
+
+class CallerStalledError(GooseberryhallError):
+    """A caller stopped reading its response."""
+
+    code = "caller_stalled"
--- /dev/null
+++ b/gooseberryhall/requests/expiry.py
@@ -0,0 +1,76 @@
+"""Finds requests whose deadline or queue limit has passed."""
+
+from collections.abc import Iterator
+
+from ..core.state import State
+from ..exceptions import Ran
+from ..limits.admission import refusal
+from ..limits.const import NO_GROUP_WAIT_S
+from ..limits.state import Waiting
+from ..routing.choice import open_groups
+from .const import STATUS_DEADLINE, STATUS_UNAVAILABLE
+from .models import Failure, Phase
+from .state import Record
+
+
+def expired_failures(state: State, now_s: float) -> list[tuple[Record, Failure]]:
+    """Return the requests that have to be failed now, each with its answer."""
+    expired = dict(_past_deadline(state, now_s))
+    is_open: dict[str, bool] = {}
+    for waiting in state.limits.waiting.values():
+        request_id = waiting.request.request_id
+        failure = _queue_failure(state, waiting, is_open, now_s)
+        if failure is not None and request_id not in expired:
+            expired[request_id] = failure
+    return [(state.requests.active[item], expired[item]) for item in expired]
+
+
+def _past_deadline(state: State, now_s: float) -> Iterator[tuple[str, Failure]]:
+    for record in state.requests.active.values():
+        deadline_s = record.request.deadline_s
+        if deadline_s is not None and now_s >= deadline_s:
+            yield record.request_id, _deadline_failure(record)
+
+
+def _deadline_failure(record: Record) -> Failure:
+    started = record.sent or record.phase is Phase.RUNNING
+    return Failure(
+        STATUS_DEADLINE,
+        "timeout_error",
+        "deadline_exceeded",
+        "the request was not completed before its deadline",
+        Ran.UNKNOWN if started else Ran.NO,
+    )
+
+
+def _queue_failure(
+    state: State, waiting: Waiting, is_open: dict[str, bool], now_s: float
+) -> Failure | None:
+    waited_s = now_s - waiting.queued_at_s
+    if waited_s < min(NO_GROUP_WAIT_S, state.limits.queue_wait_limit_s):
+        return None
+    record = state.requests.active[waiting.request.request_id]
+    spec = waiting.request.spec
+    if spec not in is_open:
+        is_open[spec] = bool(open_groups(state, spec, now_s))
+    if not is_open[spec]:
+        message = "no group that serves this model is open"
+        return _refuse(record, "no_group", message, NO_GROUP_WAIT_S)
+    if waited_s >= state.limits.queue_wait_limit_s:
+        message = "the request waited too long for a free slot"
+        return _refuse(record, "overloaded", message, state.limits.service_s)
+    return None
+
+
+def _refuse(record: Record, code: str, message: str, retry_after_s: float) -> Failure:
+    failure = refusal(STATUS_UNAVAILABLE, code, message, retry_after_s)
+    if not record.sent:
+        return failure
+    return Failure(
+        failure.status,
+        failure.kind,
+        failure.code,
+        failure.message,
+        Ran.UNKNOWN,
+        failure.retry_after_s,
+    )
--- a/gooseberryhall/requests/reducer.py
+++ b/gooseberryhall/requests/reducer.py
@@ -1,11 +1,260 @@
-"""Event handlers of the requests concern."""
+"""Event handlers of the requests concern: the life cycle of model requests."""
 
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
-from ..core.events import Event
+from ..core.effects import Effect
+from ..core.events import Event, Tick
+from ..exceptions import Ran
+from ..limits import admission, queue
+from ..limits.rate import take_retry
+from ..routing.events import LatencyObserved
+from ..routing.stragglers import observe_latency
+from .const import (
+    MAX_RESUMES,
+    RESUME_PAUSE_S,
+    STATUS_BAD_GATEWAY,
+    STATUS_INVALID,
+    STATUS_UNAVAILABLE,
+)
+from .dispatching import dispatch_queued, release_slot
+from .effects import (
+    FailRequest,
+    ReportMemberFailure,
+    RequestEnded,
+    RequestRestarted,
+    ResumeAttempt,
+)
+from .events import (
+    CallerGone,
+    DrainLimitReached,
+    FirstContent,
+    RequestArrived,
+    RequestFinished,
+    StreamBroken,
+    SuspectReported,
+)
+from .expiry import expired_failures
+from .models import BreakReason, Failure, Outcome, Phase
+from .state import Record
+from .suspects import (
+    confirm_crashes,
+    crash_refusal,
+    expire_crashes,
+    is_refused,
+    note_finished,
+    note_possible_crash,
+    record_crash,
+)
 
 if TYPE_CHECKING:
     from ..core.reducer import Handler
+    from ..core.state import State
 
-HANDLERS: "Mapping[type[Event], Handler]" = {}
+_RESUMABLE = frozenset((BreakReason.BROKEN, BreakReason.STALLED, BreakReason.SEQUENCE))
+_SUSPICIOUS = _RESUMABLE | {BreakReason.ECHO}
+
+
+def _reduce_arrived(
+    state: "State", event: RequestArrived, now_s: float
+) -> list[Effect]:
+    request = event.request
+    record = Record(request, now_s)
+    state.requests.active[request.request_id] = record
+    if is_refused(state, request.fingerprint):
+        return _fail(state, record, crash_refusal(), now_s)
+    failure = admission.check_queue(state, request, now_s)
+    if failure is not None:
+        return _fail(state, record, failure, now_s)
+    queue.enqueue(state.limits, request, now_s)
+    effects = dispatch_queued(state, now_s)
+    return effects + _shorten_queue(state, record, now_s)
+
+
+def _shorten_queue(state: "State", newest: Record, now_s: float) -> list[Effect]:
+    """Refuse one request when the queue is longer than its limit."""
+    if len(state.limits.waiting) <= state.limits.queue_limit:
+        return []
+    if newest.phase is not Phase.QUEUED:
+        return []
+    other = queue.newest_of_largest_share(state.limits, newest.request)
+    victim = newest if other is None else state.requests.active[other.request_id]
+    return _fail(state, victim, admission.queue_full(state), now_s)
+
+
+def _reduce_first_content(
+    state: "State", event: FirstContent, now_s: float
+) -> list[Effect]:
+    record = state.requests.active.get(event.request_id)
+    if record is None or record.target is None:
+        return []
+    record.first_content_at_s = now_s
+    sample = LatencyObserved(record.target.group, now_s - record.dispatched_at_s)
+    observe_latency(state.routing, sample, now_s)
+    return []
+
+
+def _reduce_broken(state: "State", event: StreamBroken, now_s: float) -> list[Effect]:
+    record = state.requests.active.get(event.request_id)
+    if record is None or record.phase is not Phase.RUNNING or record.target is None:
+        return []
+    effects: list[Effect] = []
+    if event.reason is not BreakReason.REJECTED:
+        effects.append(ReportMemberFailure(record.target, event.reason))
+    if event.reason in _SUSPICIOUS:
+        note_possible_crash(state, record, now_s)
+    if event.reason is not BreakReason.NOT_CONNECTED:
+        record.sent = True
+    if event.reason is BreakReason.REJECTED:
+        effects += _fail(state, record, _rejected(event.message), now_s)
+    elif event.reason in _RESUMABLE and record.resumes < MAX_RESUMES:
+        pause_s = RESUME_PAUSE_S * record.resumes
+        record.resumes += 1
+        effects.append(ResumeAttempt(record.request_id, record.target, pause_s))
+        return effects
+    else:
+        effects += _restart(state, record, event, now_s)
+    return effects + dispatch_queued(state, now_s)
+
+
+def _restart(
+    state: "State", record: Record, event: StreamBroken, now_s: float
+) -> list[Effect]:
+    """Queue a request again for another group, or fail it."""
+    assert record.target is not None  # noqa: S101 - narrowed by the caller
+    if record.first_content_at_s is not None or not take_retry(state.limits, now_s):
+        return _fail(state, record, _broken(record, event), now_s)
+    target = record.target
+    record.avoid.add((target.group, target.generation))
+    release_slot(state, record, now_s)
+    queue.requeue(state.limits, record.request, now_s)
+    return [RequestRestarted(record.request_id, target, event.reason)]
+
+
+def _reduce_finished(
+    state: "State", event: RequestFinished, now_s: float
+) -> list[Effect]:
+    record = state.requests.active.get(event.request_id)
+    if record is None:
+        return []
+    note_finished(state, record.request.fingerprint)
+    effects = _end(state, record, Outcome.FINISHED, "ok", now_s)
+    return effects + dispatch_queued(state, now_s)
+
+
+def _reduce_caller_gone(
+    state: "State", event: CallerGone, now_s: float
+) -> list[Effect]:
+    record = state.requests.active.get(event.request_id)
+    if record is None:
+        return []
+    effects = _end(state, record, Outcome.CALLER_GONE, "caller_gone", now_s)
+    return effects + dispatch_queued(state, now_s)
+
+
+def _reduce_suspect(
+    state: "State", event: SuspectReported, now_s: float
+) -> list[Effect]:
+    at_s = now_s - event.age_s
+    record_crash(state, event.fingerprint, event.vm, event.boot_id, at_s)
+    return _cancel_refused(state, now_s)
+
+
+def _reduce_tick(state: "State", _event: Tick, now_s: float) -> list[Effect]:
+    effects = confirm_crashes(state, now_s)
+    expire_crashes(state, now_s)
+    if effects:
+        effects += _cancel_refused(state, now_s)
+    for record, failure in expired_failures(state, now_s):
+        effects += _fail(state, record, failure, now_s)
+    return effects + dispatch_queued(state, now_s)
+
+
+def _reduce_drain_limit(
+    state: "State", _event: DrainLimitReached, now_s: float
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for record in list(state.requests.active.values()):
+        ran = Ran.UNKNOWN if _can_have_run(record) else Ran.NO
+        failure = Failure(
+            STATUS_UNAVAILABLE,
+            "unavailable_error",
+            "stopping",
+            "this node is stopping",
+            ran,
+        )
+        effects += _fail(state, record, failure, now_s)
+    return effects
+
+
+def _cancel_refused(state: "State", now_s: float) -> list[Effect]:
+    """Fail the copies of requests that were in flight at too many crashes."""
+    effects: list[Effect] = []
+    for record in list(state.requests.active.values()):
+        if is_refused(state, record.request.fingerprint):
+            effects += _fail(state, record, crash_refusal(), now_s)
+    return effects
+
+
+def _fail(
+    state: "State", record: Record, failure: Failure, now_s: float
+) -> list[Effect]:
+    outcome = Outcome.REFUSED if failure.ran is Ran.NO else Outcome.FAILED
+    ended = _end(state, record, outcome, failure.code, now_s)
+    return [FailRequest(record.request_id, failure), *ended]
+
+
+def _end(
+    state: "State", record: Record, outcome: Outcome, code: str, now_s: float
+) -> list[Effect]:
+    queue.remove(state.limits, record.request_id)
+    release_slot(state, record, now_s)
+    del state.requests.active[record.request_id]
+    started_s, first_s = record.first_dispatched_at_s, record.first_content_at_s
+    return [
+        RequestEnded(
+            request_id=record.request_id,
+            team=record.request.team,
+            group=None if record.target is None else record.target.group,
+            outcome=outcome,
+            code=code,
+            queue_s=None if started_s is None else started_s - record.arrived_at_s,
+            first_content_s=None if first_s is None else first_s - record.arrived_at_s,
+            total_s=now_s - record.arrived_at_s,
+        )
+    ]
+
+
+def _can_have_run(record: Record) -> bool:
+    return record.sent or record.phase is Phase.RUNNING
+
+
+def _rejected(message: str) -> Failure:
+    return Failure(
+        STATUS_INVALID,
+        "invalid_request_error",
+        "rejected_by_engine",
+        message,
+        Ran.UNKNOWN,
+    )
+
+
+def _broken(record: Record, event: StreamBroken) -> Failure:
+    ran = Ran.UNKNOWN if record.sent else Ran.NO
+    message = "the response ended before it was complete"
+    if record.first_content_at_s is None:
+        message = "no group completed the request"
+    code = f"stream_{event.reason}"
+    return Failure(STATUS_BAD_GATEWAY, "upstream_error", code, message, ran)
+
+
+HANDLERS: "Mapping[type[Event], Handler]" = {
+    RequestArrived: _reduce_arrived,
+    FirstContent: _reduce_first_content,
+    StreamBroken: _reduce_broken,
+    RequestFinished: _reduce_finished,
+    CallerGone: _reduce_caller_gone,
+    SuspectReported: _reduce_suspect,
+    DrainLimitReached: _reduce_drain_limit,
+    Tick: _reduce_tick,
+}
--- a/gooseberryhall/requests/state.py
+++ b/gooseberryhall/requests/state.py
@@ -1,8 +1,79 @@
 """State of the requests concern."""
 
-from dataclasses import dataclass
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from ..routing.models import Target
+from .models import ModelRequest, Phase
+
+
+@dataclass(slots=True)
+class Record:
+    """A model request that has no outcome yet.
+
+    `avoid` holds the groups, with their generations, at which it failed before.
+    `sent` tells whether bytes of it can have reached an engine.
+    """
+
+    request: ModelRequest
+    arrived_at_s: float
+    phase: Phase = Phase.QUEUED
+    target: Target | None = None
+    dispatched_at_s: float = 0.0
+    first_dispatched_at_s: float | None = None
+    first_content_at_s: float | None = None
+    sent: bool = False
+    resumes: int = 0
+    avoid: set[tuple[str, int]] = field(default_factory=set)
+
+    @property
+    def request_id(self) -> str:
+        """Return the id of the request."""
+        return self.request.request_id
+
+
+CrashKey = tuple[str, str]
+
+
+@dataclass(slots=True)
+class Suspect:
+    """A request that was in flight at crashes; `finished` once it ran to its end."""
+
+    crashes: dict[CrashKey, float] = field(default_factory=dict)
+    finished: bool = False
+
+
+@dataclass(slots=True)
+class Crash:
+    """A crash of a member: its VM and boot id, and when it was recorded."""
+
+    vm: str
+    boot_id: str
+    recorded_at_s: float
+    fingerprints: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class PossibleCrash:
+    """A stream broke; evidence will tell whether a member crashed."""
+
+    fingerprint: str
+    target: Target
+    broke_at_s: float
+
+
+@dataclass(slots=True)
+class SuspectsState:
+    """Crash suspects by fingerprint, crashes by key and unconfirmed crashes."""
+
+    suspects: OrderedDict[str, Suspect] = field(default_factory=OrderedDict)
+    crashes: dict[CrashKey, Crash] = field(default_factory=dict)
+    possible: list[PossibleCrash] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class RequestsState:
-    """State of the requests concern."""
+    """Model requests in flight or queued, and crash suspects."""
+
+    active: dict[str, Record] = field(default_factory=dict)
+    suspects: SuspectsState = field(default_factory=SuspectsState)
--- /dev/null
+++ b/gooseberryhall/requests/suspects.py
@@ -0,0 +1,205 @@
+"""Requests that were in flight when a member of a group crashed.
+
+All members of a group can fail together, and several nodes can see different members
+fail. A crash is therefore identified by the group and its generation where they are
+known, so that one incident is never counted twice.
+"""
+
+from collections.abc import Collection
+
+from ..core.effects import Effect
+from ..core.state import State
+from ..exceptions import Ran
+from ..routing.models import Target
+from .const import (
+    CRASH_CLEAR_S,
+    CRASH_CONFIRMATION_S,
+    CRASHES_TO_REFUSE,
+    MAX_SUSPECTS,
+    STATUS_CRASHES,
+    SUSPECT_LIFETIME_S,
+)
+from .effects import ReportSuspect
+from .models import Failure, Phase
+from .state import Crash, CrashKey, PossibleCrash, Record, Suspect, SuspectsState
+
+
+def is_refused(state: State, fingerprint: str) -> bool:
+    """Return whether a request was in flight at too many crashes."""
+    suspect = state.requests.suspects.suspects.get(fingerprint)
+    return suspect is not None and len(suspect.crashes) >= CRASHES_TO_REFUSE
+
+
+def is_suspect(state: State, fingerprint: str) -> bool:
+    """Return whether a request has to be kept apart from other suspects."""
+    suspects = state.requests.suspects
+    known = suspects.suspects.get(fingerprint)
+    if known is not None and not known.finished:
+        return True
+    return any(item.fingerprint == fingerprint for item in suspects.possible)
+
+
+def groups_with_other_suspects(state: State, fingerprint: str) -> set[str]:
+    """Return the groups in which other suspects of this node run."""
+    return {
+        record.target.group
+        for record in _running(state)
+        if record.target is not None
+        and record.request.fingerprint != fingerprint
+        and is_suspect(state, record.request.fingerprint)
+    }
+
+
+def group_of_copies(state: State, record: Record) -> str | None:
+    """Return the group in which another copy of the same request runs."""
+    for other in _running(state):
+        if (
+            other.request_id != record.request_id
+            and other.request.fingerprint == record.request.fingerprint
+            and other.target is not None
+        ):
+            return other.target.group
+    return None
+
+
+def note_possible_crash(state: State, record: Record, now_s: float) -> None:
+    """Remember that a stream broke, until evidence shows whether a member crashed."""
+    if record.target is None:
+        return
+    possible = state.requests.suspects.possible
+    fingerprint, target = record.request.fingerprint, record.target
+    if len(possible) < MAX_SUSPECTS and not any(
+        item.fingerprint == fingerprint and item.target.group == target.group
+        for item in possible
+    ):
+        possible.append(PossibleCrash(fingerprint, target, now_s))
+
+
+def note_finished(state: State, fingerprint: str) -> None:
+    """Stop keeping a request apart after it ran to its end."""
+    suspect = state.requests.suspects.suspects.get(fingerprint)
+    if suspect is not None:
+        suspect.finished = True
+
+
+def confirm_crashes(state: State, now_s: float) -> list[Effect]:
+    """Turn possible crashes into suspicions where the evidence shows a crash."""
+    suspects = state.requests.suspects
+    effects: list[Effect] = []
+    remaining = []
+    for item in suspects.possible:
+        member = _crashed_member(state, item.target)
+        if member is not None:
+            record_crash(state, item.fingerprint, *member, now_s)
+            effects.append(ReportSuspect(item.fingerprint, *member))
+        elif not _is_cleared(state, item) and (
+            now_s - item.broke_at_s < CRASH_CONFIRMATION_S
+        ):
+            remaining.append(item)
+    suspects.possible = remaining
+    return effects
+
+
+def record_crash(
+    state: State, fingerprint: str, vm: str, boot_id: str, at_s: float
+) -> None:
+    """Make a request a suspect of a crash."""
+    suspects = state.requests.suspects
+    key = _crash_key(state, vm, boot_id)
+    suspect = suspects.suspects.setdefault(fingerprint, Suspect())
+    suspects.suspects.move_to_end(fingerprint)
+    suspect.finished = False
+    suspect.crashes.setdefault(key, at_s)
+    crash = suspects.crashes.setdefault(key, Crash(vm, boot_id, at_s))
+    crash.fingerprints.add(fingerprint)
+    while len(suspects.suspects) > MAX_SUSPECTS:
+        _forget(suspects, next(iter(suspects.suspects)))
+
+
+def expire_crashes(state: State, now_s: float) -> None:
+    """Drop old crashes, and those of members that turn out to be alive.
+
+    A member behind a network partition stops answering without having crashed. When it
+    answers again with the same boot id, its requests are innocent.
+    """
+    suspects = state.requests.suspects
+    for key, crash in list(suspects.crashes.items()):
+        expired = now_s - crash.recorded_at_s >= SUSPECT_LIFETIME_S
+        if expired or _answers_again(state, crash):
+            _drop_crash(suspects, key)
+
+
+def crash_refusal() -> Failure:
+    """Return the answer to a request that crashes servers."""
+    return Failure(
+        STATUS_CRASHES,
+        "invalid_request_error",
+        "request_crashes_servers",
+        "backend servers crashed twice while they ran this request",
+        Ran.UNKNOWN,
+    )
+
+
+def _running(state: State) -> Collection[Record]:
+    return [
+        record
+        for record in state.requests.active.values()
+        if record.phase is Phase.RUNNING
+    ]
+
+
+def _crashed_member(state: State, target: Target) -> tuple[str, str] | None:
+    for vm, boot_id in target.boot_ids:
+        evidence = state.membership.evidence.get(vm)
+        if evidence is None:
+            continue
+        if evidence.health is None or evidence.health.boot_id != boot_id:
+            return vm, boot_id
+    return None
+
+
+def _is_cleared(state: State, item: PossibleCrash) -> bool:
+    """Return whether all members answered a while after the stream had broken."""
+    evidence = [state.membership.evidence.get(vm) for vm, _ in item.target.boot_ids]
+    return all(
+        report is not None and report.observed_at_s > item.broke_at_s + CRASH_CLEAR_S
+        for report in evidence
+    )
+
+
+def _answers_again(state: State, crash: Crash) -> bool:
+    evidence = state.membership.evidence.get(crash.vm)
+    return (
+        evidence is not None
+        and evidence.health is not None
+        and evidence.health.boot_id == crash.boot_id
+        and evidence.observed_at_s > crash.recorded_at_s
+    )
+
+
+def _crash_key(state: State, vm: str, boot_id: str) -> CrashKey:
+    """Return the group and generation that a member belonged to when it crashed."""
+    for key, crash in state.requests.suspects.crashes.items():
+        if (crash.vm, crash.boot_id) == (vm, boot_id):
+            return key
+    for group in state.groups.groups.values():
+        if any((item.vm, item.boot_id) == (vm, boot_id) for item in group.members):
+            return group.group, str(group.generation)
+    return vm, boot_id
+
+
+def _forget(suspects: SuspectsState, fingerprint: str) -> None:
+    suspect = suspects.suspects.pop(fingerprint)
+    for key in suspect.crashes:
+        crash = suspects.crashes[key]
+        crash.fingerprints.discard(fingerprint)
+        if not crash.fingerprints:
+            del suspects.crashes[key]
+
+
+def _drop_crash(suspects: SuspectsState, key: CrashKey) -> None:
+    for fingerprint in suspects.crashes.pop(key).fingerprints:
+        suspect = suspects.suspects[fingerprint]
+        del suspect.crashes[key]
+        if not suspect.crashes:
+            del suspects.suspects[fingerprint]
--- /dev/null
+++ b/gooseberryhall/routing/load.py
@@ -0,0 +1,45 @@
+"""Load of the groups: the last report, corrected by this node's own requests."""
+
+from collections.abc import Mapping
+
+from ..const import EVIDENCE_LIMIT_S
+from ..groups.models import Group
+from ..membership.models import Evidence
+from .state import GroupLoad, RoutingState
+
+
+def note_start(state: RoutingState, group: str, now_s: float) -> None:
+    """Count a request that is sent to a group."""
+    _change(state, group, 1, now_s)
+
+
+def note_end(state: RoutingState, group: str, now_s: float) -> None:
+    """Count a request that no longer runs in a group."""
+    _change(state, group, -1, now_s)
+
+
+def own_in_flight(state: RoutingState, group: str) -> int:
+    """Return this node's requests in a group."""
+    load = state.loads.get(group)
+    return 0 if load is None else load.in_flight
+
+
+def estimated_load(
+    state: RoutingState, group: Group, evidence: Mapping[str, Evidence]
+) -> int:
+    """Return the requests in a group, as far as this node can know."""
+    own = state.loads.get(group.group) or GroupLoad()
+    report = evidence.get(group.lead.vm)
+    if report is None or report.health is None:
+        return own.in_flight
+    newer = sum(sign for at_s, sign in own.changes if at_s > report.observed_at_s)
+    return max(own.in_flight, report.health.active + report.health.queued + newer)
+
+
+def _change(state: RoutingState, group: str, sign: int, now_s: float) -> None:
+    load = state.loads.setdefault(group, GroupLoad())
+    load.in_flight += sign
+    load.changes.append((now_s, sign))
+    # Reports older than this close the group, so they are never corrected.
+    while load.changes[0][0] < now_s - EVIDENCE_LIMIT_S:
+        load.changes.popleft()
--- a/gooseberryhall/routing/reducer.py
+++ b/gooseberryhall/routing/reducer.py
@@ -3,9 +3,51 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
+from ..core.effects import Effect
 from ..core.events import Event
+from .effects import GroupEjected
+from .events import CacheEventsReceived, LatencyObserved, StragglerCheck
+from .prefix import apply_cache_changes
+from .stragglers import eject_stragglers, observe_latency
 
 if TYPE_CHECKING:
     from ..core.reducer import Handler
+    from ..core.state import State
 
-HANDLERS: "Mapping[type[Event], Handler]" = {}
+
+def _reduce_latency(
+    state: "State", event: LatencyObserved, now_s: float
+) -> list[Effect]:
+    observe_latency(state.routing, event, now_s)
+    return []
+
+
+def _reduce_cache_events(
+    state: "State", event: CacheEventsReceived, _now_s: float
+) -> list[Effect]:
+    apply_cache_changes(state.routing, event.group, event.generation, event.changes)
+    return []
+
+
+def _reduce_check(state: "State", _event: StragglerCheck, now_s: float) -> list[Effect]:
+    _forget_removed_groups(state)
+    ejected = eject_stragglers(state.routing, state.groups.groups, now_s)
+    return [GroupEjected(group) for group in ejected]
+
+
+def _forget_removed_groups(state: "State") -> None:
+    routing, groups = state.routing, state.groups.groups
+    for name in [name for name in routing.latencies if name not in groups]:
+        del routing.latencies[name]
+    for name in [name for name in routing.prefixes if name not in groups]:
+        del routing.prefixes[name]
+    for name in [name for name in routing.loads if name not in groups]:
+        if routing.loads[name].in_flight == 0:
+            del routing.loads[name]
+
+
+HANDLERS: "Mapping[type[Event], Handler]" = {
+    LatencyObserved: _reduce_latency,
+    CacheEventsReceived: _reduce_cache_events,
+    StragglerCheck: _reduce_check,
+}
