--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -147,8 +147,8 @@
             "region": "hokkaido",
             "link_secret": "a-secret-for-tests",
             "entry": {"port": free_port(), "ops_port": 1, **limits, **entry},
-            "control": {"port": 1, "ops_port": 1},
-            "admin": {"port": 1, "ops_port": 1},
+            "control": {"port": 2, "ops_port": 3},
+            "admin": {"port": 4, "ops_port": 5},
             "platform": {
                 "table_address": "http://127.0.0.1:1",
                 "objects_address": "http://127.0.0.1:1",
