Resume broken streams, add limits, plain services and planned stops

Cause: a stream that broke, stalled or carried a foreign chunk had to end in a complete response or an explicit error. Ruled out: counting a chunk before its owner is checked; a test showed that the resume then skips the refused chunk. Ruled out: the HTTP client's own repetition of GET, PUT and DELETE for requests that may run once; errors are translated inside the client. Change: resume, restart and error events, team rates and the fair queue, crash suspects, requests to plain services over claims, refusals with typed bodies, planned stop.

--- a/gooseberryhall/adapters/engine_stream.py
+++ b/gooseberryhall/adapters/engine_stream.py
@@ -81,6 +81,7 @@
             b'{"id": "%b"' % request_id.encode(),
         )
         self._buffer = b""
+        self._fault: StreamBrokenError | None = None
         self.last_seq = after
         self.done = False
 
@@ -89,6 +90,8 @@
 
         `done` is set once the end marker was read. Raises StreamBrokenError.
         """
+        if self._fault is not None:
+            raise self._fault
         try:
             received = await self._response.content.readany()
         except (aiohttp.ClientError, OSError) as exc:
@@ -97,18 +100,28 @@
             raise StreamBrokenError("the engine closed the stream before its end")
         *events, self._buffer = (self._buffer + received).split(_EVENT_END)
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise SequenceError("the engine sent an oversize event")
-        chunks = []
-        for event in events:
-            data = self._take(event)
-            if data is not None:
-                chunks.append(data)
-        return chunks
+            self._fault = SequenceError("the engine sent an oversize event")
+        return self._take_all(events)
 
     def close(self) -> None:
         """Close the connection."""
         self._response.close()
 
+    def _take_all(self, events: list[bytes]) -> list[bytes]:
+        """Return the data of the events before the first faulty one."""
+        chunks: list[bytes] = []
+        for event in events:
+            try:
+                data = self._take(event)
+            except StreamBrokenError as exc:
+                self._fault = exc
+                if not chunks:
+                    raise
+                return chunks
+            if data is not None:
+                chunks.append(data)
+        return chunks
+
     def _take(self, event: bytes) -> bytes | None:
         if self.done:
             raise SequenceError("the engine sent a chunk after the end marker")
@@ -122,6 +135,8 @@
             self.done = True
             return None
         self._check_owner(data)
+        # Only now, because a refused chunk has to be asked for again.
+        self.last_seq += 1
         return data
 
     def _take_unnumbered(self, event: bytes) -> None:
@@ -138,7 +153,6 @@
             raise SequenceError(
                 f"expected the sequence number {self.last_seq + 1}, got {number[:20]!r}"
             )
-        self.last_seq += 1
 
     def _check_owner(self, data: bytes) -> None:
         if data.startswith(self._id_prefixes):
--- a/gooseberryhall/entry/completions.py
+++ b/gooseberryhall/entry/completions.py
@@ -12,14 +12,14 @@
 
 from ..config.models import Team
 from ..config.state import ConfigState
-from ..const import HEADER_DEADLINE_MS, HEADER_REQUEST_ID
-from ..core.clock import now_s
+from ..const import HEADER_REQUEST_ID
 from ..requests.answer import assemble_answer
 from ..requests.exceptions import RequestFailedError
 from ..requests.models import ModelRequest
 from ..routing.prefix import prompt_blocks
 from ..routing.specs import choose_spec, find_model_kind
-from .const import MAX_DEADLINE_MS, MODEL_PATH, REQUEST_ID_BYTES
+from .const import MODEL_PATH, REQUEST_ID_BYTES
+from .deadline import parse_deadline
 from .errors import close_after, error_body, invalid
 from .front import Front
 
@@ -49,20 +49,12 @@
     stream: bool
 
 
-def parse_deadline(headers: Mapping[str, str]) -> float | None:
-    """Return the deadline on the local clock. Raises RequestFailedError."""
-    text = headers.get(HEADER_DEADLINE_MS)
-    if text is None:
-        return None
-    if not (text.isascii() and text.isdigit()) or int(text) > MAX_DEADLINE_MS:
-        raise invalid(
-            "invalid_deadline", f"{HEADER_DEADLINE_MS} must be a number of milliseconds"
-        )
-    return now_s() + int(text) / 1000
-
-
 def parse_chat(
-    config: ConfigState, team: Team, headers: Mapping[str, str], body: bytes
+    config: ConfigState,
+    team: Team,
+    headers: Mapping[str, str],
+    body: bytes,
+    limit_s: float,
 ) -> Chat:
     """Check a chat completion request. Raises RequestFailedError."""
     data, fields = _parse_body(body)
@@ -78,7 +70,7 @@
         spec=spec.name,
         fingerprint=_fingerprint(team.name, body),
         blocks=prompt_blocks(_prompt(fields)),
-        deadline_s=parse_deadline(headers),
+        deadline_s=parse_deadline(headers, limit_s),
     )
     stream = bool(fields.stream)
     return Chat(request, body if stream else _streamed(data), stream)
--- a/gooseberryhall/entry/const.py
+++ b/gooseberryhall/entry/const.py
@@ -11,5 +11,7 @@
 LISTEN_BACKLOG: Final = 1024
 
 MODEL_PATH: Final = "/v1/chat/completions"
+# An idempotent request is tried on another server when one is silent for this long.
+SERVICE_ATTEMPT_LIMIT_S: Final = 5.0
 MAX_DEADLINE_MS: Final = 24 * 3600 * 1000
 REQUEST_ID_BYTES: Final = 12
--- a/gooseberryhall/entry/errors.py
+++ b/gooseberryhall/entry/errors.py
@@ -77,6 +77,8 @@
         "ran": failure.ran.value,
         "request_id": request_id,
     }
+    if failure.earlier_attempts is not None:
+        error["earlier_attempts"] = failure.earlier_attempts.value
     if failure.retry_after_s is not None:
         error["retry_after_s"] = round(failure.retry_after_s, 3)
     return {"error": error}
--- a/gooseberryhall/entry/front.py
+++ b/gooseberryhall/entry/front.py
@@ -2,26 +2,45 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
+from ..claims.runner import ClaimService
+from ..config.models import ServiceServer
 from ..core.context import ProgramContext
-from ..requests.models import ModelRequest
+from ..exceptions import Ran
+from ..requests.exceptions import RequestFailedError
+from ..requests.models import Failure, ModelRequest
 from ..requests.relay import Calls, Deliver, async_run_request
+from ..requests.service_events import (
+    ServerChosen,
+    ServerFailed,
+    ServiceArrived,
+    ServiceRefused,
+)
+from .metrics import entry_metrics
 
 
 @dataclass(slots=True)
 class Front:
     """What the handlers share.
 
-    `ready` is what the load balancer is told; `accepting` ends a while later in a
-    planned stop. `in_flight` counts the requests that are being answered.
+    A planned stop sets `stopping`, which the load balancer is told at once, and ends
+    `accepting` a while later. `in_flight` counts the requests that are being answered.
     """
 
     ctx: ProgramContext
     calls: Calls
+    claims: ClaimService
     stopping: bool = False
     accepting: bool = True
     in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
+    _decisions: dict[str, ServerChosen | ServiceRefused] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Take the decisions about requests to plain services."""
+        self.ctx.runtime.register(ServerChosen, self._decide)
+        self.ctx.runtime.register(ServiceRefused, self._decide)
 
     def enter(self) -> None:
         """Count a request that starts."""
@@ -39,3 +58,32 @@
     ) -> None:
         """Run a model request. Raises RequestFailedError."""
         await async_run_request(self.ctx, self.calls, request, body, deliver)
+
+    def choose_server(self, event: ServiceArrived | ServerFailed) -> ServiceServer:
+        """Return the server for a request, or raise RequestFailedError."""
+        self.ctx.runtime.async_dispatch(event)
+        decision = self._decisions.pop(event.request_id, None)
+        if isinstance(decision, ServerChosen):
+            return decision.server
+        if decision is None:
+            raise RequestFailedError(_ended())
+        raise RequestFailedError(decision.failure)
+
+    def count_service_call(self, service: str, status: int) -> None:
+        """Count an answer of a plain service."""
+        labels = {"service": service, "status": str(status)}
+        entry_metrics().service_calls.inc(labels)
+
+    def _decide(self, effect: ServerChosen | ServiceRefused) -> None:
+        self._decisions[effect.request_id] = effect
+
+
+def _ended() -> Failure:
+    """Return the answer to a request whose caller has gone."""
+    return Failure(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "unavailable_error",
+        "caller_gone",
+        "the caller has gone",
+        Ran.NO,
+    )
--- a/gooseberryhall/entry/metrics.py
+++ b/gooseberryhall/entry/metrics.py
@@ -49,7 +49,7 @@
         )
         self.service_calls = Counter(
             "gooseberryhall_service_requests_total",
-            "Requests to plain services by service, status and retries",
+            "Requests to plain services by service and status",
             registry=registry,
         )
         self.gap_buckets = Counter(
--- a/gooseberryhall/entry/server.py
+++ b/gooseberryhall/entry/server.py
@@ -30,10 +30,11 @@
 )
 from .errors import close_after, error_response, internal, sanic_failure, stopping
 from .front import Front
+from .services import SERVICE_METHODS, service_handler
 
 _LOGGER = logging.getLogger(__name__)
 
-Handler = Callable[[Request], Coroutine[Any, Any, HTTPResponse | None]]
+Handler = Callable[..., Coroutine[Any, Any, HTTPResponse | None]]
 
 
 def create_app(front: Front) -> Sanic[Any, Any]:
@@ -48,6 +49,12 @@
     app.add_route(
         _guarded(front, _models(front)), "/v1/models", methods=["GET"], name="models"
     )
+    app.add_route(
+        _guarded(front, service_handler(front)),
+        "/services/<service:str>/<path:path>",
+        methods=SERVICE_METHODS,
+        name="services",
+    )
     app.add_route(_ready(front), "/ready", methods=["GET"], name="ready")
     app.error_handler.add(Exception, _on_error)
     return app
@@ -100,14 +107,14 @@
 def _guarded(front: Front, handler: Handler) -> Handler:
     """Count a request and answer its errors."""
 
-    async def async_handle(http: Request) -> HTTPResponse | None:
+    async def async_handle(http: Request, **path: str) -> HTTPResponse | None:
         request_id = f"req-{secrets.token_hex(REQUEST_ID_BYTES)}"
         front.enter()
         try:
             if not front.accepting:
                 close_after(http)
                 raise stopping()
-            return await handler(http)
+            return await handler(http, **path)
         except RequestFailedError as exc:
             return error_response(exc.failure, request_id)
         finally:
@@ -120,7 +127,8 @@
     async def async_chat(http: Request) -> HTTPResponse | None:
         config = front.ctx.runtime.state.config
         team = find_team(config, http.headers.get("authorization"))
-        chat = parse_chat(config, team, http.headers, http.body)
+        limit_s = front.ctx.settings.entry.request_limit_s
+        chat = parse_chat(config, team, http.headers, http.body, limit_s)
         if not chat.stream:
             return await async_plain_chat(front, chat)
         await async_stream_chat(front, http, chat)
--- a/gooseberryhall/entry/setup.py
+++ b/gooseberryhall/entry/setup.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 
+from ..claims import service as claims_service
 from ..core.context import ProgramContext
 from ..limits.events import LimitsConfigured
 from ..links.messages import Message
 from ..requests import service as requests_service
+from ..routing import service as routing_service
 from .front import Front
 from .reporting import async_setup_metrics
 from .server import async_start_server
@@ -19,8 +21,9 @@
         LimitsConfigured(settings.queue_limit, settings.queue_wait_limit_s)
     )
     calls = await requests_service.async_setup(ctx, send)
+    await routing_service.async_setup(ctx, send)
     async_setup_metrics(ctx, calls)
-    front = Front(ctx, calls)
+    front = Front(ctx, calls, claims_service.async_setup(ctx))
     await async_start_server(front)
     async_setup_stop(front)
     return front
--- a/gooseberryhall/limits/admission.py
+++ b/gooseberryhall/limits/admission.py
@@ -8,7 +8,7 @@
 from ..requests.const import STATUS_TOO_MANY, STATUS_UNAVAILABLE
 from ..requests.models import Failure, ModelRequest
 from . import queue
-from .const import MIN_RETRY_AFTER_S
+from .const import MIN_RETRY_AFTER_S, SERVICE_RETRY_AFTER_S
 from .rate import note_request, take_rate
 
 
@@ -18,10 +18,13 @@
     return len(others) + 1
 
 
-def take_team_rate(state: State, team: Team, now_s: float) -> Failure | None:
+def take_team_rate(state: State, team_name: str, now_s: float) -> Failure | None:
     """Take one request from this node's share of a team's rate."""
-    rate_per_s = team.requests_per_s / live_nodes(state)
-    wait_s = take_rate(state.limits, team.name, rate_per_s, now_s)
+    team = state.config.objects.get((ObjectKind.TEAM, team_name))
+    wait_s = None
+    if isinstance(team, Team):
+        rate_per_s = team.requests_per_s / live_nodes(state)
+        wait_s = take_rate(state.limits, team_name, rate_per_s, now_s)
     if wait_s is None:
         note_request(state.limits, now_s)
         return None
@@ -64,9 +67,25 @@
 
 
 def has_slot(state: State, team_name: str) -> bool:
-    """Return whether a team may run one more request on this node."""
+    """Return whether a team may run one more model request on this node."""
+    running = state.limits.running.get(team_name, 0)
+    return running < _in_flight_share(state, team_name)
+
+
+def check_service_slots(state: State, team_name: str) -> Failure | None:
+    """Refuse a request to a plain service when the team has too many in flight."""
+    services = state.requests.services.values()
+    running = sum(1 for record in services if record.team == team_name)
+    if running < _in_flight_share(state, team_name):
+        return None
+    message = "the team has too many requests in flight"
+    return refusal(
+        STATUS_TOO_MANY, "too_many_in_flight", message, SERVICE_RETRY_AFTER_S
+    )
+
+
+def _in_flight_share(state: State, team_name: str) -> float:
     team = state.config.objects.get((ObjectKind.TEAM, team_name))
     if not isinstance(team, Team):
-        return True
-    share = max(1, math.ceil(team.max_in_flight / live_nodes(state)))
-    return state.limits.running.get(team_name, 0) < share
+        return math.inf
+    return max(1, math.ceil(team.max_in_flight / live_nodes(state)))
--- a/gooseberryhall/requests/const.py
+++ b/gooseberryhall/requests/const.py
@@ -10,6 +10,8 @@
 # the engine's side is served again.
 SUSPECT_LIFETIME_S: Final = 600.0
 CRASHES_TO_REFUSE: Final = 2
+# A member that does not answer for this long has missed two probes.
+CRASH_SILENCE_S: Final = 2.0
 MAX_SUSPECTS: Final = 10_000
 
 # Probes confirm or clear a member within about 2 s; later evidence says nothing about
--- a/gooseberryhall/requests/models.py
+++ b/gooseberryhall/requests/models.py
@@ -26,7 +26,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Failure:
-    """The answer to a request that is not completed."""
+    """The answer to a request that is not completed.
+
+    `ran` speaks of the request as far as it was handled now; `earlier_attempts` of
+    those with the same idempotency key, when they are not known.
+    """
 
     status: int
     kind: str
@@ -34,6 +38,7 @@
     message: str
     ran: Ran
     retry_after_s: float | None = None
+    earlier_attempts: Ran | None = None
 
 
 class Phase(StrEnum):
--- a/gooseberryhall/requests/reducer.py
+++ b/gooseberryhall/requests/reducer.py
@@ -10,6 +10,7 @@
 from ..limits.rate import take_retry
 from ..routing.events import LatencyObserved
 from ..routing.stragglers import observe_latency
+from . import service_reducer
 from .const import (
     MAX_RESUMES,
     RESUME_PAUSE_S,
@@ -63,7 +64,9 @@
     state.requests.active[request.request_id] = record
     if is_refused(state, request.fingerprint):
         return _fail(state, record, crash_refusal(), now_s)
-    failure = admission.check_queue(state, request, now_s)
+    failure = admission.take_team_rate(state, request.team, now_s)
+    if failure is None:
+        failure = admission.check_queue(state, request, now_s)
     if failure is not None:
         return _fail(state, record, failure, now_s)
     queue.enqueue(state.limits, request, now_s)
@@ -257,4 +260,5 @@
     SuspectReported: _reduce_suspect,
     DrainLimitReached: _reduce_drain_limit,
     Tick: _reduce_tick,
+    **service_reducer.HANDLERS,
 }
--- a/gooseberryhall/requests/relay.py
+++ b/gooseberryhall/requests/relay.py
@@ -175,26 +175,25 @@
     command = await call.commands.get()
     if isinstance(command, FailRequest):
         raise RequestFailedError(command.failure)
+    broken: tuple[BreakReason, str] | None = None
     try:
-        complete = await _async_attempt(ctx, calls, call, command)
+        await _async_attempt(ctx, calls, call, command)
     except TimeoutError:
-        if call.writing:
+        if call.writing and call.failure is None:
             raise CallerStalledError from None
-        complete = False
-        if call.failure is None:
-            _report_break(ctx, call, BreakReason.STALLED, "no chunk within the limit")
+        broken = BreakReason.STALLED, "no chunk within the limit"
     except (NotConnectedError, EngineRefusedError, StreamBrokenError) as exc:
-        complete = False
-        if call.failure is None:
-            _report_break(ctx, call, _break_reason(exc), str(exc))
+        broken = _break_reason(exc), str(exc)
     finally:
         call.scope = None
     if call.failure is not None:
         raise RequestFailedError(call.failure.failure)
-    if complete:
-        call.target = None
-        ctx.runtime.async_dispatch(RequestFinished(call.request.request_id))
-    return complete
+    if broken is not None:
+        ctx.runtime.async_dispatch(StreamBroken(call.request.request_id, *broken))
+        return False
+    call.target = None
+    ctx.runtime.async_dispatch(RequestFinished(call.request.request_id))
+    return True
 
 
 async def _async_attempt(
@@ -202,7 +201,7 @@
     calls: Calls,
     call: Call,
     command: StartAttempt | ResumeAttempt,
-) -> bool:
+) -> None:
     call.progress_at_s = now_s()
     async with asyncio.timeout(None) as call.scope:
         stream = await _async_open(calls, call, command)
@@ -213,7 +212,6 @@
                 await _async_pass_on(ctx, calls, call, chunks, stream.done)
         finally:
             stream.close()
-    return True
 
 
 async def _async_open(
@@ -271,12 +269,6 @@
         return True
 
 
-def _report_break(
-    ctx: ProgramContext, call: Call, reason: BreakReason, message: str
-) -> None:
-    ctx.runtime.async_dispatch(StreamBroken(call.request.request_id, reason, message))
-
-
 def _break_reason(exc: Exception) -> BreakReason:
     match exc:
         case NotConnectedError():
--- /dev/null
+++ b/gooseberryhall/requests/service_reducer.py
@@ -0,0 +1,105 @@
+"""Event handlers for requests to plain services."""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from ..config.models import ObjectKind, PlainService
+from ..core.effects import Effect
+from ..core.events import Event
+from ..exceptions import Ran
+from ..limits import admission
+from ..limits.rate import take_retry
+from ..routing.servers import choose_server, pause_server, paused_servers
+from .const import STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE
+from .models import Failure
+from .service_events import (
+    ServerChosen,
+    ServerFailed,
+    ServiceArrived,
+    ServiceEnded,
+    ServiceRefused,
+)
+from .state import ServiceRecord
+
+if TYPE_CHECKING:
+    from ..core.reducer import Handler
+    from ..core.state import State
+
+_BUSY_RETRY_AFTER_S = 1.0
+
+
+def _reduce_arrived(
+    state: "State", event: ServiceArrived, now_s: float
+) -> list[Effect]:
+    failure = admission.take_team_rate(state, event.team, now_s)
+    if failure is None:
+        failure = admission.check_service_slots(state, event.team)
+    if failure is not None:
+        return [ServiceRefused(event.request_id, failure)]
+    record = ServiceRecord(event.team, event.service)
+    state.requests.services[event.request_id] = record
+    return _choose(state, event.request_id, record, now_s)
+
+
+def _reduce_failed(state: "State", event: ServerFailed, now_s: float) -> list[Effect]:
+    record = state.requests.services.get(event.request_id)
+    if record is None or record.server is None:
+        return []
+    record.sent = record.sent or event.sent
+    record.tried.add(record.server)
+    pause_server(state.routing, record.service, record.server, now_s)
+    record.server = None
+    if not take_retry(state.limits, now_s):
+        return [ServiceRefused(event.request_id, _no_server(record))]
+    return _choose(state, event.request_id, record, now_s)
+
+
+def _reduce_ended(state: "State", event: ServiceEnded, _now_s: float) -> list[Effect]:
+    state.requests.services.pop(event.request_id, None)
+    return []
+
+
+def _choose(
+    state: "State", request_id: str, record: ServiceRecord, now_s: float
+) -> list[Effect]:
+    service = state.config.objects.get((ObjectKind.PLAIN_SERVICE, record.service))
+    if not isinstance(service, PlainService):
+        return [ServiceRefused(request_id, _no_server(record))]
+    in_flight: dict[str, int] = {}
+    for other in state.requests.services.values():
+        if other.service == record.service and other.server is not None:
+            in_flight[other.server] = in_flight.get(other.server, 0) + 1
+    server = choose_server(
+        service,
+        zone=state.identity.zone,
+        in_flight=in_flight,
+        paused=paused_servers(state.routing, record.service, now_s),
+        tried=record.tried,
+    )
+    if server is None:
+        return [ServiceRefused(request_id, _no_server(record))]
+    record.server = server.name
+    return [ServerChosen(request_id, server)]
+
+
+def _no_server(record: ServiceRecord) -> Failure:
+    if not record.tried:
+        message = "all servers of the service are busy"
+        return admission.refusal(
+            STATUS_UNAVAILABLE, "overloaded", message, _BUSY_RETRY_AFTER_S
+        )
+    return Failure(
+        STATUS_BAD_GATEWAY if record.sent else STATUS_UNAVAILABLE,
+        "upstream_error",
+        "service_unreachable",
+        "no server of the service answered",
+        Ran.UNKNOWN if record.sent else Ran.NO,
+        _BUSY_RETRY_AFTER_S,
+    )
+
+
+HANDLERS: "Mapping[type[Event], Handler]" = {
+    ServiceArrived: _reduce_arrived,
+    ServerFailed: _reduce_failed,
+    ServiceEnded: _reduce_ended,
+}
--- a/gooseberryhall/requests/state.py
+++ b/gooseberryhall/requests/state.py
@@ -71,9 +71,21 @@
     possible: list[PossibleCrash] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class ServiceRecord:
+    """A request to a plain service; `server` is the one that has it now."""
+
+    team: str
+    service: str
+    server: str | None = None
+    tried: set[str] = field(default_factory=set)
+    sent: bool = False
+
+
 @dataclass(slots=True)
 class RequestsState:
-    """Model requests in flight or queued, and crash suspects."""
+    """Requests in flight or queued, and crash suspects."""
 
     active: dict[str, Record] = field(default_factory=dict)
+    services: dict[str, ServiceRecord] = field(default_factory=dict)
     suspects: SuspectsState = field(default_factory=SuspectsState)
--- a/gooseberryhall/requests/suspects.py
+++ b/gooseberryhall/requests/suspects.py
@@ -14,6 +14,7 @@
 from .const import (
     CRASH_CLEAR_S,
     CRASH_CONFIRMATION_S,
+    CRASH_SILENCE_S,
     CRASHES_TO_REFUSE,
     MAX_SUSPECTS,
     STATUS_CRASHES,
@@ -88,7 +89,7 @@
     effects: list[Effect] = []
     remaining = []
     for item in suspects.possible:
-        member = _crashed_member(state, item.target)
+        member = _crashed_member(state, item.target, now_s)
         if member is not None:
             record_crash(state, item.fingerprint, *member, now_s)
             effects.append(ReportSuspect(item.fingerprint, *member))
@@ -148,12 +149,19 @@
     ]
 
 
-def _crashed_member(state: State, target: Target) -> tuple[str, str] | None:
+def _crashed_member(
+    state: State, target: Target, now_s: float
+) -> tuple[str, str] | None:
     for vm, boot_id in target.boot_ids:
         evidence = state.membership.evidence.get(vm)
         if evidence is None:
             continue
-        if evidence.health is None or evidence.health.boot_id != boot_id:
+        if evidence.health is None:
+            # One missed probe is no crash; `observed_at_s` is the last answer.
+            crashed = now_s - evidence.observed_at_s > CRASH_SILENCE_S
+        else:
+            crashed = evidence.health.boot_id != boot_id
+        if crashed:
             return vm, boot_id
     return None
 
--- /dev/null
+++ b/gooseberryhall/routing/service.py
@@ -0,0 +1,76 @@
+"""Reads cache events and reports this node's load."""
+
+from collections.abc import Callable
+
+import aiohttp
+
+from ..adapters.engine_stream import async_read_cache_events
+from ..adapters.exceptions import EngineUnavailableError, MalformedResponseError
+from ..core.context import ProgramContext
+from ..core.state import State
+from ..groups.models import Group, GroupPhase
+from ..links.messages import LoadReport, Message
+from .const import CACHE_POLL_JITTER, CACHE_POLL_PERIOD_S, LOAD_REPORT_PERIOD_S
+from .events import CacheChange, CacheEventsReceived
+
+
+async def async_setup(ctx: ProgramContext, send: Callable[[Message], None]) -> None:
+    """Subscribe to the timer; `send` passes a message to the control process."""
+    polling: set[str] = set()
+
+    def poll() -> None:
+        for group in groups_to_poll(ctx.runtime.state):
+            if group.group not in polling:
+                polling.add(group.group)
+                ctx.async_create_task(async_poll(group), "cache events")
+
+    async def async_poll(group: Group) -> None:
+        try:
+            await _async_poll(ctx, ctx.session, group)
+        finally:
+            polling.discard(group.group)
+
+    ctx.timer.async_subscribe(CACHE_POLL_PERIOD_S, poll, jitter=CACHE_POLL_JITTER)
+    ctx.timer.async_subscribe(
+        LOAD_REPORT_PERIOD_S, lambda: send(load_report(ctx.runtime.state))
+    )
+
+
+def groups_to_poll(state: State) -> list[Group]:
+    """Return the groups whose cache events this node reads.
+
+    Groups of other zones get requests only while no group of this zone is free.
+    """
+    return [
+        group
+        for group in state.groups.groups.values()
+        if group.phase is GroupPhase.SERVING and group.zone == state.identity.zone
+    ]
+
+
+def load_report(state: State) -> LoadReport:
+    """Return this node's requests in flight by group."""
+    in_flight = {
+        group: load.in_flight
+        for group, load in state.routing.loads.items()
+        if load.in_flight
+    }
+    return LoadReport(node=state.identity.node, in_flight=in_flight)
+
+
+async def _async_poll(
+    ctx: ProgramContext, session: aiohttp.ClientSession, group: Group
+) -> None:
+    known = ctx.runtime.state.routing.prefixes.get(group.group)
+    after = 0
+    if known is not None and known.generation == group.generation:
+        after = known.last_event or 0
+    try:
+        events = await async_read_cache_events(session, group.lead.address, after)
+    except (EngineUnavailableError, MalformedResponseError):
+        return  # without events the prefix index relies on this node's own requests
+    changes = tuple(CacheChange(item.seq, item.stored, item.blocks) for item in events)
+    if changes:
+        ctx.runtime.async_dispatch(
+            CacheEventsReceived(group.group, group.generation, changes)
+        )
--- a/gooseberryhall/routing/state.py
+++ b/gooseberryhall/routing/state.py
@@ -50,8 +50,12 @@
 
 @dataclass(slots=True)
 class RoutingState:
-    """Load, latency and prefix knowledge by group."""
+    """Load, latency and prefix knowledge by group.
+
+    `paused_servers` holds until when a server of a plain service is asked last.
+    """
 
     loads: dict[str, GroupLoad] = field(default_factory=dict)
     latencies: dict[str, GroupLatency] = field(default_factory=dict)
     prefixes: dict[str, GroupPrefixes] = field(default_factory=dict)
+    paused_servers: dict[tuple[str, str], float] = field(default_factory=dict)
--- /dev/null
+++ b/tests/entry/test_streams.py
@@ -0,0 +1,148 @@
+"""Tests of streams that break, stall or carry chunks that do not belong to them."""
+
+import asyncio
+import json
+
+import pytest
+
+from gooseberryhall.links.messages import MemberFailure, SuspectReport
+from tests.entry.conftest import Cluster, async_until, chat
+from tests.entry.engine import Script
+
+COMPLETE = "Silo seven is dry."
+
+
+def text_of(body: str) -> str:
+    """Return the text of the chunks of a streamed response."""
+    text = ""
+    for event in body.split("\n\n"):
+        data = event.removeprefix("data: ")
+        if data and data != "[DONE]" and "choices" in data:
+            for choice in json.loads(data)["choices"]:
+                text += choice["delta"].get("content") or ""
+    return text
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        Script(break_after=3),
+        Script(stall_after=3),
+        Script(skip_after=3),
+        Script(foreign_after=3),
+    ],
+    ids=["broken", "silent", "gap", "foreign"],
+)
+async def test_faulty_stream_is_resumed_without_loss(
+    cluster: Cluster, script: Script
+) -> None:
+    """A lost, repeated or foreign chunk must not reach the caller (P3)."""
+    engine = cluster.engines[0]
+    engine.scripts.append(script)
+    async with cluster.post(chat(stream=True)) as response:
+        body = await response.text()
+    assert text_of(body) == COMPLETE
+    assert body.endswith("data: [DONE]\n\n")
+    assert engine.resumed_after == [3]
+    assert len(engine.requests) == 1
+    engine.release.set()
+
+
+@pytest.mark.parametrize(
+    "header", ["X-Request-Id", "X-Group", "X-Generation", "X-Boot-Id"]
+)
+async def test_wrong_echo_passes_no_byte_on(cluster: Cluster, header: str) -> None:
+    """An engine that runs another group must not answer, however it is reached."""
+    cluster.engines[0].scripts.append(Script(echo={header: "other"}))
+    second = await cluster.async_add_engine(2, zone="sapporo")
+    second.tokens = ("second",)
+    async with cluster.post(chat(stream=True)) as response:
+        assert text_of(await response.text()) == "second"
+    assert any(isinstance(message, MemberFailure) for message in cluster.sent)
+
+
+async def test_break_before_content_restarts_on_another_group(cluster: Cluster) -> None:
+    """A caller must not see a fault that another group can make good."""
+    cluster.engines[0].scripts.append(Script(break_after=1, resumable=False))
+    second = await cluster.async_add_engine(2, zone="sapporo")
+    async with cluster.post(chat(stream=True)) as response:
+        body = await response.text()
+    assert text_of(body) == COMPLETE
+    assert body.count('"role"') == 1
+    assert len(second.requests) == 1
+
+
+async def test_break_after_content_ends_with_an_error(cluster: Cluster) -> None:
+    """A restart would mix two answers, and a silent end would pass for a whole one."""
+    cluster.engines[0].scripts.append(Script(break_after=3, resumable=False))
+    second = await cluster.async_add_engine(2, zone="sapporo")
+    async with cluster.post(chat(stream=True)) as response:
+        events = (await response.text()).split("\n\n")
+    error = json.loads(events[-2].removeprefix("data: "))["error"]
+    assert error["ran"] == "unknown"
+    assert error["request_id"] == response.headers["X-Request-Id"]
+    assert "[DONE]" not in events[-2]
+    assert second.requests == []
+
+
+async def test_plain_answer_is_never_partial(cluster: Cluster) -> None:
+    """A plain answer that stops in the middle must be an error body."""
+    cluster.engines[0].scripts.append(Script(break_after=3, resumable=False))
+    async with cluster.post(chat()) as response:
+        body = await response.json()
+    assert response.status == 502
+    assert body["error"]["ran"] == "unknown"
+    assert "choices" not in body
+
+
+async def test_at_most_two_resumes(cluster: Cluster) -> None:
+    """A stream that breaks again and again must end, not loop."""
+    engine = cluster.engines[0]
+    engine.scripts += [Script(break_after=3)] + [Script(break_after=0)] * 5
+    async with cluster.post(chat(stream=True)) as response:
+        body = await response.text()
+    assert "[DONE]" not in body
+    assert engine.resumed_after == [3, 3]
+
+
+async def test_caller_disconnect_cancels_the_stream(cluster: Cluster) -> None:
+    """An engine must not go on generating for a caller who left."""
+    engine = cluster.engines[0]
+    engine.scripts.append(Script(stall_after=3))
+    response = await cluster.post(chat(stream=True))
+    await asyncio.wait_for(engine.started.wait(), 5)
+    response.close()
+    await asyncio.wait_for(engine.cancel_seen.wait(), 5)
+    assert engine.cancelled == [response.headers["X-Request-Id"]]
+    await async_until(lambda: not cluster.state.requests.active)
+    assert cluster.state.routing.loads[engine.group].in_flight == 0
+    engine.release.set()
+
+
+async def test_deadline_ends_a_silent_stream(cluster: Cluster) -> None:
+    """A request must not outlive its deadline at the engine."""
+    engine = cluster.engines[0]
+    engine.scripts.append(Script(stall_after=1))
+    async with cluster.post(chat(), X_Deadline_Ms="300") as response:
+        body = await response.json()
+    assert response.status == 504
+    assert body["error"]["code"] == "deadline_exceeded"
+    assert body["error"]["ran"] == "unknown"
+    await asyncio.wait_for(engine.cancel_seen.wait(), 5)
+    assert 0 < int(engine.headers[0]["X-Deadline-Ms"]) <= 300
+    engine.release.set()
+
+
+async def test_crash_makes_the_request_a_suspect(cluster: Cluster) -> None:
+    """Without a report of the crash, other nodes would crash more servers."""
+    engine = cluster.engines[0]
+    engine.scripts.append(Script(break_after=3, resumable=False))
+    async with cluster.post(chat(stream=True)) as response:
+        await response.text()
+    engine.boot_id = "boot-1b"
+    cluster.report(engine)
+    await async_until(
+        lambda: any(isinstance(message, SuspectReport) for message in cluster.sent)
+    )
+    report = next(item for item in cluster.sent if isinstance(item, SuspectReport))
+    assert (report.vm, report.boot_id) == ("vm-1", "boot-1")
