--- a/standins/demo.py
+++ b/standins/demo.py
@@ -323,30 +323,36 @@
     say(f"{node.name} stopped; the stream was {result.outcome}")
 
 
+async def _async_show_all(demo: Demo) -> None:
+    cluster = demo.cluster
+    await async_apply(cluster, declared_objects(cluster))
+    served_s = await async_wait_serving(cluster, GROUPS, SERVE_LIMIT_S)
+    say(f"{GROUPS} groups serve {served_s:.2f} s after the configuration")
+    await async_show_requests(demo)
+    await async_measure_added(demo)
+    await async_show_failure(demo)
+    await async_show_planned_stop(demo)
+    demo.fan_runs = await async_count_commands(cluster)
+
+
 async def async_demo(directory: Path) -> dict[str, Any]:
     """Run the demonstration and return its report."""
     say("starting the cluster")
     start_s = time.monotonic()
-    async with (
-        Cluster(ClusterSizes(service=SERVICE), directory=directory) as cluster,
-        aiohttp.ClientSession() as session,
-    ):
-        say(f"{len(cluster.processes.by_name)} processes on {HOST} are ready")
-        say(f"after {time.monotonic() - start_s:.1f} s")
+    cluster = Cluster(ClusterSizes(service=SERVICE), directory=directory)
+    finished = False
+    async with aiohttp.ClientSession() as session:
         demo = Demo(cluster, session)
         try:
-            await async_apply(cluster, declared_objects(cluster))
-            served_s = await async_wait_serving(cluster, GROUPS, SERVE_LIMIT_S)
-            say(f"{GROUPS} groups serve {served_s:.2f} s after the configuration")
-            await async_show_requests(demo)
-            await async_measure_added(demo)
-            await async_show_failure(demo)
-            await async_show_planned_stop(demo)
-            demo.fan_runs = await async_count_commands(cluster)
+            async with cluster:
+                count = len(cluster.processes.by_name)
+                took_s = time.monotonic() - start_s
+                say(f"{count} processes on {HOST} are ready after {took_s:.1f} s")
+                await _async_show_all(demo)
+                finished = True
         except (DemoError, ProcessError) as exc:
             say(f"failed: {exc}")
-            return demo.report(finished=False)
-        return demo.report(finished=True)
+    return demo.report(finished=finished)
 
 
 @click.command()
