Add the membership service and the control program

Cause: control processes have to divide probes, exchange evidence and tell the programs of their VM about it.

Change: prober over persistent connections, digests per link with what changed, heartbeats that carry the known nodes when these change, links to all known nodes, forwarding without loops, VM list reader. Control processes keep one link for each pair. Evidence whose order is in doubt closes the group.

Ruled out: applying the newest evidence by its date alone. Dates are lower bounds, so an old answer can look newer than the first one after a restart.

--- a/gooseberryhall/adapters/engine.py
+++ b/gooseberryhall/adapters/engine.py
@@ -1,6 +1,6 @@
-"""Adapter to model engines."""
+"""Adapter to the model engines."""
 
-from typing import Protocol
+from typing import Final
 
 import aiohttp
 from pydantic import TypeAdapter, ValidationError
@@ -8,46 +8,38 @@
 from ..membership.models import MemberHealth
 from .exceptions import EngineUnavailableError, MalformedResponseError
 
-HEALTH_TIMEOUT_S = 0.7
-_OK = 200
+HEALTH_TIMEOUT_S: Final = 0.7
+
+_HTTP_OK: Final = 200
 _HEALTH: TypeAdapter[MemberHealth] = TypeAdapter(MemberHealth)
 
 
-class Engine(Protocol):
-    """The engines of all VMs, by address."""
-
-    async def async_health(self, address: str) -> MemberHealth:
-        """Return a member's health. Raises EngineUnavailableError."""
-
-
-class HttpEngine:
-    """Engines over HTTP."""
-
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        """Use `session`, which the caller owns and which keeps connections open."""
-        self._session = session
-        self.health_bytes = 0
-
-    async def async_health(self, address: str) -> MemberHealth:
-        """Return a member's health. Raises EngineUnavailableError."""
-        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
-        url = f"{address}/health"
-        try:
-            async with self._session.get(url, timeout=timeout) as response:
-                body = await response.read()
-                self.health_bytes += _size(response, body)
-                if response.status != _OK:
-                    raise EngineUnavailableError(f"health answered {response.status}")
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-            raise EngineUnavailableError(str(exc) or type(exc).__name__) from exc
-        try:
-            return _HEALTH.validate_json(body)
-        except ValidationError as exc:
-            raise MalformedResponseError("malformed health answer") from exc
-
-
-def _size(response: aiohttp.ClientResponse, body: bytes) -> int:
-    """Return the bytes of a request and its answer, without TCP and IP headers."""
-    sent = sum(len(k) + len(v) + 4 for k, v in response.request_info.headers.items())
-    received = sum(len(k) + len(v) + 4 for k, v in response.raw_headers)
-    return sent + received + len(body)
+async def async_health(
+    session: aiohttp.ClientSession, address: str, timeout_s: float = HEALTH_TIMEOUT_S
+) -> tuple[MemberHealth, int]:
+    """Return a member's health and the bytes of request and answer.
+
+    Raises EngineUnavailableError or MalformedResponseError.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    try:
+        async with session.get(f"{address}/health", timeout=timeout) as response:
+            body = await response.read()
+            if response.status != _HTTP_OK:
+                raise EngineUnavailableError(f"health answered {response.status}")
+            size = _header_bytes(response) + len(body)
+    except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        raise EngineUnavailableError(str(exc) or type(exc).__name__) from exc
+    try:
+        return _HEALTH.validate_json(body), size
+    except ValidationError as exc:
+        raise MalformedResponseError("malformed health answer") from exc
+
+
+def _header_bytes(response: aiohttp.ClientResponse) -> int:
+    separators = len(": \r\n")
+    sent = response.request_info.headers.items()
+    received = response.raw_headers
+    return sum(len(key) + len(value) + separators for key, value in sent) + sum(
+        len(key) + len(value) + separators for key, value in received
+    )
--- /dev/null
+++ b/gooseberryhall/control/parts.py
@@ -0,0 +1,23 @@
+"""Wires the parts of the control program."""
+
+from ..core.context import ProgramContext
+from ..links.server import async_serve
+from ..links.setup import create_hub
+from ..membership import service as membership_service
+
+
+async def async_setup(ctx: ProgramContext) -> None:
+    """Start all parts of the control program."""
+    hub = create_hub(ctx)
+    listen = ctx.settings.control
+    # Stopped after the other parts, which still send on links while they stop.
+    await ctx.stack.enter_async_context(
+        async_serve(listen.host, listen.port, hub.identity, hub.handlers)
+    )
+    await membership_service.async_setup(ctx, hub)
+    ctx.ops.ready = True
+    ctx.stack.callback(_report_stopping, ctx)
+
+
+def _report_stopping(ctx: ProgramContext) -> None:
+    ctx.ops.ready = False
--- a/gooseberryhall/groups/events.py
+++ b/gooseberryhall/groups/events.py
@@ -3,12 +3,19 @@
 from dataclasses import dataclass
 
 from ..core.events import Event
-from .models import Group
+from .models import Group, Vm
 
 
 @dataclass(frozen=True, slots=True)
-class GroupsReceived(Event):
-    """All groups of a zone, as read at a table revision, were announced."""
+class VmsListed(Event):
+    """The platform's list of VMs was read."""
+
+    vms: tuple[Vm, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GroupViewReceived(Event):
+    """Another process announced all groups of a zone."""
 
     zone: str
     revision: int
--- a/gooseberryhall/groups/reducer.py
+++ b/gooseberryhall/groups/reducer.py
@@ -5,20 +5,28 @@
 
 from ..core.effects import Effect
 from ..core.events import Event
-from .events import GroupsReceived
+from .events import GroupViewReceived, VmsListed
+from .state import ViewState
 
 if TYPE_CHECKING:
     from ..core.reducer import Handler
     from ..core.state import State
 
 
-def _reduce_groups_received(
-    state: "State", event: GroupsReceived, _now_s: float
+def reduce_vms_listed(state: "State", event: VmsListed, _now_s: float) -> list[Effect]:
+    """Keep the platform's newest list."""
+    state.groups.vms = {vm.vm: vm for vm in event.vms}
+    return []
+
+
+def reduce_view_received(
+    state: "State", event: GroupViewReceived, _now_s: float
 ) -> list[Effect]:
-    """Replace the groups of a zone, unless a later view is already known."""
-    if event.revision < state.groups.revisions.get(event.zone, 0):
+    """Take over the groups of a zone unless a newer view is known."""
+    view = state.groups.views.setdefault(event.zone, ViewState())
+    if event.revision < view.revision:
         return []
-    state.groups.revisions[event.zone] = event.revision
+    view.revision = event.revision
     others = {
         name: group
         for name, group in state.groups.groups.items()
@@ -29,5 +37,6 @@
 
 
 HANDLERS: "Mapping[type[Event], Handler]" = {
-    GroupsReceived: _reduce_groups_received,
+    VmsListed: reduce_vms_listed,
+    GroupViewReceived: reduce_view_received,
 }
--- a/gooseberryhall/groups/state.py
+++ b/gooseberryhall/groups/state.py
@@ -6,12 +6,16 @@
 
 
 @dataclass(slots=True)
-class GroupsState:
-    """Groups by name and VMs by name, as last read or announced.
+class ViewState:
+    """The newest view of a zone's groups that this process holds."""
+
+    revision: int = 0
+
 
-    `revisions` holds the table revision of the groups of each zone.
-    """
+@dataclass(slots=True)
+class GroupsState:
+    """Groups by name and VMs by name, as last read or announced."""
 
     groups: dict[str, Group] = field(default_factory=dict)
     vms: dict[str, Vm] = field(default_factory=dict)
-    revisions: dict[str, int] = field(default_factory=dict)
+    views: dict[str, ViewState] = field(default_factory=dict)
--- a/gooseberryhall/links/link.py
+++ b/gooseberryhall/links/link.py
@@ -251,9 +251,7 @@
         _log(LogEvent.LINK_CLOSED, self, error=code)
 
 
-def _log(
-    event: LogEvent, link: Link, level: int = logging.INFO, **fields: Any
-) -> None:
+def _log(event: LogEvent, link: Link, level: int = logging.INFO, **fields: Any) -> None:
     message = event.name.lower().replace("_", " ")
     log_event(
         _LOGGER,
--- /dev/null
+++ b/gooseberryhall/links/setup.py
@@ -0,0 +1,20 @@
+"""Creates the link hub of a program."""
+
+from ..core.context import ProgramContext
+from .hub import LinkHub
+from .identity import LinkIdentity, Role
+
+
+def create_hub(ctx: ProgramContext) -> LinkHub:
+    """Return a hub that presents this program to others."""
+    settings = ctx.settings
+    return LinkHub(
+        LinkIdentity(
+            node=settings.node,
+            zone=settings.zone,
+            region=settings.region,
+            role=Role(ctx.program.value),
+            incarnation=ctx.incarnation,
+            secret=settings.link_secret,
+        )
+    )
--- a/gooseberryhall/membership/const.py
+++ b/gooseberryhall/membership/const.py
@@ -23,6 +23,7 @@
 VM_LIST_JITTER: Final = 0.2
 
 PEER_DIAL_PERIOD_S: Final = 0.5
+PEER_DIAL_JITTER: Final = 0.2
 # The node with the higher name lets the other one dial first.
 PEER_DIAL_YIELD_S: Final = 0.5
 FORGET_NODE_S: Final = 60.0
--- a/gooseberryhall/membership/events.py
+++ b/gooseberryhall/membership/events.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 
 from ..core.events import Event
-from ..groups.models import Vm
 from .models import Evidence, Node
 
 
@@ -40,10 +39,3 @@
     """Probe results of this process, or dated reports of another one."""
 
     evidence: tuple[Evidence, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class VmsListed(Event):
-    """The platform's list of VMs was read."""
-
-    vms: tuple[Vm, ...]
--- /dev/null
+++ b/gooseberryhall/membership/prober.py
@@ -0,0 +1,122 @@
+"""Probes the health of VMs over persistent connections."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..core.clock import now_s
+from ..core.context import ProgramContext
+from ..exceptions import UnavailableError
+from .assignment import ProbeTarget
+from .const import PROBE_MIN_PAUSE_S, PROBE_PERIOD_S
+from .metrics import PROBE_BYTES, PROBED_VMS, PROBES
+from .models import Evidence, MemberHealth
+
+HealthReader = Callable[[str], Awaitable[tuple[MemberHealth, int]]]
+_OK = {"result": "ok"}
+_FAILED = {"result": "failed"}
+
+
+@dataclass(slots=True)
+class _Probe:
+    """The running probe of one VM."""
+
+    target: ProbeTarget
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    task: asyncio.Task[Any] | None = None
+    answered: bool = True
+
+
+class Prober:
+    """Probe a changing set of VMs."""
+
+    def __init__(
+        self,
+        ctx: ProgramContext,
+        read_health: HealthReader,
+        on_result: Callable[[Evidence], None],
+    ) -> None:
+        """Create a prober without targets."""
+        self._ctx = ctx
+        self._read_health = read_health
+        self._on_result = on_result
+        self._probes: dict[str, _Probe] = {}
+
+    def __contains__(self, vm: str) -> bool:
+        """Return whether this node probes a VM."""
+        return vm in self._probes
+
+    def __len__(self) -> int:
+        """Return the number of probed VMs."""
+        return len(self._probes)
+
+    def async_set_targets(self, targets: Mapping[str, ProbeTarget]) -> None:
+        """Probe exactly these VMs; new ones at once."""
+        for vm, probe in list(self._probes.items()):
+            if targets.get(vm) != probe.target:
+                self._stop(vm)
+        for vm, target in targets.items():
+            if vm not in self._probes:
+                self._start(target)
+        PROBED_VMS.set({}, len(self._probes))
+
+    def async_probe_now(self, vm: str) -> None:
+        """Probe a VM before its next turn."""
+        probe = self._probes.get(vm)
+        if probe is not None:
+            probe.wake.set()
+
+    def _start(self, target: ProbeTarget) -> None:
+        probe = _Probe(target)
+        self._probes[target.vm] = probe
+        name = f"probe {target.vm}"
+        probe.task = self._ctx.async_create_task(self._async_run(probe), name)
+
+    def _stop(self, vm: str) -> None:
+        probe = self._probes.pop(vm)
+        if probe.task is not None:
+            probe.task.cancel()
+
+    async def _async_run(self, probe: _Probe) -> None:
+        # The second probe comes at a random time, which spreads the VMs that were
+        # assigned together over the period.
+        pause_s = random.uniform(PROBE_MIN_PAUSE_S, PROBE_PERIOD_S)
+        while True:
+            started_s = now_s()
+            before = probe.answered
+            await self._async_probe(probe, started_s)
+            if before and not probe.answered:
+                # A silent connection looks like a dead member; a new one may work.
+                continue
+            await _async_pause(probe.wake, started_s + pause_s - now_s())
+            pause_s = PROBE_PERIOD_S
+
+    async def _async_probe(self, probe: _Probe, started_s: float) -> None:
+        health = await self._async_read(probe.target)
+        probe.answered = health is not None
+        PROBES.inc(_OK if probe.answered else _FAILED)
+        # Dated at the start, which is never later than the moment of the answer.
+        self._on_result(Evidence(probe.target.vm, health, started_s))
+
+    async def _async_read(self, target: ProbeTarget) -> MemberHealth | None:
+        try:
+            health, size = await self._read_health(target.address)
+        except UnavailableError:
+            return None
+        PROBE_BYTES.add({}, size)
+        # Another VM may have been given the address.
+        return health if health.vm == target.vm else None
+
+
+async def _async_pause(wake: asyncio.Event, pause_s: float) -> None:
+    """Wait for the pause or until woken, but not less than the smallest pause."""
+    await asyncio.sleep(PROBE_MIN_PAUSE_S)
+    loop = asyncio.get_running_loop()
+    timer = loop.call_later(max(0.0, pause_s - PROBE_MIN_PAUSE_S), wake.set)
+    try:
+        await wake.wait()
+    finally:
+        timer.cancel()
+        wake.clear()
--- a/gooseberryhall/membership/reducer.py
+++ b/gooseberryhall/membership/reducer.py
@@ -12,6 +12,7 @@
 from ..const import EVIDENCE_LIMIT_S
 from ..core.effects import Effect
 from ..core.events import Event
+from ..groups.events import VmsListed
 from .const import PEER_LIMIT_S
 from .effects import MemberChange, MemberChanged, PeerChange, PeerChanged
 from .events import (
@@ -20,7 +21,6 @@
     PeerLinkClosed,
     PeerLinkOpened,
     PeersChecked,
-    VmsListed,
 )
 from .models import Evidence, MemberHealth, MemberState
 from .state import EvidenceOrder, MembershipState, PeerState
@@ -154,8 +154,8 @@
 
 
 def _reduce_vms_listed(state: "State", event: VmsListed, _now_s: float) -> list[Effect]:
-    state.groups.vms = {vm.vm: vm for vm in event.vms}
-    kept = set(state.groups.vms)
+    """Forget the evidence about VMs that are gone."""
+    kept = {vm.vm for vm in event.vms}
     for group in state.groups.groups.values():
         kept.update(member.vm for member in group.members)
     membership = state.membership
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control program as a process."""
--- /dev/null
+++ b/tests/control/common.py
@@ -0,0 +1,214 @@
+"""Starts control processes with a small fake platform and fake engines."""
+
+import asyncio
+import json
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+SECRET = "a-secret-of-the-tests"
+START_LIMIT_S = 10.0
+STOP_LIMIT_S = 5.0
+POLL_S = 0.05
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+@dataclass
+class FakeVm:
+    """An engine that answers health requests until it is told not to."""
+
+    vm: str
+    zone: str
+    address: str = ""
+    health: dict[str, Any] = field(default_factory=dict)
+    probes: int = 0
+    silent: bool = False
+
+    def __post_init__(self) -> None:
+        """Start as an idle engine."""
+        self.health = {
+            "vm": self.vm,
+            "boot_id": "boot-1",
+            "group": "",
+            "generation": 0,
+            "state": "idle",
+            "leaving": False,
+            "active": 0,
+            "queued": 0,
+        }
+
+
+@dataclass
+class Platform:
+    """The VMs of the fake platform, whose table is down."""
+
+    vms: list[FakeVm]
+    address: str = ""
+
+
+@asynccontextmanager
+async def platform_of(*vms: FakeVm) -> AsyncIterator[Platform]:
+    """Serve the VM list and the engines."""
+    platform = Platform(list(vms))
+
+    async def async_vms(_req: web.Request) -> web.Response:
+        listed = [
+            {
+                "vm": vm.vm,
+                "zone": vm.zone,
+                "fabric_domain": "f1",
+                "address": vm.address,
+                "accelerators": 2,
+                "state": "live",
+            }
+            for vm in platform.vms
+        ]
+        return web.json_response({"vms": listed})
+
+    def health_of(vm: FakeVm) -> Callable[[web.Request], Awaitable[web.Response]]:
+        async def async_health(_req: web.Request) -> web.Response:
+            vm.probes += 1
+            if vm.silent:
+                await asyncio.sleep(START_LIMIT_S)
+            return web.json_response(vm.health)
+
+        return async_health
+
+    async with AsyncExitStack() as stack:
+        platform.address = await _async_serve(stack, "/vms", async_vms)
+        for vm in vms:
+            vm.address = await _async_serve(stack, "/health", health_of(vm))
+        yield platform
+
+
+async def _async_serve(
+    stack: AsyncExitStack,
+    path: str,
+    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> str:
+    app = web.Application()
+    app.router.add_get(path, handler)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    return f"http://127.0.0.1:{runner.addresses[0][1]}"
+
+
+@dataclass
+class NodePlan:
+    """The ports of one entry VM."""
+
+    node: str
+    zone: str
+    port: int = field(default_factory=free_port)
+    ops_port: int = field(default_factory=free_port)
+
+    def settings(self, platform: Platform, peers: list["NodePlan"]) -> dict[str, Any]:
+        """Return the settings file that names some peers."""
+        return {
+            "node": self.node,
+            "zone": self.zone,
+            "region": "r1",
+            "link_secret": SECRET,
+            "entry": {"port": free_port(), "ops_port": free_port()},
+            "control": {"port": self.port, "ops_port": self.ops_port},
+            "admin": {"port": free_port(), "ops_port": free_port()},
+            "peers": [
+                {
+                    "node": peer.node,
+                    "zone": peer.zone,
+                    "control_address": f"ws://127.0.0.1:{peer.port}",
+                }
+                for peer in peers
+            ],
+            "platform": dict.fromkeys(
+                ("table_address", "objects_address", "weights_address", "vms_address"),
+                platform.address,
+            ),
+        }
+
+
+class ControlProcess:
+    """A running control process."""
+
+    def __init__(
+        self, plan: NodePlan, process: asyncio.subprocess.Process, log: Path
+    ) -> None:
+        """Take over a started process."""
+        self.plan = plan
+        self.process = process
+        self.log = log
+        self._ops = f"http://127.0.0.1:{plan.ops_port}"
+
+    async def async_get(self, session: aiohttp.ClientSession, path: str) -> Any:
+        """Return an answer of the ops port, or None while it does not answer."""
+        try:
+            async with session.get(self._ops + path) as response:
+                return await response.json()
+        except aiohttp.ClientError:
+            return None
+
+    async def async_membership(self, session: aiohttp.ClientSession) -> dict[str, Any]:
+        """Return the status of the membership concern."""
+        status = await self.async_get(session, "/status")
+        return (status or {}).get("membership") or {}
+
+    async def async_stop(self) -> int:
+        """End the process with SIGTERM and return its exit code."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(self.process.wait(), STOP_LIMIT_S)
+
+    async def async_kill(self) -> None:
+        """End the process without notice."""
+        self.process.kill()
+        await self.process.wait()
+
+
+@asynccontextmanager
+async def control(
+    folder: Path, platform: Platform, plan: NodePlan, peers: list[NodePlan]
+) -> AsyncIterator[ControlProcess]:
+    """Run a control process."""
+    settings = folder / f"{plan.node}.json"
+    settings.write_text(json.dumps(plan.settings(platform, peers)))
+    log = folder / f"{plan.node}.log"
+    with log.open("wb") as stderr:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "gooseberryhall.control",
+            "--settings",
+            str(settings),
+            stderr=stderr,
+        )
+    running = ControlProcess(plan, process, log)
+    try:
+        yield running
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+async def until(condition: Callable[[], Awaitable[bool]], limit_s: float) -> None:
+    """Wait for a condition; fail after the limit."""
+    async with asyncio.timeout(limit_s):
+        while not await condition():  # noqa: ASYNC110 - conditions have no events
+            await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/tests/membership/test_assignment.py
@@ -0,0 +1,90 @@
+"""Tests of the division of probes between nodes."""
+
+from gooseberryhall.core.reducer import reduce
+from gooseberryhall.core.state import Identity, State
+from gooseberryhall.groups.events import GroupViewReceived, VmsListed
+from gooseberryhall.groups.models import Group, GroupPhase, Member, Vm, VmState
+from gooseberryhall.membership.assignment import probe_targets
+from gooseberryhall.membership.const import PEER_LIMIT_S
+from gooseberryhall.membership.effects import PeerChange, PeerChanged
+from gooseberryhall.membership.events import (
+    HeartbeatReceived,
+    PeerLinkClosed,
+    PeersChecked,
+)
+from gooseberryhall.membership.models import Node
+
+ZONES = {"a": "z1", "b": "z1", "c": "z2"}
+
+
+def node(name: str, incarnation: str = "1") -> Node:
+    """Return a node in its zone."""
+    return Node(name, ZONES[name], "r1", incarnation, f"ws://{name}:1")
+
+
+def vms() -> tuple[Vm, ...]:
+    """Return VMs of three zones; the last has no nodes."""
+    return tuple(
+        Vm(f"{zone}-vm-{n}", zone, "f", f"http://{zone}-{n}:1", 2, VmState.LIVE)
+        for zone in ("z1", "z2", "z3")
+        for n in range(20)
+    )
+
+
+def states(*live: str) -> dict[str, State]:
+    """Return the states of nodes that know each other."""
+    result = {}
+    for name in live:
+        state = State(Identity(name, ZONES[name], "r1"))
+        reduce(state, VmsListed(vms()), 0.0)
+        for other in live:
+            if other != name:
+                reduce(state, HeartbeatReceived(node(other)), 0.0)
+        result[name] = state
+    return result
+
+
+def test_each_vm_has_one_owner_in_its_zone() -> None:
+    """No VM may be left without probes, and probes must not cross zones."""
+    owned = {name: probe_targets(state) for name, state in states(*ZONES).items()}
+    assert sum(map(len, owned.values())) == len(vms())
+    for name, targets in owned.items():
+        assert {vm.split("-")[0] for vm in targets} <= {ZONES[name], "z3"}
+
+
+def test_probes_of_a_silent_node_are_taken_over() -> None:
+    """The VMs of a dead node must be probed again after 1.2 s, and only those move."""
+    everyone = states(*ZONES)
+    before = {name: set(probe_targets(state)) for name, state in everyone.items()}
+    for name, state in everyone.items():
+        if name != "a":
+            reduce(state, HeartbeatReceived(node("b" if name == "c" else "c")), 1.0)
+            effects = reduce(state, PeersChecked(), PEER_LIMIT_S + 0.1)
+            assert effects == [PeerChanged("a", "1", PeerChange.DOWN)]
+    after = {name: set(probe_targets(everyone[name])) for name in ("b", "c")}
+    assert before["b"] <= after["b"]
+    assert before["c"] <= after["c"]
+    assert after["b"] | after["c"] == {vm.vm for vm in vms()}
+    assert not after["b"] & after["c"]
+
+
+def test_stop_of_an_older_process_keeps_the_newer_peer() -> None:
+    """A late end of an old process's link must not remove its successor."""
+    state = states("a", "b")["a"]
+    reduce(state, HeartbeatReceived(node("b", "2")), 0.5)
+    reduce(state, PeerLinkClosed("b", "1", on_purpose=True), 0.6)
+    assert "b" in state.membership.peers
+    reduce(state, PeerLinkClosed("b", "2", on_purpose=True), 0.7)
+    assert "b" not in state.membership.peers
+
+
+def test_member_missing_from_the_vm_list_is_probed() -> None:
+    """A gap in the lagging VM list must not let a serving group go stale."""
+    state = states("a")["a"]
+    members = (Member("new-vm", "boot", "http://new:1"),)
+    group = Group("g", "s", "z1", "f", "m", "v", 3, GroupPhase.SERVING, members)
+    reduce(state, GroupViewReceived("z1", 5, (group,)), 0.0)
+    assert probe_targets(state)["new-vm"].address == "http://new:1"
+    # A view with a lower revision is older and must not replace the groups.
+    reduce(state, GroupViewReceived("z1", 4, ()), 0.0)
+    assert "new-vm" in probe_targets(state)
