--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -134,7 +134,7 @@
 def node_settings(**entry: float) -> NodeSettings:
     """Return settings with short limits."""
     limits = {
-        "balancer_notice_s": 0.2,
+        "balancer_notice_s": 0.0,
         "drain_limit_s": 5.0,
         "first_token_limit_s": 1.0,
         "chunk_limit_s": 0.5,
@@ -207,3 +207,12 @@
         running = await async_start_cluster(stack)
         await running.async_add_engine(1)
         yield running
+
+
+@pytest.fixture
+async def stopping_cluster() -> AsyncIterator[Cluster]:
+    """Run the entry program with time between the notice and the refusals of a stop."""
+    async with AsyncExitStack() as stack:
+        running = await async_start_cluster(stack, balancer_notice_s=0.3)
+        await running.async_add_engine(1)
+        yield running
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -7,8 +7,9 @@
 from tests.entry.engine import Script
 
 
-async def test_planned_stop_finishes_streams(cluster: Cluster) -> None:
+async def test_planned_stop_finishes_streams(stopping_cluster: Cluster) -> None:
     """A rolling restart must cut off no request (P7)."""
+    cluster = stopping_cluster
     engine = cluster.engines[0]
     engine.scripts.append(Script(delay_s=0.15))
     async with cluster.client.get(f"{cluster.url}/ready") as ready:
