--- /dev/null
+++ b/tests/groups/test_controller.py
@@ -0,0 +1,18 @@
+"""Tests of the controller over a simulated table and engines."""
+
+from gooseberryhall.groups.models import GroupPhase
+
+from .world import World, make_spec, make_vms
+
+
+def test_group_is_formed_and_serves_after_read_back() -> None:
+    """A group must not be marked as serving before its members report it."""
+    world = World([make_spec("a")], make_vms("z1", "d1", 3))
+    world.run_for(10)
+    assert world.phases() == {"a-z1-1": GroupPhase.LOADING}
+    world.run_for(25)
+    assert world.phases() == {"a-z1-1": GroupPhase.SERVING}
+    group = world.node.state.groups.groups["a-z1-1"]
+    for member in group.members:
+        assert world.table.value(f"vm/{member.vm}")["group"] == "a-z1-1"
+        assert world.engines[member.vm].generation == group.generation
