--- a/gooseberryhall/adapters/engine_stream.py
+++ b/gooseberryhall/adapters/engine_stream.py
@@ -140,12 +140,10 @@
         return data
 
     def _take_unnumbered(self, event: bytes) -> None:
-        """Accept the end marker and comments; nothing else may lack a number."""
-        if event == _DATA_FIELD + _DONE:
-            self.done = True
-        elif _DATA_FIELD + _ERROR_PREFIXES[0] in event:
+        """Accept comments; an end marker without a number may hide lost chunks."""
+        if _DATA_FIELD + _ERROR_PREFIXES[0] in event:
             raise StreamBrokenError("the engine failed the stream")
-        elif event and not event.startswith(b":"):
+        if event and not event.startswith(b":"):
             raise SequenceError("the engine sent an event without a number")
 
     def _check_sequence(self, number: bytes) -> None:
