--- a/gooseberryhall/admin/openapi.py
+++ b/gooseberryhall/admin/openapi.py
@@ -2,15 +2,19 @@
 
 import json
 import re
+from collections.abc import Mapping
 from typing import Any
 
 from pydantic import BaseModel
-from pydantic.json_schema import models_json_schema
+from pydantic.json_schema import JsonSchemaMode, models_json_schema
 
 from .const import API_TITLE, API_VERSION
 from .models import ErrorResponse
 from .routes import ROUTES, Parameter, Route
 
+ModelMode = tuple[type[BaseModel], JsonSchemaMode]
+References = Mapping[ModelMode, dict[str, Any]]
+
 OPENAPI_VERSION = "3.1.0"
 OPENAPI_PATH = "/v1/openapi.json"
 REF_TEMPLATE = "#/components/schemas/{model}"
@@ -27,14 +31,14 @@
 
 def openapi_description() -> dict[str, Any]:
     """Return the description."""
-    models = sorted(_models(), key=lambda model: model.__name__)
-    _, definitions = models_json_schema(
-        [(model, "serialization") for model in models], ref_template=REF_TEMPLATE
+    references, definitions = models_json_schema(
+        sorted(_models(), key=lambda item: (item[0].__name__, item[1])),
+        ref_template=REF_TEMPLATE,
     )
     paths: dict[str, dict[str, Any]] = {}
     for route in ROUTES:
         path = _PATH_PARAMETER.sub(r"{\1}", route.path)
-        paths.setdefault(path, {})[route.method.lower()] = _operation(route)
+        paths.setdefault(path, {})[route.method.lower()] = _operation(route, references)
     return {
         "openapi": OPENAPI_VERSION,
         "info": {"title": API_TITLE, "version": API_VERSION},
@@ -52,19 +56,23 @@
     return json.dumps(openapi_description(), indent=2) + "\n"
 
 
-def _models() -> set[type[BaseModel]]:
-    models: set[type[BaseModel]] = {ErrorResponse}
+def _models() -> set[ModelMode]:
+    models: set[ModelMode] = {(ErrorResponse, "serialization")}
     for route in ROUTES:
-        models.update(route.answers.values())
+        models.update((model, "serialization") for model in route.answers.values())
         if route.body is not None:
-            models.add(route.body)
+            models.add((route.body, "validation"))
     return models
 
 
-def _operation(route: Route) -> dict[str, Any]:
-    answers = {str(code): _answer(model) for code, model in route.answers.items()}
+def _operation(route: Route, references: References) -> dict[str, Any]:
+    def answer(model: type[BaseModel], description: str = "") -> dict[str, Any]:
+        content = _content(references[model, "serialization"])
+        return {"description": description or model.__doc__, "content": content}
+
+    answers = {str(code): answer(model) for code, model in route.answers.items()}
     for code, description in _ERRORS.items():
-        answers[str(code)] = _answer(ErrorResponse, description)
+        answers[str(code)] = answer(ErrorResponse, description)
     operation: dict[str, Any] = {
         "summary": route.summary,
         "description": f"Needs the {route.role.name.lower()} role.",
@@ -73,17 +81,13 @@
     if route.parameters:
         operation["parameters"] = [_parameter(item) for item in route.parameters]
     if route.body is not None:
-        operation["requestBody"] = {"required": True, "content": _content(route.body)}
+        content = _content(references[route.body, "validation"])
+        operation["requestBody"] = {"required": True, "content": content}
     return operation
 
 
-def _answer(model: type[BaseModel], description: str = "") -> dict[str, Any]:
-    return {"description": description or model.__doc__, "content": _content(model)}
-
-
-def _content(model: type[BaseModel]) -> dict[str, Any]:
-    reference = {"$ref": REF_TEMPLATE.format(model=model.__name__)}
-    return {"application/json": {"schema": reference}}
+def _content(schema: dict[str, Any]) -> dict[str, Any]:
+    return {"application/json": {"schema": schema}}
 
 
 def _parameter(parameter: Parameter) -> dict[str, Any]:
--- a/gooseberryhall/cli/__main__.py
+++ b/gooseberryhall/cli/__main__.py
@@ -5,7 +5,7 @@
 
 import click
 
-from . import config_commands, view_commands
+from . import config_commands, local_commands, view_commands
 from .const import ENV_ADMIN, ENV_TOKEN, PROGRAM_NAME
 from .context import CliContext, output_option
 from .exceptions import CliError
@@ -52,6 +52,9 @@
     config_commands.undrain,
     view_commands.status,
     view_commands.explain,
+    view_commands.timeline,
+    local_commands.config,
+    local_commands.completion,
 ):
     cli.add_command(_command)
 
--- a/gooseberryhall/cli/client.py
+++ b/gooseberryhall/cli/client.py
@@ -132,16 +132,20 @@
             conflict = _parse(url, ConflictResponse, content).error
             details = conflict.model_dump(mode="json", exclude={"code", "message"})
             return EditConflictError(
-                "\n".join(conflict_lines(conflict)),
+                conflict.message,
                 field="base_revision",
                 fix="read the accepted changes, then apply to the new revision",
+                explanation=conflict_lines(conflict),
                 details=details,
             )
         case 422:
             refused = _parse(url, RefusedResponse, content).error
             details = refused.model_dump(mode="json", exclude={"code", "message"})
-            lines = [refused.message, *finding_lines(refused.findings)]
-            return EditRefusedError("\n".join(lines), details=details)
+            return EditRefusedError(
+                refused.message,
+                explanation=finding_lines(refused.findings),
+                details=details,
+            )
     error = _parse(url, ErrorResponse, content).error
     kind = UnreachableError if status == _UNAVAILABLE else CliError
     return kind(
--- a/gooseberryhall/cli/exceptions.py
+++ b/gooseberryhall/cli/exceptions.py
@@ -1,5 +1,6 @@
 """Errors of the command line, each with its exit code."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from ..exceptions import GooseberryhallError
@@ -9,8 +10,8 @@
 class CliError(GooseberryhallError):
     """A command failed.
 
-    `field` names the field at fault, `fix` says what to do about it, and `details` is
-    printed with `--output json`.
+    `field` names the field at fault and `fix` says what to do about it. `explanation`
+    follows the message in text form, and `details` takes its place in JSON.
     """
 
     code = "failed"
@@ -23,6 +24,7 @@
         field: str = "",
         fix: str = "",
         code: str = "",
+        explanation: Sequence[str] = (),
         details: dict[str, Any] | None = None,
     ) -> None:
         """Keep what is printed."""
@@ -31,12 +33,13 @@
         self.field = field
         self.fix = fix
         self.code = code or self.code
+        self.explanation = tuple(explanation)
         self.details = details or {}
 
     def lines(self) -> list[str]:
         """Return the lines of the error in text form."""
         place = f"{self.field}: " if self.field else ""
-        lines = [f"error: {place}{self.message}"]
+        lines = [f"error: {place}{self.message}", *self.explanation]
         return [*lines, f"fix: {self.fix}"] if self.fix else lines
 
 
--- a/gooseberryhall/cli/files.py
+++ b/gooseberryhall/cli/files.py
@@ -36,10 +36,12 @@
         errors = exc.errors(include_url=False, include_input=False)
         lines = [f"{_path(item['loc'])}: {item['msg']}" for item in errors]
         raise CliError(
-            "\n".join([f"{file} has {len(lines)} errors", *lines]),
+            f"{file} has {len(lines)} errors",
             field="FILE",
             fix="correct the named fields; docs/configuration.md describes them",
             code="malformed_file",
+            explanation=lines,
+            details={"errors": lines},
         ) from exc
 
 
--- a/gooseberryhall/cli/output.py
+++ b/gooseberryhall/cli/output.py
@@ -10,6 +10,7 @@
 from ..config.findings import Finding
 from ..config.models import AnyObject
 from ..config.operations import Operation, PutObject
+from .timeline import MergedEntry
 
 INDENT = "  "
 
@@ -58,7 +59,7 @@
 
 def conflict_lines(conflict: EditConflictView) -> list[str]:
     """Return both sides of a conflict."""
-    lines = [conflict.message, "your change:"]
+    lines = ["your change:"]
     lines += [INDENT + operation_line(item) for item in conflict.operations]
     lines.append(f"accepted after revision {conflict.base_revision}:")
     if not conflict.accepted:
@@ -142,6 +143,22 @@
     return lines
 
 
+def timeline_lines(entries: Iterable[MergedEntry]) -> list[str]:
+    """Return events with their time, uncertainty and process."""
+    rows = [["TIME", "UNCERTAINTY", "PROCESS", "EVENT", "FIELDS"]]
+    rows += [
+        [
+            format_time(entry.time_s),
+            f"{entry.uncertainty_s * 1000:.1f} ms",
+            entry.source,
+            entry.kind,
+            _short(entry.fields),
+        ]
+        for entry in entries
+    ]
+    return table_lines(rows)
+
+
 def _takes(closed: str | None) -> str:
     return "yes" if closed is None else f"no ({closed})"
 
--- a/gooseberryhall/cli/view_commands.py
+++ b/gooseberryhall/cli/view_commands.py
@@ -1,10 +1,16 @@
 """Commands that show the state of the system."""
 
+import asyncio
+from dataclasses import asdict
+
+import aiohttp
 import click
 
 from .client import AdminClient
 from .context import CliContext, output_option, pass_context
-from .output import explanation_lines, status_lines
+from .exceptions import UnreachableError
+from .output import explanation_lines, status_lines, timeline_lines
+from .timeline import MergedEntry, async_read_all, merge, select
 
 
 @click.command()
@@ -29,3 +35,54 @@
     """
     view = cli.run(lambda client: client.async_explain(kind, name))
     cli.show(view.model_dump(mode="json"), explanation_lines(view))
+
+
+@click.command()
+@click.option(
+    "--ops",
+    "urls",
+    multiple=True,
+    required=True,
+    metavar="URL",
+    help="Address of an ops port; repeat it for each process.",
+)
+@click.option("--request", help="Only events that mention this request.")
+@click.option("--group", help="Only events that mention this group.")
+@click.option("--vm", help="Only events that mention this VM.")
+@output_option
+@pass_context
+def timeline(
+    cli: CliContext,
+    urls: tuple[str, ...],
+    request: str | None,
+    group: str | None,
+    vm: str | None,
+) -> None:
+    """Show the events of several processes in one order.
+
+    The clocks of the processes may differ. Each clock's offset is estimated from its
+    reading and the midpoint of the request that fetched it, and times are shown on the
+    clock of this machine. Half of the round trip bounds the error: events of two
+    processes that are closer than the shown uncertainty may be in the other order.
+    Events of one process always keep their order.
+    """
+    wanted = [name for name in (request, group, vm) if name is not None]
+    entries, silent = asyncio.run(_async_merge(urls))
+    if len(silent) == len(urls):
+        raise UnreachableError(
+            f"no process answered: {', '.join(silent)}",
+            field="--ops",
+            fix="check the addresses of the ops ports",
+        )
+    for url in silent:
+        click.echo(f"warning: {url} does not answer; its events are missing", err=True)
+    entries = select(entries, wanted)
+    data = {"entries": [asdict(entry) for entry in entries], "silent": silent}
+    cli.show(data, timeline_lines(entries))
+
+
+async def _async_merge(urls: tuple[str, ...]) -> tuple[list[MergedEntry], list[str]]:
+    async with aiohttp.ClientSession() as session:
+        addresses = [url.rstrip("/") for url in urls]
+        timelines, silent = await async_read_all(session, addresses)
+    return merge(timelines), silent
--- a/gooseberryhall/config/checks.py
+++ b/gooseberryhall/config/checks.py
@@ -267,16 +267,18 @@
     labelled = config.of_type(VmLabels)
     selector = parse_selector(spec.vm_selector)
     matching = [item for item in labelled if selector.matches(item.labels)]
-    needed = spec.members * max(spec.min_groups, 1)
+    drained = [item for item in matching if DRAIN_LABEL in item.labels]
+    usable = len(matching) - len(drained)
+    groups = max(spec.min_groups, 1)
     if not matching:
         yield from _check_matches(spec, "vm_selector", labelled, "labelled VM")
-    elif len(matching) < needed:
+    elif usable < spec.members * groups:
         yield warning(
             (spec.kind, spec.name),
             "vm_selector",
-            f"it selects {len(matching)} VMs; {max(spec.min_groups, 1)} groups of "
-            f"{spec.members} members need {needed}",
-            "label more VMs or lower min_groups",
+            f"it selects {usable} VMs besides {len(drained)} drained ones; {groups} "
+            f"groups of {spec.members} members need {spec.members * groups}",
+            "label more VMs, undrain VMs or lower min_groups",
         )
 
 
