Start a cluster before its configuration exists

An entry program is ready for traffic only with a configuration, so the cluster waits for its ops port instead and offers async_wait_accepting for later.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -192,11 +192,22 @@
         except ProcessError as exc:
             raise ProcessError(f"{exc}\n{process.log_tail()}") from None
 
+    async def async_wait_accepting(self, limit_s: float = READY_LIMIT_S) -> None:
+        """Wait until the load balancer would use every entry VM."""
+
+        async def async_all_ready() -> bool:
+            urls = [f"{node.address('entry')}/ready" for node in self.nodes]
+            answers = await asyncio.gather(*map(self.async_get, urls))
+            return all(status == 200 for status, _ in answers)  # noqa: PLR2004
+
+        await async_wait_for(async_all_ready, limit_s, "entry programs ready")
+
     # Start
 
     def _ready_url(self, name: str, program: str | None) -> str:
         if program:
-            return f"{self.node(name).ops_address(program)}/ready"
+            # Readiness for traffic needs a configuration, which comes later.
+            return f"{self.node(name).ops_address(program)}/status"
         if name == PLATFORM:
             return f"{self.platform_address}/vms"
         ports = {item.vm: item.port for item in self.vms}
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -327,6 +327,7 @@
     cluster = demo.cluster
     await async_apply(cluster, declared_objects(cluster))
     served_s = await async_wait_serving(cluster, GROUPS, SERVE_LIMIT_S)
+    await cluster.async_wait_accepting(SERVE_LIMIT_S)
     say(f"{GROUPS} groups serve {served_s:.2f} s after the configuration")
     await async_show_requests(demo)
     await async_measure_added(demo)
