Exchange configuration on links

Cause: configuration has to reach all processes within seconds, also while the table is down.

Change: the control process passes accepted changes to peers and to the programs of its VM, answers requests from memory and asks a peer whose heartbeat shows a higher revision.

--- a/gooseberryhall/control/parts.py
+++ b/gooseberryhall/control/parts.py
@@ -1,5 +1,9 @@
 """Wires the parts of the control program."""
 
+from functools import partial
+
+from ..config import relay as config_relay
+from ..config import service as config_service
 from ..core.context import ProgramContext
 from ..links.server import async_serve
 from ..links.setup import create_hub
@@ -15,6 +19,8 @@
         async_serve(listen.host, listen.port, hub.identity, hub.handlers)
     )
     await membership_service.async_setup(ctx, hub)
+    config_relay.async_setup_control(ctx, hub)
+    await config_service.async_setup(ctx, ask_peers=partial(config_relay.ask_peer, hub))
     ctx.ops.ready = True
     ctx.stack.callback(_report_stopping, ctx)
 
--- a/gooseberryhall/links/hub.py
+++ b/gooseberryhall/links/hub.py
@@ -4,8 +4,9 @@
 from typing import Any, TypeVar
 
 from .codec import encode_message
+from .exceptions import OversizedFrameError
 from .identity import LinkIdentity, Role
-from .link import Link, LinkHandlers
+from .link import Link, LinkHandlers, report_not_sent
 from .messages import Message
 from .metrics import LINKS
 
@@ -55,11 +56,15 @@
         self.async_send_on(self.links(*roles), message)
 
     def async_send_on(self, links: Iterable[Link], message: Message) -> None:
-        """Send a message on several links, encoded once. Raises OversizedFrameError."""
+        """Send a message on several links, encoded once."""
         links = tuple(links)
         if not links:
             return
-        frame = encode_message(message)
+        try:
+            frame = encode_message(message)
+        except OversizedFrameError as exc:
+            report_not_sent(exc)
+            return
         for link in links:
             link.async_send_frame(frame)
 
--- a/gooseberryhall/links/link.py
+++ b/gooseberryhall/links/link.py
@@ -114,7 +114,7 @@
         try:
             frame = encode_message(message)
         except OversizedFrameError as exc:
-            _log(LogEvent.MESSAGE_NOT_SENT, self, logging.ERROR, error=str(exc))
+            report_not_sent(exc)
             return False
         return self.async_send_frame(frame)
 
@@ -251,6 +251,17 @@
         _log(LogEvent.LINK_CLOSED, self, error=code)
 
 
+def report_not_sent(error: OversizedFrameError) -> None:
+    """Log a message that does not fit into a frame."""
+    log_event(
+        _LOGGER,
+        LogEvent.MESSAGE_NOT_SENT,
+        "message not sent",
+        level=logging.ERROR,
+        error=str(error),
+    )
+
+
 def _log(event: LogEvent, link: Link, level: int = logging.INFO, **fields: Any) -> None:
     message = event.name.lower().replace("_", " ")
     log_event(
--- a/gooseberryhall/links/messages.py
+++ b/gooseberryhall/links/messages.py
@@ -82,11 +82,13 @@
 
 
 class ConfigSnapshot(Message):
-    """The whole configuration at a revision."""
+    """The whole configuration at a revision, in parts that fit into frames."""
 
     type: Literal["config_snapshot"] = "config_snapshot"
     revision: int
     objects: tuple[AnyObject, ...]
+    part: Annotated[int, Field(ge=1)] = 1
+    parts: Annotated[int, Field(ge=1)] = 1
 
 
 class ConfigRequest(Message):
