--- /dev/null
+++ b/gooseberryhall/groups/controller.py
@@ -0,0 +1,276 @@
+"""Turns the planner's decisions into transactions and orders.
+
+A zone has at most one decision in flight. The rows as read from the table, with the
+versions of confirmed writes, are the only base of decisions; after an unknown outcome
+they are read again first.
+"""
+
+from typing import TYPE_CHECKING
+
+from ..config.models import GroupSpec
+from ..core.effects import Effect
+from ..membership.models import MemberState
+from ..telemetry.catalogue import LogEvent
+from .const import BLOCKED_VM_S, SHARE_GRACE_S, VIEW_PERIOD_S, ZONE_READ_PERIOD_S
+from .decisions import LoadAdapters, ReleaseStray, SendGroupOrder, WaitForMember
+from .effects import AnnounceGroups, Outcome, ReadZone, ReportGroups
+from .events import DecisionCommitted, OrderFinished, ZoneRead
+from .execution import commit, report, send_order, urgency
+from .lease import Lease
+from .models import Group
+from .planner import plan
+from .rows import parse_rows, vm_key, with_version
+from .shares import divide
+from .state import Division, GroupsState, ViewState, ZonePlan
+from .view import PlanView, phase_key
+
+if TYPE_CHECKING:
+    from ..core.state import State
+
+
+def known_zones(state: "State") -> list[str]:
+    """Return all zones with VMs or groups and the own zone."""
+    zones = {state.identity.zone}
+    zones.update(vm.zone for vm in state.groups.vms.values())
+    zones.update(group.zone for group in state.groups.groups.values())
+    return sorted(zones)
+
+
+def reduce_zone_plan(state: "State", zone: str, now_s: float) -> list[Effect]:
+    """Plan a zone whose lease is held and announce its groups."""
+    lease = state.groups.leases[zone]
+    if not lease.owned:
+        state.groups.plans.pop(zone, None)
+        return []
+    plan_state = _current_plan(state.groups, lease)
+    effects: list[Effect] = []
+    if lease.is_held(now_s):
+        effects += _read_if_due(plan_state, zone, now_s)
+        effects += _carry_out(state, zone, now_s)
+    return effects + _announce_if_due(state.groups, zone, now_s)
+
+
+def _current_plan(groups: GroupsState, lease: Lease) -> ZonePlan:
+    """Return the zone's plan; what an earlier epoch knew is dropped."""
+    plan_state = groups.plans.get(lease.zone)
+    if plan_state is None or plan_state.epoch_version != lease.epoch_version:
+        plan_state = ZonePlan(epoch_version=lease.epoch_version)
+        groups.plans[lease.zone] = plan_state
+    return plan_state
+
+
+def _read_if_due(plan_state: ZonePlan, zone: str, now_s: float) -> list[Effect]:
+    if plan_state.reading or plan_state.pending is not None:
+        return []
+    if now_s - plan_state.read_s < ZONE_READ_PERIOD_S:
+        return []
+    plan_state.reading = True
+    return [ReadZone(zone, plan_state.epoch_version)]
+
+
+def reduce_zone_read(state: "State", event: ZoneRead, now_s: float) -> list[Effect]:
+    """Take over the groups as read from the table."""
+    if event.epoch_version == 0:
+        return _take_onlooker_read(state, event, now_s)
+    plan_state = state.groups.plans.get(event.zone)
+    if plan_state is None or plan_state.epoch_version != event.epoch_version:
+        return []
+    plan_state.reading = False
+    if event.snapshot is None:
+        return []
+    plan_state.read_s = now_s
+    plan_state.rows = dict(parse_rows(event.snapshot.rows))
+    plan_state.revision = event.snapshot.revision
+    _note_change(state.groups, event.zone, plan_state, now_s)
+    return [AnnounceGroups(event.zone), *_plan_if_held(state, event.zone, now_s)]
+
+
+def _take_onlooker_read(state: "State", event: ZoneRead, now_s: float) -> list[Effect]:
+    view = state.groups.views.setdefault(event.zone, ViewState())
+    view.reading = False
+    lease = state.groups.leases.get(event.zone)
+    if event.snapshot is None or (lease is not None and lease.owned):
+        return []
+    if event.snapshot.revision >= view.revision:
+        view.revision = event.snapshot.revision
+        view.seen_s = now_s
+        rows = parse_rows(event.snapshot.rows).values()
+        replace_groups(state.groups, event.zone, tuple(row.group for row in rows))
+    return []
+
+
+def replace_groups(groups: GroupsState, zone: str, current: tuple[Group, ...]) -> None:
+    """Replace all groups of a zone."""
+    kept = {name: group for name, group in groups.groups.items() if group.zone != zone}
+    groups.groups = {**kept, **{group.group: group for group in current}}
+
+
+def _note_change(
+    groups: GroupsState, zone: str, plan_state: ZonePlan, now_s: float
+) -> None:
+    """Make new rows visible to the rest of the process and date their phases."""
+    rows = plan_state.rows or {}
+    replace_groups(groups, zone, tuple(row.group for row in rows.values()))
+    keys = [phase_key(row) for row in rows.values()]
+    since_s = plan_state.phase_since_s
+    plan_state.phase_since_s = {key: since_s.get(key, now_s) for key in keys}
+    view = groups.views.setdefault(zone, ViewState())
+    view.revision = max(view.revision, plan_state.revision)
+
+
+def _announce_if_due(groups: GroupsState, zone: str, now_s: float) -> list[Effect]:
+    """Announce the groups periodically, also while the table is down."""
+    plan_state = groups.plans[zone]
+    view = groups.views.setdefault(zone, ViewState())
+    if plan_state.rows is None or now_s - view.sent_s < VIEW_PERIOD_S:
+        return []
+    view.sent_s = now_s
+    return [AnnounceGroups(zone)]
+
+
+def _plan_if_held(state: "State", zone: str, now_s: float) -> list[Effect]:
+    lease = state.groups.leases[zone]
+    if not lease.is_held(now_s) or zone not in state.groups.plans:
+        return []
+    return _carry_out(state, zone, now_s)
+
+
+def make_view(state: "State", zone: str, now_s: float) -> PlanView:
+    """Return what the planner of a zone sees now."""
+    groups = state.groups
+    plan_state = groups.plans.get(zone, ZonePlan())
+    specs = tuple(state.config.of_type(GroupSpec))
+    division = current_division(state, specs, now_s)
+    return PlanView(
+        zone=zone,
+        now_s=now_s,
+        specs=specs,
+        policy=state.config.policy,
+        labels=division.labels,
+        vms=groups.vms,
+        evidence=state.membership.evidence,
+        rows=plan_state.rows or {},
+        shares=division.shares,
+        other_groups=tuple(
+            group for group in groups.groups.values() if group.zone != zone
+        ),
+        refuse_old_fence=groups.refuse_old_fence,
+        revision=plan_state.revision,
+        silent_since_s=groups.silent_since_s,
+        phase_since_s=plan_state.phase_since_s,
+        failed_since_s=plan_state.failed_since_s,
+        orders=plan_state.orders,
+        loaded=groups.loaded,
+        blocked=frozenset(
+            vm for vm, until_s in plan_state.blocked_until_s.items() if now_s < until_s
+        ),
+    )
+
+
+def current_division(
+    state: "State", specs: tuple[GroupSpec, ...], now_s: float
+) -> Division:
+    """Return the division of the declared groups, computed when its input changed."""
+    groups = state.groups
+    long_silent = frozenset(
+        vm
+        for vm, since_s in groups.silent_since_s.items()
+        if now_s - since_s > SHARE_GRACE_S
+    )
+    key = (state.config.revision, groups.vms_changes, long_silent)
+    if groups.division is None or groups.division.key != key:
+        labels = {vm: state.config.labels_of_vm(vm) for vm in groups.vms}
+        shares = divide(specs, groups.vms.values(), labels, long_silent)
+        groups.division = Division(key, labels, shares)
+    return groups.division
+
+
+def _carry_out(state: "State", zone: str, now_s: float) -> list[Effect]:
+    """Plan once; return the orders and the first transaction that follow."""
+    plan_state = state.groups.plans[zone]
+    if plan_state.rows is None or state.config.revision == 0:
+        return []
+    effects: list[Effect] = []
+    view = make_view(state, zone, now_s)
+    _note_failures(plan_state, view)
+    plan_state.waits = {}
+    for decision in sorted(plan(view), key=urgency):
+        match decision:
+            case WaitForMember():
+                plan_state.waits[decision.group] = decision
+            case SendGroupOrder() | LoadAdapters() | ReleaseStray():
+                effects.append(send_order(plan_state, view, decision))
+            case _ if plan_state.pending is None and not plan_state.reading:
+                effects += commit(plan_state, view, decision)
+    return effects
+
+
+def _note_failures(plan_state: ZonePlan, view: PlanView) -> None:
+    """Note since when members fail although all members of their group answer."""
+    failing = {}
+    for row in view.rows.values():
+        states = [view.health(member.vm) for member in row.group.members]
+        if any(health is None for health in states):
+            continue
+        if any(health and health.state is MemberState.FAILED for health in states):
+            key = (row.name, row.group.generation)
+            failing[key] = plan_state.failed_since_s.get(key, view.now_s)
+    plan_state.failed_since_s = failing
+
+
+def reduce_decision_committed(
+    state: "State", event: DecisionCommitted, now_s: float
+) -> list[Effect]:
+    """Apply a confirmed decision; read the zone again after any other outcome."""
+    plan_state = state.groups.plans.get(event.zone)
+    if plan_state is None or plan_state.epoch_version != event.epoch_version:
+        return []
+    pending, plan_state.pending = plan_state.pending, None
+    if event.revision is None or pending is None or plan_state.rows is None:
+        plan_state.read_s = float("-inf")
+        _block_conflicting_vms(plan_state, event, now_s)
+        return []
+    if pending.old is not None:
+        del plan_state.rows[pending.old.name]
+    if pending.new is not None:
+        row = with_version(pending.new, event.revision)
+        plan_state.rows[row.name] = row
+    plan_state.revision = event.revision
+    _note_change(state.groups, event.zone, plan_state, now_s)
+    return [
+        AnnounceGroups(event.zone),
+        report(event.zone, pending.decision),
+        *_plan_if_held(state, event.zone, now_s),
+    ]
+
+
+def _block_conflicting_vms(
+    plan_state: ZonePlan, event: DecisionCommitted, now_s: float
+) -> None:
+    if event.conflict is None:
+        return
+    prefix = vm_key("")
+    for key in event.conflict.rows:
+        if key.startswith(prefix):
+            vm = key.removeprefix(prefix)
+            plan_state.blocked_until_s[vm] = now_s + BLOCKED_VM_S
+
+
+def reduce_order_finished(
+    state: "State", event: OrderFinished, now_s: float
+) -> list[Effect]:
+    """Note the outcome; the next probe decides whether the order is sent again."""
+    plan_state = state.groups.plans.get(event.zone)
+    order = plan_state.orders.get(event.vm) if plan_state else None
+    if order is None or order.fence != event.fence:
+        return []
+    order.in_flight = False
+    order.outcome = event.outcome
+    if event.outcome is Outcome.ACCEPTED:
+        return []
+    fields = (
+        ("vm", event.vm),
+        ("fence", event.fence),
+        ("outcome", event.outcome.value),
+    )
+    return [ReportGroups(LogEvent.ORDER_FAILED, "order failed", fields)]
--- a/gooseberryhall/membership/events.py
+++ b/gooseberryhall/membership/events.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..core.events import Event
+from ..groups.models import Vm
 from .models import Evidence, Node
 
 
@@ -39,3 +40,10 @@
     """Probe results of this process, or dated reports of another one."""
 
     evidence: tuple[Evidence, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class VmsListed(Event):
+    """The platform's list of VMs was read."""
+
+    vms: tuple[Vm, ...]
--- a/gooseberryhall/membership/reducer.py
+++ b/gooseberryhall/membership/reducer.py
@@ -12,7 +12,6 @@
 from ..const import EVIDENCE_LIMIT_S
 from ..core.effects import Effect
 from ..core.events import Event
-from ..groups.events import VmsListed
 from .const import PEER_LIMIT_S
 from .effects import MemberChange, MemberChanged, PeerChange, PeerChanged
 from .events import (
@@ -21,6 +20,7 @@
     PeerLinkClosed,
     PeerLinkOpened,
     PeersChecked,
+    VmsListed,
 )
 from .models import Evidence, MemberHealth, MemberState
 from .state import EvidenceOrder, MembershipState, PeerState
--- a/gooseberryhall/membership/service.py
+++ b/gooseberryhall/membership/service.py
@@ -11,7 +11,6 @@
 from ..core.clock import now_s
 from ..core.context import ProgramContext
 from ..exceptions import UnavailableError
-from ..groups.events import VmsListed
 from ..links.hub import LinkHub
 from ..links.identity import Role
 from ..links.link import Link
@@ -28,7 +27,7 @@
 )
 from .digest import DigestSender
 from .effects import MemberChange, MemberChanged, PeerChanged
-from .events import EvidenceReceived
+from .events import EvidenceReceived, VmsListed
 from .models import Evidence
 from .prober import Prober
 from .records import add_collector, record_member, record_peer
--- a/tests/membership/test_assignment.py
+++ b/tests/membership/test_assignment.py
@@ -2,7 +2,7 @@
 
 from gooseberryhall.core.reducer import reduce
 from gooseberryhall.core.state import Identity, State
-from gooseberryhall.groups.events import GroupViewReceived, VmsListed
+from gooseberryhall.groups.events import GroupsReceived
 from gooseberryhall.groups.models import Group, GroupPhase, Member, Vm, VmState
 from gooseberryhall.membership.assignment import probe_targets
 from gooseberryhall.membership.const import PEER_LIMIT_S
@@ -11,6 +11,7 @@
     HeartbeatReceived,
     PeerLinkClosed,
     PeersChecked,
+    VmsListed,
 )
 from gooseberryhall.membership.models import Node
 
@@ -83,8 +84,8 @@
     state = states("a")["a"]
     members = (Member("new-vm", "boot", "http://new:1"),)
     group = Group("g", "s", "z1", "f", "m", "v", 3, GroupPhase.SERVING, members)
-    reduce(state, GroupViewReceived("z1", 5, (group,)), 0.0)
+    reduce(state, GroupsReceived("z1", 5, (group,)), 0.0)
     assert probe_targets(state)["new-vm"].address == "http://new:1"
     # A view with a lower revision is older and must not replace the groups.
-    reduce(state, GroupViewReceived("z1", 4, ()), 0.0)
+    reduce(state, GroupsReceived("z1", 4, ()), 0.0)
     assert "new-vm" in probe_targets(state)
