--- a/gooseberryhall/control/parts.py
+++ b/gooseberryhall/control/parts.py
@@ -1,6 +1,11 @@
 """Wires the parts of the control program."""
 
+from functools import partial
+
+from ..config import relay as config_relay
+from ..config import service as config_service
 from ..core.context import ProgramContext
+from ..groups import service as groups_service
 from ..links.server import async_serve
 from ..links.setup import create_hub
 from ..membership import service as membership_service
@@ -15,6 +20,9 @@
         async_serve(listen.host, listen.port, hub.identity, hub.handlers)
     )
     await membership_service.async_setup(ctx, hub)
+    config_relay.async_setup_control(ctx, hub)
+    await config_service.async_setup(ctx, ask_peers=partial(config_relay.ask_peer, hub))
+    await groups_service.async_setup(ctx, hub.async_send)
     ctx.ops.ready = True
     ctx.stack.callback(_report_stopping, ctx)
 
