--- a/gooseberryhall/admin/openapi.py
+++ b/gooseberryhall/admin/openapi.py
@@ -13,7 +13,8 @@
 from .routes import ROUTES, Parameter, Route
 
 ModelMode = tuple[type[BaseModel], JsonSchemaMode]
-References = Mapping[ModelMode, dict[str, Any]]
+# The keys of pydantic are wider than ours, and mapping keys are invariant.
+References = Mapping[Any, dict[str, Any]]
 
 OPENAPI_VERSION = "3.1.0"
 OPENAPI_PATH = "/v1/openapi.json"
--- a/gooseberryhall/entry/__main__.py
+++ b/gooseberryhall/entry/__main__.py
@@ -1,17 +1,21 @@
 """The entry program."""
 
+from ..config import relay as config_relay
 from ..core.context import Program, ProgramContext
 from ..core.program import create_main
-from ..links.messages import Message
+from ..links.messages import SuspectReport
+from ..membership import client as membership_client
+from ..requests.service import async_on_suspect_report
 from .setup import async_setup
 
 
 async def _async_setup(ctx: ProgramContext) -> None:
-    await async_setup(ctx, _send)
-
-
-def _send(_message: Message) -> None:
-    """Drop a message; the link to the control process is not connected yet."""
+    hub = membership_client.async_setup(ctx)
+    config_relay.async_setup_client(ctx, hub)
+    hub.subscribe(
+        SuspectReport, lambda _link, report: async_on_suspect_report(ctx, report)
+    )
+    await async_setup(ctx, hub.async_send)
 
 
 main = create_main(Program.ENTRY, _async_setup)
--- a/tests/control/common.py
+++ b/tests/control/common.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
+import secrets
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -14,6 +15,16 @@
 import aiohttp
 from aiohttp import web
 
+from gooseberryhall.core.context import Program, ProgramContext
+from gooseberryhall.core.runtime import Runtime
+from gooseberryhall.core.state import Identity, State
+from gooseberryhall.core.timer import TimerService
+from gooseberryhall.links.hub import LinkHub
+from gooseberryhall.membership import client
+from gooseberryhall.settings.models import NodeSettings
+from gooseberryhall.telemetry.ops import OpsState
+from gooseberryhall.telemetry.timeline import Timeline
+
 SECRET = "a-secret-of-the-tests"
 START_LIMIT_S = 10.0
 STOP_LIMIT_S = 5.0
@@ -89,20 +100,24 @@
 
         return async_health
 
+    async def async_down(_req: web.Request) -> web.Response:
+        return web.Response(status=503)
+
     async with AsyncExitStack() as stack:
-        platform.address = await _async_serve(stack, "/vms", async_vms)
+        routes = {"/vms": async_vms, "/{table:rows?|txn}": async_down}
+        platform.address = await _async_serve(stack, routes)
         for vm in vms:
-            vm.address = await _async_serve(stack, "/health", health_of(vm))
+            vm.address = await _async_serve(stack, {"/health": health_of(vm)})
         yield platform
 
 
 async def _async_serve(
     stack: AsyncExitStack,
-    path: str,
-    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    routes: Mapping[str, Callable[[web.Request], Awaitable[web.Response]]],
 ) -> str:
     app = web.Application()
-    app.router.add_get(path, handler)
+    for path, handler in routes.items():
+        app.router.add_route("*", path, handler)
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
@@ -207,6 +222,27 @@
             await process.wait()
 
 
+@asynccontextmanager
+async def entry_program(
+    platform: Platform, plan: NodePlan, peers: list[NodePlan]
+) -> AsyncIterator[tuple[ProgramContext, LinkHub]]:
+    """Run the part of an entry program that is linked to a control process."""
+    settings = NodeSettings.model_validate(plan.settings(platform, peers))
+    async with AsyncExitStack() as stack:
+        ctx = ProgramContext(
+            program=Program.ENTRY,
+            settings=settings,
+            runtime=Runtime(State(Identity(plan.node, plan.zone, "r1"))),
+            timer=TimerService(),
+            session=await stack.enter_async_context(aiohttp.ClientSession()),
+            stack=stack,
+            ops=OpsState(Timeline()),
+            incarnation=secrets.token_hex(8),
+        )
+        stack.push_async_callback(ctx.async_cancel_tasks)
+        yield ctx, client.async_setup(ctx)
+
+
 async def until(condition: Callable[[], Awaitable[bool]], limit_s: float) -> None:
     """Wait for a condition; fail after the limit."""
     async with asyncio.timeout(limit_s):
