Link entry programs to the control process of their own VM

Cause: the hub refused the control process of the same node, so an entry process could only link to other VMs and dialled its own one again every 0.1 s.

Change: only control processes reject their own name; a link that is closed within 2 s of its opening counts as a failed attempt.

--- a/gooseberryhall/links/client.py
+++ b/gooseberryhall/links/client.py
@@ -8,6 +8,7 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import InvalidHandshake, InvalidURI
 
+from ..core.clock import now_s
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from .const import (
@@ -60,10 +61,13 @@
     candidates = tuple(addresses)
     failures = 0
     while True:
+        started_s = now_s()
         link = await _async_open_first(candidates, identity, handlers)
-        failures = failures + 1 if link is None else 0
         if link is not None:
             await _async_run_link(link, candidates, identity, handlers)
+        # A link that is closed soon after opening must not be dialled at full speed.
+        lasted = link is not None and now_s() - started_s > RECONNECT_MAX_S
+        failures = 0 if lasted else failures + 1
         await asyncio.sleep(reconnect_pause_s(failures))
 
 
--- a/gooseberryhall/links/hub.py
+++ b/gooseberryhall/links/hub.py
@@ -69,7 +69,8 @@
             link.async_send_frame(frame)
 
     def _on_open(self, link: Link) -> None:
-        if link.role is Role.CONTROL and not self._accept_peer(link):
+        between_peers = self.identity.role is link.role is Role.CONTROL
+        if between_peers and not self._accept_peer(link):
             link.async_close()
             return
         self._links.append(link)
