--- a/gooseberryhall/adapters/engine.py
+++ b/gooseberryhall/adapters/engine.py
@@ -1,4 +1,4 @@
-"""Adapter to model engines."""
+"""Adapter to the model engines."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -18,9 +18,10 @@
 )
 
 HEALTH_TIMEOUT_S: Final = 0.7
-_OK: Final = 200
+
 ORDER_TIMEOUT_S: Final = 5.0
 
+_HTTP_OK: Final = 200
 _HTTP_CONFLICT: Final = 409
 _HTTP_SERVER_ERROR: Final = 500
 _HEALTH: TypeAdapter[MemberHealth] = TypeAdapter(MemberHealth)
@@ -37,7 +38,7 @@
     try:
         async with session.get(f"{address}/health", timeout=timeout) as response:
             body = await response.read()
-            if response.status != _OK:
+            if response.status != _HTTP_OK:
                 raise EngineUnavailableError(f"health answered {response.status}")
             size = _header_bytes(response) + len(body)
     except (aiohttp.ClientError, TimeoutError, OSError) as exc:
@@ -104,7 +105,7 @@
             headers=headers,
             timeout=aiohttp.ClientTimeout(total=timeout_s),
         ) as response:
-            if response.status != _OK:
+            if response.status != _HTTP_OK:
                 await _async_raise_refusal(response)
     except (aiohttp.ClientError, TimeoutError, OSError) as exc:
         raise EngineUnavailableError(str(exc) or type(exc).__name__) from exc
--- a/gooseberryhall/groups/events.py
+++ b/gooseberryhall/groups/events.py
@@ -5,11 +5,18 @@
 from ..adapters.table import Conflict, Row, Snapshot, Transaction
 from ..core.events import Event
 from .effects import Outcome
-from .models import Group
+from .models import Group, Vm
 
 
 @dataclass(frozen=True, slots=True)
-class GroupsReceived(Event):
+class VmsListed(Event):
+    """The platform's list of VMs was read."""
+
+    vms: tuple[Vm, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GroupViewReceived(Event):
     """Another process announced all groups of a zone."""
 
     zone: str
--- a/gooseberryhall/groups/reducer.py
+++ b/gooseberryhall/groups/reducer.py
@@ -5,7 +5,6 @@
 
 from ..core.effects import Effect
 from ..core.events import Event
-from ..membership.events import VmsListed
 from .const import VIEW_LIMIT_S
 from .controller import (
     known_zones,
@@ -18,13 +17,14 @@
 from .effects import ReadZone
 from .events import (
     DecisionCommitted,
-    GroupsReceived,
+    GroupViewReceived,
     LeaseRead,
     LeaseWritten,
     OrderFinished,
     PlanningStarted,
     PlanningStopped,
     PlanningTick,
+    VmsListed,
     ZoneRead,
 )
 from .lease_reducer import (
@@ -53,7 +53,7 @@
 
 
 def reduce_view_received(
-    state: "State", event: GroupsReceived, now_s: float
+    state: "State", event: GroupViewReceived, now_s: float
 ) -> list[Effect]:
     """Take over the groups of a zone unless a newer view is known."""
     view = state.groups.views.setdefault(event.zone, ViewState())
@@ -136,7 +136,7 @@
 
 HANDLERS: "Mapping[type[Event], Handler]" = {
     VmsListed: reduce_vms_listed,
-    GroupsReceived: reduce_view_received,
+    GroupViewReceived: reduce_view_received,
     PlanningStarted: reduce_planning_started,
     PlanningTick: reduce_tick,
     PlanningStopped: reduce_planning_stopped,
--- a/gooseberryhall/membership/receive.py
+++ b/gooseberryhall/membership/receive.py
@@ -1,7 +1,7 @@
 """Turns messages of other processes into events; used by all programs."""
 
 from ..core.context import ProgramContext
-from ..groups.events import GroupsReceived
+from ..groups.events import GroupViewReceived
 from ..links.hub import LinkHub
 from ..links.link import Link
 from ..links.messages import EvidenceDigest, GroupView
@@ -19,7 +19,7 @@
 
     def on_view(_link: Link, view: GroupView) -> None:
         ctx.runtime.async_dispatch(
-            GroupsReceived(view.zone, view.revision, view.groups)
+            GroupViewReceived(view.zone, view.revision, view.groups)
         )
 
     hub.subscribe(EvidenceDigest, on_digest)
--- a/standins/planner_world.py
+++ b/standins/planner_world.py
@@ -35,18 +35,18 @@
 )
 from gooseberryhall.groups.events import (
     DecisionCommitted,
-    GroupsReceived,
+    GroupViewReceived,
     LeaseRead,
     LeaseWritten,
     OrderFinished,
     PlanningStarted,
     PlanningTick,
+    VmsListed,
     ZoneRead,
 )
 from gooseberryhall.groups.lease import epoch_key, lease_key
 from gooseberryhall.groups.models import Vm
 from gooseberryhall.groups.rows import group_prefix
-from gooseberryhall.membership.events import VmsListed
 from gooseberryhall.membership.models import Evidence, MemberHealth, MemberState
 
 
@@ -176,7 +176,7 @@
     state: State
     now_s: float = 0.0
     queue: list[Effect] = field(default_factory=list)
-    views: list[GroupsReceived] = field(default_factory=list)
+    views: list[GroupViewReceived] = field(default_factory=list)
 
     @classmethod
     def create(
@@ -260,7 +260,7 @@
         plan_state = self.state.groups.plans.get(zone)
         if plan_state is not None and plan_state.rows is not None:
             groups = tuple(row.group for row in plan_state.rows.values())
-            self.views.append(GroupsReceived(zone, plan_state.revision, groups))
+            self.views.append(GroupViewReceived(zone, plan_state.revision, groups))
 
 
 def commit_now(effect: CommitDecision, table: SimTable) -> DecisionCommitted:
