--- a/standins/demo.py
+++ b/standins/demo.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -267,10 +268,12 @@
 
 
 async def async_show_failure(demo: Demo) -> None:
-    """Kill a member; its group closes and is replaced."""
+    """Kill a member in the zone that has spare VMs; its group is replaced there."""
     cluster = demo.cluster
-    node = cluster.nodes[0]
-    group, members = sorted((await async_serving(cluster, node)).items())[0]
+    groups = await async_serving(cluster, cluster.nodes[0])
+    zones = {vm.vm: vm.zone for vm in cluster.vms}
+    used = Counter(zones[vm] for members in groups.values() for vm in members)
+    group, members = min(groups.items(), key=lambda item: used[zones[item[1][0]]])
     victim = members[-1]
     start_s = time.monotonic()
     cluster.kill(victim)
