Fix the table rows of an edit that names one object twice

A transaction applies its deletes after its puts, so an edit that deletes and then declares one object lost it in the table, while replicas that apply the change kept it. The checks refuse such an edit, but the store did not. Only the last operation on an object now goes into the transaction.

--- a/gooseberryhall/admin/openapi.py
+++ b/gooseberryhall/admin/openapi.py
@@ -13,7 +13,8 @@
 from .routes import ROUTES, Parameter, Route
 
 ModelMode = tuple[type[BaseModel], JsonSchemaMode]
-References = Mapping[ModelMode, dict[str, Any]]
+# pydantic's own type of the keys also covers data classes.
+References = Mapping[Any, dict[str, Any]]
 
 OPENAPI_VERSION = "3.1.0"
 OPENAPI_PATH = "/v1/openapi.json"
--- a/gooseberryhall/config/store.py
+++ b/gooseberryhall/config/store.py
@@ -201,7 +201,9 @@
         },
     }
     deletes: list[str] = []
-    for operation in change.operations:
+    # A transaction has no order, so only the last operation on an object counts.
+    last = {operation.key: operation for operation in change.operations}
+    for operation in last.values():
         key = object_key(operation.key)
         if isinstance(operation, PutObject):
             puts[key] = {"object": operation.object.model_dump(mode="json")}
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -232,7 +232,7 @@
 async def test_edit_overwritten_before_its_answer_is_repeated_is_not_a_conflict() -> (
     None
 ):
-    """Checking only the head would report an accepted edit as refused."""
+    """The repeated commit conflicts, but the edit was accepted and must be known."""
     table = FakeTable()
     other = Edit(1, _put("b"), "other")
     attempts = 0
@@ -251,6 +251,14 @@
     assert await async_load_revision(table) == 2
 
 
+async def test_last_operation_on_an_object_counts() -> None:
+    """A transaction has no order: its delete would win over a later put."""
+    table = FakeTable()
+    delete = DeleteObject(kind=ObjectKind.TEAM, name="a")
+    await async_edit(table, Edit(0, (delete, *_put("a")), "x"))
+    assert set((await async_load_snapshot(table)).objects) == {(ObjectKind.TEAM, "a")}
+
+
 async def test_snapshot_read_during_an_edit_is_exact() -> None:
     """A paged read mixes objects of two revisions; the changes repair it."""
     table = FakeTable()
