--- a/gooseberryhall/admin/openapi.py
+++ b/gooseberryhall/admin/openapi.py
@@ -13,7 +13,7 @@
 from .routes import ROUTES, Parameter, Route
 
 ModelMode = tuple[type[BaseModel], JsonSchemaMode]
-# pydantic's own type of the keys also covers data classes.
+# The keys of pydantic are wider than ours, and mapping keys are invariant.
 References = Mapping[Any, dict[str, Any]]
 
 OPENAPI_VERSION = "3.1.0"
