Check VM selectors against the VM list and test the administration API

The checks did not know the platform's VMs, so a misspelt VM name or a selector whose VMs are spread over too many fabric domains stayed unnoticed. Explanations add what the control program of the same VM says about its plan.

Sanic's touch-up is off: it failed with KeyError for the second application in one process.

--- a/gooseberryhall/admin/app.py
+++ b/gooseberryhall/admin/app.py
@@ -52,6 +52,8 @@
     app: AdminApp = Sanic(name, configure_logging=False)
     app.config.MOTD = False
     app.config.ACCESS_LOG = False
+    # Touch-up rewrites methods of sanic and fails for a second app in one process.
+    app.config.TOUCHUP = False
     app.config.REQUEST_MAX_SIZE = MAX_EDIT_BODY_BYTES
     app.config.REQUEST_MAX_HEADER_SIZE = MAX_HEADER_BYTES
     app.config.REQUEST_TIMEOUT = REQUEST_TIMEOUT_S
--- a/gooseberryhall/admin/edits.py
+++ b/gooseberryhall/admin/edits.py
@@ -5,7 +5,11 @@
 
 from result import Err, Result
 
-from ..adapters.exceptions import TableUnavailableError
+from ..adapters.exceptions import (
+    MalformedResponseError,
+    TableUnavailableError,
+    VmListUnavailableError,
+)
 from ..config.checks import check_edit, has_errors
 from ..config.const import KEPT_CHANGES
 from ..config.difference import describe_edit
@@ -69,7 +73,7 @@
     findings: list[Finding] = []
     # A check against another revision than the edit's base would explain nothing.
     if current.revision == request.base_revision:
-        findings = _check(services, current, request.operations)
+        findings = await _async_check(services, current, request.operations)
     if has_errors(findings):
         return EditRefusedView(message="the edit has errors", findings=tuple(findings))
     outcome = await _async_write(services, _edit(actor, request, current))
@@ -89,7 +93,7 @@
     except TableUnavailableError:
         config = services.runtime.state.config
         current = ConfigSnapshot(config.revision, dict(config.objects))
-    findings = _check(services, current, operations)
+    findings = await _async_check(services, current, operations)
     affected = affected_by(services.runtime.state.groups, current.objects, operations)
     return PlanView(
         revision=current.revision,
@@ -138,11 +142,23 @@
     return snapshot
 
 
-def _check(
+async def _async_check(
     services: AdminServices, current: ConfigSnapshot, operations: Sequence[Operation]
 ) -> list[Finding]:
-    vms = frozenset(services.runtime.state.groups.vms)
-    return check_edit(current.objects, operations, vms)
+    domains = await _async_fabric_domains(services)
+    return check_edit(current.objects, operations, domains)
+
+
+async def _async_fabric_domains(services: AdminServices) -> dict[str, str] | None:
+    """Return the fabric domains of the listed VMs; None without an answer.
+
+    The list lags and may be down, so it never refuses an edit.
+    """
+    try:
+        listed = await services.vm_list.async_list()
+    except (VmListUnavailableError, MalformedResponseError):
+        return None
+    return {vm.vm: vm.fabric_domain for vm in listed}
 
 
 def _edit(actor: Actor, request: EditRequest, current: ConfigSnapshot) -> Edit:
--- a/gooseberryhall/admin/explain.py
+++ b/gooseberryhall/admin/explain.py
@@ -3,10 +3,10 @@
 from collections.abc import Sequence
 from typing import Any
 
-from ..config.checks import spec_order
 from ..config.const import DRAIN_LABEL
 from ..config.models import GroupSpec, ObjectKind, RequestKind, Team
 from ..config.selectors import parse_selector
+from ..config.spec_checks import spec_order
 from ..core.state import State
 from ..groups.models import Group, GroupPhase, Member
 from ..membership.evidence import (
@@ -101,6 +101,22 @@
     )
 
 
+def with_planner(explanation: Explanation, planner: dict[str, Any]) -> Explanation:
+    """Add what the control program of this entry VM says about a group or VM."""
+    name = explanation.name
+    section = "vms" if explanation.kind == "vm" else "groups"
+    own = planner.get(section, {}).get(name)
+    missing = {
+        zone: reasons[name]
+        for zone, reasons in planner.get("missing", {}).items()
+        if name in reasons
+    }
+    if own is None and not missing:
+        return explanation
+    details = {**explanation.details, "planner": own or {"missing": missing}}
+    return explanation.model_copy(update={"details": details})
+
+
 def explain_request(name: str, entries: Sequence[dict[str, Any]]) -> Explanation:
     """Explain a request by the time line entries that mention it."""
     if not entries:
--- a/gooseberryhall/admin/timelines.py
+++ b/gooseberryhall/admin/ops_readers.py
@@ -1,4 +1,4 @@
-"""Reads the time lines of the programs on this entry VM."""
+"""Reads the ops ports of the other programs on this entry VM."""
 
 import asyncio
 import json
@@ -8,7 +8,7 @@
 import aiohttp
 
 from ..settings.models import NodeSettings
-from .services import TimelineReader
+from .services import PlannerReader, TimelineReader
 
 READ_TIMEOUT_S = 2.0
 # A time line of 10,000 events has 10 pages.
@@ -30,6 +30,26 @@
     return async_read
 
 
+def create_planner_reader(
+    session: aiohttp.ClientSession, settings: NodeSettings
+) -> PlannerReader:
+    """Return a function that reads what the control program knows of groups."""
+    section = settings.control
+    url = f"http://{section.host}:{section.ops_port}/status"
+    timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+
+    async def async_read() -> dict[str, Any]:
+        try:
+            async with session.get(url, timeout=timeout) as response:
+                status = await response.json()
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return {}
+        found: dict[str, Any] = status.get("groups", {})
+        return found
+
+    return async_read
+
+
 async def _async_read(
     session: aiohttp.ClientSession, url: str
 ) -> Sequence[dict[str, Any]]:
--- a/gooseberryhall/admin/routes.py
+++ b/gooseberryhall/admin/routes.py
@@ -15,7 +15,13 @@
     async_view_config,
 )
 from .exceptions import MalformedRequestError
-from .explain import explain_group, explain_request, explain_team, explain_vm
+from .explain import (
+    explain_group,
+    explain_request,
+    explain_team,
+    explain_vm,
+    with_planner,
+)
 from .models import (
     ChangesView,
     ConfigView,
@@ -126,9 +132,13 @@
     state, now_s = services.runtime.state, services.clock()
     match kind:
         case "group":
-            return Answer(200, explain_group(state, name, now_s))
+            explanation = explain_group(state, name, now_s)
+            planner = await services.async_read_planner()
+            return Answer(200, with_planner(explanation, planner))
         case "vm":
-            return Answer(200, explain_vm(state, name, now_s))
+            explanation = explain_vm(state, name, now_s)
+            planner = await services.async_read_planner()
+            return Answer(200, with_planner(explanation, planner))
         case "team":
             return Answer(200, explain_team(state, name))
         case "request":
--- a/gooseberryhall/admin/service.py
+++ b/gooseberryhall/admin/service.py
@@ -3,6 +3,7 @@
 import socket
 
 from ..adapters.table import HttpTable, Table
+from ..adapters.vms import HttpVmList, VmList
 from ..config import relay as config_relay
 from ..config.operations import Change
 from ..config.service import config_status, create_poll
@@ -11,17 +12,22 @@
 from ..links.messages import ConfigChanges
 from ..membership import client as membership_client
 from .app import APP_NAME, async_serve, create_app
+from .ops_readers import create_planner_reader, create_timeline_reader
 from .services import AdminServices
-from .timelines import create_timeline_reader
 
 LISTEN_BACKLOG = 128
 
 
 async def async_setup(
-    ctx: ProgramContext, *, table: Table | None = None, name: str = APP_NAME
+    ctx: ProgramContext,
+    *,
+    table: Table | None = None,
+    vm_list: VmList | None = None,
+    name: str = APP_NAME,
 ) -> tuple[str, int]:
     """Start the administration API and return its address."""
     source = table or HttpTable(ctx.session, ctx.settings.platform.table_address)
+    vms = vm_list or HttpVmList(ctx.session, ctx.settings.platform.vms_address)
     hub = membership_client.async_setup(ctx)
     config_relay.async_setup_client(ctx, hub)
     # Read once from the table, in case no control process answers.
@@ -37,9 +43,11 @@
         settings=ctx.settings,
         runtime=ctx.runtime,
         table=source,
+        vm_list=vms,
         send_change=send_change,
         is_linked=is_linked,
         async_read_timeline=create_timeline_reader(ctx.session, ctx.settings),
+        async_read_planner=create_planner_reader(ctx.session, ctx.settings),
         record=ctx.ops.timeline.record,
     )
     sock = _bind(ctx.settings.admin.host, ctx.settings.admin.port)
--- a/gooseberryhall/admin/services.py
+++ b/gooseberryhall/admin/services.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ..adapters.table import Table
+from ..adapters.vms import VmList
 from ..config.operations import Change
 from ..core.clock import now_s
 from ..core.runtime import Runtime
@@ -13,6 +14,9 @@
 TimelineReader = Callable[[str], Awaitable[list[dict[str, Any]]]]
 """Returns the time line entries of this entry VM that mention a text."""
 
+PlannerReader = Callable[[], Awaitable[dict[str, Any]]]
+"""Returns the control program's view of groups, VMs and missing groups."""
+
 
 @dataclass(slots=True)
 class AdminServices:
@@ -25,8 +29,10 @@
     settings: NodeSettings
     runtime: Runtime
     table: Table
+    vm_list: VmList
     send_change: Callable[[Change], None]
     is_linked: Callable[[], bool]
     async_read_timeline: TimelineReader
+    async_read_planner: PlannerReader
     record: Callable[..., None]
     clock: Callable[[], float] = now_s
--- a/tests/admin/harness.py
+++ b/tests/admin/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import itertools
+import json
 import threading
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
@@ -11,11 +12,13 @@
 
 import aiohttp
 
+from gooseberryhall.adapters.exceptions import VmListUnavailableError
 from gooseberryhall.admin.service import async_setup
 from gooseberryhall.core.context import Program, ProgramContext
 from gooseberryhall.core.runtime import Runtime
 from gooseberryhall.core.state import Identity, State
 from gooseberryhall.core.timer import TimerService
+from gooseberryhall.groups.models import Vm
 from gooseberryhall.settings.models import AdminSettings, NodeSettings
 from gooseberryhall.telemetry.ops import OpsState
 from gooseberryhall.telemetry.timeline import Timeline
@@ -31,11 +34,11 @@
     "zone": "obihiro",
     "region": "hokkaido",
     "link_secret": "0123456789abcdef",
-    "entry": {"port": 1, "ops_port": 1},
-    "control": {"port": 1, "ops_port": 1},
+    "entry": {"port": 1, "ops_port": 2},
+    "control": {"port": 3, "ops_port": 4},
     "admin": {
-        "port": 1,
-        "ops_port": 1,
+        "port": 5,
+        "ops_port": 6,
         "editor_token_sha256": [hashlib.sha256(EDITOR.encode()).hexdigest()],
         "reader_token_sha256": [hashlib.sha256(READER.encode()).hexdigest()],
     },
@@ -48,14 +51,48 @@
 }
 
 
+class FakeVmList:
+    """A list of VMs that does not answer until it is filled."""
+
+    def __init__(self) -> None:
+        """Start without an answer."""
+        self.vms: tuple[Vm, ...] | None = None
+
+    async def async_list(self) -> tuple[Vm, ...]:
+        """Return all listed VMs. Raises VmListUnavailableError."""
+        if self.vms is None:
+            raise VmListUnavailableError("VM list is down")
+        return self.vms
+
+
 @dataclass(slots=True)
 class Admin:
     """A running administration program."""
 
     ctx: ProgramContext
     table: FakeTable
+    vm_list: FakeVmList
     address: str
 
+    async def async_call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        token: str | None = EDITOR,
+    ) -> tuple[int, Any]:
+        """Call the API; bodies that are not bytes are sent as JSON."""
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        headers = {} if token is None else {"Authorization": f"Bearer {token}"}
+        async with self.ctx.session.request(
+            method,
+            self.address + path,
+            data=None if body is None else data,
+            headers=headers,
+        ) as response:
+            return response.status, await response.json()
+
 
 def create_context(session: aiohttp.ClientSession, stack: AsyncExitStack) -> Any:
     """Return a context whose admin port is chosen by the system."""
@@ -82,8 +119,9 @@
         ctx = create_context(session, stack)
         stack.push_async_callback(ctx.async_cancel_tasks)
         name = f"admin-{next(_NAMES)}"
-        host, port = await async_setup(ctx, table=table, name=name)
-        yield Admin(ctx, table, f"http://{host}:{port}")
+        vm_list = FakeVmList()
+        host, port = await async_setup(ctx, table=table, vm_list=vm_list, name=name)
+        yield Admin(ctx, table, vm_list, f"http://{host}:{port}")
 
 
 @contextmanager
