Add the two measures, explanations and a planner benchmark

Group downtime and stranded VM-seconds are counted by the process that holds or last held a zone's lease, so that the sum over nodes is the deployment's total also during a table outage. The status of the control program says why a group does not serve and why a VM is stranded.

The choices of the planner are data (Tuning), so baselines run through the same code.

--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -19,9 +19,10 @@
 from .lease import Lease
 from .models import Group
 from .planner import plan
-from .rows import parse_rows, vm_key, with_version
-from .shares import divide
+from .rows import GroupRow, parse_rows, vm_key, with_version
+from .shares import divide, selected_vms
 from .state import Division, GroupsState, ViewState, ZonePlan
+from .tuning import tuning_for
 from .view import PlanView, phase_key
 
 if TYPE_CHECKING:
@@ -149,8 +150,10 @@
         labels=division.labels,
         vms=groups.vms,
         evidence=state.membership.evidence,
-        rows=plan_state.rows or {},
+        rows=_rows_of_zone(groups, zone),
         shares=division.shares,
+        selected=division.selected,
+        tuning=groups.tuning or tuning_for(state.config.policy),
         other_groups=tuple(
             group for group in groups.groups.values() if group.zone != zone
         ),
@@ -167,6 +170,18 @@
     )
 
 
+def _rows_of_zone(groups: GroupsState, zone: str) -> dict[str, GroupRow]:
+    """Return the zone's rows as read by the holder, or as announced to others."""
+    plan_state = groups.plans.get(zone)
+    if plan_state is not None and plan_state.rows is not None:
+        return plan_state.rows
+    return {
+        name: GroupRow(group)
+        for name, group in groups.groups.items()
+        if group.zone == zone
+    }
+
+
 def current_division(
     state: "State", specs: tuple[GroupSpec, ...], now_s: float
 ) -> Division:
@@ -181,7 +196,12 @@
     if groups.division is None or groups.division.key != key:
         labels = {vm: state.config.labels_of_vm(vm) for vm in groups.vms}
         shares = divide(specs, groups.vms.values(), labels, long_silent)
-        groups.division = Division(key, labels, shares)
+        vms = groups.vms.values()
+        selected = {
+            spec.name: frozenset(vm.vm for vm in selected_vms(spec, vms, labels))
+            for spec in specs
+        }
+        groups.division = Division(key, labels, shares, selected)
     return groups.division
 
 
--- a/gooseberryhall/groups/lifecycle.py
+++ b/gooseberryhall/groups/lifecycle.py
@@ -29,7 +29,7 @@
 from .effects import Outcome
 from .models import GroupPhase, Member, VmState
 from .rows import GroupRow
-from .shares import is_drained, selected_vms
+from .shares import is_drained
 from .view import PlanView
 from .waiting import missing_limit_s
 
@@ -162,13 +162,17 @@
 
 def _broken_reason(view: PlanView, row: GroupRow) -> Reason | None:
     """Return why the group can't serve again with these members."""
-    limit_s = missing_limit_s(view, row)
-    for member in row.group.members:
-        closed = view.closed_reason(row, member)
-        if closed is ClosedReason.RESTARTED:
-            return Reason.MEMBER_RESTARTED
-        if closed in _SILENT and view.silent_s(member.vm) > limit_s:
-            return Reason.MEMBER_LOST
+    closed = {
+        member.vm: view.closed_reason(row, member) for member in row.group.members
+    }
+    if ClosedReason.RESTARTED in closed.values():
+        return Reason.MEMBER_RESTARTED
+    silent_s = max(
+        (view.silent_s(vm) for vm, reason in closed.items() if reason in _SILENT),
+        default=0.0,
+    )
+    if silent_s and silent_s > missing_limit_s(view, row):
+        return Reason.MEMBER_LOST
     return Reason.MEMBER_FAILED if _has_failed(view, row) else None
 
 
@@ -197,7 +201,7 @@
             return Reason.MEMBER_LEAVING
         if is_drained(view.labels.get(member.vm, {})):
             return Reason.DRAIN_LABEL
-        if vm is not None and not selected_vms(spec, [vm], view.labels):
+        if vm is not None and vm.vm not in view.selected[spec.name]:
             return Reason.SELECTOR_CHANGED
     return None
 
--- a/gooseberryhall/groups/placement.py
+++ b/gooseberryhall/groups/placement.py
@@ -43,6 +43,8 @@
 
 def is_warm(view: PlanView, spec: GroupSpec, vm: Vm) -> bool:
     """Return whether the VM's engine loaded the spec's weights last."""
+    if not view.tuning.prefer_warm:
+        return False
     loaded = view.loaded.get(vm.vm)
     health = view.health(vm.vm)
     return (
--- a/gooseberryhall/groups/planner.py
+++ b/gooseberryhall/groups/planner.py
@@ -59,7 +59,9 @@
         if formed is not None:
             return formed
     waiting = len(view.rows_of(spec.name)) > len(usable)
-    victim = None if waiting else choose_victim(view, spec)
+    if waiting or not view.tuning.preempt:
+        return None
+    victim = choose_victim(view, spec)
     return _dissolve(victim) if victim else None
 
 
@@ -72,7 +74,9 @@
 
 def _is_usable(view: PlanView, row: GroupRow) -> bool:
     """Return whether the group serves or is expected to serve without its members."""
-    return row.phase is GroupPhase.LOADING or view.is_answering(row)
+    if row.phase is GroupPhase.LOADING or not view.tuning.replace_early:
+        return True
+    return view.is_answering(row)
 
 
 def _add_group(view: PlanView, spec: GroupSpec) -> FormGroup | None:
@@ -86,16 +90,10 @@
     )
     if len(rows) >= share.max_groups + surge or total >= spec.max_groups + surge:
         return None
-    spares = 0 if surge else _wanted_spares(view)
+    spares = 0 if surge else view.tuning.spares
     return place_group(view, spec, spares)
 
 
-def _wanted_spares(view: PlanView) -> int:
-    """Return how many VMs of a domain groups above the minimum leave free."""
-    policy = view.policy
-    return 1 if policy.downtime_weight > policy.stranded_weight else 0
-
-
 def is_outdated(spec: GroupSpec, row: GroupRow) -> bool:
     """Return whether the group was formed for another model, version or size."""
     group = row.group
--- a/gooseberryhall/groups/preemption.py
+++ b/gooseberryhall/groups/preemption.py
@@ -3,7 +3,6 @@
 from ..config.models import GroupSpec
 from .models import GroupPhase
 from .rows import GroupRow
-from .shares import selected_vms
 from .view import PlanView, by_domain
 
 _ENDING = (GroupPhase.DRAINING, GroupPhase.RELEASING)
@@ -16,9 +15,8 @@
     """
     free = {vm.vm for vm in view.free_vms[spec.name]}
     best: tuple[tuple[int, int, int, str], GroupRow] | None = None
-    for domain, vms in by_domain(
-        selected_vms(spec, view.zone_vms, view.labels)
-    ).items():
+    selected = [vm for vm in view.zone_vms if vm.vm in view.selected[spec.name]]
+    for domain, vms in by_domain(selected).items():
         names = {vm.vm for vm in vms}
         lacking = spec.members - len(free & names) - _coming(view, domain, names)
         if lacking <= 0:
--- a/gooseberryhall/groups/service.py
+++ b/gooseberryhall/groups/service.py
@@ -34,6 +34,7 @@
 )
 from .events import (
     DecisionCommitted,
+    GroupViewReceived,
     LeaseRead,
     LeaseWritten,
     OrderFinished,
@@ -42,7 +43,9 @@
     PlanningTick,
     ZoneRead,
 )
+from .explain import status
 from .lease import epoch_key, lease_key
+from .measures import export
 from .rows import group_prefix
 from .state import GroupsState
 
@@ -69,9 +72,16 @@
         TICK_PERIOD_S, lambda: ctx.runtime.async_dispatch(PlanningTick()), jitter=0.1
     )
     ctx.stack.callback(unsubscribe)
+    ctx.ops.add_collector(lambda: export(ctx.runtime.state))
+    ctx.ops.add_status("groups", lambda: status(ctx.runtime.state, clock()))
     ctx.stack.push_async_callback(_async_stop, service)
 
 
+def on_group_view(ctx: ProgramContext, view: GroupView) -> None:
+    """Take in the groups of a zone as another process announced them."""
+    ctx.runtime.async_dispatch(GroupViewReceived(view.zone, view.revision, view.groups))
+
+
 @dataclass(frozen=True, slots=True)
 class _Service:
     """What the effect handlers share."""
--- a/gooseberryhall/groups/state.py
+++ b/gooseberryhall/groups/state.py
@@ -9,6 +9,7 @@
 from .models import Group, Vm
 from .rows import GroupRow
 from .shares import Share
+from .tuning import Tuning
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,11 +75,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Division:
-    """The declared groups divided between zones, and what it was computed from."""
+    """The declared groups divided between zones, and what it was computed from.
+
+    `selected` holds by spec the names of all VMs that its groups may use.
+    """
 
     key: tuple[int, int, frozenset[str]]
     labels: Mapping[str, Mapping[str, str]]
     shares: Mapping[tuple[str, str], Share]
+    selected: Mapping[str, frozenset[str]]
 
 
 @dataclass(slots=True)
@@ -95,7 +100,8 @@
     """Groups by name and VMs by name, as last read or announced.
 
     `vms_changes` counts the lists that differed. `silent_since_s` holds the VMs without
-    fresh evidence. The fields from `incarnation` on are used by control programs only.
+    fresh evidence. `tuning` replaces what the policy asks for. The fields from
+    `incarnation` on are used by control programs only.
     """
 
     groups: dict[str, Group] = field(default_factory=dict)
@@ -110,4 +116,5 @@
     leases: dict[str, Lease] = field(default_factory=dict)
     plans: dict[str, ZonePlan] = field(default_factory=dict)
     division: Division | None = None
+    tuning: Tuning | None = None
     measures: MeasureState = field(default_factory=MeasureState)
--- a/gooseberryhall/groups/view.py
+++ b/gooseberryhall/groups/view.py
@@ -11,8 +11,9 @@
 from .const import ANSWER_LIMIT_S
 from .models import Group, GroupPhase, Member, Vm, VmState
 from .rows import GroupRow
-from .shares import Labels, Share, is_drained, selected_vms
+from .shares import Labels, Share, is_drained
 from .state import LoadedModel, OrderState
+from .tuning import Tuning
 
 _ACTIVE = (GroupPhase.LOADING, GroupPhase.SERVING)
 
@@ -21,7 +22,8 @@
 class PlanView:
     """The input of the planner; nothing in it changes while it plans.
 
-    `rows` are the groups of the zone, `other_groups` those of all other zones. The
+    `rows` are the groups of the zone, `other_groups` those of all other zones and
+    `selected` the VMs that groups of a spec may use. The
     mappings of times hold when this process first saw what they name.
     """
 
@@ -34,6 +36,8 @@
     evidence: Mapping[str, Evidence]
     rows: Mapping[str, GroupRow]
     shares: Mapping[tuple[str, str], Share]
+    selected: Mapping[str, frozenset[str]]
+    tuning: Tuning
     other_groups: tuple[Group, ...] = ()
     refuse_old_fence: bool = False
     revision: int = 0
@@ -68,7 +72,7 @@
         """Return by spec the VMs that a new group may use."""
         usable = [vm for vm in self.zone_vms if self.is_free(vm)]
         return {
-            spec.name: tuple(selected_vms(spec, usable, self.labels))
+            spec.name: tuple(vm for vm in usable if vm.vm in self.selected[spec.name])
             for spec in self.specs
         }
 
--- a/gooseberryhall/groups/waiting.py
+++ b/gooseberryhall/groups/waiting.py
@@ -5,18 +5,10 @@
 and for longer when no regroup is possible.
 """
 
-from typing import Final
-
 from .models import GroupPhase
 from .rows import GroupRow
-from .shares import selected_vms
 from .view import PlanView
 
-# With replacements at hand, a longer wait costs more than the load that it may save.
-WAIT_FOR_MEMBER_S: Final = 10.0
-# Without replacements a release would not bring the group back any sooner.
-HOLD_FOR_MEMBER_S: Final = 120.0
-
 
 def missing_limit_s(view: PlanView, row: GroupRow) -> float:
     """Return how long members of the group may be silent before it is released."""
@@ -26,8 +18,8 @@
         return float("inf")
     silent = sum(view.health(member.vm) is None for member in row.group.members)
     if _replacements(view, row) >= silent:
-        return WAIT_FOR_MEMBER_S
-    return HOLD_FOR_MEMBER_S
+        return view.tuning.wait_s
+    return view.tuning.hold_s
 
 
 def _replacements(view: PlanView, row: GroupRow) -> int:
@@ -37,8 +29,7 @@
         return len(row.group.members)
     domain = row.group.fabric_domain
     usable = {vm.vm for vm in view.free_vms[spec.name] if vm.fabric_domain == domain}
-    answering = [vm for vm in view.zone_vms if view.health(vm.vm) is not None]
-    selected = {vm.vm for vm in selected_vms(spec, answering, view.labels)}
+    selected = {vm for vm in view.selected[spec.name] if view.health(vm) is not None}
     others = [other for other in view.rows.values() if other.name != row.name]
     for other in others:
         if other.group.fabric_domain == domain and _may_give(view, row, other):
--- /dev/null
+++ b/standins/bench_planner.py
@@ -0,0 +1,257 @@
+"""Compares the planner with simple baselines on seeded fault schedules.
+
+The reducer and the planner run as in the control program, on simulated time, over a
+simulated table and engines. Both measures are those that the system itself exports.
+"""
+
+import random
+import statistics
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+from typing import Final
+
+import click
+
+from gooseberryhall.config.models import AnyObject, GroupSpec, Policy, VmLabels
+from gooseberryhall.groups.models import Vm, VmState
+from gooseberryhall.groups.tuning import Tuning, tuning_for
+
+from .planner_world import SimEngine, SimNode, SimTable
+
+TICK_S: Final = 2.0
+START_S: Final = 150.0
+DURATION_S: Final = 3600.0
+SETTLE_S: Final = 120.0
+LOAD_S: Final = 40.0
+STRAGGLER_FACTOR: Final = 3.0
+WARM_LOAD_S: Final = 8.0
+WORKERS: Final = 4
+
+ZONES: Final = ("z1", "z2", "z3")
+DOMAIN_SIZES: Final = (9, 8)
+
+RESTARTS: Final = 10
+PAUSES: Final = 10
+STRAGGLERS: Final = 4
+DARK_DOMAINS: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A change of one engine at a time."""
+
+    at_s: float
+    vm: str
+    kind: str
+
+
+@dataclass(frozen=True, slots=True)
+class Weighting:
+    """A deployment's weights of the two measures."""
+
+    name: str
+    downtime: float
+    stranded: float
+
+
+@dataclass(frozen=True, slots=True)
+class Score:
+    """Both measures of one run, and the weighted sum."""
+
+    downtime_s: float
+    stranded_s: float
+
+    def weighted(self, weighting: Weighting) -> float:
+        """Return the sum that the weighting asks to keep small."""
+        return (
+            weighting.downtime * self.downtime_s + weighting.stranded * self.stranded_s
+        )
+
+
+WEIGHTINGS: Final = (
+    Weighting("Takeshima", 10, 1),
+    Weighting("Cuotas Unidas", 1, 10),
+)
+FIRST_FIT: Final = Tuning(
+    wait_s=0, hold_s=0, prefer_warm=False, preempt=False, replace_early=False
+)
+PLANNERS: Final = ("planner", "first fit", "spare per domain")
+
+
+def make_fleet() -> list[Vm]:
+    """Return the VMs of three zones."""
+    vms = []
+    for zone in ZONES:
+        for number, size in enumerate(DOMAIN_SIZES, 1):
+            domain = f"{zone}-d{number}"
+            for n in range(size):
+                vm = f"{domain}-{n}"
+                vms.append(Vm(vm, zone, domain, "http://sim", 1, VmState.LIVE))
+    return vms
+
+
+def make_specs() -> list[GroupSpec]:
+    """Return a small and a large model that share the VMs."""
+    common = {"vm_selector": "use", "team_selector": "use", "kind_selector": "use"}
+    small = {"members": 4, "min_groups": 6, "max_groups": 9, "priority": 5}
+    large = {"members": 8, "min_groups": 2, "max_groups": 2, "priority": 7}
+    return [
+        GroupSpec.model_validate(
+            {"name": name, "model": name, "version": "1", **common, **sizes}
+        )
+        for name, sizes in (("assistant", small), ("summary", large))
+    ]
+
+
+def make_schedule(seed: int, vms: Sequence[Vm]) -> list[Fault]:
+    """Return faults in the order of their times."""
+    rng = random.Random(seed)
+    faults: list[Fault] = []
+
+    def add(vm: str, down: str, up: str, least_s: float, most_s: float) -> None:
+        at_s = START_S + rng.uniform(0, DURATION_S - most_s)
+        faults.append(Fault(at_s, vm, down))
+        faults.append(Fault(at_s + rng.uniform(least_s, most_s), vm, up))
+
+    for _ in range(RESTARTS):
+        add(rng.choice(vms).vm, "silent", "restart", 20, 600)
+    for _ in range(PAUSES):
+        add(rng.choice(vms).vm, "silent", "answer", 3, 60)
+    for _ in range(STRAGGLERS):
+        add(rng.choice(vms).vm, "straggle", "recover", 60, 600)
+    for _ in range(DARK_DOMAINS):
+        domain = rng.choice(sorted({vm.fabric_domain for vm in vms}))
+        at_s = START_S + rng.uniform(0, DURATION_S - 900)
+        length_s = rng.uniform(120, 900)
+        for vm in vms:
+            if vm.fabric_domain == domain:
+                faults.append(Fault(at_s, vm.vm, "silent"))
+                faults.append(Fault(at_s + length_s, vm.vm, "restart"))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def apply_fault(engine: SimEngine, kind: str) -> None:
+    """Change an engine."""
+    match kind:
+        case "silent":
+            engine.alive = False
+        case "answer":
+            engine.alive = True
+        case "restart":
+            engine.restart()
+        case "straggle":
+            engine.load_s = LOAD_S * STRAGGLER_FACTOR
+        case "recover":
+            engine.load_s = LOAD_S
+
+
+def run_once(seed: int, weighting: Weighting, planner: str, tuning: Tuning) -> Score:
+    """Run one schedule and return the measures."""
+    vms = make_fleet()
+    engines = {
+        vm.vm: SimEngine(vm, load_s=LOAD_S, warm_load_s=WARM_LOAD_S) for vm in vms
+    }
+    policy = Policy(
+        name="default",
+        downtime_weight=weighting.downtime,
+        stranded_weight=weighting.stranded,
+    )
+    labels = [VmLabels(name=vm.vm, labels={"use": "yes"}) for vm in vms]
+    objects: list[AnyObject] = [policy, *make_specs(), *labels]
+    table = SimTable()
+    nodes = [SimNode.create(f"n-{zone}", zone, objects, True) for zone in ZONES]
+    for node in nodes:
+        node.state.groups.tuning = tuning
+    faults = make_schedule(seed, vms)
+    now_s = 0.0
+    start = Score(0, 0)
+    while now_s < START_S + DURATION_S + SETTLE_S:
+        now_s += TICK_S
+        while faults and faults[0].at_s <= now_s:
+            fault = faults.pop(0)
+            apply_fault(engines[fault.vm], fault.kind)
+        _step(nodes, now_s, vms, engines, table)
+        if now_s == START_S:
+            start = _totals(nodes)
+    end = _totals(nodes)
+    return Score(end.downtime_s - start.downtime_s, end.stranded_s - start.stranded_s)
+
+
+def _step(
+    nodes: Sequence[SimNode],
+    now_s: float,
+    vms: Sequence[Vm],
+    engines: dict[str, SimEngine],
+    table: SimTable,
+) -> None:
+    for node in nodes:
+        node.now_s = now_s
+        node.observe(vms, engines.values())
+        node.tick()
+        node.run_all(table, engines)
+        for view in node.views:
+            for other in nodes:
+                if other is not node:
+                    other.dispatch(view)
+        node.views.clear()
+
+
+def _totals(nodes: Sequence[SimNode]) -> Score:
+    measures = [node.state.groups.measures for node in nodes]
+    return Score(
+        sum(sum(item.downtime_s.values()) for item in measures),
+        sum(sum(item.stranded_s.values()) for item in measures),
+    )
+
+
+def tuning_of(planner: str, weighting: Weighting) -> Tuning:
+    """Return the choices of a planner under a weighting."""
+    if planner == "first fit":
+        return FIRST_FIT
+    if planner == "spare per domain":
+        return replace(FIRST_FIT, spares=1)
+    policy = Policy(
+        name="default",
+        downtime_weight=weighting.downtime,
+        stranded_weight=weighting.stranded,
+    )
+    return tuning_for(policy)
+
+
+def _run_job(job: tuple[int, Weighting, str, Tuning]) -> Score:
+    return run_once(*job)
+
+
+def _row(planner: str, weighting: Weighting, scores: Sequence[Score]) -> str:
+    cells = [weighting.name, planner]
+    for values in (
+        [score.downtime_s for score in scores],
+        [score.stranded_s for score in scores],
+        [score.weighted(weighting) for score in scores],
+    ):
+        low, median, high = statistics.quantiles(values, n=4)
+        cells.append(f"{median:,.0f} ({low:,.0f} to {high:,.0f})")
+    return "| " + " | ".join(cells) + " |"
+
+
+@click.command()
+@click.option("--seeds", default=20, show_default=True, help="Number of schedules.")
+@click.option("--workers", default=WORKERS, show_default=True)
+def main(seeds: int, workers: int) -> None:
+    """Print both measures of the planner and the baselines as a table."""
+    click.echo(
+        "| weighting | planner | downtime, group-s | stranded, VM-s | weighted sum |"
+    )
+    click.echo("|---|---|---|---|---|")
+    with ProcessPoolExecutor(workers) as pool:
+        for weighting in WEIGHTINGS:
+            for planner in PLANNERS:
+                tuning = tuning_of(planner, weighting)
+                jobs = [(seed, weighting, planner, tuning) for seed in range(seeds)]
+                scores = list(pool.map(_run_job, jobs))
+                click.echo(_row(planner, weighting, scores))
+
+
+if __name__ == "__main__":
+    main()
