--- a/gooseberryhall/groups/const.py
+++ b/gooseberryhall/groups/const.py
@@ -12,6 +12,8 @@
 LEASE_DURATION_S: Final = 6.0
 LEASE_RENEW_PERIOD_S: Final = 2.0
 LEASE_POLL_PERIOD_S: Final = 1.0
+# Nodes of other zones read a lease only when its holder announces nothing for longer.
+HOLDER_SILENCE_S: Final = 3.0
 # A stopping program waits this long for the confirmation of its released leases.
 RELEASE_LIMIT_S: Final = 2.0
 # The factor covers clocks that run at different rates, the second covers scheduling.
--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -94,7 +94,6 @@
         return []
     if event.snapshot.revision >= view.revision:
         view.revision = event.snapshot.revision
-        view.seen_s = now_s
         rows = parse_rows(event.snapshot.rows).values()
         replace_groups(state.groups, event.zone, tuple(row.group for row in rows))
     return []
@@ -140,12 +139,11 @@
     """Return what the planner of a zone sees now."""
     groups = state.groups
     plan_state = groups.plans.get(zone, ZonePlan())
-    specs = tuple(state.config.of_type(GroupSpec))
-    division = current_division(state, specs, now_s)
+    division = current_division(state, now_s)
     return PlanView(
         zone=zone,
         now_s=now_s,
-        specs=specs,
+        specs=division.specs,
         policy=state.config.policy,
         labels=division.labels,
         vms=groups.vms,
@@ -182,9 +180,7 @@
     }
 
 
-def current_division(
-    state: "State", specs: tuple[GroupSpec, ...], now_s: float
-) -> Division:
+def current_division(state: "State", now_s: float) -> Division:
     """Return the division of the declared groups, computed when its input changed."""
     groups = state.groups
     long_silent = frozenset(
@@ -194,6 +190,7 @@
     )
     key = (state.config.revision, groups.vms_changes, long_silent)
     if groups.division is None or groups.division.key != key:
+        specs = tuple(state.config.of_type(GroupSpec))
         labels = {vm: state.config.labels_of_vm(vm) for vm in groups.vms}
         shares = divide(specs, groups.vms.values(), labels, long_silent)
         vms = groups.vms.values()
@@ -201,7 +198,7 @@
             spec.name: frozenset(vm.vm for vm in selected_vms(spec, vms, labels))
             for spec in specs
         }
-        groups.division = Division(key, labels, shares, selected)
+        groups.division = Division(key, specs, labels, shares, selected)
     return groups.division
 
 
--- a/gooseberryhall/groups/lease_reducer.py
+++ b/gooseberryhall/groups/lease_reducer.py
@@ -5,7 +5,7 @@
 from ..adapters.table import Conflict, Transaction
 from ..core.effects import Effect
 from ..telemetry.catalogue import LogEvent
-from .const import VIEW_LIMIT_S
+from .const import HOLDER_SILENCE_S
 from .effects import ReadLease, ReportGroups, WriteLease
 from .events import LeaseRead, LeaseWritten
 from .lease import (
@@ -56,7 +56,7 @@
     All nodes reading the leases of all zones would use up the table's reads.
     """
     view = groups.views.get(zone)
-    return view is None or now_s - view.seen_s > VIEW_LIMIT_S
+    return view is None or now_s - view.seen_s > HOLDER_SILENCE_S
 
 
 def reduce_lease_read(state: "State", event: LeaseRead, now_s: float) -> list[Effect]:
--- a/gooseberryhall/groups/state.py
+++ b/gooseberryhall/groups/state.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from ..config.models import GroupSpec
 from .decisions import Decision, WaitForMember
 from .effects import Outcome
 from .lease import Lease
@@ -81,6 +82,7 @@
     """
 
     key: tuple[int, int, frozenset[str]]
+    specs: tuple[GroupSpec, ...]
     labels: Mapping[str, Mapping[str, str]]
     shares: Mapping[tuple[str, str], Share]
     selected: Mapping[str, frozenset[str]]
--- a/gooseberryhall/groups/view.py
+++ b/gooseberryhall/groups/view.py
@@ -111,16 +111,36 @@
             if row.group.spec == spec and row.phase in _ACTIVE
         ]
 
+    @cached_property
+    def closed_by_member(self) -> dict[tuple[str, str], ClosedReason | None]:
+        """Return by group and VM why evidence does not show the member serving."""
+        return {
+            (row.name, member.vm): member_closed_reason(
+                row.group, member, self.evidence.get(member.vm), self.now_s
+            )
+            for row in self.rows.values()
+            for member in row.group.members
+        }
+
+    @cached_property
+    def sound(self) -> frozenset[str]:
+        """Return the names of the groups that serve by evidence."""
+        return frozenset(
+            row.name
+            for row in self.rows.values()
+            if row.phase is GroupPhase.SERVING
+            and all(
+                self.closed_reason(row, member) is None for member in row.group.members
+            )
+        )
+
     def closed_reason(self, row: GroupRow, member: Member) -> ClosedReason | None:
         """Return why evidence does not show the member serving in its group."""
-        evidence = self.evidence.get(member.vm)
-        return member_closed_reason(row.group, member, evidence, self.now_s)
+        return self.closed_by_member[row.name, member.vm]
 
     def is_sound(self, row: GroupRow) -> bool:
         """Return whether the group serves by evidence."""
-        return row.phase is GroupPhase.SERVING and all(
-            self.closed_reason(row, member) is None for member in row.group.members
-        )
+        return row.name in self.sound
 
     def is_answering(self, row: GroupRow) -> bool:
         """Return whether all members answered lately."""
--- /dev/null
+++ b/tests/groups/test_lease.py
@@ -0,0 +1,109 @@
+"""Tests of zone leases."""
+
+from result import Err, Ok
+
+from gooseberryhall.groups.const import (
+    LEASE_DURATION_S,
+    LEASE_WAIT_OTHER_ZONE_S,
+    LEASE_WAIT_S,
+)
+from gooseberryhall.groups.events import PlanningStopped
+from gooseberryhall.groups.lease import Holder, Lease, takeover
+from gooseberryhall.groups.rows import assignment, parse_rows
+from standins.planner_world import SimEngine, SimNode, SimTable
+
+from .world import World, make_spec, make_vms
+
+ZONE = "z1"
+TICK_S = 0.5
+
+
+def make_node(name: str, zone: str = ZONE) -> SimNode:
+    """Return a control process without declared groups."""
+    return SimNode.create(name, zone, [], refuse_old_fence=True)
+
+
+def run_until_held(node: SimNode, table: SimTable, limit_s: float) -> float:
+    """Run a contender until it holds the lease; return how long that took."""
+    started_s = node.now_s
+    engines: dict[str, SimEngine] = {}
+    while node.now_s - started_s < limit_s:
+        node.now_s += TICK_S
+        node.observe(make_vms(ZONE, "d1", 1), {})
+        node.tick()
+        node.run_all(table, engines)
+        lease = node.state.groups.leases[ZONE]
+        if lease.is_held(node.now_s):
+            return node.now_s - started_s
+    raise AssertionError("the lease was not taken")
+
+
+def test_successor_waits_after_last_renewal() -> None:
+    """A successor that acts too early meets a holder that may still act."""
+    for zone, wait_s in ((ZONE, LEASE_WAIT_S), ("z2", LEASE_WAIT_OTHER_ZONE_S)):
+        table = SimTable()
+        run_until_held(make_node("n1"), table, 5)
+        taken_s = run_until_held(make_node("n2", zone), table, 30)
+        assert LEASE_DURATION_S < wait_s <= taken_s <= wait_s + 2
+
+
+def test_released_lease_is_taken_at_once() -> None:
+    """A planned stop must not leave a zone without a holder for seconds."""
+    table = SimTable()
+    first = make_node("n1")
+    run_until_held(first, table, 5)
+    first.dispatch(PlanningStopped())
+    first.run_all(table, {})
+    assert run_until_held(make_node("n2"), table, 30) <= 2
+
+
+def test_release_follows_renewal_in_flight() -> None:
+    """A stop during a renewal would otherwise conflict and leave the lease taken."""
+    table = SimTable()
+    node = make_node("n1")
+    run_until_held(node, table, 5)
+    node.now_s += 2
+    node.tick()
+    node.dispatch(PlanningStopped())
+    node.run_all(table, {})
+    assert table.value(f"lease/{ZONE}")["released"] is True
+
+
+def test_unconfirmed_takeover_is_renewed_before_acting() -> None:
+    """The time of a write without an answer is not known, so its lease can't count."""
+    table = SimTable()
+    node = make_node("n1")
+    table.lose_answers = 1
+    node.now_s = 1.0
+    node.tick()
+    node.run_all(table, {})
+    assert not node.state.groups.leases[ZONE].is_held(node.now_s)
+    run_until_held(node, table, 5)
+    assert node.state.groups.leases[ZONE].epoch == 1
+
+
+def test_paused_holder_finds_its_lease_lapsed() -> None:
+    """A holder that was suspended must not act on what it decided before."""
+    table = SimTable()
+    node = make_node("n1")
+    run_until_held(node, table, 5)
+    lease: Lease = node.state.groups.leases[ZONE]
+    node.now_s += LEASE_DURATION_S
+    assert not node.may_act(ZONE, lease.epoch_version)
+
+
+def test_earlier_holder_fails_at_the_table() -> None:
+    """The epoch must stop a late transaction even if nobody touched its rows."""
+    vms = make_vms(ZONE, "d1", 2)
+    world = World([make_spec("a")], vms)
+    world.run_for(2)
+    epoch_version = world.node.state.groups.leases[ZONE].epoch_version
+    late = parse_rows(world.table.read_prefix("group/z1/").rows)["a-z1-1"]
+    table = SimTable()
+    holder = Holder("n1", ZONE, "n1-1")
+    assert isinstance(table.commit(takeover(ZONE, holder, None, None)), Ok)
+    assert epoch_version == 1
+    lease_row, epoch_row = table.read("lease/z1"), table.read("epoch/z1")
+    other = Holder("n2", ZONE, "n2-1")
+    table.commit(takeover(ZONE, other, lease_row, epoch_row))
+    assert isinstance(table.commit(assignment(late, epoch_version)), Err)
