--- a/gooseberryhall/groups/const.py
+++ b/gooseberryhall/groups/const.py
@@ -3,6 +3,8 @@
 from typing import Final
 
 TICK_PERIOD_S: Final = 0.5
+# Every second tick plans; its jitter must not make that every third one.
+PLAN_PERIOD_S: Final = 0.8
 VIEW_PERIOD_S: Final = 2.0
 # Without a view for this long, a process reads the zone's groups from the table.
 VIEW_LIMIT_S: Final = 6.0
--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -116,6 +116,11 @@
     plan_state.phase_since_s = {key: since_s.get(key, now_s) for key in keys}
     view = groups.views.setdefault(zone, ViewState())
     view.revision = max(view.revision, plan_state.revision)
+    members = {member.vm for row in rows.values() for member in row.group.members}
+    known = members | groups.vms.keys()
+    plan_state.orders = {
+        vm: order for vm, order in plan_state.orders.items() if vm in known
+    }
 
 
 def _announce_if_due(groups: GroupsState, zone: str, now_s: float) -> list[Effect]:
--- a/gooseberryhall/groups/measures.py
+++ b/gooseberryhall/groups/measures.py
@@ -54,14 +54,15 @@
     A group that another zone has above its own minimum makes up for a missing one.
     """
     serving = sum(view.is_sound(row) for row in view.rows_of(spec.name))
+    in_zone = view.share(spec.name).min_groups - serving
+    if in_zone <= 0:
+        return 0
     elsewhere = sum(
         group.spec == spec.name
         and group_closed_reason(group, view.evidence, view.now_s) is None
         for group in view.other_groups
     )
-    in_zone = view.share(spec.name).min_groups - serving
-    in_all = spec.min_groups - serving - elsewhere
-    return max(0, min(in_zone, in_all))
+    return max(0, min(in_zone, spec.min_groups - serving - elsewhere))
 
 
 def _add_downtime(measures: MeasureState, view: PlanView, elapsed_s: float) -> None:
--- a/gooseberryhall/groups/reducer.py
+++ b/gooseberryhall/groups/reducer.py
@@ -5,7 +5,7 @@
 
 from ..core.effects import Effect
 from ..core.events import Event
-from .const import VIEW_LIMIT_S
+from .const import PLAN_PERIOD_S, VIEW_LIMIT_S
 from .controller import (
     known_zones,
     reduce_decision_committed,
@@ -81,11 +81,16 @@
     groups = state.groups
     if not groups.incarnation or groups.stopping:
         return []
-    _note_evidence(state, now_s)
+    zones = known_zones(state)
     effects: list[Effect] = []
-    for zone in known_zones(state):
-        measure_zone(state, zone, now_s)
+    for zone in zones:
         effects += reduce_lease_tick(groups, holder_of(state), zone, now_s)
+    if now_s - groups.planned_s < PLAN_PERIOD_S:
+        return effects
+    groups.planned_s = now_s
+    _note_evidence(state, now_s)
+    for zone in zones:
+        measure_zone(state, zone, now_s)
         effects += reduce_zone_plan(state, zone, now_s)
         effects += _read_unannounced(groups, zone, now_s)
     return effects
@@ -107,6 +112,7 @@
                 health.boot_id, group.model, group.model_version
             )
     groups.silent_since_s = silent
+    groups.loaded = {vm: item for vm, item in groups.loaded.items() if vm in groups.vms}
 
 
 def _members(groups: GroupsState) -> set[str]:
--- a/gooseberryhall/groups/state.py
+++ b/gooseberryhall/groups/state.py
@@ -113,6 +113,7 @@
     incarnation: str = ""
     refuse_old_fence: bool = False
     stopping: bool = False
+    planned_s: float = float("-inf")
     silent_since_s: dict[str, float] = field(default_factory=dict)
     loaded: dict[str, LoadedModel] = field(default_factory=dict)
     leases: dict[str, Lease] = field(default_factory=dict)
