--- a/gooseberryhall/groups/const.py
+++ b/gooseberryhall/groups/const.py
@@ -3,6 +3,8 @@
 from typing import Final
 
 TICK_PERIOD_S: Final = 0.5
+# Every second tick plans; its jitter must not make that every third one.
+PLAN_PERIOD_S: Final = 0.8
 VIEW_PERIOD_S: Final = 2.0
 # Without a view for this long, a process reads the zone's groups from the table.
 VIEW_LIMIT_S: Final = 6.0
@@ -12,6 +14,8 @@
 LEASE_DURATION_S: Final = 6.0
 LEASE_RENEW_PERIOD_S: Final = 2.0
 LEASE_POLL_PERIOD_S: Final = 1.0
+# Nodes of other zones read a lease only when its holder announces nothing for longer.
+HOLDER_SILENCE_S: Final = 3.0
 # A stopping program waits this long for the confirmation of its released leases.
 RELEASE_LIMIT_S: Final = 2.0
 # The factor covers clocks that run at different rates, the second covers scheduling.
