Hold suspected requests until a possible crash is confirmed

Cause: a request that crashes its group was restarted at once on the next group, and its caller was told at once and could send it again through another node; probes confirm a crash only about 2 s later. In a test one request took down 4 of 4 groups. Ruled out: treating every broken stream as a crash (network faults would refuse innocent requests); no restart at all (one lost member would fail innocent callers). Change: a request with two crashes, confirmed or possible, stays queued, and a failed request is answered when the possible crash is confirmed or cleared. Conclusion: the bound of two groups holds for requests sent one after the other.

--- a/gooseberryhall/requests/dispatching.py
+++ b/gooseberryhall/requests/dispatching.py
@@ -11,7 +11,12 @@
 from .effects import StartAttempt
 from .models import Phase
 from .state import Record
-from .suspects import group_of_copies, groups_with_other_suspects, is_suspect
+from .suspects import (
+    group_of_copies,
+    groups_with_other_suspects,
+    is_held,
+    is_suspect,
+)
 
 
 def dispatch_queued(state: State, now_s: float) -> list[Effect]:
@@ -22,6 +27,8 @@
         request = waiting.request
         if request.spec in full or not has_slot(state, request.team):
             continue
+        if is_held(state, request.fingerprint):
+            continue
         record = state.requests.active[request.request_id]
         wanted = _wanted(state, record)
         target = choose_group(state, wanted, now_s)
--- a/gooseberryhall/requests/models.py
+++ b/gooseberryhall/requests/models.py
@@ -42,10 +42,15 @@
 
 
 class Phase(StrEnum):
-    """Phase of a model request."""
+    """Phase of a model request.
+
+    `CONFIRMING` requests have failed; their callers are told once it is known whether a
+    member crashed.
+    """
 
     QUEUED = "queued"
     RUNNING = "running"
+    CONFIRMING = "confirming"
 
 
 class BreakReason(StrEnum):
--- a/gooseberryhall/requests/state.py
+++ b/gooseberryhall/requests/state.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..routing.models import Target
-from .models import ModelRequest, Phase
+from .models import Failure, ModelRequest, Phase
 
 
 @dataclass(slots=True)
@@ -12,7 +12,8 @@
     """A model request that has no outcome yet.
 
     `avoid` holds the groups, with their generations, at which it failed before.
-    `sent` tells whether bytes of it can have reached an engine.
+    `sent` tells whether bytes of it can have reached an engine. `pending_failure` is
+    its outcome while a possible crash is not confirmed.
     """
 
     request: ModelRequest
@@ -25,6 +26,7 @@
     sent: bool = False
     resumes: int = 0
     avoid: set[tuple[str, int]] = field(default_factory=set)
+    pending_failure: Failure | None = None
 
     @property
     def request_id(self) -> str:
--- a/gooseberryhall/requests/suspects.py
+++ b/gooseberryhall/requests/suspects.py
@@ -37,7 +37,26 @@
     known = suspects.suspects.get(fingerprint)
     if known is not None and not known.finished:
         return True
-    return any(item.fingerprint == fingerprint for item in suspects.possible)
+    return has_possible_crash(state, fingerprint)
+
+
+def has_possible_crash(state: State, fingerprint: str) -> bool:
+    """Return whether a stream of the request broke and the cause is not known yet."""
+    possible = state.requests.suspects.possible
+    return any(item.fingerprint == fingerprint for item in possible)
+
+
+def is_held(state: State, fingerprint: str) -> bool:
+    """Return whether a request may not start until a possible crash is confirmed.
+
+    Otherwise its retries could take down further groups before probes show that the
+    first ones crashed.
+    """
+    suspects = state.requests.suspects
+    known = suspects.suspects.get(fingerprint)
+    crashes = 0 if known is None else len(known.crashes)
+    possible = sum(item.fingerprint == fingerprint for item in suspects.possible)
+    return possible > 0 and crashes + possible >= CRASHES_TO_REFUSE
 
 
 def groups_with_other_suspects(state: State, fingerprint: str) -> set[str]:
--- a/tests/requests/test_suspects.py
+++ b/tests/requests/test_suspects.py
@@ -233,3 +233,39 @@
     node.tick(SUSPECT_LIFETIME_S)
     assert not suspects.suspects
     assert not suspects.crashes
+
+
+def test_retries_do_not_crash_further_groups_before_confirmation() -> None:
+    """Immediate retries must not take down a third group while probes are under way."""
+    node = create_node("a", "b", "c", "d")
+    request_id = node.arrive("guilty")
+    for _ in range(4):
+        name = node.groups[request_id]
+        if node.state.membership.evidence[f"{name}-vm1"].health is None:
+            break
+        lose(node.state, f"{name}-vm1", node.now_s)
+        for _ in range(3):
+            node.send(StreamBroken(request_id, BreakReason.BROKEN, ""))
+    crashed = [
+        group.group
+        for group in node.state.groups.groups.values()
+        if node.state.membership.evidence[group.members[1].vm].health is None
+    ]
+    assert len(crashed) == 2
+    for _ in range(6):
+        node.tick()
+    assert node.failed[request_id].failure.code == "request_crashes_servers"
+
+
+def test_caller_is_told_after_the_crash_is_recorded() -> None:
+    """A caller that resends at once through another node must find the suspicion."""
+    node = create_node("a", "b")
+    request_id = node.arrive("guilty")
+    name = node.groups[request_id]
+    lose(node.state, node.state.groups.groups[name].members[1].vm, node.now_s)
+    node.break_streams(name)
+    assert request_id not in node.failed
+    for _ in range(6):
+        node.tick()
+    assert node.reports
+    assert request_id in node.failed
