Repeat a configuration poll that was asked for while one is under way

A request for missing changes during a poll was dropped, so the gap stayed until the next period of 2 s. A request kind with both a service and a model now gets one error instead of two.

--- a/gooseberryhall/config/checks.py
+++ b/gooseberryhall/config/checks.py
@@ -169,6 +169,7 @@
             "a request kind has either a service or a model",
             "set exactly one of `service` and `model`",
         )
+        return
     if kind.service is not None and kind.service not in services:
         yield error(
             key,
--- a/gooseberryhall/config/service.py
+++ b/gooseberryhall/config/service.py
@@ -46,12 +46,16 @@
 
 
 def create_poll(ctx: ProgramContext, table: Table) -> Callable[[], None]:
-    """Return a function that starts one poll unless one is under way."""
+    """Return a function that starts a poll, or repeats the one under way.
+
+    The one under way may have read the head before the revision that is asked for.
+    """
     polling = False
+    repeat = False
     reachable = True
 
     async def async_poll() -> None:
-        nonlocal polling, reachable
+        nonlocal reachable
         try:
             await async_fetch_missing(ctx.runtime, table)
         except (TableUnavailableError, ConfigUnreadableError) as exc:
@@ -60,14 +64,22 @@
             reachable = False
         else:
             reachable = True
+
+    async def async_poll_until_quiet() -> None:
+        nonlocal polling, repeat
+        try:
+            while repeat:
+                repeat = False
+                await async_poll()
         finally:
             polling = False
 
     def poll() -> None:
-        nonlocal polling
+        nonlocal polling, repeat
+        repeat = True
         if not polling:
             polling = True
-            ctx.async_create_task(async_poll(), "config poll")
+            ctx.async_create_task(async_poll_until_quiet(), "config poll")
 
     return poll
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -23,10 +23,10 @@
 class FakeTable:
     """A transactional table in memory with the outcomes of the real adapter.
 
-    `down` refuses every call. `lose_answers` is the number of coming commit attempts
-    that are applied but not answered: one is recovered by the repeated commit, two make
-    the commit raise although it was applied. `delay` is awaited before each read and
-    each commit attempt.
+    `down` refuses every call and `refused` counts them. `lose_answers` is the number of
+    coming commit attempts that are applied but not answered: one is recovered by the
+    repeated commit, two make the commit raise although it was applied. `delay` is
+    awaited before each read and each commit attempt.
     """
 
     def __init__(self) -> None:
@@ -38,6 +38,7 @@
         self.rows: dict[str, Row] = {}
         self.reads = 0
         self.commits = 0
+        self.refused = 0
 
     def put(self, key: str, value: RowValue) -> Row:
         """Write a row unconditionally, as another writer would."""
@@ -78,6 +79,7 @@
         if self.delay is not None:
             await self.delay()
         if self.down:
+            self.refused += 1
             raise TableUnavailableError("table is down")
 
     def _apply(self, transaction: Transaction) -> Result[int, Conflict]:
