Check selectors for models without declared request kinds

Requests of such a model have no labels, so selectors like !batch match them. The checks warned that nothing matched, and the overlap and team explanations left this traffic out.

--- a/gooseberryhall/admin/explain.py
+++ b/gooseberryhall/admin/explain.py
@@ -6,7 +6,7 @@
 from ..config.const import DRAIN_LABEL
 from ..config.models import GroupSpec, ObjectKind, RequestKind, Team
 from ..config.selectors import parse_selector
-from ..config.spec_checks import spec_order
+from ..config.spec_checks import NO_KIND, spec_order
 from ..core.state import State
 from ..groups.models import Group, GroupPhase, Member
 from ..membership.evidence import (
@@ -89,6 +89,10 @@
         )
     kinds = sorted(state.config.of_type(RequestKind), key=lambda kind: kind.name)
     reasons = [_explain_kind(state, team, kind) for kind in kinds]
+    models = {spec.model for spec in state.config.of_type(GroupSpec)}
+    for model in sorted(models - {kind.model for kind in kinds}):
+        unnamed = RequestKind(name=NO_KIND, model=model)
+        reasons.append(_explain_kind(state, team, unnamed))
     if not team.token_sha256:
         reasons.insert(0, "the team has no token, so it cannot send requests")
     limits = {"requests_per_s", "max_in_flight", "weight", "priority"}
--- a/gooseberryhall/config/spec_checks.py
+++ b/gooseberryhall/config/spec_checks.py
@@ -10,6 +10,9 @@
 from .models import GroupSpec, RequestKind, Team, VmLabels
 from .selectors import Selector, parse_selector
 
+# Stands for the requests of a model for which no request kind is declared.
+NO_KIND = "no-declared-kind"
+
 
 def spec_order(spec: GroupSpec) -> tuple[int, str]:
     """Return the sort key that puts the spec which wins an overlap first."""
@@ -28,7 +31,7 @@
             )
         yield from _check_vm_selector(config, spec)
         yield from _check_matches(spec, "team_selector", config.of_type(Team), "team")
-        kinds = [k for k in config.of_type(RequestKind) if k.model == spec.model]
+        kinds = _kinds_of_model(config, spec.model)
         yield from _check_matches(
             spec, "kind_selector", kinds, f"request kind of the model {spec.model}"
         )
@@ -113,7 +116,7 @@
         if winner.model != loser.model:
             continue
         teams = _common(config.of_type(Team), winner, loser, "team_selector")
-        kinds = [k for k in config.of_type(RequestKind) if k.model == winner.model]
+        kinds = _kinds_of_model(config, winner.model)
         kind_names = _common(kinds, winner, loser, "kind_selector")
         if not teams or not kind_names:
             continue
@@ -132,6 +135,15 @@
         )
 
 
+def _kinds_of_model(config: Configuration, model: str) -> list[RequestKind]:
+    """Return the declared kinds of a model's requests.
+
+    Without one, its requests have no labels, which selectors such as `!batch` match.
+    """
+    kinds = [kind for kind in config.of_type(RequestKind) if kind.model == model]
+    return kinds or [RequestKind(name=NO_KIND, model=model)]
+
+
 def _common(
     items: Sequence[Team | RequestKind],
     first: GroupSpec,
--- a/tests/config/test_checks.py
+++ b/tests/config/test_checks.py
@@ -135,6 +135,16 @@
     assert "'tier' excludes the last 1, which have gold" in warning.message
 
 
+@pytest.mark.parametrize(("selector", "count"), [("!batch", 0), ("chat", 1)])
+def test_requests_without_a_declared_kind_have_no_labels(
+    selector: str, count: int
+) -> None:
+    """A model needs no request kind; such traffic must be neither lost nor ignored."""
+    base = objects(DUES, *POOL)
+    operation = PutObject(object=spec(kind_selector=selector))
+    assert len(check_edit(base, [operation])) == count
+
+
 @pytest.mark.parametrize(
     ("first", "second", "winner"),
     [(7, 5, "assistant"), (5, 7, "zebra"), (5, 5, "assistant")],
