--- a/gooseberryhall/admin/service.py
+++ b/gooseberryhall/admin/service.py
@@ -6,7 +6,7 @@
 from ..adapters.vms import HttpVmList, VmList
 from ..config import relay as config_relay
 from ..config.operations import Change
-from ..config.service import config_status, create_poll
+from ..config.service import create_poll
 from ..core.context import ProgramContext
 from ..links.identity import Role
 from ..links.messages import ConfigChanges
@@ -53,7 +53,6 @@
     sock = _bind(ctx.settings.admin.host, ctx.settings.admin.port)
     address = sock.getsockname()
     ctx.stack.push_async_callback(await async_serve(create_app(services, name), sock))
-    ctx.ops.add_status("config", lambda: config_status(ctx.runtime))
     ctx.ops.add_status("control_link", lambda: {"open": is_linked()})
     ctx.ops.ready = True
     return (address[0], address[1])
