Keep the checks of large configurations off the event loop

With 2,100 labelled VMs and 40 specs one check took 0.65 to 1.9 s on a busy machine, which is in the range of the 1.2 s after which a link counts as silent. The lists of objects by type were sorted again for each pair of specs, and each match went through a generator. Keeping the lists brought the check to 0.30 to 0.33 s, a plain loop in the selector to 0.09 to 0.18 s (trial on the same busy machine, five runs each). The checks now also run in a thread, because the number of VMs has no fixed bound.

--- a/gooseberryhall/admin/edits.py
+++ b/gooseberryhall/admin/edits.py
@@ -1,5 +1,6 @@
 """Reading, planning and accepting edits."""
 
+import asyncio
 import logging
 from collections.abc import Sequence
 
@@ -146,7 +147,8 @@
     services: AdminServices, current: ConfigSnapshot, operations: Sequence[Operation]
 ) -> list[Finding]:
     domains = await _async_fabric_domains(services)
-    return check_edit(current.objects, operations, domains)
+    # With thousands of VMs the checks take longer than a link may be silent.
+    return await asyncio.to_thread(check_edit, current.objects, operations, domains)
 
 
 async def _async_fabric_domains(services: AdminServices) -> dict[str, str] | None:
--- a/gooseberryhall/config/configuration.py
+++ b/gooseberryhall/config/configuration.py
@@ -1,8 +1,8 @@
 """A whole configuration as the checks see it."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
-from typing import TypeVar
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
 
 from .models import AnyObject, DeclaredObject
 from .state import ObjectKey
@@ -23,12 +23,20 @@
 
     objects: Objects
     vms: Mapping[str, str] | None = None
+    _by_type: dict[type[DeclaredObject], list[Any]] = field(default_factory=dict)
 
     def of_type(self, object_type: type[ObjectT]) -> list[ObjectT]:
-        """Return all objects of one type, sorted by name."""
-        values = self.objects.values()
-        found = [item for item in values if isinstance(item, object_type)]
-        return sorted(found, key=lambda item: item.name)
+        """Return all objects of one type, sorted by name.
+
+        The lists are kept, since each pair of specs is checked against all of them.
+        """
+        found: list[ObjectT] | None = self._by_type.get(object_type)
+        if found is None:
+            values = self.objects.values()
+            found = [item for item in values if isinstance(item, object_type)]
+            found.sort(key=lambda item: item.name)
+            self._by_type[object_type] = found
+        return found
 
 
 def list_names(names: Iterable[str]) -> str:
--- a/gooseberryhall/config/selectors.py
+++ b/gooseberryhall/config/selectors.py
@@ -66,7 +66,11 @@
 
     def matches(self, labels: Mapping[str, str]) -> bool:
         """Return whether the labels meet all requirements."""
-        return all(requirement.matches(labels) for requirement in self.requirements)
+        # Every VM is matched against every spec; `all` takes twice as long.
+        for requirement in self.requirements:  # noqa: SIM110
+            if not requirement.matches(labels):
+                return False
+        return True
 
 
 @lru_cache(maxsize=4096)
