Send evidence with heartbeats and repeats as numbers

A report that repeats the last one is sent as four numbers. The programs of a VM get digests every 0.2 s, and a first answer after a takeover is sent at once. The end of a peer's last link removes the peer.

--- a/gooseberryhall/adapters/engine.py
+++ b/gooseberryhall/adapters/engine.py
@@ -21,6 +21,8 @@
 
 ORDER_TIMEOUT_S: Final = 5.0
 
+# Probes are the most frequent requests; these headers would be a third of their bytes.
+_UNNEEDED_HEADERS: Final = ("Accept", "Accept-Encoding", "User-Agent")
 _HTTP_OK: Final = 200
 _HTTP_CONFLICT: Final = 409
 _HTTP_SERVER_ERROR: Final = 500
@@ -36,7 +38,9 @@
     """
     timeout = aiohttp.ClientTimeout(total=timeout_s)
     try:
-        async with session.get(f"{address}/health", timeout=timeout) as response:
+        async with session.get(
+            f"{address}/health", timeout=timeout, skip_auto_headers=_UNNEEDED_HEADERS
+        ) as response:
             body = await response.read()
             if response.status != _HTTP_OK:
                 raise EngineUnavailableError(f"health answered {response.status}")
--- a/gooseberryhall/links/hub.py
+++ b/gooseberryhall/links/hub.py
@@ -70,15 +70,19 @@
 
     def _on_open(self, link: Link) -> None:
         between_peers = self.identity.role is link.role is Role.CONTROL
-        if between_peers and not self._accept_peer(link):
+        older = self.peer(link.node) if between_peers else None
+        if between_peers and not self._is_preferred(link, older):
             link.async_close()
             return
         self._links.append(link)
         self._count()
+        if older is not None:
+            older.async_close()
+            self._drop(older)
         for callback in self._opened:
             callback(link)
 
-    def _accept_peer(self, link: Link) -> bool:
+    def _is_preferred(self, link: Link, older: Link | None) -> bool:
         """Keep one link for each pair of control programs.
 
         Both ends may dial at the same time. Both then keep the link that the node with
@@ -87,16 +91,11 @@
         """
         if link.node == self.identity.node:
             return False
-        other = self.peer(link.node)
-        if other is None:
+        if older is None or older.incarnation != link.incarnation:
             return True
-        if other.incarnation == link.incarnation and other.dialled != link.dialled:
-            lower_is_this = self.identity.node < link.node
-            if link.dialled != lower_is_this:
-                return False
-        other.async_close()
-        self._drop(other)
-        return True
+        if older.dialled == link.dialled:
+            return True
+        return link.dialled == (self.identity.node < link.node)
 
     def _on_message(self, link: Link, message: Message) -> None:
         if link not in self._links:
--- a/gooseberryhall/links/link.py
+++ b/gooseberryhall/links/link.py
@@ -1,6 +1,7 @@
 """An open link to another process."""
 
 import asyncio
+import itertools
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -32,12 +33,10 @@
     SilentLinkError,
 )
 from .identity import PeerIdentity, Role
-from .messages import Message, Ping
-from .metrics import FRAMES_REFUSED, LINK_BYTES, LINKS_CLOSED
+from .messages import Heartbeat, Message, Ping
+from .metrics import FRAMES_REFUSED, LINKS_CLOSED, TRAFFIC
 
 _LOGGER = logging.getLogger(__name__)
-_SENT = {"direction": "sent"}
-_RECEIVED = {"direction": "received"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +73,7 @@
             PEER_PING_PERIOD_S if both_control else LOCAL_PING_PERIOD_S
         )
         self._pings_sent: deque[tuple[int, float]] = deque()
+        self._pings = itertools.count(1)
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
         self._queue_changed = asyncio.Event()
@@ -104,11 +104,6 @@
         """Return whether this end opened the link."""
         return bool(self.address)
 
-    @property
-    def ended_on_purpose(self) -> bool:
-        """Return whether the other end said that it is going away."""
-        return self.error is None and self._ws.close_code == CLOSE_GOING_AWAY
-
     def async_send(self, message: Message) -> bool:
         """Queue a message; return False when it cannot be sent on this link."""
         try:
@@ -143,9 +138,18 @@
         return None
 
     def async_close(self) -> None:
-        """Close the link in order; the other end keeps this node as a peer."""
+        """Close the link with a closing handshake."""
         asyncio.create_task(self._ws.close(), name="link close")
 
+    def async_next_ping(self) -> int:
+        """Return the number of a ping that is sent now."""
+        number = next(self._pings)
+        sent_at_s = now_s()
+        self._pings_sent.append((number, sent_at_s))
+        while self._pings_sent[0][1] < sent_at_s - PING_MEMORY_S:
+            self._pings_sent.popleft()
+        return number
+
     def async_abort(self, error: LinkError) -> None:
         """Close the connection at once, without a closing handshake."""
         if self.error is None:
@@ -179,7 +183,7 @@
             while self.error is None:
                 frame = await self._ws.recv()
                 self._last_received_s = now_s()
-                LINK_BYTES.add(_RECEIVED, len(frame))
+                TRAFFIC.received_bytes += len(frame)
                 self._handle(decode_message(frame))
         except MalformedFrameError as exc:
             self.async_abort(exc)
@@ -191,6 +195,8 @@
         if isinstance(message, Ping):
             self.last_ping_received = max(self.last_ping_received, message.n)
             return
+        if isinstance(message, Heartbeat):
+            self.last_ping_received = max(self.last_ping_received, message.seq)
         self._call(lambda: self._handlers.on_message(self, message))
 
     async def _async_write(self) -> None:
@@ -202,21 +208,19 @@
                     frame = self._queue.popleft()
                     await self._ws.send(frame)
                     self._queued_bytes -= len(frame)
-                    LINK_BYTES.add(_SENT, len(frame))
+                    TRAFFIC.sent_bytes += len(frame)
         except ConnectionClosed:
             return
 
     async def _async_ping(self) -> None:
-        number = 0
+        """Send pings while no heartbeat, which also counts as a ping, was sent."""
         while True:
-            number += 1
-            sent_at_s = now_s()
-            # The time is taken before queueing, so that evidence is never dated late.
-            self._pings_sent.append((number, sent_at_s))
-            while self._pings_sent[0][1] < sent_at_s - PING_MEMORY_S:
-                self._pings_sent.popleft()
-            self.async_send(Ping(n=number))
-            await asyncio.sleep(self._ping_period_s)
+            last_s = self._pings_sent[-1][1] if self._pings_sent else float("-inf")
+            pause_s = last_s + self._ping_period_s - now_s()
+            if pause_s <= 0:
+                self.async_send(Ping(n=self.async_next_ping()))
+                pause_s = self._ping_period_s
+            await asyncio.sleep(pause_s)
 
     def _watch(self, delay_s: float) -> asyncio.TimerHandle:
         loop = asyncio.get_running_loop()
--- a/gooseberryhall/links/messages.py
+++ b/gooseberryhall/links/messages.py
@@ -4,7 +4,7 @@
 map; unknown types and fields are refused.
 """
 
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, NamedTuple
 
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter
 
@@ -29,30 +29,28 @@
     n: int
 
 
-class Heartbeat(Message):
-    """Says that a node is alive, and which nodes it knows.
-
-    `node` and `known` are set in the first heartbeat of a link and when they changed.
-    """
-
-    type: Literal["heartbeat"] = "heartbeat"
-    node: Node | None = None
-    seq: int
-    config_revision: int
-    known: tuple[Node, ...] = ()
-
-
 class MemberReport(Message):
     """A member's health and its age in milliseconds when the message was sent.
 
-    `health` is None when the member did not answer.
+    `health` is None when the member did not answer. Later digests on the same link
+    refer to the report by `ref`.
     """
 
+    ref: int
     vm: str
     health: MemberHealth | None = None
     age_ms: Annotated[int, Field(ge=0)]
 
 
+class RepeatedReport(NamedTuple):
+    """A report that differs from the last one with this `ref` only in age and load."""
+
+    ref: int
+    age_ms: Annotated[int, Field(ge=0)]
+    active: int = 0
+    queued: int = 0
+
+
 class EvidenceDigest(Message):
     """Evidence about members.
 
@@ -62,7 +60,24 @@
 
     type: Literal["evidence"] = "evidence"
     echo: int
-    reports: tuple[MemberReport, ...]
+    reports: tuple[MemberReport, ...] = ()
+    repeats: tuple[RepeatedReport, ...] = ()
+
+
+class Heartbeat(Message):
+    """Says that a node is alive, and which nodes it knows.
+
+    `seq` also counts as the number of a ping. `node` and `known` are set in the first
+    heartbeat of a link and when they changed. One frame with the evidence costs less
+    processor time than separate frames.
+    """
+
+    type: Literal["heartbeat"] = "heartbeat"
+    node: Node | None = None
+    seq: int
+    config_revision: int
+    known: tuple[Node, ...] = ()
+    evidence: EvidenceDigest | None = None
 
 
 class GroupView(Message):
--- a/gooseberryhall/links/setup.py
+++ b/gooseberryhall/links/setup.py
@@ -3,11 +3,13 @@
 from ..core.context import ProgramContext
 from .hub import LinkHub
 from .identity import LinkIdentity, Role
+from .metrics import collect_traffic
 
 
 def create_hub(ctx: ProgramContext) -> LinkHub:
     """Return a hub that presents this program to others."""
     settings = ctx.settings
+    ctx.ops.add_collector(collect_traffic)
     return LinkHub(
         LinkIdentity(
             node=settings.node,
--- a/gooseberryhall/membership/const.py
+++ b/gooseberryhall/membership/const.py
@@ -14,7 +14,11 @@
 PROBE_MIN_PAUSE_S: Final = 0.1
 ASSIGN_PERIOD_S: Final = 0.5
 
-DIGEST_PERIOD_S: Final = 0.5
+# Peers get evidence with each heartbeat, the programs of this VM more often, because
+# each delay adds to the age at which a group closes.
+LOCAL_DIGEST_PERIOD_S: Final = 0.2
+# A first answer after a change of the probing node is sent at once.
+LATE_ANSWER_S: Final = 1.5
 DIGEST_MAX_REPORTS: Final = 500
 # Older evidence keeps no group open and would only delay newer reports.
 DIGEST_MAX_AGE_S: Final = 10.0
--- a/gooseberryhall/membership/digest.py
+++ b/gooseberryhall/membership/digest.py
@@ -1,59 +1,93 @@
-"""Sends evidence on links."""
+"""Builds the digests of evidence that are sent on links."""
 
+import itertools
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field, replace
 from weakref import WeakKeyDictionary
 
 from ..core.clock import now_s
 from ..links.link import Link
-from ..links.messages import EvidenceDigest, MemberReport
+from ..links.messages import EvidenceDigest, MemberReport, RepeatedReport
 from .const import DIGEST_MAX_AGE_S, DIGEST_MAX_REPORTS
-from .models import Evidence
+from .models import Evidence, MemberHealth
 
 EvidenceByVm = Mapping[str, Evidence]
 
 
+@dataclass(slots=True)
+class _Sent:
+    """What was sent on a link: by VM the number of the report and the evidence."""
+
+    refs: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    reports: dict[str, tuple[int, Evidence]] = field(default_factory=dict)
+
+
 class DigestSender:
-    """Send on each link what changed since the last digest on that link."""
+    """Report on each link what changed since the last digest on that link.
+
+    A report that repeats the last one with a new age and load is sent as a few numbers,
+    which keeps the bytes of links nearly independent of the number of VMs.
+    """
 
     def __init__(self) -> None:
         """Remember nothing as sent."""
-        self._sent: WeakKeyDictionary[Link, dict[str, Evidence]] = WeakKeyDictionary()
-
-    def async_send(self, links: Iterable[Link], evidence: EvidenceByVm) -> None:
-        """Send new evidence on links."""
-        for link in links:
-            # Without a ping to echo, the other end could not date the evidence.
-            if link.last_ping_received:
-                self._send_on(link, evidence)
-
-    def _send_on(self, link: Link, evidence: EvidenceByVm) -> None:
-        sent = self._sent.setdefault(link, {})
-        for vm in sent.keys() - evidence.keys():
-            del sent[vm]
-        oldest_s = now_s() - DIGEST_MAX_AGE_S
-        new = [
-            item
-            for vm, item in evidence.items()
-            if sent.get(vm) is not item and item.observed_at_s >= oldest_s
-        ]
-        for start in range(0, len(new), DIGEST_MAX_REPORTS):
-            part = new[start : start + DIGEST_MAX_REPORTS]
-            if not link.async_send(_digest(link.last_ping_received, part)):
+        self._sent: WeakKeyDictionary[Link, _Sent] = WeakKeyDictionary()
+
+    def async_send(self, link: Link, evidence: EvidenceByVm) -> None:
+        """Send all news on a link."""
+        while (digest := self.next_digest(link, evidence)) is not None:
+            if not link.async_send(digest):
                 return
-            sent.update((item.vm, item) for item in part)
+
+    def next_digest(self, link: Link, evidence: EvidenceByVm) -> EvidenceDigest | None:
+        """Return a digest that must be sent on the link, or None without news."""
+        # Without a ping to echo, the other end could not date the evidence.
+        if not link.last_ping_received:
+            return None
+        sent = self._sent.setdefault(link, _Sent())
+        if len(sent.reports) > len(evidence):
+            for vm in sent.reports.keys() - evidence.keys():
+                del sent.reports[vm]
+        news = list(itertools.islice(_news(sent, evidence), DIGEST_MAX_REPORTS))
+        return _digest(link.last_ping_received, sent, news) if news else None
 
 
-def _digest(echo: int, evidence: Iterable[Evidence]) -> EvidenceDigest:
+def _news(sent: _Sent, evidence: EvidenceByVm) -> Iterator[Evidence]:
+    oldest_s = now_s() - DIGEST_MAX_AGE_S
+    for vm, item in evidence.items():
+        last = sent.reports.get(vm)
+        if (last is None or last[1] is not item) and item.observed_at_s >= oldest_s:
+            yield item
+
+
+def _digest(echo: int, sent: _Sent, news: list[Evidence]) -> EvidenceDigest:
     # The ages and the echo are taken at one moment; a later echo with earlier ages
     # would make the evidence look newer than it is.
     time_s = now_s()
-    reports = tuple(
-        MemberReport(
-            vm=item.vm,
-            health=item.health,
-            age_ms=max(0, math.ceil((time_s - item.observed_at_s) * 1000)),
-        )
-        for item in evidence
-    )
-    return EvidenceDigest(echo=echo, reports=reports)
+    reports, repeats = [], []
+    for item in news:
+        age_ms = max(0, math.ceil((time_s - item.observed_at_s) * 1000))
+        last = sent.reports.get(item.vm)
+        if last is not None and _is_repeated(last[1].health, item.health):
+            ref = last[0]
+            repeats.append(_repeated(ref, age_ms, item.health))
+        else:
+            ref = next(sent.refs)
+            reports.append(
+                MemberReport(ref=ref, vm=item.vm, health=item.health, age_ms=age_ms)
+            )
+        sent.reports[item.vm] = (ref, item)
+    return EvidenceDigest(echo=echo, reports=tuple(reports), repeats=tuple(repeats))
+
+
+def _is_repeated(last: MemberHealth | None, new: MemberHealth | None) -> bool:
+    if last is None or new is None:
+        return last is new
+    return last == replace(new, active=last.active, queued=last.queued)
+
+
+def _repeated(ref: int, age_ms: int, health: MemberHealth | None) -> RepeatedReport:
+    if health is None:
+        return RepeatedReport(ref, age_ms)
+    return RepeatedReport(ref, age_ms, health.active, health.queued)
--- a/gooseberryhall/membership/events.py
+++ b/gooseberryhall/membership/events.py
@@ -22,11 +22,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLinkClosed(Event):
-    """A link to a control process closed; `on_purpose` when that process stops."""
+    """The last link to a control process closed."""
 
     node: str
     incarnation: str
-    on_purpose: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/membership/heartbeats.py
+++ b/gooseberryhall/membership/heartbeats.py
@@ -1,5 +1,6 @@
 """Sends and receives heartbeats between control processes."""
 
+from collections.abc import Callable
 from weakref import WeakKeyDictionary
 
 from ..core.clock import now_s
@@ -8,17 +9,26 @@
 from ..links.hub import LinkHub
 from ..links.identity import Role
 from ..links.link import Link
-from ..links.messages import Heartbeat
+from ..links.messages import EvidenceDigest, Heartbeat
 from .const import CHECK_LATE_S, HEARTBEAT_PERIOD_S, PEER_CHECK_PERIOD_S
 from .events import HeartbeatReceived, PeerLinkClosed, PeerLinkOpened, PeersChecked
 from .models import Node
 from .peers import PeerDialler
 
+NextDigest = Callable[[Link], EvidenceDigest | None]
+OnDigest = Callable[[Link, EvidenceDigest], None]
 
-def async_setup(ctx: ProgramContext, hub: LinkHub, dialler: PeerDialler) -> None:
-    """Exchange heartbeats and remove silent peers until the program stops."""
-    _send_heartbeats(ctx, hub)
-    _receive_heartbeats(ctx, hub, dialler)
+
+def async_setup(
+    ctx: ProgramContext,
+    hub: LinkHub,
+    dialler: PeerDialler,
+    next_digest: NextDigest,
+    on_digest: OnDigest,
+) -> None:
+    """Exchange heartbeats with evidence and remove silent peers."""
+    _send_heartbeats(ctx, hub, next_digest)
+    _receive_heartbeats(ctx, hub, dialler, on_digest)
     _report_links(ctx, hub)
     _check_peers(ctx)
 
@@ -30,7 +40,9 @@
     return Node(settings.node, settings.zone, settings.region, ctx.incarnation, address)
 
 
-def _send_heartbeats(ctx: ProgramContext, hub: LinkHub) -> None:
+def _send_heartbeats(
+    ctx: ProgramContext, hub: LinkHub, next_digest: NextDigest
+) -> None:
     """Send a heartbeat each period and when a link opens.
 
     The nodes are left out while they are unchanged, which keeps heartbeats small.
@@ -38,33 +50,35 @@
     this = own_node(ctx)
     state = ctx.runtime.state
     told: WeakKeyDictionary[Link, tuple[Node, ...]] = WeakKeyDictionary()
-    seq = 0
 
-    def send_on(links: tuple[Link, ...]) -> None:
-        nonlocal seq
-        seq += 1
+    def send_on(link: Link) -> None:
         known = tuple(peer.node for peer in state.membership.peers.values())
-        short = Heartbeat(seq=seq, config_revision=state.config.revision)
-        full = short.model_copy(update={"node": this, "known": known})
-        changed = tuple(link for link in links if told.get(link) != known)
-        hub.async_send_on(changed, full)
-        hub.async_send_on([link for link in links if link not in changed], short)
-        told.update((link, known) for link in changed)
+        changed = told.get(link) != known
+        told[link] = known
+        link.async_send(
+            Heartbeat(
+                node=this if changed else None,
+                seq=link.async_next_ping(),
+                config_revision=state.config.revision,
+                known=known if changed else (),
+                evidence=next_digest(link),
+            )
+        )
 
     def on_open(link: Link) -> None:
         if link.role is Role.CONTROL:
-            send_on((link,))
+            send_on(link)
+
+    def send_on_all() -> None:
+        for link in hub.links(Role.CONTROL):
+            send_on(link)
 
     hub.on_open(on_open)
-    ctx.stack.callback(
-        ctx.timer.async_subscribe(
-            HEARTBEAT_PERIOD_S, lambda: send_on(hub.links(Role.CONTROL))
-        )
-    )
+    ctx.stack.callback(ctx.timer.async_subscribe(HEARTBEAT_PERIOD_S, send_on_all))
 
 
 def _receive_heartbeats(
-    ctx: ProgramContext, hub: LinkHub, dialler: PeerDialler
+    ctx: ProgramContext, hub: LinkHub, dialler: PeerDialler, on_digest: OnDigest
 ) -> None:
     nodes: WeakKeyDictionary[Link, Node] = WeakKeyDictionary()
 
@@ -81,6 +95,8 @@
         sender = nodes.get(link)
         if sender is not None:
             ctx.runtime.async_dispatch(HeartbeatReceived(sender))
+        if heartbeat.evidence is not None:
+            on_digest(link, heartbeat.evidence)
 
     hub.subscribe(Heartbeat, on_heartbeat)
 
@@ -99,9 +115,7 @@
     def on_close(link: Link) -> None:
         if link.role is not Role.CONTROL or hub.peer(link.node) is not None:
             return
-        ctx.runtime.async_dispatch(
-            PeerLinkClosed(link.node, link.incarnation, link.ended_on_purpose)
-        )
+        ctx.runtime.async_dispatch(PeerLinkClosed(link.node, link.incarnation))
 
     hub.on_open(on_open)
     hub.on_close(on_close)
--- a/gooseberryhall/membership/prober.py
+++ b/gooseberryhall/membership/prober.py
@@ -15,8 +15,6 @@
 from .models import Evidence, MemberHealth
 
 HealthReader = Callable[[str], Awaitable[tuple[MemberHealth, int]]]
-_OK = {"result": "ok"}
-_FAILED = {"result": "failed"}
 
 
 @dataclass(slots=True)
@@ -43,6 +41,9 @@
         self._read_health = read_health
         self._on_result = on_result
         self._probes: dict[str, _Probe] = {}
+        self.answered = 0
+        self.failed = 0
+        self.probe_bytes = 0
 
     def __contains__(self, vm: str) -> bool:
         """Return whether this node probes a VM."""
@@ -60,7 +61,13 @@
         for vm, target in targets.items():
             if vm not in self._probes:
                 self._start(target)
+
+    def collect(self) -> None:
+        """Export the counts of probes."""
         PROBED_VMS.set({}, len(self._probes))
+        PROBES.set({"result": "ok"}, self.answered)
+        PROBES.set({"result": "failed"}, self.failed)
+        PROBE_BYTES.set({}, self.probe_bytes)
 
     def async_probe_now(self, vm: str) -> None:
         """Probe a VM before its next turn."""
@@ -96,7 +103,10 @@
     async def _async_probe(self, probe: _Probe, started_s: float) -> None:
         health = await self._async_read(probe.target)
         probe.answered = health is not None
-        PROBES.inc(_OK if probe.answered else _FAILED)
+        if probe.answered:
+            self.answered += 1
+        else:
+            self.failed += 1
         # Dated at the start, which is never later than the moment of the answer.
         self._on_result(Evidence(probe.target.vm, health, started_s))
 
@@ -105,7 +115,7 @@
             health, size = await self._read_health(target.address)
         except UnavailableError:
             return None
-        PROBE_BYTES.add({}, size)
+        self.probe_bytes += size
         # Another VM may have been given the address.
         return health if health.vm == target.vm else None
 
--- a/gooseberryhall/membership/receive.py
+++ b/gooseberryhall/membership/receive.py
@@ -1,19 +1,28 @@
 """Turns messages of other processes into events; used by all programs."""
 
+from collections.abc import Callable
+from dataclasses import replace
+from weakref import WeakKeyDictionary
+
 from ..core.context import ProgramContext
 from ..groups.events import GroupViewReceived
 from ..links.hub import LinkHub
 from ..links.link import Link
-from ..links.messages import EvidenceDigest, GroupView
+from ..links.messages import EvidenceDigest, GroupView, RepeatedReport
 from .events import EvidenceReceived
-from .models import Evidence
+from .models import Evidence, MemberHealth
+
+Reported = dict[int, tuple[str, MemberHealth | None]]
 
 
-def subscribe(ctx: ProgramContext, hub: LinkHub) -> None:
-    """Apply received evidence and group views."""
+def subscribe(
+    ctx: ProgramContext, hub: LinkHub
+) -> Callable[[Link, EvidenceDigest], None]:
+    """Apply received evidence and group views; return the handler of digests."""
+    reader = DigestReader()
 
     def on_digest(link: Link, digest: EvidenceDigest) -> None:
-        evidence = dated_evidence(link, digest)
+        evidence = reader.read(link, digest)
         if evidence:
             ctx.runtime.async_dispatch(EvidenceReceived(evidence))
 
@@ -24,14 +33,40 @@
 
     hub.subscribe(EvidenceDigest, on_digest)
     hub.subscribe(GroupView, on_view)
+    return on_digest
+
+
+class DigestReader:
+    """Date the reports of digests and complete those that repeat an earlier one."""
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._reported: WeakKeyDictionary[Link, Reported] = WeakKeyDictionary()
+
+    def read(self, link: Link, digest: EvidenceDigest) -> tuple[Evidence, ...]:
+        """Return the reports on the local clock; none when the echo proves nothing."""
+        reported = self._reported.setdefault(link, {})
+        for report in digest.reports:
+            reported[report.ref] = (report.vm, report.health)
+        echoed_s = link.evidence_time_s(digest.echo, 0)
+        if echoed_s is None:
+            return ()
+        evidence = [
+            Evidence(report.vm, report.health, echoed_s - report.age_ms / 1000)
+            for report in digest.reports
+        ]
+        for repeat in digest.repeats:
+            known = reported.get(repeat.ref)
+            if known is not None:
+                observed_at_s = echoed_s - repeat.age_ms / 1000
+                health = _with_load(known[1], repeat)
+                evidence.append(Evidence(known[0], health, observed_at_s))
+        return tuple(evidence)
 
 
-def dated_evidence(link: Link, digest: EvidenceDigest) -> tuple[Evidence, ...]:
-    """Return the reports on the local clock; none when the echo proves nothing."""
-    echoed_s = link.evidence_time_s(digest.echo, 0)
-    if echoed_s is None:
-        return ()
-    return tuple(
-        Evidence(report.vm, report.health, echoed_s - report.age_ms / 1000)
-        for report in digest.reports
-    )
+def _with_load(
+    health: MemberHealth | None, repeat: RepeatedReport
+) -> MemberHealth | None:
+    if health is None:
+        return None
+    return replace(health, active=repeat.active, queued=repeat.queued)
--- a/gooseberryhall/membership/reducer.py
+++ b/gooseberryhall/membership/reducer.py
@@ -55,11 +55,14 @@
 def _reduce_link_closed(
     state: "State", event: PeerLinkClosed, _now_s: float
 ) -> list[Effect]:
+    """Remove the peer before its heartbeats are missed.
+
+    A process that ends closes its links at once. Probing its VMs twice for a moment
+    costs less than evidence that goes stale.
+    """
     state.membership.linked.discard(event.node)
     peer = state.membership.peers.get(event.node)
-    if not event.on_purpose or peer is None:
-        return []
-    if peer.node.incarnation != event.incarnation:
+    if peer is None or peer.node.incarnation != event.incarnation:
         return []
     return [_remove_peer(state.membership, event.node)]
 
--- a/gooseberryhall/membership/service.py
+++ b/gooseberryhall/membership/service.py
@@ -22,7 +22,8 @@
 from .assignment import probe_targets
 from .const import (
     ASSIGN_PERIOD_S,
-    DIGEST_PERIOD_S,
+    LATE_ANSWER_S,
+    LOCAL_DIGEST_PERIOD_S,
     VM_LIST_JITTER,
     VM_LIST_PERIOD_S,
 )
@@ -62,18 +63,25 @@
     )
     assign = partial(_assign, service, prober)
     _register_effects(service, assign)
-    receive.subscribe(ctx, hub)
+    on_digest = receive.subscribe(ctx, hub)
     _subscribe_forwarding(service, prober)
-    heartbeats.async_setup(ctx, hub, peers.async_setup(ctx, hub))
+    heartbeats.async_setup(
+        ctx,
+        hub,
+        peers.async_setup(ctx, hub),
+        lambda link: service.digests.next_digest(link, service.own_results),
+        on_digest,
+    )
     _read_vms_periodically(
         ctx, vm_list or HttpVmList(ctx.session, ctx.settings.platform.vms_address)
     )
     for period_s, callback in (
         (ASSIGN_PERIOD_S, assign),
-        (DIGEST_PERIOD_S, partial(_send_digests, service)),
+        (LOCAL_DIGEST_PERIOD_S, partial(_send_local_digests, service)),
     ):
         ctx.stack.callback(ctx.timer.async_subscribe(period_s, callback))
     add_collector(ctx)
+    ctx.ops.add_collector(prober.collect)
     ctx.ops.add_status("membership", partial(_status, service, prober))
 
 
@@ -95,6 +103,9 @@
 
 
 def _assign(service: _Service, prober: Prober) -> None:
+    # While this process stops, its links close, which looks like the end of all peers.
+    if service.ctx.stopping.is_set():
+        return
     targets = probe_targets(service.ctx.runtime.state)
     for vm in service.own_results.keys() - targets.keys():
         del service.own_results[vm]
@@ -103,7 +114,10 @@
 
 def _on_result(service: _Service, evidence: Evidence) -> None:
     service.own_results[evidence.vm] = evidence
+    held = service.ctx.runtime.state.membership.evidence.get(evidence.vm)
     service.ctx.runtime.async_dispatch(EvidenceReceived((evidence,)))
+    if held and evidence.observed_at_s - held.observed_at_s > LATE_ANSWER_S:
+        _send_digests_soon(service)
 
 
 def _send_digests_soon(service: _Service) -> None:
@@ -115,9 +129,15 @@
 
 def _send_digests(service: _Service) -> None:
     service.flush_due = False
+    _send_local_digests(service)
+    for link in service.hub.links(Role.CONTROL):
+        service.digests.async_send(link, service.own_results)
+
+
+def _send_local_digests(service: _Service) -> None:
     held = service.ctx.runtime.state.membership.evidence
-    service.digests.async_send(service.hub.links(*_LOCAL), held)
-    service.digests.async_send(service.hub.links(Role.CONTROL), service.own_results)
+    for link in service.hub.links(*_LOCAL):
+        service.digests.async_send(link, held)
 
 
 def _subscribe_forwarding(service: _Service, prober: Prober) -> None:
--- a/tests/links/test_link.py
+++ b/tests/links/test_link.py
@@ -143,7 +143,7 @@
         await until(lambda: bool(dialled.links and served.links), CLOSE_LIMIT_S)
         sender, receiver = served.links[0], dialled.links[0]
         await until(lambda: sender.last_ping_received > 0, CLOSE_LIMIT_S)
-        report = MemberReport(vm="vm-1", health=None, age_ms=200)
+        report = MemberReport(ref=1, vm="vm-1", health=None, age_ms=200)
         answered_at_s = now_s() - 0.2
         thawed.clear()
         sender.async_send(
--- a/tests/membership/test_assignment.py
+++ b/tests/membership/test_assignment.py
@@ -72,9 +72,9 @@
     """A late end of an old process's link must not remove its successor."""
     state = states("a", "b")["a"]
     reduce(state, HeartbeatReceived(node("b", "2")), 0.5)
-    reduce(state, PeerLinkClosed("b", "1", on_purpose=True), 0.6)
+    reduce(state, PeerLinkClosed("b", "1"), 0.6)
     assert "b" in state.membership.peers
-    reduce(state, PeerLinkClosed("b", "2", on_purpose=True), 0.7)
+    reduce(state, PeerLinkClosed("b", "2"), 0.7)
     assert "b" not in state.membership.peers
 
 
