--- a/gooseberryhall/groups/tuning.py
+++ b/gooseberryhall/groups/tuning.py
@@ -17,8 +17,9 @@
 
     `wait_s` and `hold_s` bound how long a group waits for silent members, with and
     without VMs that could replace them. `spares` is the number of free VMs that groups
-    above the minimum leave in their domain. `replace_early` forms another group while
-    a broken one still waits.
+    above the minimum leave in their domain. `preempt` dissolves groups of lower
+    priority, `preempt_minimum` also those that their own spec's minimum needs.
+    `replace_early` forms another group while a broken one still waits.
     """
 
     wait_s: float = WAIT_FOR_MEMBER_S
@@ -26,10 +27,11 @@
     spares: int = 0
     prefer_warm: bool = True
     preempt: bool = True
+    preempt_minimum: bool = True
     replace_early: bool = True
 
 
 def tuning_for(policy: Policy) -> Tuning:
     """Return the choices that the operator's weights ask for."""
-    spares = 1 if policy.downtime_weight > policy.stranded_weight else 0
-    return Tuning(spares=spares)
+    # Groups of lower priority that give way strand their VMs for a drain and a load.
+    return Tuning(preempt_minimum=policy.downtime_weight >= policy.stranded_weight)
