--- a/tests/adapters/__init__.py
+++ b/tests/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the adapters."""
+"""Tests of adapters."""
