Free members only after their release order was accepted

A member whose form order was still on its way could report idle after the release order was sent but before it arrived, and was then freed although an engine that honours fencing would still accept the old form order. A member is now freed only after it accepted the release, or restarted.

--- a/gooseberryhall/groups/lifecycle.py
+++ b/gooseberryhall/groups/lifecycle.py
@@ -154,8 +154,8 @@
     decisions: list[Decision] = [FreeMembers(row.name, freed)] if freed else []
     for member in row.group.members:
         health = view.health(member.vm)
-        first = not _was_ordered(view, row, member)
-        if member.vm not in freed and (first or (health and health.group)):
+        lacking = not _has_accepted(view, row, member) or (health and health.group)
+        if member.vm not in freed and lacking:
             decisions += _order_if_due(view, row, member)
     return decisions
 
@@ -269,9 +269,22 @@
     evidence = view.evidence.get(member.vm)
     if health is None or evidence is None:
         return False
+    if health.group or health.state is not MemberState.IDLE:
+        return False
+    if health.boot_id != member.boot_id:
+        return True
+    # An idle report from before the release order says nothing about its effect, and
+    # without its acceptance an earlier order may still place the VM.
+    order = view.orders.get(member.vm)
+    accepted = _has_accepted(view, row, member)
+    return accepted and order is not None and evidence.observed_at_s > order.sent_s
+
+
+def _has_accepted(view: PlanView, row: GroupRow, member: Member) -> bool:
+    """Return whether the member refuses all orders older than the row's."""
     order = view.orders.get(member.vm)
-    ordered = order is not None and order.fence == row.fence
-    restarted = health.boot_id != member.boot_id
-    # An idle report from before the release order says nothing about its effect.
-    seen = ordered and order is not None and evidence.observed_at_s > order.sent_s
-    return not health.group and health.state is MemberState.IDLE and (seen or restarted)
+    return (
+        order is not None
+        and order.fence == row.fence
+        and order.outcome in (Outcome.ACCEPTED, Outcome.STALE_FENCE)
+    )
--- a/tests/groups/test_lifecycle.py
+++ b/tests/groups/test_lifecycle.py
@@ -81,6 +81,10 @@
     early = view_in_phase(GroupPhase.RELEASING, ORDER_TIMEOUT_S - 1, **changes)
     early = report(early, "d1-0", group="", generation=0, state=MemberState.IDLE)
     assert bool(of_type(early, FreeMembers)) is refuse_old_fence
+    failed = {"d1-0": OrderState(7, ordered_s, False, Outcome.UNAVAILABLE)}
+    unsure = replace(idle, orders={**orders, **failed})
+    assert not of_type(unsure, FreeMembers)
+    assert SendGroupOrder("a-z1-1", "d1-0") in plan(unsure)
     before = {"d1-0": OrderState(7, NOW_S + 1, False, Outcome.ACCEPTED)}
     assert not of_type(replace(idle, orders=before), FreeMembers)
 
