--- a/gooseberryhall/groups/preemption.py
+++ b/gooseberryhall/groups/preemption.py
@@ -54,7 +54,7 @@
             continue
         gain = sum(member.vm in names for member in row.group.members)
         below = len(view.rows_of(other.name)) <= view.share(other.name).min_groups
-        if gain and (view.tuning.preempt_minimum or not below):
+        if gain:
             usable.append((gain, below, other.priority, row))
     if sum(gain for gain, *_ in usable) < lacking:
         return []
--- a/gooseberryhall/groups/tuning.py
+++ b/gooseberryhall/groups/tuning.py
@@ -5,8 +5,9 @@
 
 from ..config.models import Policy
 
-# With replacements at hand, a longer wait costs more than the load that it may save.
-WAIT_FOR_MEMBER_S: Final = 10.0
+# With replacements at hand, a longer wait costs more than the loads that it saves. It
+# has to cover a few probes, because one late answer does not mean a lost member.
+WAIT_FOR_MEMBER_S: Final = 5.0
 # Without replacements a release would not bring the group back any sooner.
 HOLD_FOR_MEMBER_S: Final = 120.0
 
@@ -18,8 +19,7 @@
     `wait_s` and `hold_s` bound how long a group waits for silent members, with and
     without VMs that could replace them. `spares` is the number of free VMs that groups
     above the minimum leave in their domain. `preempt` dissolves groups of lower
-    priority, `preempt_minimum` also those that their own spec's minimum needs.
-    `replace_early` forms another group while a broken one still waits.
+    priority. `replace_early` forms another group while a broken one still waits.
     """
 
     wait_s: float = WAIT_FOR_MEMBER_S
@@ -27,11 +27,11 @@
     spares: int = 0
     prefer_warm: bool = True
     preempt: bool = True
-    preempt_minimum: bool = True
     replace_early: bool = True
 
 
 def tuning_for(policy: Policy) -> Tuning:
     """Return the choices that the operator's weights ask for."""
-    # Groups of lower priority that give way strand their VMs for a drain and a load.
-    return Tuning(preempt_minimum=policy.downtime_weight >= policy.stranded_weight)
+    # A group that gives way strands its VMs for a drain and a load, which saves
+    # downtime only.
+    return Tuning(preempt=policy.downtime_weight >= policy.stranded_weight)
--- a/gooseberryhall/groups/waiting.py
+++ b/gooseberryhall/groups/waiting.py
@@ -47,7 +47,7 @@
         return True
     usable = [item for item in view.rows_of(own.name) if view.is_answering(item)]
     below = len(usable) < view.share(own.name).min_groups
-    if below and spec.priority < own.priority:
+    if below and spec.priority < own.priority and view.tuning.preempt:
         return True
     # Two broken groups can make one whole group.
     return spec.priority <= own.priority and not view.is_answering(other)
