Let a lapsed holder yield to an announced successor

A holder that lost the table but not its peers kept counting the measures of its zone beside its successor. A view with a newer revision now ends its ownership. A group row of unknown form stops the planning of its zone instead of failing each tick.

--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -15,6 +15,7 @@
 from .decisions import LoadAdapters, ReleaseStray, SendGroupOrder, WaitForMember
 from .effects import AnnounceGroups, Outcome, ReadZone, ReportGroups
 from .events import DecisionCommitted, OrderFinished, ZoneRead
+from .exceptions import GroupRowError
 from .execution import commit, report, send_order, urgency
 from .lease import Lease
 from .models import Group
@@ -80,7 +81,12 @@
     if event.snapshot is None:
         return []
     plan_state.read_s = now_s
-    plan_state.rows = dict(parse_rows(event.snapshot.rows))
+    try:
+        plan_state.rows = dict(parse_rows(event.snapshot.rows))
+    except GroupRowError as exc:
+        # Without all rows nothing is decided; routing keeps the last known groups.
+        plan_state.rows = None
+        return [_report_row(event.zone, exc)]
     plan_state.revision = event.snapshot.revision
     _note_change(state.groups, event.zone, plan_state, now_s)
     return [AnnounceGroups(event.zone), *_plan_if_held(state, event.zone, now_s)]
@@ -92,13 +98,22 @@
     lease = state.groups.leases.get(event.zone)
     if event.snapshot is None or (lease is not None and lease.owned):
         return []
-    if event.snapshot.revision >= view.revision:
-        view.revision = event.snapshot.revision
+    if event.snapshot.revision < view.revision:
+        return []
+    try:
         rows = parse_rows(event.snapshot.rows).values()
-        replace_groups(state.groups, event.zone, tuple(row.group for row in rows))
+    except GroupRowError as exc:
+        return [_report_row(event.zone, exc)]
+    view.revision = event.snapshot.revision
+    replace_groups(state.groups, event.zone, tuple(row.group for row in rows))
     return []
 
 
+def _report_row(zone: str, error: GroupRowError) -> ReportGroups:
+    fields = (("zone", zone), ("error", str(error)))
+    return ReportGroups(LogEvent.GROUP_ROW_REFUSED, "group row refused", fields)
+
+
 def replace_groups(groups: GroupsState, zone: str, current: tuple[Group, ...]) -> None:
     """Replace all groups of a zone."""
     kept = {name: group for name, group in groups.groups.items() if group.zone != zone}
--- a/gooseberryhall/groups/reducer.py
+++ b/gooseberryhall/groups/reducer.py
@@ -27,6 +27,7 @@
     VmsListed,
     ZoneRead,
 )
+from .lease import lose
 from .lease_reducer import (
     holder_of,
     reduce_lease_read,
@@ -59,11 +60,15 @@
     view = state.groups.views.setdefault(event.zone, ViewState())
     if event.revision < view.revision:
         return []
+    lease = state.groups.leases.get(event.zone)
+    if lease is not None and lease.owned:
+        if lease.is_held(now_s) or event.revision == view.revision:
+            return []
+        # Only a later holder can announce a newer revision.
+        lose(lease)
     view.revision = event.revision
     view.seen_s = now_s
-    lease = state.groups.leases.get(event.zone)
-    if lease is None or not lease.owned:
-        replace_groups(state.groups, event.zone, event.groups)
+    replace_groups(state.groups, event.zone, event.groups)
     return []
 
 
--- a/gooseberryhall/groups/service.py
+++ b/gooseberryhall/groups/service.py
@@ -13,12 +13,12 @@
     EngineUnavailableError,
     OrderRefusedError,
     StaleFenceError,
-    TableUnavailableError,
 )
 from ..adapters.table import HttpTable, Table
 from ..core.clock import now_s
 from ..core.context import ProgramContext
 from ..core.events import Event
+from ..exceptions import UnavailableError
 from ..links.messages import GroupView, Message
 from ..telemetry.logs import log_event
 from .const import RELEASE_LIMIT_S, TICK_PERIOD_S
@@ -34,7 +34,6 @@
 )
 from .events import (
     DecisionCommitted,
-    GroupViewReceived,
     LeaseRead,
     LeaseWritten,
     OrderFinished,
@@ -77,11 +76,6 @@
     ctx.stack.push_async_callback(_async_stop, service)
 
 
-def on_group_view(ctx: ProgramContext, view: GroupView) -> None:
-    """Take in the groups of a zone as another process announced them."""
-    ctx.runtime.async_dispatch(GroupViewReceived(view.zone, view.revision, view.groups))
-
-
 @dataclass(frozen=True, slots=True)
 class _Service:
     """What the effect handlers share."""
@@ -169,7 +163,7 @@
         epoch_row = None
         if effect.with_epoch:
             epoch_row = await service.table.async_read(epoch_key(effect.zone))
-    except TableUnavailableError:
+    except UnavailableError:
         service.dispatch(LeaseRead(effect.zone, ok=False))
         return
     service.dispatch(
@@ -181,7 +175,7 @@
     revision = conflict = None
     try:
         written = await service.table.async_commit(effect.transaction)
-    except TableUnavailableError:
+    except UnavailableError:
         pass
     else:
         if isinstance(written, Ok):
@@ -198,7 +192,7 @@
 async def _async_read_zone(service: _Service, effect: ReadZone) -> None:
     try:
         snapshot = await service.table.async_read_prefix(group_prefix(effect.zone))
-    except TableUnavailableError:
+    except UnavailableError:
         snapshot = None
     service.dispatch(ZoneRead(effect.zone, effect.epoch_version, snapshot))
 
@@ -208,7 +202,7 @@
     if service.may_act(effect.zone, effect.epoch_version):
         try:
             written = await service.table.async_commit(effect.transaction)
-        except TableUnavailableError:
+        except UnavailableError:
             pass
         else:
             if isinstance(written, Ok):
--- a/tests/groups/test_controller.py
+++ b/tests/groups/test_controller.py
@@ -1,5 +1,6 @@
 """Tests of the controller over a simulated table and engines."""
 
+from gooseberryhall.adapters.table import Row
 from gooseberryhall.groups.models import GroupPhase
 
 from .world import World, make_spec, make_vms
@@ -16,3 +17,18 @@
     for member in group.members:
         assert world.table.value(f"vm/{member.vm}")["group"] == "a-z1-1"
         assert world.engines[member.vm].generation == group.generation
+
+
+def test_unknown_row_stops_planning_only() -> None:
+    """A row of another version must not crash the program or free its VMs."""
+    world = World([make_spec("a")], make_vms("z1", "d1", 4))
+    world.run_for(40)
+    world.table.rows["group/z1/new"] = Row("group/z1/new", 99, {"phase": "other"})
+    world.run_for(20)
+    assert world.phases() == {"a-z1-1": GroupPhase.SERVING}
+    world.engines["d1-0"].restart()
+    world.run_for(20)
+    assert world.phases() == {"a-z1-1": GroupPhase.SERVING}
+    del world.table.rows["group/z1/new"]
+    world.run_for(60)
+    assert world.phases() == {"a-z1-2": GroupPhase.SERVING}
--- a/tests/groups/test_lease.py
+++ b/tests/groups/test_lease.py
@@ -7,7 +7,7 @@
     LEASE_WAIT_OTHER_ZONE_S,
     LEASE_WAIT_S,
 )
-from gooseberryhall.groups.events import PlanningStopped
+from gooseberryhall.groups.events import GroupViewReceived, PlanningStopped
 from gooseberryhall.groups.lease import Holder, Lease, takeover
 from gooseberryhall.groups.rows import assignment, parse_rows
 from standins.planner_world import SimEngine, SimNode, SimTable
@@ -92,6 +92,19 @@
     assert not node.may_act(ZONE, lease.epoch_version)
 
 
+def test_lapsed_holder_yields_to_announced_successor() -> None:
+    """Two nodes that both count for a zone would report its downtime twice."""
+    table = SimTable()
+    node = make_node("n1")
+    run_until_held(node, table, 5)
+    newer = GroupViewReceived(ZONE, 99, ())
+    node.dispatch(newer)
+    assert node.state.groups.leases[ZONE].owned
+    node.now_s += LEASE_DURATION_S
+    node.dispatch(newer)
+    assert not node.state.groups.leases[ZONE].owned
+
+
 def test_earlier_holder_fails_at_the_table() -> None:
     """The epoch must stop a late transaction even if nobody touched its rows."""
     vms = make_vms(ZONE, "d1", 2)
