--- a/gooseberryhall/control/parts.py
+++ b/gooseberryhall/control/parts.py
@@ -8,6 +8,7 @@
 from ..groups import service as groups_service
 from ..links.server import async_serve
 from ..links.setup import create_hub
+from ..membership import live_nodes
 from ..membership import service as membership_service
 
 
@@ -20,6 +21,7 @@
         async_serve(listen.host, listen.port, hub.identity, hub.handlers)
     )
     await membership_service.async_setup(ctx, hub)
+    live_nodes.async_setup_control(ctx, hub)
     config_relay.async_setup_control(ctx, hub)
     await config_service.async_setup(ctx, ask_peers=partial(config_relay.ask_peer, hub))
     await groups_service.async_setup(ctx, hub.async_send)
--- a/gooseberryhall/links/messages.py
+++ b/gooseberryhall/links/messages.py
@@ -134,6 +134,13 @@
     reason: str
 
 
+class LiveNodes(Message):
+    """Lists the other entry VMs that are alive, for the entry program of this one."""
+
+    type: Literal["live_nodes"] = "live_nodes"
+    nodes: tuple[Node, ...]
+
+
 class LoadReport(Message):
     """Requests in flight from one entry process, by group."""
 
@@ -152,6 +159,7 @@
     | ConfigRequest
     | SuspectReport
     | MemberFailure
+    | LiveNodes
     | LoadReport,
     Field(discriminator="type"),
 ]
--- a/gooseberryhall/membership/const.py
+++ b/gooseberryhall/membership/const.py
@@ -29,3 +29,6 @@
 # The node with the higher name lets the other one dial first.
 PEER_DIAL_YIELD_S: Final = 0.5
 FORGET_NODE_S: Final = 60.0
+
+# Shares of rates follow the number of live nodes within this time.
+LIVE_NODES_PERIOD_S: Final = 1.0
--- a/gooseberryhall/membership/events.py
+++ b/gooseberryhall/membership/events.py
@@ -28,6 +28,13 @@
     incarnation: str
 
 
+@dataclass(frozen=True, slots=True)
+class LiveNodesListed(Event):
+    """The control process listed the other entry VMs that are alive."""
+
+    nodes: tuple[Node, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PeersChecked(Event):
     """Peers without a recent heartbeat are to be removed."""
--- a/gooseberryhall/membership/reducer.py
+++ b/gooseberryhall/membership/reducer.py
@@ -18,6 +18,7 @@
 from .events import (
     EvidenceReceived,
     HeartbeatReceived,
+    LiveNodesListed,
     PeerLinkClosed,
     PeerLinkOpened,
     PeersChecked,
@@ -168,10 +169,19 @@
     return []
 
 
+def _reduce_live_nodes(
+    state: "State", event: LiveNodesListed, now_s: float
+) -> list[Effect]:
+    others = (node for node in event.nodes if node.node != state.identity.node)
+    state.membership.peers = {node.node: PeerState(node, now_s) for node in others}
+    return []
+
+
 HANDLERS: "Mapping[type[Event], Handler]" = {
     HeartbeatReceived: _reduce_heartbeat,
     PeerLinkOpened: _reduce_link_opened,
     PeerLinkClosed: _reduce_link_closed,
+    LiveNodesListed: _reduce_live_nodes,
     PeersChecked: _reduce_peers_checked,
     EvidenceReceived: _reduce_evidence,
     VmsListed: _reduce_vms_listed,
