Fail over to another control process without waiting for a paused one

Cause: a paused control process accepts connections but does not answer, which delayed the failover of its entry process by 1 s. After its resumption it also reported its own pause as failures of members.

Change: attempts to open a link overlap; probes that ran over a pause of the own process are not counted.

--- a/gooseberryhall/links/client.py
+++ b/gooseberryhall/links/client.py
@@ -15,6 +15,7 @@
     CLOSE_LIMIT_S,
     CONNECT_LIMIT_S,
     MAX_FRAME_BYTES,
+    NEXT_ADDRESS_PAUSE_S,
     RECONNECT_MAX_S,
     RECONNECT_MIN_S,
     RETURN_PERIOD_S,
@@ -115,22 +116,76 @@
 async def _async_open_first(
     addresses: tuple[str, ...], identity: LinkIdentity, handlers: LinkHandlers
 ) -> Link | None:
-    for address in addresses:
-        try:
-            async with asyncio.timeout(CONNECT_LIMIT_S):
-                return await async_open(address, identity, handlers)
-        except (LinkError, TimeoutError) as exc:
-            log_event(
-                _LOGGER,
-                LogEvent.LINK_CONNECT_FAILED,
-                "link not opened",
-                level=logging.DEBUG,
-                address=address,
-                error=str(exc),
-            )
+    """Return a link to the first address that answers; others are tried shortly after.
+
+    The attempts overlap, so that one that hangs does not delay the next.
+    """
+    attempts: list[asyncio.Task[Link | None]] = []
+    try:
+        for address in addresses:
+            attempt = _async_try(address, identity, handlers)
+            attempts.append(asyncio.create_task(attempt, name=f"open {address}"))
+            link = await _async_first_result(attempts, NEXT_ADDRESS_PAUSE_S)
+            if link is not None:
+                return link
+        return await _async_first_result(attempts, CONNECT_LIMIT_S)
+    finally:
+        for task in attempts:
+            task.cancel()
+            task.add_done_callback(_abort_unused)
+
+
+async def _async_first_result(
+    attempts: list[asyncio.Task[Link | None]], limit_s: float
+) -> Link | None:
+    """Return the first link; None when all attempts failed or at the limit."""
+    deadline_s = now_s() + limit_s
+    while attempts:
+        done, _ = await asyncio.wait(
+            attempts,
+            timeout=max(0.0, deadline_s - now_s()),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in done:
+            attempts.remove(task)
+            link = task.result()
+            if link is not None:
+                return link
+        if not done:
+            return None
     return None
 
 
+def _abort_unused(task: asyncio.Task[Link | None]) -> None:
+    """Close a link that opened after another one."""
+    link = None if task.cancelled() else task.result()
+    if link is not None:
+        link.async_abort(LinkUnavailableError("another address answered first"))
+
+
+async def _async_try(
+    address: str, identity: LinkIdentity, handlers: LinkHandlers
+) -> Link | None:
+    try:
+        async with asyncio.timeout(CONNECT_LIMIT_S):
+            return await async_open(address, identity, handlers)
+    except (LinkError, TimeoutError) as exc:
+        report_not_opened(address, exc)
+        return None
+
+
+def report_not_opened(address: str, error: Exception) -> None:
+    """Log an address that did not answer."""
+    log_event(
+        _LOGGER,
+        LogEvent.LINK_CONNECT_FAILED,
+        "link not opened",
+        level=logging.DEBUG,
+        address=address,
+        error=str(error),
+    )
+
+
 async def _async_connect(address: str) -> ClientConnection:
     return await connect(
         address,
--- a/gooseberryhall/membership/const.py
+++ b/gooseberryhall/membership/const.py
@@ -9,6 +9,7 @@
 
 PROBE_PERIOD_S: Final = 1.0
 PROBE_TIMEOUT_S: Final = 0.7
+PROBE_LATE_S: Final = 0.3
 # Reports of one failure by many entry processes cause one probe.
 PROBE_MIN_PAUSE_S: Final = 0.1
 # One timer for several tasks, because each wake-up costs processor time.
--- a/gooseberryhall/membership/peers.py
+++ b/gooseberryhall/membership/peers.py
@@ -1,26 +1,21 @@
 """Keeps links to the control processes of all known nodes."""
 
 import asyncio
-import logging
 import random
 from dataclasses import dataclass
 
 from ..core.clock import now_s
 from ..core.context import ProgramContext
-from ..links.client import async_open, reconnect_pause_s
+from ..links.client import async_open, reconnect_pause_s, report_not_opened
 from ..links.const import CONNECT_LIMIT_S
 from ..links.exceptions import LinkError
 from ..links.hub import LinkHub
-from ..telemetry.catalogue import LogEvent
-from ..telemetry.logs import log_event
 from .const import (
     FORGET_NODE_S,
     PEER_DIAL_YIELD_S,
 )
 from .models import Node
 
-_LOGGER = logging.getLogger(__name__)
-
 
 @dataclass(slots=True)
 class _Candidate:
@@ -96,14 +91,7 @@
             async with asyncio.timeout(CONNECT_LIMIT_S):
                 link = await async_open(address, self._hub.identity, self._hub.handlers)
         except (LinkError, TimeoutError) as exc:
-            log_event(
-                _LOGGER,
-                LogEvent.LINK_CONNECT_FAILED,
-                "link not opened",
-                level=logging.DEBUG,
-                address=address,
-                error=str(exc),
-            )
+            report_not_opened(address, exc)
             return False
         await link.async_run()
         return True
--- a/gooseberryhall/membership/prober.py
+++ b/gooseberryhall/membership/prober.py
@@ -10,7 +10,7 @@
 from ..core.context import ProgramContext
 from ..exceptions import UnavailableError
 from .assignment import ProbeTarget
-from .const import PROBE_MIN_PAUSE_S, PROBE_PERIOD_S
+from .const import PROBE_LATE_S, PROBE_MIN_PAUSE_S, PROBE_PERIOD_S, PROBE_TIMEOUT_S
 from .metrics import PROBE_BYTES, PROBED_VMS, PROBES
 from .models import Evidence, MemberHealth
 
@@ -102,6 +102,9 @@
 
     async def _async_probe(self, probe: _Probe, started_s: float) -> None:
         health = await self._async_read(probe.target)
+        if health is None and now_s() - started_s > PROBE_TIMEOUT_S + PROBE_LATE_S:
+            # This process was paused meanwhile; the member may well have answered.
+            return
         probe.answered = health is not None
         if probe.answered:
             self.answered += 1
--- a/gooseberryhall/membership/service.py
+++ b/gooseberryhall/membership/service.py
@@ -23,6 +23,7 @@
 from .const import (
     LATE_ANSWER_S,
     LOCAL_DIGEST_PERIOD_S,
+    PROBE_TIMEOUT_S,
     UPKEEP_PERIOD_S,
     VM_LIST_JITTER,
     VM_LIST_PERIOD_S,
@@ -60,7 +61,9 @@
     """Probe VMs, exchange heartbeats and evidence until the program stops."""
     service = _Service(ctx, hub)
     prober = Prober(
-        ctx, partial(async_health, ctx.session), partial(_on_result, service)
+        ctx,
+        partial(async_health, ctx.session, timeout_s=PROBE_TIMEOUT_S),
+        partial(_on_result, service),
     )
     assign = partial(_assign, service, prober)
     _register_effects(service, assign)
