--- a/gooseberryhall/config/operations.py
+++ b/gooseberryhall/config/operations.py
@@ -1,6 +1,6 @@
 """Edits of the declared objects."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field
@@ -65,20 +65,3 @@
         else:
             objects.pop(operation.key, None)
     return keys
-
-
-def diff_objects(
-    before: Mapping[ObjectKey, AnyObject], after: Mapping[ObjectKey, AnyObject]
-) -> tuple[Operation, ...]:
-    """Return the operations that turn `before` into `after`, sorted by key."""
-    changed = (
-        key
-        for key in sorted(before.keys() | after.keys())
-        if before.get(key) != after.get(key)
-    )
-    return tuple(
-        PutObject(object=after[key])
-        if key in after
-        else DeleteObject(kind=key[0], name=key[1])
-        for key in changed
-    )
--- a/gooseberryhall/groups/const.py
+++ b/gooseberryhall/groups/const.py
@@ -38,7 +38,6 @@
 # A VM that the platform no longer lists and that is silent for this long is gone.
 UNLISTED_LIMIT_S: Final = 60.0
 
-DRAIN_LABEL: Final = "gooseberryhall.io/drain"
 
 # A VM row without a group in the zone belongs to a write that is not yet visible.
 BLOCKED_VM_S: Final = 30.0
--- a/gooseberryhall/groups/service.py
+++ b/gooseberryhall/groups/service.py
@@ -14,7 +14,7 @@
     OrderRefusedError,
     StaleFenceError,
 )
-from ..adapters.table import HttpTable, Table
+from ..adapters.table import Conflict, HttpTable, Table, Transaction
 from ..core.clock import now_s
 from ..core.context import ProgramContext
 from ..core.events import Event
@@ -172,16 +172,7 @@
 
 
 async def _async_write_lease(service: _Service, effect: WriteLease) -> None:
-    revision = conflict = None
-    try:
-        written = await service.table.async_commit(effect.transaction)
-    except UnavailableError:
-        pass
-    else:
-        if isinstance(written, Ok):
-            revision = written.ok_value
-        else:
-            conflict = written.err_value
+    revision, conflict = await _async_try_commit(service, effect.transaction)
     service.dispatch(
         LeaseWritten(
             effect.zone, effect.transaction, effect.decided_s, revision, conflict
@@ -189,6 +180,19 @@
     )
 
 
+async def _async_try_commit(
+    service: _Service, transaction: Transaction
+) -> tuple[int | None, Conflict | None]:
+    """Return the revision or the conflict; neither when the outcome is not known."""
+    try:
+        written = await service.table.async_commit(transaction)
+    except UnavailableError:
+        return None, None
+    if isinstance(written, Ok):
+        return written.ok_value, None
+    return None, written.err_value
+
+
 async def _async_read_zone(service: _Service, effect: ReadZone) -> None:
     try:
         snapshot = await service.table.async_read_prefix(group_prefix(effect.zone))
@@ -200,15 +204,7 @@
 async def _async_commit(service: _Service, effect: CommitDecision) -> None:
     revision = conflict = None
     if service.may_act(effect.zone, effect.epoch_version):
-        try:
-            written = await service.table.async_commit(effect.transaction)
-        except UnavailableError:
-            pass
-        else:
-            if isinstance(written, Ok):
-                revision = written.ok_value
-            else:
-                conflict = written.err_value
+        revision, conflict = await _async_try_commit(service, effect.transaction)
     service.dispatch(
         DecisionCommitted(effect.zone, effect.epoch_version, revision, conflict)
     )
--- a/gooseberryhall/groups/shares.py
+++ b/gooseberryhall/groups/shares.py
@@ -9,9 +9,9 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from ..config.const import DRAIN_LABEL, DRAIN_VALUE
 from ..config.models import GroupSpec
 from ..config.selectors import parse_selector
-from .const import DRAIN_LABEL
 from .models import Vm, VmState
 
 Labels = Mapping[str, Mapping[str, str]]
@@ -39,7 +39,7 @@
 
 def is_drained(labels: Mapping[str, str]) -> bool:
     """Return whether the operator asked to empty the VM."""
-    return labels.get(DRAIN_LABEL) == "true"
+    return labels.get(DRAIN_LABEL) == DRAIN_VALUE
 
 
 def spec_order(spec: GroupSpec) -> tuple[int, int, str]:
