Confirm crashes by failed probes in a row instead of the last one's date

Cause: each failed probe is dated at its own start, but the check for a crash took that date for the last answer, and a failed probe later than 1 s cleared the suspicion as if the member had answered. Ruled out: late evidence; the members were reported down within 10 ms. Change: the first failed probe in a row is remembered, and only answers clear. The new test fails without the change and passes with it.

--- a/gooseberryhall/requests/state.py
+++ b/gooseberryhall/requests/state.py
@@ -57,11 +57,15 @@
 
 @dataclass(slots=True)
 class PossibleCrash:
-    """A stream broke; evidence will tell whether a member crashed."""
+    """A stream broke; evidence will tell whether a member crashed.
+
+    `silent_since_s` holds the time of the first of the failed probes in a row.
+    """
 
     fingerprint: str
     target: Target
     broke_at_s: float
+    silent_since_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/gooseberryhall/requests/suspects.py
+++ b/gooseberryhall/requests/suspects.py
@@ -10,7 +10,6 @@
 from ..core.effects import Effect
 from ..core.state import State
 from ..exceptions import Ran
-from ..routing.models import Target
 from .const import (
     CRASH_CLEAR_S,
     CRASH_CONFIRMATION_S,
@@ -108,7 +107,7 @@
     effects: list[Effect] = []
     remaining = []
     for item in suspects.possible:
-        member = _crashed_member(state, item.target, now_s)
+        member = _crashed_member(state, item, now_s)
         if member is not None:
             record_crash(state, item.fingerprint, *member, now_s)
             effects.append(ReportSuspect(item.fingerprint, *member))
@@ -169,16 +168,19 @@
 
 
 def _crashed_member(
-    state: State, target: Target, now_s: float
+    state: State, item: PossibleCrash, now_s: float
 ) -> tuple[str, str] | None:
-    for vm, boot_id in target.boot_ids:
+    for vm, boot_id in item.target.boot_ids:
         evidence = state.membership.evidence.get(vm)
         if evidence is None:
             continue
         if evidence.health is None:
-            # One missed probe is no crash; `observed_at_s` is the last answer.
-            crashed = now_s - evidence.observed_at_s > CRASH_SILENCE_S
+            # One missed probe is no crash. Each failed probe has its own date, so the
+            # first one in a row is remembered.
+            since_s = item.silent_since_s.setdefault(vm, evidence.observed_at_s)
+            crashed = now_s - since_s > CRASH_SILENCE_S
         else:
+            item.silent_since_s.pop(vm, None)
             crashed = evidence.health.boot_id != boot_id
         if crashed:
             return vm, boot_id
@@ -189,7 +191,9 @@
     """Return whether all members answered a while after the stream had broken."""
     evidence = [state.membership.evidence.get(vm) for vm, _ in item.target.boot_ids]
     return all(
-        report is not None and report.observed_at_s > item.broke_at_s + CRASH_CLEAR_S
+        report is not None
+        and report.health is not None
+        and report.observed_at_s > item.broke_at_s + CRASH_CLEAR_S
         for report in evidence
     )
 
--- a/tests/requests/test_suspects.py
+++ b/tests/requests/test_suspects.py
@@ -110,6 +110,20 @@
     assert len(node.reports) == 2
 
 
+def test_failed_probes_after_a_crash_do_not_clear_it() -> None:
+    """Each failed probe has a new date; it must not count as an answer."""
+    node = create_node("a", "b")
+    request_id = node.arrive("guilty")
+    group = node.state.groups.groups[node.groups[request_id]]
+    node.break_streams(group.group)
+    for _ in range(3):
+        report(node.state, group, node.now_s)
+        lose(node.state, group.members[1].vm, node.now_s)
+        for _ in range(2):
+            node.tick()
+    assert [item.vm for item in node.reports] == [group.members[1].vm]
+
+
 def test_innocent_request_at_one_crash_is_served() -> None:
     """Requests that only shared a group with the guilty one must still be served."""
     node = create_node("a", "b", "c", "d")
