--- a/standins/engine_group.py
+++ b/standins/engine_group.py
@@ -15,7 +15,7 @@
 from .prefix_cache import PrefixCache
 
 MEMBER_POLL_PERIOD_S = 0.2
-MEMBER_POLL_TIMEOUT_S = 1.0
+MEMBER_POLL_TIMEOUT_S = 0.5
 LOAD_RETRY_S = 0.2
 LOAD_CHUNK_BYTES = 256 * 1024
 ORDERS = ("form", "release", "load_adapter", "role")
@@ -127,15 +127,27 @@
             self.pool.break_all()
 
     async def _async_health(self, address: str) -> dict[str, Any] | None:
-        timeout = aiohttp.ClientTimeout(total=MEMBER_POLL_TIMEOUT_S)
+        """Return a member's health; a silent connection is replaced once."""
+        try:
+            return await self._async_read_health(self.session, address)
+        except TimeoutError:
+            pass
+        except (aiohttp.ClientError, OSError, ValueError):
+            return None
         try:
-            url = f"{address}/health"
-            async with self.session.get(url, timeout=timeout) as response:
-                health: dict[str, Any] = await response.json()
-                return health
+            async with aiohttp.ClientSession() as fresh:
+                return await self._async_read_health(fresh, address)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return None
 
+    async def _async_read_health(
+        self, session: aiohttp.ClientSession, address: str
+    ) -> dict[str, Any]:
+        timeout = aiohttp.ClientTimeout(total=MEMBER_POLL_TIMEOUT_S)
+        async with session.get(f"{address}/health", timeout=timeout) as response:
+            health: dict[str, Any] = await response.json()
+            return health
+
 
 def add_order_routes(app: web.Application, runner: GroupRunner) -> None:
     """Take orders."""
