Export metrics of the revision in force and of claims

Cause: an operator could see neither which revision a process has in force nor how claims end without reading logs. Ruled out: labels by team on claims (unbounded series). Change: gauges for the revision and unsettled claims, counters of final states and of refusals by code. Result: tests/claims pass. Conclusion: leases are still to be exported.

--- a/gooseberryhall/claims/runner.py
+++ b/gooseberryhall/claims/runner.py
@@ -27,6 +27,7 @@
 )
 from .decision import RefuseRequest, ReplayAnswer, TakeClaim, WaitForClaim, decide
 from .exceptions import (
+    ClaimError,
     ClaimsUnavailableError,
     ClaimUnreadableError,
     IdempotencyKeyReusedError,
@@ -34,6 +35,7 @@
     OutcomeUnknownError,
     StoredAnswerUnavailableError,
 )
+from .metrics import CLAIMS, REFUSED, UNSETTLED
 from .models import Answer, Claim, ClaimState, OnceRequest
 
 _LOGGER = logging.getLogger(__name__)
@@ -82,8 +84,12 @@
             raise IdempotencyKeyReusedError(
                 "Idempotency-Key is in use for another request"
             )
-        async with asyncio.timeout(timeout_s):
-            return await asyncio.shield(running.task)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(running.task)
+        except ClaimError as exc:
+            REFUSED.inc({"code": exc.code})
+            raise
 
     async def async_drain(self, timeout_s: float) -> None:
         """Wait until all running requests and their last writes have ended."""
@@ -228,7 +234,13 @@
         """Run the last write of a claim in the background."""
         task = asyncio.create_task(coroutine)
         self._settling.add(task)
-        task.add_done_callback(self._settling.discard)
+        UNSETTLED.set({}, len(self._settling))
+
+        def on_done(done: asyncio.Task[None]) -> None:
+            self._settling.discard(done)
+            UNSETTLED.set({}, len(self._settling))
+
+        task.add_done_callback(on_done)
 
 
 @dataclass(slots=True)
@@ -247,6 +259,7 @@
 
     def start(self, state: ClaimState, answer: Answer | None = None) -> None:
         """Write the final state in the background."""
+        CLAIMS.inc({"state": state.value})
         self.service.async_settle(self._async_settle(state, answer))
 
     async def _async_settle(self, state: ClaimState, answer: Answer | None) -> None:
--- a/gooseberryhall/config/service.py
+++ b/gooseberryhall/config/service.py
@@ -13,6 +13,7 @@
 from .effects import ConfigApplied, RequestConfig
 from .events import ConfigChangesReceived, ConfigSnapshotReceived
 from .exceptions import ConfigUnreadableError
+from .metrics import CONFIG_REVISION
 from .store import async_load_changes, async_load_revision, async_load_snapshot
 
 _LOGGER = logging.getLogger(__name__)
@@ -101,7 +102,8 @@
 
 
 def record_applied(ctx: ProgramContext, effect: ConfigApplied) -> None:
-    """Log and time-line a configuration that came into force."""
+    """Log, measure and time-line a configuration that came into force."""
+    CONFIG_REVISION.set({}, effect.revision)
     log_event(
         _LOGGER,
         LogEvent.CONFIG_IN_FORCE,
