Share the claim limit between reading and writing the claim

Cause: reading the row, waiting for the write budget and writing the claim each had a limit of 1 s of their own. With a table that answers after 0.6 s a command was refused after 1.61 s instead of 1 s. Change: the read, the budget and the write share one limit, which starts again after a wait for an earlier request with the same key. Conclusion: `ran: no` comes within the limit; a table slower than about 0.3 s for each call gets commands refused somewhat earlier than before.

--- a/gooseberryhall/claims/runner.py
+++ b/gooseberryhall/claims/runner.py
@@ -134,7 +134,11 @@
         self, req: OnceRequest, timeout_s: float
     ) -> Answer | tuple[Claim, int]:
         """Return the stored answer, or the claim that was taken and its row version."""
-        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        # Reading and writing share the limit, so that a table that is slow at both
+        # does not delay the refusal.
+        claim_by_s = loop.time() + CLAIM_LIMIT_S
         row = await self._async_read(req.row_key)
         pause_s = POLL_FIRST_S
         while True:
@@ -145,16 +149,17 @@
                 case ReplayAnswer(claim):
                     return await self._async_stored_answer(claim)
                 case TakeClaim(version):
-                    taken = await self._async_take(req, version)
+                    taken = await self._async_take(req, version, claim_by_s)
                     if isinstance(taken, tuple):
                         return taken
                     row = taken
                     continue
                 case WaitForClaim(error):
-                    if asyncio.get_running_loop().time() + pause_s > deadline_s:
+                    if loop.time() + pause_s > deadline_s:
                         raise error
                     await asyncio.sleep(pause_s)
                     pause_s = min(pause_s * POLL_GROWTH, POLL_LONGEST_S)
+                    claim_by_s = loop.time() + CLAIM_LIMIT_S
                     row = await self._async_reread(req.row_key, row)
 
     async def _async_read(self, row_key: str) -> Row | None:
@@ -176,15 +181,19 @@
             return row
 
     async def _async_take(
-        self, req: OnceRequest, version: int
+        self, req: OnceRequest, version: int, claim_by_s: float
     ) -> tuple[Claim, int] | Row | None:
         """Return the claim and its version, or the row that another process wrote."""
+        loop = asyncio.get_running_loop()
         try:
             await self.budget.async_take(
-                req.team, req.weight, WRITES_PER_CLAIM, CLAIM_LIMIT_S
+                req.team, req.weight, WRITES_PER_CLAIM, claim_by_s - loop.time()
             )
         except TimeoutError as exc:
             raise ClaimsUnavailableError("the table's write budget is used up") from exc
+        remaining_s = claim_by_s - loop.time()
+        if remaining_s <= 0:
+            raise ClaimsUnavailableError("the table is slow, the request was not sent")
         claim = Claim(
             req.body_sha256,
             self.node,
@@ -196,7 +205,7 @@
             {req.row_key: version}, {req.row_key: claim.to_value()}
         )
         try:
-            committed = await self.table.async_commit(transaction, CLAIM_LIMIT_S)
+            committed = await self.table.async_commit(transaction, remaining_s)
         except TableUnavailableError as exc:
             _Settlement(self, req.row_key, claim, version, transaction).start(
                 ClaimState.ABANDONED
