--- /dev/null
+++ b/tests/system/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the request promises with real processes."""
