Test that no group serves while a member is missing

The tests kill, pause and restart a member and kill a fabric domain while callers send requests through every entry VM. The engine stand-in now records refused requests as well, because the lead itself refuses work once it misses a member, which would hide a request that should not have come.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -130,7 +130,9 @@
 ) -> None:
     async def async_records(_req: web.Request) -> web.Response:
         records = asdict(engine.records)
-        listed = {name: list(records.pop(name)) for name in ("runs", "orders")}
+        listed = {
+            name: list(records.pop(name)) for name in ("runs", "orders", "refusals")
+        }
         return web.json_response(
             {
                 "vm": engine.options.vm,
--- a/standins/engine_chat.py
+++ b/standins/engine_chat.py
@@ -32,6 +32,7 @@
         body = await async_json_object(req)
         refusal = _refusal(engine, pool, req)
         if refusal is not None:
+            _record_refusal(engine, req, refusal.status)
             return refusal
         stream = _create_stream(engine, cache, req, body)
         _record_run(engine, req, body)
@@ -167,6 +168,17 @@
     )
 
 
+def _record_refusal(engine: Engine, req: web.Request, status: int) -> None:
+    engine.records.refusals.append(
+        {
+            "named_group": req.headers.get("X-Group"),
+            "named_generation": req.headers.get("X-Generation"),
+            "status": status,
+            "started_at_s": boot_time_s(),
+        }
+    )
+
+
 async def _async_send(
     req: web.Request, stream: Stream, after: int
 ) -> web.StreamResponse:
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -83,6 +83,9 @@
     orders: deque[dict[str, Any]] = field(
         default_factory=lambda: deque(maxlen=MAX_RECORDS)
     )
+    refusals: deque[dict[str, Any]] = field(
+        default_factory=lambda: deque(maxlen=MAX_RECORDS)
+    )
     started: int = 0
     finished: int = 0
     cancelled: int = 0
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
--- /dev/null
+++ b/tests/system/control/__init__.py
@@ -0,0 +1,1 @@
+"""Groups, configuration and stops of a whole cluster under faults."""
--- /dev/null
+++ b/tests/system/control/conftest.py
@@ -0,0 +1,64 @@
+"""One cluster for all tests of this folder, without faults at the start of each."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest_asyncio
+
+from standins.cluster import EDGES, Cluster
+from standins.demo import async_apply
+
+from .common import SERVE_LIMIT_S, SIZES, ZONES, System, configuration
+
+
+@pytest_asyncio.fixture(scope="package", loop_scope="package")
+async def running() -> AsyncIterator[System]:
+    """Return a cluster with a configuration in force."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with (
+        Cluster(SIZES, proxied=EDGES) as cluster,
+        aiohttp.ClientSession(connector=connector) as session,
+    ):
+        await async_apply(cluster, configuration(cluster))
+        yield System(cluster, session)
+
+
+@pytest_asyncio.fixture(loop_scope="package")
+async def system(running: System) -> System:
+    """Return the cluster after the faults of earlier tests have ended."""
+    await _async_end_faults(running)
+    await running.async_wait_settled()
+    await running.async_wait_serving()
+    await running.cluster.async_wait_accepting(SERVE_LIMIT_S)
+    return running
+
+
+async def _async_end_faults(system: System) -> None:
+    cluster = system.cluster
+    await asyncio.gather(*(proxy.async_heal() for proxy in system.proxies()))
+    for name, process in cluster.processes.by_name.items():
+        if process.is_paused:
+            process.resume()
+        if not process.is_running and name != "cli":
+            process.start()
+    for vm in cluster.vms:
+        await cluster.async_wait_ready(vm.vm)
+        # The engines of one zone refuse old fencing numbers, the others do not.
+        honours = vm.zone == ZONES[0]
+        await system.async_engine(
+            vm.vm, leaving=False, slow_factor=1.0, honour_fence=honours
+        )
+    for service in cluster.services:
+        await cluster.async_control(
+            service.address, down=False, hang=False, delay_ms=0.0, lose_answers=0
+        )
+    await system.async_platform(
+        down=False,
+        hang=False,
+        delay_ms=0.0,
+        lose_answers=0,
+        objects_down=False,
+        vms_down=False,
+        vm_state={vm.vm: "live" for vm in cluster.vms},
+    )
