Go on dialling after a reset before the WebSocket request

Cause: a connection that was accepted and reset before the library sent its request raises ConnectionClosedError, which async_open did not turn into a link error. The task that keeps the link of the entry and admin programs then ended for good (GH1005, task 'link to control'), so this entry VM got no configuration, groups or evidence until a restart. Seen at 2 of 6 starts of a cluster whose control links pass through proxies; the readiness of the entry program was not reached within 40 s. Ruled out: a lost configuration message; the process had no link at all. Change: every error of the library counts as a link that is not available. The test fails with the library's error without the change.

--- a/gooseberryhall/links/client.py
+++ b/gooseberryhall/links/client.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from websockets.asyncio.client import ClientConnection, connect
-from websockets.exceptions import InvalidHandshake, InvalidURI
+from websockets.exceptions import WebSocketException
 
 from ..core.clock import now_s
 from ..telemetry.catalogue import LogEvent
@@ -34,7 +34,7 @@
     """Open a link, which the caller runs. Raises LinkError."""
     try:
         ws = await _async_connect(address)
-    except (OSError, TimeoutError, InvalidHandshake, InvalidURI) as exc:
+    except (OSError, TimeoutError, WebSocketException) as exc:
         raise LinkUnavailableError(str(exc) or type(exc).__name__) from exc
     try:
         peer = await async_client_handshake(ws, identity)
