--- a/gooseberryhall/config/relay.py
+++ b/gooseberryhall/config/relay.py
@@ -12,7 +12,7 @@
 from .const import ASK_PAUSE_S
 from .effects import ConfigApplied, RequestConfig
 from .events import ConfigChangesReceived
-from .service import record_applied
+from .service import config_status, record_applied
 from .transfer import (
     RecentChanges,
     SnapshotJoiner,
@@ -34,6 +34,7 @@
     ctx.runtime.register(RequestConfig, lambda effect: ask(effect.after))
     ctx.runtime.register(ConfigApplied, lambda effect: record_applied(ctx, effect))
     hub.on_open(lambda _link: ask(config.revision))
+    ctx.ops.add_status("config", lambda: config_status(ctx.runtime))
 
 
 def async_setup_control(ctx: ProgramContext, hub: LinkHub) -> None:
