--- a/gooseberryhall/config/relay.py
+++ b/gooseberryhall/config/relay.py
@@ -35,6 +35,7 @@
     ctx.runtime.register(ConfigApplied, lambda effect: record_applied(ctx, effect))
     ctx.ops.add_status("config", lambda: config_status(ctx.runtime))
     hub.on_open(lambda _link: ask(config.revision))
+    ctx.ops.add_status("config", lambda: config_status(ctx.runtime))
 
 
 def async_setup_control(ctx: ProgramContext, hub: LinkHub) -> None:
