--- a/tests/links/test_link.py
+++ b/tests/links/test_link.py
@@ -11,7 +11,7 @@
 from gooseberryhall.core.clock import now_s
 from gooseberryhall.links import link as link_module
 from gooseberryhall.links.client import async_maintain, async_open
-from gooseberryhall.links.const import MAX_FRAME_BYTES, SILENCE_LIMIT_S
+from gooseberryhall.links.const import CONNECT_LIMIT_S, MAX_FRAME_BYTES, SILENCE_LIMIT_S
 from gooseberryhall.links.exceptions import SendQueueFullError
 from gooseberryhall.links.link import LinkHandlers
 from gooseberryhall.links.messages import EvidenceDigest, GroupView, MemberReport
@@ -180,3 +180,26 @@
             pass
         assert isinstance(served.links[0].error, SendQueueFullError)
         await until(lambda: ("close", "b") in served.seen, CLOSE_LIMIT_S)
+
+
+async def test_address_that_hangs_does_not_delay_the_next() -> None:
+    """A paused process accepts connections; failover must not wait for its answer."""
+    _, handlers = recorder()
+    dialled, dial_handlers = recorder()
+
+    async def async_hang(
+        reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read()
+
+    paused = await asyncio.start_server(async_hang, "127.0.0.1", 0)
+    hanging = f"ws://127.0.0.1:{paused.sockets[0].getsockname()[1]}"
+    async with serving(handlers) as address:
+        own = identity("b")
+        task = asyncio.create_task(
+            async_maintain([hanging, address], own, dial_handlers)
+        )
+        await until(lambda: bool(dialled.links), CONNECT_LIMIT_S)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+    paused.close()
