--- a/gooseberryhall/admin/explain.py
+++ b/gooseberryhall/admin/explain.py
@@ -3,10 +3,10 @@
 from collections.abc import Sequence
 from typing import Any
 
-from ..config.checks import spec_order
 from ..config.const import DRAIN_LABEL
 from ..config.models import GroupSpec, ObjectKind, RequestKind, Team
 from ..config.selectors import parse_selector
+from ..config.spec_checks import NO_KIND, spec_order
 from ..core.state import State
 from ..groups.models import Group, GroupPhase, Member
 from ..membership.evidence import (
@@ -89,6 +89,10 @@
         )
     kinds = sorted(state.config.of_type(RequestKind), key=lambda kind: kind.name)
     reasons = [_explain_kind(state, team, kind) for kind in kinds]
+    models = {spec.model for spec in state.config.of_type(GroupSpec)}
+    for model in sorted(models - {kind.model for kind in kinds}):
+        unnamed = RequestKind(name=NO_KIND, model=model)
+        reasons.append(_explain_kind(state, team, unnamed))
     if not team.token_sha256:
         reasons.insert(0, "the team has no token, so it cannot send requests")
     limits = {"requests_per_s", "max_in_flight", "weight", "priority"}
@@ -101,6 +105,22 @@
     )
 
 
+def with_planner(explanation: Explanation, planner: dict[str, Any]) -> Explanation:
+    """Add what the control program of this entry VM says about a group or VM."""
+    name = explanation.name
+    section = "vms" if explanation.kind == "vm" else "groups"
+    own = planner.get(section, {}).get(name)
+    missing = {
+        zone: reasons[name]
+        for zone, reasons in planner.get("missing", {}).items()
+        if name in reasons
+    }
+    if own is None and not missing:
+        return explanation
+    details = {**explanation.details, "planner": own or {"missing": missing}}
+    return explanation.model_copy(update={"details": details})
+
+
 def explain_request(name: str, entries: Sequence[dict[str, Any]]) -> Explanation:
     """Explain a request by the time line entries that mention it."""
     if not entries:
--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -15,13 +15,15 @@
 from .decisions import LoadAdapters, ReleaseStray, SendGroupOrder, WaitForMember
 from .effects import AnnounceGroups, Outcome, ReadZone, ReportGroups
 from .events import DecisionCommitted, OrderFinished, ZoneRead
+from .exceptions import GroupRowError
 from .execution import commit, report, send_order, urgency
 from .lease import Lease
 from .models import Group
 from .planner import plan
-from .rows import parse_rows, vm_key, with_version
-from .shares import divide
+from .rows import GroupRow, parse_rows, vm_key, with_version
+from .shares import divide, selected_vms
 from .state import Division, GroupsState, ViewState, ZonePlan
+from .tuning import tuning_for
 from .view import PlanView, phase_key
 
 if TYPE_CHECKING:
@@ -79,7 +81,12 @@
     if event.snapshot is None:
         return []
     plan_state.read_s = now_s
-    plan_state.rows = dict(parse_rows(event.snapshot.rows))
+    try:
+        plan_state.rows = dict(parse_rows(event.snapshot.rows))
+    except GroupRowError as exc:
+        # Without all rows nothing is decided; routing keeps the last known groups.
+        plan_state.rows = None
+        return [_report_row(event.zone, exc)]
     plan_state.revision = event.snapshot.revision
     _note_change(state.groups, event.zone, plan_state, now_s)
     return [AnnounceGroups(event.zone), *_plan_if_held(state, event.zone, now_s)]
@@ -91,14 +98,22 @@
     lease = state.groups.leases.get(event.zone)
     if event.snapshot is None or (lease is not None and lease.owned):
         return []
-    if event.snapshot.revision >= view.revision:
-        view.revision = event.snapshot.revision
-        view.seen_s = now_s
+    if event.snapshot.revision < view.revision:
+        return []
+    try:
         rows = parse_rows(event.snapshot.rows).values()
-        replace_groups(state.groups, event.zone, tuple(row.group for row in rows))
+    except GroupRowError as exc:
+        return [_report_row(event.zone, exc)]
+    view.revision = event.snapshot.revision
+    replace_groups(state.groups, event.zone, tuple(row.group for row in rows))
     return []
 
 
+def _report_row(zone: str, error: GroupRowError) -> ReportGroups:
+    fields = (("zone", zone), ("error", str(error)))
+    return ReportGroups(LogEvent.GROUP_ROW_REFUSED, "group row refused", fields)
+
+
 def replace_groups(groups: GroupsState, zone: str, current: tuple[Group, ...]) -> None:
     """Replace all groups of a zone."""
     kept = {name: group for name, group in groups.groups.items() if group.zone != zone}
@@ -116,6 +131,11 @@
     plan_state.phase_since_s = {key: since_s.get(key, now_s) for key in keys}
     view = groups.views.setdefault(zone, ViewState())
     view.revision = max(view.revision, plan_state.revision)
+    members = {member.vm for row in rows.values() for member in row.group.members}
+    known = members | groups.vms.keys()
+    plan_state.orders = {
+        vm: order for vm, order in plan_state.orders.items() if vm in known
+    }
 
 
 def _announce_if_due(groups: GroupsState, zone: str, now_s: float) -> list[Effect]:
@@ -139,18 +159,19 @@
     """Return what the planner of a zone sees now."""
     groups = state.groups
     plan_state = groups.plans.get(zone, ZonePlan())
-    specs = tuple(state.config.of_type(GroupSpec))
-    division = current_division(state, specs, now_s)
+    division = current_division(state, now_s)
     return PlanView(
         zone=zone,
         now_s=now_s,
-        specs=specs,
+        specs=division.specs,
         policy=state.config.policy,
         labels=division.labels,
         vms=groups.vms,
         evidence=state.membership.evidence,
-        rows=plan_state.rows or {},
+        rows=_rows_of_zone(groups, zone),
         shares=division.shares,
+        selected=division.selected,
+        tuning=groups.tuning or tuning_for(state.config.policy),
         other_groups=tuple(
             group for group in groups.groups.values() if group.zone != zone
         ),
@@ -167,9 +188,19 @@
     )
 
 
-def current_division(
-    state: "State", specs: tuple[GroupSpec, ...], now_s: float
-) -> Division:
+def _rows_of_zone(groups: GroupsState, zone: str) -> dict[str, GroupRow]:
+    """Return the zone's rows as read by the holder, or as announced to others."""
+    plan_state = groups.plans.get(zone)
+    if plan_state is not None and plan_state.rows is not None:
+        return plan_state.rows
+    return {
+        name: GroupRow(group)
+        for name, group in groups.groups.items()
+        if group.zone == zone
+    }
+
+
+def current_division(state: "State", now_s: float) -> Division:
     """Return the division of the declared groups, computed when its input changed."""
     groups = state.groups
     long_silent = frozenset(
@@ -179,9 +210,15 @@
     )
     key = (state.config.revision, groups.vms_changes, long_silent)
     if groups.division is None or groups.division.key != key:
+        specs = tuple(state.config.of_type(GroupSpec))
         labels = {vm: state.config.labels_of_vm(vm) for vm in groups.vms}
         shares = divide(specs, groups.vms.values(), labels, long_silent)
-        groups.division = Division(key, labels, shares)
+        vms = groups.vms.values()
+        selected = {
+            spec.name: frozenset(vm.vm for vm in selected_vms(spec, vms, labels))
+            for spec in specs
+        }
+        groups.division = Division(key, specs, labels, shares, selected)
     return groups.division
 
 
--- a/gooseberryhall/groups/lifecycle.py
+++ b/gooseberryhall/groups/lifecycle.py
@@ -29,7 +29,7 @@
 from .effects import Outcome
 from .models import GroupPhase, Member, VmState
 from .rows import GroupRow
-from .shares import is_drained, selected_vms
+from .shares import is_drained
 from .view import PlanView
 from .waiting import missing_limit_s
 
@@ -154,21 +154,25 @@
     decisions: list[Decision] = [FreeMembers(row.name, freed)] if freed else []
     for member in row.group.members:
         health = view.health(member.vm)
-        first = not _was_ordered(view, row, member)
-        if member.vm not in freed and (first or (health and health.group)):
+        lacking = not _has_accepted(view, row, member) or (health and health.group)
+        if member.vm not in freed and lacking:
             decisions += _order_if_due(view, row, member)
     return decisions
 
 
 def _broken_reason(view: PlanView, row: GroupRow) -> Reason | None:
     """Return why the group can't serve again with these members."""
-    limit_s = missing_limit_s(view, row)
-    for member in row.group.members:
-        closed = view.closed_reason(row, member)
-        if closed is ClosedReason.RESTARTED:
-            return Reason.MEMBER_RESTARTED
-        if closed in _SILENT and view.silent_s(member.vm) > limit_s:
-            return Reason.MEMBER_LOST
+    closed = {
+        member.vm: view.closed_reason(row, member) for member in row.group.members
+    }
+    if ClosedReason.RESTARTED in closed.values():
+        return Reason.MEMBER_RESTARTED
+    silent_s = max(
+        (view.silent_s(vm) for vm, reason in closed.items() if reason in _SILENT),
+        default=0.0,
+    )
+    if silent_s and silent_s > missing_limit_s(view, row):
+        return Reason.MEMBER_LOST
     return Reason.MEMBER_FAILED if _has_failed(view, row) else None
 
 
@@ -197,7 +201,7 @@
             return Reason.MEMBER_LEAVING
         if is_drained(view.labels.get(member.vm, {})):
             return Reason.DRAIN_LABEL
-        if vm is not None and not selected_vms(spec, [vm], view.labels):
+        if vm is not None and vm.vm not in view.selected[spec.name]:
             return Reason.SELECTOR_CHANGED
     return None
 
@@ -265,9 +269,22 @@
     evidence = view.evidence.get(member.vm)
     if health is None or evidence is None:
         return False
+    if health.group or health.state is not MemberState.IDLE:
+        return False
+    if health.boot_id != member.boot_id:
+        return True
+    # An idle report from before the release order says nothing about its effect, and
+    # without its acceptance an earlier order may still place the VM.
+    order = view.orders.get(member.vm)
+    accepted = _has_accepted(view, row, member)
+    return accepted and order is not None and evidence.observed_at_s > order.sent_s
+
+
+def _has_accepted(view: PlanView, row: GroupRow, member: Member) -> bool:
+    """Return whether the member refuses all orders older than the row's."""
     order = view.orders.get(member.vm)
-    ordered = order is not None and order.fence == row.fence
-    restarted = health.boot_id != member.boot_id
-    # An idle report from before the release order says nothing about its effect.
-    seen = ordered and order is not None and evidence.observed_at_s > order.sent_s
-    return not health.group and health.state is MemberState.IDLE and (seen or restarted)
+    return (
+        order is not None
+        and order.fence == row.fence
+        and order.outcome in (Outcome.ACCEPTED, Outcome.STALE_FENCE)
+    )
--- a/gooseberryhall/groups/reducer.py
+++ b/gooseberryhall/groups/reducer.py
@@ -5,7 +5,7 @@
 
 from ..core.effects import Effect
 from ..core.events import Event
-from .const import VIEW_LIMIT_S
+from .const import PLAN_PERIOD_S, VIEW_LIMIT_S
 from .controller import (
     known_zones,
     reduce_decision_committed,
@@ -27,6 +27,7 @@
     VmsListed,
     ZoneRead,
 )
+from .lease import lose
 from .lease_reducer import (
     holder_of,
     reduce_lease_read,
@@ -59,11 +60,15 @@
     view = state.groups.views.setdefault(event.zone, ViewState())
     if event.revision < view.revision:
         return []
+    lease = state.groups.leases.get(event.zone)
+    if lease is not None and lease.owned:
+        if lease.is_held(now_s) or event.revision == view.revision:
+            return []
+        # Only a later holder can announce a newer revision.
+        lose(lease)
     view.revision = event.revision
     view.seen_s = now_s
-    lease = state.groups.leases.get(event.zone)
-    if lease is None or not lease.owned:
-        replace_groups(state.groups, event.zone, event.groups)
+    replace_groups(state.groups, event.zone, event.groups)
     return []
 
 
@@ -81,11 +86,16 @@
     groups = state.groups
     if not groups.incarnation or groups.stopping:
         return []
-    _note_evidence(state, now_s)
+    zones = known_zones(state)
     effects: list[Effect] = []
-    for zone in known_zones(state):
-        measure_zone(state, zone, now_s)
+    for zone in zones:
         effects += reduce_lease_tick(groups, holder_of(state), zone, now_s)
+    if now_s - groups.planned_s < PLAN_PERIOD_S:
+        return effects
+    groups.planned_s = now_s
+    _note_evidence(state, now_s)
+    for zone in zones:
+        measure_zone(state, zone, now_s)
         effects += reduce_zone_plan(state, zone, now_s)
         effects += _read_unannounced(groups, zone, now_s)
     return effects
@@ -107,6 +117,7 @@
                 health.boot_id, group.model, group.model_version
             )
     groups.silent_since_s = silent
+    groups.loaded = {vm: item for vm, item in groups.loaded.items() if vm in groups.vms}
 
 
 def _members(groups: GroupsState) -> set[str]:
--- a/gooseberryhall/groups/service.py
+++ b/gooseberryhall/groups/service.py
@@ -13,12 +13,12 @@
     EngineUnavailableError,
     OrderRefusedError,
     StaleFenceError,
-    TableUnavailableError,
 )
 from ..adapters.table import HttpTable, Table
 from ..core.clock import now_s
 from ..core.context import ProgramContext
 from ..core.events import Event
+from ..exceptions import UnavailableError
 from ..links.messages import GroupView, Message
 from ..telemetry.logs import log_event
 from .const import RELEASE_LIMIT_S, TICK_PERIOD_S
@@ -42,7 +42,9 @@
     PlanningTick,
     ZoneRead,
 )
+from .explain import status
 from .lease import epoch_key, lease_key
+from .measures import export
 from .rows import group_prefix
 from .state import GroupsState
 
@@ -69,6 +71,8 @@
         TICK_PERIOD_S, lambda: ctx.runtime.async_dispatch(PlanningTick()), jitter=0.1
     )
     ctx.stack.callback(unsubscribe)
+    ctx.ops.add_collector(lambda: export(ctx.runtime.state))
+    ctx.ops.add_status("groups", lambda: status(ctx.runtime.state, clock()))
     ctx.stack.push_async_callback(_async_stop, service)
 
 
@@ -159,7 +163,7 @@
         epoch_row = None
         if effect.with_epoch:
             epoch_row = await service.table.async_read(epoch_key(effect.zone))
-    except TableUnavailableError:
+    except UnavailableError:
         service.dispatch(LeaseRead(effect.zone, ok=False))
         return
     service.dispatch(
@@ -171,7 +175,7 @@
     revision = conflict = None
     try:
         written = await service.table.async_commit(effect.transaction)
-    except TableUnavailableError:
+    except UnavailableError:
         pass
     else:
         if isinstance(written, Ok):
@@ -188,7 +192,7 @@
 async def _async_read_zone(service: _Service, effect: ReadZone) -> None:
     try:
         snapshot = await service.table.async_read_prefix(group_prefix(effect.zone))
-    except TableUnavailableError:
+    except UnavailableError:
         snapshot = None
     service.dispatch(ZoneRead(effect.zone, effect.epoch_version, snapshot))
 
@@ -198,7 +202,7 @@
     if service.may_act(effect.zone, effect.epoch_version):
         try:
             written = await service.table.async_commit(effect.transaction)
-        except TableUnavailableError:
+        except UnavailableError:
             pass
         else:
             if isinstance(written, Ok):
--- a/gooseberryhall/groups/view.py
+++ b/gooseberryhall/groups/view.py
@@ -11,8 +11,9 @@
 from .const import ANSWER_LIMIT_S
 from .models import Group, GroupPhase, Member, Vm, VmState
 from .rows import GroupRow
-from .shares import Labels, Share, is_drained, selected_vms
+from .shares import Labels, Share, is_drained
 from .state import LoadedModel, OrderState
+from .tuning import Tuning
 
 _ACTIVE = (GroupPhase.LOADING, GroupPhase.SERVING)
 
@@ -21,7 +22,8 @@
 class PlanView:
     """The input of the planner; nothing in it changes while it plans.
 
-    `rows` are the groups of the zone, `other_groups` those of all other zones. The
+    `rows` are the groups of the zone, `other_groups` those of all other zones and
+    `selected` the VMs that groups of a spec may use. The
     mappings of times hold when this process first saw what they name.
     """
 
@@ -34,6 +36,8 @@
     evidence: Mapping[str, Evidence]
     rows: Mapping[str, GroupRow]
     shares: Mapping[tuple[str, str], Share]
+    selected: Mapping[str, frozenset[str]]
+    tuning: Tuning
     other_groups: tuple[Group, ...] = ()
     refuse_old_fence: bool = False
     revision: int = 0
@@ -68,7 +72,7 @@
         """Return by spec the VMs that a new group may use."""
         usable = [vm for vm in self.zone_vms if self.is_free(vm)]
         return {
-            spec.name: tuple(selected_vms(spec, usable, self.labels))
+            spec.name: tuple(vm for vm in usable if vm.vm in self.selected[spec.name])
             for spec in self.specs
         }
 
@@ -107,16 +111,36 @@
             if row.group.spec == spec and row.phase in _ACTIVE
         ]
 
+    @cached_property
+    def closed_by_member(self) -> dict[tuple[str, str], ClosedReason | None]:
+        """Return by group and VM why evidence does not show the member serving."""
+        return {
+            (row.name, member.vm): member_closed_reason(
+                row.group, member, self.evidence.get(member.vm), self.now_s
+            )
+            for row in self.rows.values()
+            for member in row.group.members
+        }
+
+    @cached_property
+    def sound(self) -> frozenset[str]:
+        """Return the names of the groups that serve by evidence."""
+        return frozenset(
+            row.name
+            for row in self.rows.values()
+            if row.phase is GroupPhase.SERVING
+            and all(
+                self.closed_reason(row, member) is None for member in row.group.members
+            )
+        )
+
     def closed_reason(self, row: GroupRow, member: Member) -> ClosedReason | None:
         """Return why evidence does not show the member serving in its group."""
-        evidence = self.evidence.get(member.vm)
-        return member_closed_reason(row.group, member, evidence, self.now_s)
+        return self.closed_by_member[row.name, member.vm]
 
     def is_sound(self, row: GroupRow) -> bool:
         """Return whether the group serves by evidence."""
-        return row.phase is GroupPhase.SERVING and all(
-            self.closed_reason(row, member) is None for member in row.group.members
-        )
+        return row.name in self.sound
 
     def is_answering(self, row: GroupRow) -> bool:
         """Return whether all members answered lately."""
