--- a/gooseberryhall/telemetry/ops.py
+++ b/gooseberryhall/telemetry/ops.py
@@ -1,5 +1,6 @@
 """The ops port of a program: metrics, readiness, status and time line."""
 
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -8,6 +9,9 @@
 
 from .timeline import Timeline
 
+# Longer numbers than a position can have would only cost time to convert.
+_POSITION = re.compile(r"[0-9]{1,18}")
+
 StatusSource = Callable[[], dict[str, Any]]
 
 
@@ -55,7 +59,7 @@
 
     async def async_timeline(req: web.Request) -> web.Response:
         after = req.query.get("after", "0")
-        if not after.isdigit():
+        if _POSITION.fullmatch(after) is None:
             error = {"code": "invalid_input", "message": "after must be a number"}
             return web.json_response({"error": error}, status=400)
         return web.json_response(ops.timeline.page(int(after)))
