--- a/gooseberryhall/claims/runner.py
+++ b/gooseberryhall/claims/runner.py
@@ -27,6 +27,7 @@
 )
 from .decision import RefuseRequest, ReplayAnswer, TakeClaim, WaitForClaim, decide
 from .exceptions import (
+    ClaimError,
     ClaimsUnavailableError,
     ClaimUnreadableError,
     IdempotencyKeyReusedError,
@@ -34,6 +35,7 @@
     OutcomeUnknownError,
     StoredAnswerUnavailableError,
 )
+from .metrics import CLAIMS, REFUSED, UNSETTLED
 from .models import Answer, Claim, ClaimState, OnceRequest
 
 _LOGGER = logging.getLogger(__name__)
@@ -82,8 +84,12 @@
             raise IdempotencyKeyReusedError(
                 "Idempotency-Key is in use for another request"
             )
-        async with asyncio.timeout(timeout_s):
-            return await asyncio.shield(running.task)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(running.task)
+        except ClaimError as exc:
+            REFUSED.inc({"code": exc.code})
+            raise
 
     async def async_drain(self, timeout_s: float) -> None:
         """Wait until all running requests and their last writes have ended."""
@@ -134,7 +140,11 @@
         self, req: OnceRequest, timeout_s: float
     ) -> Answer | tuple[Claim, int]:
         """Return the stored answer, or the claim that was taken and its row version."""
-        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        # Reading and writing share the limit, so that a table that is slow at both
+        # does not delay the refusal.
+        claim_by_s = loop.time() + CLAIM_LIMIT_S
         row = await self._async_read(req.row_key)
         pause_s = POLL_FIRST_S
         while True:
@@ -145,16 +155,17 @@
                 case ReplayAnswer(claim):
                     return await self._async_stored_answer(claim)
                 case TakeClaim(version):
-                    taken = await self._async_take(req, version)
+                    taken = await self._async_take(req, version, claim_by_s)
                     if isinstance(taken, tuple):
                         return taken
                     row = taken
                     continue
                 case WaitForClaim(error):
-                    if asyncio.get_running_loop().time() + pause_s > deadline_s:
+                    if loop.time() + pause_s > deadline_s:
                         raise error
                     await asyncio.sleep(pause_s)
                     pause_s = min(pause_s * POLL_GROWTH, POLL_LONGEST_S)
+                    claim_by_s = loop.time() + CLAIM_LIMIT_S
                     row = await self._async_reread(req.row_key, row)
 
     async def _async_read(self, row_key: str) -> Row | None:
@@ -176,15 +187,19 @@
             return row
 
     async def _async_take(
-        self, req: OnceRequest, version: int
+        self, req: OnceRequest, version: int, claim_by_s: float
     ) -> tuple[Claim, int] | Row | None:
         """Return the claim and its version, or the row that another process wrote."""
+        loop = asyncio.get_running_loop()
         try:
             await self.budget.async_take(
-                req.team, req.weight, WRITES_PER_CLAIM, CLAIM_LIMIT_S
+                req.team, req.weight, WRITES_PER_CLAIM, claim_by_s - loop.time()
             )
         except TimeoutError as exc:
             raise ClaimsUnavailableError("the table's write budget is used up") from exc
+        remaining_s = claim_by_s - loop.time()
+        if remaining_s <= 0:
+            raise ClaimsUnavailableError("the table is slow, the request was not sent")
         claim = Claim(
             req.body_sha256,
             self.node,
@@ -196,7 +211,7 @@
             {req.row_key: version}, {req.row_key: claim.to_value()}
         )
         try:
-            committed = await self.table.async_commit(transaction, CLAIM_LIMIT_S)
+            committed = await self.table.async_commit(transaction, remaining_s)
         except TableUnavailableError as exc:
             _Settlement(self, req.row_key, claim, version, transaction).start(
                 ClaimState.ABANDONED
@@ -228,7 +243,13 @@
         """Run the last write of a claim in the background."""
         task = asyncio.create_task(coroutine)
         self._settling.add(task)
-        task.add_done_callback(self._settling.discard)
+        UNSETTLED.set({}, len(self._settling))
+
+        def on_done(done: asyncio.Task[None]) -> None:
+            self._settling.discard(done)
+            UNSETTLED.set({}, len(self._settling))
+
+        task.add_done_callback(on_done)
 
 
 @dataclass(slots=True)
@@ -247,6 +268,7 @@
 
     def start(self, state: ClaimState, answer: Answer | None = None) -> None:
         """Write the final state in the background."""
+        CLAIMS.inc({"state": state.value})
         self.service.async_settle(self._async_settle(state, answer))
 
     async def _async_settle(self, state: ClaimState, answer: Answer | None) -> None:
