--- a/gooseberryhall/membership/client.py
+++ b/gooseberryhall/membership/client.py
@@ -1,6 +1,5 @@
 """Connects the entry and admin programs to a control process."""
 
-from ..config import relay as config_relay
 from ..core.context import ProgramContext
 from ..links.client import async_maintain
 from ..links.hub import LinkHub
@@ -18,7 +17,6 @@
     """
     hub = create_hub(ctx)
     receive.subscribe(ctx, hub)
-    config_relay.async_setup_client(ctx, hub)
     ctx.runtime.register(MemberChanged, lambda effect: record_member(ctx, effect))
     add_collector(ctx)
     maintained = async_maintain(control_addresses(ctx), hub.identity, hub.handlers)
