Hold back transactions in the fault model so that a successor decides first

Late transactions of the fault model always met rows that the successor had changed in the same way, so the epoch check was never what refused them: a trial without the check passed. A member that fails only until the pause now makes the two holders decide differently.

--- a/tests/groups/test_lease.py
+++ b/tests/groups/test_lease.py
@@ -1,5 +1,7 @@
 """Tests of zone leases."""
 
+from dataclasses import replace
+
 from result import Err, Ok
 
 from gooseberryhall.groups.const import (
@@ -105,6 +107,16 @@
     assert not node.state.groups.leases[ZONE].owned
 
 
+def test_assigned_vm_is_not_assigned_again() -> None:
+    """The rows must refuse a second group, whatever the holder remembers."""
+    world = World([make_spec("a")], make_vms("z1", "d1", 2))
+    world.run_for(2)
+    row = parse_rows(world.table.read_prefix("group/z1/").rows)["a-z1-1"]
+    other = replace(row, group=replace(row.group, group="b"))
+    epoch_version = world.node.state.groups.leases[ZONE].epoch_version
+    assert isinstance(world.table.commit(assignment(other, epoch_version)), Err)
+
+
 def test_earlier_holder_fails_at_the_table() -> None:
     """The epoch must stop a late transaction even if nobody touched its rows."""
     vms = make_vms(ZONE, "d1", 2)
--- a/tests/groups/test_protocol.py
+++ b/tests/groups/test_protocol.py
@@ -14,7 +14,8 @@
     run_state_machine_as_test,
 )
 
-from gooseberryhall.adapters.engine import OrderKind
+from gooseberryhall.adapters.engine import Order, OrderKind
+from gooseberryhall.core.effects import Effect
 from gooseberryhall.core.events import Event
 from gooseberryhall.groups.effects import CommitDecision, Outcome, SendOrder
 from gooseberryhall.groups.lease import epoch_key
@@ -31,7 +32,7 @@
     probe_all,
 )
 
-from .world import labelled, make_spec, make_vms
+from .world import World, labelled, make_spec, make_vms
 
 ZONE = "z1"
 TICK_S = 1.0
@@ -48,6 +49,8 @@
 
     node: SimNode
     paused: bool = False
+    commits_until_pause: int = 0
+    answers_again: SimEngine | None = None
     checked: list[CommitDecision | SendOrder] = field(default_factory=list)
     answers: list[Event] = field(default_factory=list)
 
@@ -90,27 +93,27 @@
                 if not process.paused:
                     self._step(process)
 
-    @rule(number=NODES, restarted=VMS)
-    def pause_after_check(self, number: int, restarted: int) -> None:
-        """Pause a process between its lease check and the sends that follow.
+    @rule(number=NODES, vm=VMS, restarted=st.booleans(), commits=st.integers(1, 4))
+    def pause_after_check(
+        self, number: int, vm: int, restarted: bool, commits: int
+    ) -> None:
+        """Pause a process between a lease check and the send that follows.
 
-        A member restarts just before, so that there is something to decide.
+        A member fails first, so that there are decisions: to release its group, to
+        free the members and to form a group. The last of `commits` is held back. A
+        silent member answers again then, so that a successor decides otherwise.
         """
         process = self.processes[number]
         if process.paused:
             return
-        self.engines[self.names[restarted]].restart()
-        self._wake(process)
-        kept = []
-        for effect in process.node.queue:
-            if isinstance(effect, CommitDecision | SendOrder) and process.node.may_act(
-                effect.zone, effect.epoch_version
-            ):
-                process.checked.append(effect)
-            else:
-                kept.append(effect)
-        process.node.queue = kept
-        process.paused = True
+        engine = self.engines[self.names[vm]]
+        if restarted:
+            engine.restart()
+        else:
+            engine.alive = False
+            process.answers_again = engine
+        process.commits_until_pause = commits
+        self.advance(9)
 
     @precondition(lambda self: any(item.checked for item in self.processes))
     @rule(number=NODES)
@@ -211,6 +214,7 @@
         for engine in self.engines.values():
             engine.alive = True
         for number in range(2):
+            self.processes[number].commits_until_pause = 0
             self.resume(number)
         self.advance(int(RECOVERY_S / TICK_S))
         evidence = self._evidence()
@@ -224,12 +228,34 @@
     def _step(self, process: Process) -> None:
         self._wake(process)
         queue = process.node.queue
-        while queue:
+        while queue and not process.paused:
             effect = queue.pop(0)
+            if self._is_held_back(process, effect):
+                continue
             if isinstance(effect, SendOrder):
                 self.old_orders.append(effect)
             process.node.run(effect, self.table, self.engines)
 
+    def _is_held_back(self, process: Process, effect: Effect) -> bool:
+        """Pause the process at the chosen transaction, with its orders unsent too."""
+        if not isinstance(effect, CommitDecision) or not process.commits_until_pause:
+            return False
+        if not process.node.may_act(ZONE, effect.epoch_version):
+            return False
+        process.commits_until_pause -= 1
+        if process.commits_until_pause:
+            return False
+        process.paused = True
+        if process.answers_again is not None:
+            process.answers_again.alive = True
+        process.checked.append(effect)
+        orders = [item for item in process.node.queue if isinstance(item, SendOrder)]
+        process.checked += orders
+        process.node.queue = [
+            item for item in process.node.queue if not isinstance(item, SendOrder)
+        ]
+        return True
+
     def _wake(self, process: Process) -> None:
         node = process.node
         node.now_s = self.now_s
@@ -280,6 +306,23 @@
     )
 
 
+def test_old_form_order_is_refused_after_release() -> None:
+    """A late form order must not place a VM that was released meanwhile."""
+    world = World([make_spec("a")], make_vms(ZONE, "d1", 2))
+    world.run_for(60)
+    group = world.node.state.groups.groups["a-z1-1"]
+    world.declare(make_spec("a", vm_selector="nothing"))
+    world.run_for(20)
+    assert not world.phases()
+    for member in group.members:
+        engine = world.engines[member.vm]
+        late = Order(
+            OrderKind.FORM, member.vm, "", group.generation, group.group,
+            group.generation,
+        )  # fmt: skip
+        assert engine.take_order(late, world.node.now_s) is Outcome.STALE_FENCE
+
+
 def test_old_form_order_is_detected_when_fencing_is_ignored() -> None:
     """A late order to an engine that ignores fencing must close the group at once."""
     machine = IgnoringProtocol()
