--- a/gooseberryhall/config/service.py
+++ b/gooseberryhall/config/service.py
@@ -13,6 +13,7 @@
 from .effects import ConfigApplied, RequestConfig
 from .events import ConfigChangesReceived, ConfigSnapshotReceived
 from .exceptions import ConfigUnreadableError
+from .metrics import CONFIG_REVISION
 from .store import async_load_changes, async_load_revision, async_load_snapshot
 
 _LOGGER = logging.getLogger(__name__)
@@ -46,12 +47,16 @@
 
 
 def create_poll(ctx: ProgramContext, table: Table) -> Callable[[], None]:
-    """Return a function that starts one poll unless one is under way."""
+    """Return a function that starts a poll, or repeats the one under way.
+
+    The one under way may have read the head before the revision that is asked for.
+    """
     polling = False
+    repeat = False
     reachable = True
 
     async def async_poll() -> None:
-        nonlocal polling, reachable
+        nonlocal reachable
         try:
             await async_fetch_missing(ctx.runtime, table)
         except (TableUnavailableError, ConfigUnreadableError) as exc:
@@ -60,14 +65,22 @@
             reachable = False
         else:
             reachable = True
+
+    async def async_poll_until_quiet() -> None:
+        nonlocal polling, repeat
+        try:
+            while repeat:
+                repeat = False
+                await async_poll()
         finally:
             polling = False
 
     def poll() -> None:
-        nonlocal polling
+        nonlocal polling, repeat
+        repeat = True
         if not polling:
             polling = True
-            ctx.async_create_task(async_poll(), "config poll")
+            ctx.async_create_task(async_poll_until_quiet(), "config poll")
 
     return poll
 
@@ -89,7 +102,8 @@
 
 
 def record_applied(ctx: ProgramContext, effect: ConfigApplied) -> None:
-    """Log and time-line a configuration that came into force."""
+    """Log, measure and time-line a configuration that came into force."""
+    CONFIG_REVISION.set({}, effect.revision)
     log_event(
         _LOGGER,
         LogEvent.CONFIG_IN_FORCE,
