Test whole responses with real engines and connections that fail

Cause: P3 was proved only against an engine in the test's own process. Ruled out: looking at status codes alone; every text is compared with the expected answer of its own prompt.

--- /dev/null
+++ b/tests/system/requests/test_streams.py
@@ -0,0 +1,137 @@
+"""Complete responses while engines and connections fail (P3)."""
+
+import asyncio
+
+import pytest
+
+from standins.cluster import async_wait_for
+
+from .common import (
+    CHUNK_LIMIT_S,
+    FIRST_TOKEN_LIMIT_S,
+    RunningSystem,
+    async_busy_lead,
+    async_chat,
+    async_engine_total,
+    async_set_speed,
+    start_chat,
+)
+
+pytestmark = pytest.mark.asyncio(loop_scope="package")
+
+# With this factor the first token takes 0.4 s and each further one 0.1 s.
+SLOW_FACTOR = 20
+LONG_TOKENS = 600
+RESUMES = 2
+CALLERS_PER_NODE = 8
+DELAYS_S = (0.3, 0.0, 0.1)
+CANCEL_LIMIT_S = 2.0
+
+
+async def test_a_lead_killed_before_the_first_content_is_replaced(
+    bed: RunningSystem,
+) -> None:
+    """Guards against failing a request of which the caller has seen nothing."""
+    await async_set_speed(bed, SLOW_FACTOR)
+    stream = start_chat(bed, bed.nodes[0], "killed before the first content")
+    lead = await async_busy_lead(bed)
+    assert not stream.started.is_set()
+    bed.cluster.kill(lead)
+    await stream.async_wait_ended()
+    assert stream.is_whole, stream
+
+
+async def test_a_lead_killed_in_mid_stream_is_a_visible_error(
+    bed: RunningSystem,
+) -> None:
+    """Guards against a cut response that looks complete, and against mixed texts."""
+    stream = start_chat(bed, bed.nodes[1], "killed in mid-stream", LONG_TOKENS)
+    await stream.async_wait_started()
+    bed.cluster.kill(await async_busy_lead(bed))
+    await stream.async_wait_ended()
+    assert stream.is_visibly_cut, stream
+    assert stream.error["ran"] == "unknown"
+    assert stream.error["code"]
+
+
+async def test_a_silent_stream_connection_is_resumed(bed: RunningSystem) -> None:
+    """Guards against lost or repeated chunks when a connection goes silent for ever."""
+    started = await async_engine_total(bed, "started")
+    stream = start_chat(bed, bed.nodes[2], "silent connection", LONG_TOKENS)
+    await stream.async_wait_started()
+    lead = await async_busy_lead(bed)
+    assert bed.cluster.engine_proxies[lead].silence_open_connections() > 0
+    await stream.async_wait_ended()
+    assert stream.is_whole, stream
+    assert await async_engine_total(bed, "started") == started + 1
+
+
+async def test_a_short_pause_of_the_engine_ends_in_a_whole_response(
+    bed: RunningSystem,
+) -> None:
+    """Guards against a caller that pays for a pause which a resume can bridge."""
+    stream = start_chat(bed, bed.nodes[0], "short pause", LONG_TOKENS)
+    await stream.async_wait_started()
+    address = bed.cluster.engine_address(await async_busy_lead(bed))
+    await bed.cluster.async_control(address, pause_s=1.5 * CHUNK_LIMIT_S)
+    await stream.async_wait_ended()
+    assert stream.is_whole, stream
+
+
+async def test_an_engine_paused_in_mid_stream_is_a_visible_error(
+    bed: RunningSystem,
+) -> None:
+    """Guards against callers that wait without end for a paused engine."""
+    stream = start_chat(bed, bed.nodes[1], "long pause", LONG_TOKENS)
+    await stream.async_wait_started()
+    bed.cluster.pause(await async_busy_lead(bed))
+    async with asyncio.timeout((RESUMES + 2) * CHUNK_LIMIT_S + 1.0):
+        await stream.async_wait_ended()
+    assert stream.is_visibly_cut, stream
+
+
+async def test_an_engine_paused_before_the_first_content_is_replaced(
+    bed: RunningSystem,
+) -> None:
+    """Guards against failing a request that another group can still answer."""
+    await async_set_speed(bed, SLOW_FACTOR)
+    stream = start_chat(bed, bed.nodes[2], "paused before the first content")
+    bed.cluster.pause(await async_busy_lead(bed))
+    assert not stream.started.is_set()
+    async with asyncio.timeout((RESUMES + 2) * FIRST_TOKEN_LIMIT_S + 4.0):
+        await stream.async_wait_ended()
+    assert stream.is_whole, stream
+
+
+async def test_concurrent_callers_get_their_own_response(bed: RunningSystem) -> None:
+    """Guards against mixed responses when answers arrive late and out of order."""
+    proxies = list(bed.cluster.engine_proxies.values())
+    streams = [
+        start_chat(bed, node, f"caller {number}", 60)
+        for node in bed.nodes
+        for number in range(CALLERS_PER_NODE)
+    ]
+    for delay_s in DELAYS_S:
+        for index, proxy in enumerate(proxies):
+            proxy.delay_s = delay_s * (index % 3)
+        await asyncio.sleep(0.1)
+    for stream in streams:
+        await stream.async_wait_ended()
+    assert [stream for stream in streams if not stream.is_whole] == []
+
+
+async def test_a_client_that_disconnects_cancels_the_engine(
+    bed: RunningSystem,
+) -> None:
+    """Guards against engines that go on working for callers that left."""
+    cancelled = await async_engine_total(bed, "cancelled")
+    stream = start_chat(bed, bed.nodes[0], "caller leaves", LONG_TOKENS)
+    await stream.async_wait_started()
+    assert stream.task is not None
+    stream.task.cancel()
+
+    async def async_is_cancelled() -> bool:
+        return await async_engine_total(bed, "cancelled") > cancelled
+
+    await async_wait_for(async_is_cancelled, CANCEL_LIMIT_S, "the engine's cancel")
+    assert (await async_chat(bed, bed.nodes[0], "the next caller")).is_whole
