Add a bench of latency, capacity, idle cost and prefix routing

There was no single run that compares the system with its baselines and targets.

The engine stand-in records how many blocks of each prompt were cached and can drop its cache, so that every way of routing starts with cold caches. The readings of processes that measure_control had are now in figures.py and shared.

--- /dev/null
+++ b/standins/bench_prefix.py
@@ -0,0 +1,171 @@
+"""Compares prefix-affinity routing with random and round-robin choice of groups."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from .answers import expected_answer
+from .bench_cluster import Lead, async_leads, serving_cluster
+from .client import ChatResult, Message, async_chat
+from .cluster import Cluster
+from .demo import MODEL, TEAM_TOKEN
+from .figures import Summary, summary
+from .layout import ClusterSizes
+from .processes import ProcessError
+
+SEED = 7
+NODES = 2
+GROUPS = 6
+CACHE_BLOCKS = 128
+ENGINE_OPTIONS = (
+    *("--prefix-cache-blocks", str(CACHE_BLOCKS)),
+    *("--token-ms", "2", "--first-token-ms", "20", "--block-ms", "3"),
+)
+REQUESTS = 360
+REQUESTS_PER_S = 24.0
+CONVERSATIONS = 40
+# Exponent of the Zipf law by which conversations are chosen.
+SKEW = 0.9
+MAX_TURNS = 14
+SITES = 5
+SITE_WORDS = 250
+QUESTION_WORDS = 60
+ANSWER_TOKENS = 30
+WORDS = ("silo", "moisture", "fan", "grain", "shift", "vent", "probe", "harvest")
+
+Send = Callable[["Turn", int], Coroutine[Any, Any, ChatResult]]
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """A request with the whole conversation before it, and when it is sent."""
+
+    at_s: float
+    messages: tuple[Message, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingResult:
+    """Share of the prompts' blocks that the engines had cached, and first tokens."""
+
+    hit_share: float
+    requests: int
+    first_token_ms: Summary
+
+
+def create_turns(seed: int = SEED) -> list[Turn]:
+    """Return a skewed mix of conversations that share a few system prompts."""
+    rng = random.Random(seed)
+    sites = [_words(rng, SITE_WORDS) for _ in range(SITES)]
+    weights = [1 / rank**SKEW for rank in range(1, CONVERSATIONS + 1)]
+    open_turns: dict[int, list[Message]] = {}
+    turns, at_s = [], 0.0
+    for _ in range(REQUESTS):
+        chosen = rng.choices(range(CONVERSATIONS), weights)[0]
+        messages = open_turns.get(chosen)
+        if messages is None or len(messages) > 2 * MAX_TURNS:
+            messages = [{"role": "system", "content": sites[chosen % SITES]}]
+            open_turns[chosen] = messages
+        messages.append({"role": "user", "content": _words(rng, QUESTION_WORDS)})
+        at_s += rng.expovariate(REQUESTS_PER_S)
+        turns.append(Turn(at_s, tuple(messages)))
+        # Answers follow from the prompt, so every way of routing sends the same turns.
+        answer = expected_answer(messages, ANSWER_TOKENS)
+        messages.append({"role": "assistant", "content": answer})
+    return turns
+
+
+def _words(rng: random.Random, count: int) -> str:
+    return " ".join(rng.choices(WORDS, k=count))
+
+
+async def async_measure_prefix() -> dict[str, RoutingResult]:
+    """Send the same turns through the system, at random and in rotation."""
+    sizes = ClusterSizes(
+        zones=("obihiro",),
+        nodes_per_zone=NODES,
+        domains_per_zone=1,
+        vms_per_domain=GROUPS,
+        engine_options=ENGINE_OPTIONS,
+    )
+    turns = create_turns()
+    async with (
+        serving_cluster(sizes, GROUPS, 1) as cluster,
+        aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session,
+    ):
+        leads = await async_leads(cluster)
+        rng, rotation = random.Random(SEED), itertools.cycle(leads)
+        senders = {
+            "system": _through(session, cluster),
+            "random": _direct(session, lambda: rng.choice(leads), "random"),
+            "round_robin": _direct(session, lambda: next(rotation), "rotation"),
+        }
+        return {
+            name: await _async_run(cluster, leads, turns, send)
+            for name, send in senders.items()
+        }
+
+
+def _through(session: aiohttp.ClientSession, cluster: Cluster) -> Send:
+    """Send through a random entry node, as a load balancer does."""
+    rng = random.Random(SEED)
+    headers = {"Authorization": f"Bearer {TEAM_TOKEN}"}
+
+    async def async_send(turn: Turn, _number: int) -> ChatResult:
+        address = rng.choice(cluster.nodes).address("entry")
+        return await _async_chat(session, address, turn, headers)
+
+    return async_send
+
+
+def _direct(
+    session: aiohttp.ClientSession, choose: Callable[[], Lead], prefix: str
+) -> Send:
+    async def async_send(turn: Turn, number: int) -> ChatResult:
+        lead = choose()
+        headers = {**lead.headers, "X-Request-Id": f"{prefix}-{number}"}
+        return await _async_chat(session, lead.address, turn, headers)
+
+    return async_send
+
+
+async def _async_chat(
+    session: aiohttp.ClientSession, address: str, turn: Turn, headers: dict[str, str]
+) -> ChatResult:
+    return await async_chat(
+        session, address, turn.messages, ANSWER_TOKENS, model=MODEL, headers=headers
+    )
+
+
+async def _async_run(
+    cluster: Cluster, leads: Sequence[Lead], turns: Sequence[Turn], send: Send
+) -> RoutingResult:
+    for lead in leads:
+        await cluster.async_control(lead.address, clear_cache=True)
+    before = await _async_blocks(cluster, leads)
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    tasks: list[asyncio.Task[ChatResult]] = []
+    for number, turn in enumerate(turns):
+        await asyncio.sleep(max(0.0, start_s + turn.at_s - loop.time()))
+        tasks.append(asyncio.create_task(send(turn, number)))
+    chats = await asyncio.gather(*tasks)
+    failed = next((chat for chat in chats if chat.outcome != "whole"), None)
+    if failed is not None:
+        raise ProcessError(f"{failed.outcome} {failed.status} {failed.error}")
+    after = await _async_blocks(cluster, leads)
+    cached, total = (last - first for first, last in zip(before, after, strict=True))
+    first_tokens = summary([chat.first_token_ms for chat in chats])
+    return RoutingResult(cached / total, len(chats), first_tokens)
+
+
+async def _async_blocks(cluster: Cluster, leads: Sequence[Lead]) -> tuple[int, int]:
+    """Return cached and all blocks of the prompts that the engines ran."""
+    records = [await cluster.async_records(lead.address) for lead in leads]
+    runs = [run for record in records for run in record["runs"]]
+    return sum(run["cached"] for run in runs), sum(run["blocks"] for run in runs)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -150,6 +150,7 @@
         "leaving": attribute_setter(faults, "leaving", bool),
         "honour_fence": attribute_setter(faults, "honour_fence", bool),
         "drop_events": attribute_setter(cache, "drop_events", int),
+        "clear_cache": lambda _value: cache.clear(boot_time_s()),
     }
     app.router.add_post("/_control", control_handler(fields))
     app.router.add_get("/_records", async_records)
--- a/standins/engine_chat.py
+++ b/standins/engine_chat.py
@@ -34,7 +34,7 @@
         if refusal is not None:
             return refusal
         stream = _create_stream(engine, cache, req, body)
-        _record_run(engine, req, body)
+        _record_run(engine, req, body, stream)
         pool.async_submit(stream)
         return await _async_send(req, stream, 0)
 
@@ -98,7 +98,8 @@
     if count is not None and (not isinstance(count, int) or count < 1):
         raise web.HTTPBadRequest(text="max_tokens must be a positive number")
     blocks = prompt_blocks(str(body.get("model")), messages)
-    uncached = len(blocks) - cache.use(blocks, boot_time_s())
+    cached = cache.use(blocks, boot_time_s())
+    uncached = len(blocks) - cached
     options = engine.options
     request_id = req.headers["X-Request-Id"]
     priority = req.headers.get("X-Priority", "")
@@ -113,6 +114,8 @@
         token_s=options.token_ms / MS_PER_S,
         headers=_echo_headers(engine, request_id),
         crashes=options.crash_marker and CRASH_MARKER in text,
+        prompt_blocks=len(blocks),
+        cached_blocks=cached,
     )
 
 
@@ -149,7 +152,9 @@
     return f"id: {seq}\ndata: {data}\n\n".encode()
 
 
-def _record_run(engine: Engine, req: web.Request, body: dict[str, Any]) -> None:
+def _record_run(
+    engine: Engine, req: web.Request, body: dict[str, Any], stream: Stream
+) -> None:
     engine.records.started += 1
     engine.records.runs.append(
         {
@@ -163,6 +168,8 @@
             "priority": req.headers.get("X-Priority"),
             "deadline_ms": req.headers.get("X-Deadline-Ms"),
             "started_at_s": boot_time_s(),
+            "blocks": stream.prompt_blocks,
+            "cached": stream.cached_blocks,
         }
     )
 
--- a/standins/engine_streams.py
+++ b/standins/engine_streams.py
@@ -44,6 +44,8 @@
     token_s: float
     headers: dict[str, str]
     crashes: bool = False
+    prompt_blocks: int = 0
+    cached_blocks: int = 0
     frames: list[bytes] = field(default_factory=list)
     result: StreamResult = StreamResult.RUNNING
     readers: int = 0
--- /dev/null
+++ b/standins/figures.py
@@ -0,0 +1,91 @@
+"""Arithmetic of measurements and readings of processes."""
+
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from .load import percentile
+from .processes import ProcessError
+
+KIB_PER_MB = 1024
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+LOAD_DIGITS = 2
+LOWER_QUARTILE, MEDIAN, UPPER_QUARTILE, TAIL = 25, 50, 75, 95
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """Count, median, 95th percentile and interquartile range of some values."""
+
+    count: int
+    median: float
+    p95: float
+    spread: float
+
+
+def summary(values: Sequence[float]) -> Summary:
+    """Return the summary of values; all zero without values."""
+    quartiles = [percentile(values, rank) for rank in (LOWER_QUARTILE, UPPER_QUARTILE)]
+    return Summary(
+        count=len(values),
+        median=percentile(values, MEDIAN),
+        p95=percentile(values, TAIL),
+        spread=round(quartiles[1] - quartiles[0], LOAD_DIGITS),
+    )
+
+
+def slope(points: Sequence[tuple[float, float]]) -> float:
+    """Return the least-squares slope of y over x; 0 when x does not vary."""
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    if not spread:
+        return 0.0
+    return sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+
+
+def intercept(points: Sequence[tuple[float, float]]) -> float:
+    """Return the value of the least-squares line at x = 0."""
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    return mean_y - slope(points) * mean_x
+
+
+def cpu_s(pid: int | str) -> float:
+    """Return user and system time of a process."""
+    return stat_cpu_s(Path(f"/proc/{pid}/stat").read_text())
+
+
+def stat_cpu_s(stat: str) -> float:
+    """Return user and system time from the text of a `stat` file."""
+    # The name in parentheses may itself contain spaces and parentheses.
+    user, system = stat.rsplit(")", 1)[1].split()[11:13]
+    return (int(user) + int(system)) / TICKS_PER_S
+
+
+def memory_mb(pid: int, field: str = "VmRSS") -> float:
+    """Return a memory field of a process. Raises ProcessError."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith(f"{field}:"):
+            return int(line.split()[1]) / KIB_PER_MB
+    raise ProcessError(f"no {field} of process {pid}")
+
+
+def metric_total(text: str, name: str) -> float:
+    """Return the sum of a metric over its labels."""
+    lines = [
+        line for line in text.splitlines() if line.startswith((f"{name} ", f"{name}{{"))
+    ]
+    return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
+
+
+def load_average() -> list[float]:
+    """Return the machine's load over 1, 5 and 15 minutes."""
+    return [round(value, LOAD_DIGITS) for value in os.getloadavg()]
+
+
+def markdown_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Return a Markdown table."""
+    lines = [header, ["---"] * len(header), *rows]
+    return "\n".join("| " + " | ".join(map(str, line)) + " |" for line in lines)
--- a/standins/measure_control.py
+++ b/standins/measure_control.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import tempfile
 from collections.abc import AsyncIterator, Iterable, Sequence
 from contextlib import asynccontextmanager
@@ -14,6 +13,7 @@
 import click
 from aiohttp import web
 
+from .figures import cpu_s, memory_mb, metric_total, slope
 from .http import HOST
 from .layout import PortPicker
 from .processes import ProcessError, ProcessSet
@@ -24,9 +24,7 @@
 POLL_PERIOD_S = 0.2
 # Time in which all VMs are listed, assigned and probed evenly.
 SETTLE_S = 6.0
-KIB_PER_MB = 1024
 PERCENT = 100
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,45 +232,25 @@
     async with session.get(f"http://{HOST}:{node.ops_port}/metrics") as response:
         text = await response.text()
     return Reading(
-        cpu_s=_cpu_s(processes.by_name[node.name].pid),
-        link_bytes=_metric(text, "gooseberryhall_link_bytes_total"),
-        probe_bytes=_metric(text, "gooseberryhall_probe_bytes_total"),
-        probes=_metric(text, "gooseberryhall_probes_total"),
+        cpu_s=cpu_s(processes.by_name[node.name].pid),
+        link_bytes=metric_total(text, "gooseberryhall_link_bytes_total"),
+        probe_bytes=metric_total(text, "gooseberryhall_probe_bytes_total"),
+        probes=metric_total(text, "gooseberryhall_probes_total"),
     )
 
 
-def _cpu_s(pid: int) -> float:
-    """Return user and system time of a process."""
-    stat = Path(f"/proc/{pid}/stat").read_text()
-    user, system = stat.rsplit(")", 1)[1].split()[11:13]
-    return (int(user) + int(system)) / TICKS_PER_S
-
-
-def _metric(text: str, name: str) -> float:
-    """Return the sum of a metric over its labels."""
-    lines = [line for line in text.splitlines() if line.startswith(name)]
-    return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
-
-
 def _cost(pid: int, share: int, seconds: float, first: Reading, last: Reading) -> Cost:
     return Cost(
         probed_vms=share,
         cpu_percent=PERCENT * (last.cpu_s - first.cpu_s) / seconds,
-        rss_mb=_memory_mb(pid, "VmRSS"),
-        peak_rss_mb=_memory_mb(pid, "VmHWM"),
+        rss_mb=memory_mb(pid, "VmRSS"),
+        peak_rss_mb=memory_mb(pid, "VmHWM"),
         link_bytes_per_s=(last.link_bytes - first.link_bytes) / seconds,
         probe_bytes_per_s=(last.probe_bytes - first.probe_bytes) / seconds,
         probes_per_s=(last.probes - first.probes) / seconds,
     )
 
 
-def _memory_mb(pid: int, field: str) -> float:
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith(f"{field}:"):
-            return int(line.split()[1]) / KIB_PER_MB
-    raise ProcessError(f"no {field} of process {pid}")
-
-
 def mean_cost(costs: Sequence[Cost]) -> Cost:
     """Return the mean of each field."""
     fields = [asdict(cost) for cost in costs]
@@ -281,14 +259,6 @@
     )
 
 
-def slope(points: Sequence[tuple[float, float]]) -> float:
-    """Return the least-squares slope of y over x."""
-    mean_x = sum(x for x, _ in points) / len(points)
-    mean_y = sum(y for _, y in points) / len(points)
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    return sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
-
-
 async def async_measure_all(sizes: Sequence[int], seconds: float) -> dict[str, Any]:
     """Return the cost at each size and its slope for each probed VM of a node."""
     means = []
