Leave a lost group before the first content

Cause: a request whose lead was paused before the first content waited for the first-token limit, was resumed at the same silent engine twice, and reached another group only after three limits (60 s by default). Ruled out: a shorter first-token limit (long prompts need it); leaving on missing evidence (a node without a control process would give up requests that still run). Change: on each tick, attempts without content end when probes show that a member of their group is lost or runs something else; a stall before the first content restarts before it resumes. Before and after: the four new tests need an effect that did not exist; with the change they pass, and so do tests/requests, tests/entry and tests/limits. Conclusion: the wait falls from three limits to the next probe.

--- a/gooseberryhall/requests/dispatching.py
+++ b/gooseberryhall/requests/dispatching.py
@@ -53,6 +53,7 @@
     record.phase = Phase.RUNNING
     record.target = target
     record.resumes = 0
+    record.ending = False
     record.dispatched_at_s = now_s
     if record.first_dispatched_at_s is None:
         record.first_dispatched_at_s = now_s
--- a/gooseberryhall/requests/effects.py
+++ b/gooseberryhall/requests/effects.py
@@ -24,6 +24,13 @@
     pause_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class EndAttempt(Effect):
+    """Stop waiting for a group that has been lost."""
+
+    request_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRestarted(Effect):
     """A request was queued again after it failed at a group."""
--- a/gooseberryhall/requests/reducer.py
+++ b/gooseberryhall/requests/reducer.py
@@ -8,7 +8,9 @@
 from ..exceptions import Ran
 from ..limits import admission, queue
 from ..limits.rate import take_retry
+from ..membership.evidence import ClosedReason, member_closed_reason
 from ..routing.events import LatencyObserved
+from ..routing.models import Target
 from ..routing.stragglers import observe_latency
 from . import service_reducer
 from .const import (
@@ -20,6 +22,7 @@
 )
 from .dispatching import dispatch_queued, release_slot
 from .effects import (
+    EndAttempt,
     FailRequest,
     ReportMemberFailure,
     RequestEnded,
@@ -54,6 +57,15 @@
     from ..core.state import State
 
 _RESUMABLE = frozenset((BreakReason.BROKEN, BreakReason.STALLED, BreakReason.SEQUENCE))
+# Without evidence of its own a node cannot tell whether the group still works.
+_LOST = frozenset(
+    (
+        ClosedReason.NOT_ANSWERING,
+        ClosedReason.RESTARTED,
+        ClosedReason.OTHER_GROUP,
+        ClosedReason.NOT_SERVING,
+    )
+)
 _SUSPICIOUS = _RESUMABLE | {BreakReason.ECHO}
 
 
@@ -111,30 +123,68 @@
         record.sent = True
     if event.reason is BreakReason.REJECTED:
         effects += _fail(state, record, _rejected(event.message), now_s)
-    elif event.reason in _RESUMABLE and record.resumes < MAX_RESUMES:
-        pause_s = RESUME_PAUSE_S * record.resumes
-        record.resumes += 1
-        effects.append(ResumeAttempt(record.request_id, record.target, pause_s))
-        return effects
     else:
-        effects += _restart(state, record, event, now_s)
+        effects += _recover(state, record, record.target, event, now_s)
     return effects + dispatch_queued(state, now_s)
 
 
-def _restart(
-    state: "State", record: Record, event: StreamBroken, now_s: float
+def _recover(
+    state: "State", record: Record, target: Target, event: StreamBroken, now_s: float
 ) -> list[Effect]:
-    """Queue a request again for another group, or fail it."""
-    assert record.target is not None  # noqa: S101 - narrowed by the caller
-    if record.first_content_at_s is not None or not take_retry(state.limits, now_s):
+    """Resume a request, queue it again for another group, or fail it."""
+    resumable = event.reason in _RESUMABLE and record.resumes < MAX_RESUMES
+    untouched = record.first_content_at_s is None
+    # An engine that is silent before the first content would be as silent when resumed.
+    restart_first = event.reason is BreakReason.STALLED or not resumable
+    if untouched and restart_first and take_retry(state.limits, now_s):
+        return _restart(state, record, target, event, now_s)
+    if not resumable:
         return _fail_when_confirmed(state, record, _broken(record, event), now_s)
-    target = record.target
+    pause_s = RESUME_PAUSE_S * record.resumes
+    record.resumes += 1
+    record.ending = False
+    return [ResumeAttempt(record.request_id, target, pause_s)]
+
+
+def _restart(
+    state: "State", record: Record, target: Target, event: StreamBroken, now_s: float
+) -> list[Effect]:
     record.avoid.add((target.group, target.generation))
     release_slot(state, record, now_s)
     queue.requeue(state.limits, record.request, now_s)
     return [RequestRestarted(record.request_id, target, event.reason)]
 
 
+def _end_lost_attempts(state: "State", now_s: float) -> list[Effect]:
+    """End the attempts that wait for the first content of a group that was lost."""
+    effects: list[Effect] = []
+    lost: dict[tuple[str, int], bool] = {}
+    for record in state.requests.active.values():
+        target = record.target
+        if record.phase is not Phase.RUNNING or target is None:
+            continue
+        if record.first_content_at_s is not None or record.ending:
+            continue
+        key = (target.group, target.generation)
+        if key not in lost:
+            lost[key] = _is_lost(state, target, now_s)
+        if lost[key]:
+            record.ending = True
+            effects.append(EndAttempt(record.request_id))
+    return effects
+
+
+def _is_lost(state: "State", target: Target, now_s: float) -> bool:
+    group = state.groups.groups.get(target.group)
+    if group is None or group.generation != target.generation:
+        return True
+    evidence = state.membership.evidence
+    return any(
+        member_closed_reason(group, member, evidence.get(member.vm), now_s) in _LOST
+        for member in group.members
+    )
+
+
 def _fail_when_confirmed(
     state: "State", record: Record, failure: Failure, now_s: float
 ) -> list[Effect]:
@@ -196,6 +246,7 @@
     if effects:
         effects += _cancel_refused(state, now_s)
     effects += _fail_confirmed(state, now_s)
+    effects += _end_lost_attempts(state, now_s)
     for record, failure in expired_failures(state, now_s):
         effects += _fail(state, record, failure, now_s)
     return effects + dispatch_queued(state, now_s)
--- a/gooseberryhall/requests/relay.py
+++ b/gooseberryhall/requests/relay.py
@@ -140,6 +140,13 @@
         _cancel_at(ctx, calls, effect.request_id, effect.target)
 
 
+def async_end_attempt(calls: Calls, request_id: str) -> None:
+    """End an attempt as if it had made no progress."""
+    call = calls.open.get(request_id)
+    if call is not None:
+        _end_attempt(call)
+
+
 def async_check_progress(calls: Calls) -> None:
     """End the attempts that made no progress within their limit."""
     now = now_s()
--- a/gooseberryhall/requests/service.py
+++ b/gooseberryhall/requests/service.py
@@ -12,6 +12,7 @@
 from ..telemetry.logs import log_event
 from .const import GAP_REPORT_PERIOD_S, PROGRESS_CHECK_PERIOD_S, TICK_PERIOD_S
 from .effects import (
+    EndAttempt,
     FailRequest,
     ReportMemberFailure,
     ReportSuspect,
@@ -26,6 +27,7 @@
     async_abandon_stream,
     async_check_progress,
     async_command,
+    async_end_attempt,
     async_report_gaps,
 )
 
@@ -52,6 +54,9 @@
     ctx.runtime.register(StartAttempt, command)
     ctx.runtime.register(ResumeAttempt, command)
     ctx.runtime.register(FailRequest, command)
+    ctx.runtime.register(
+        EndAttempt, lambda effect: async_end_attempt(calls, effect.request_id)
+    )
     ctx.runtime.register(
         RequestRestarted, lambda effect: _restarted(ctx, calls, effect)
     )
--- a/gooseberryhall/requests/state.py
+++ b/gooseberryhall/requests/state.py
@@ -12,8 +12,9 @@
     """A model request that has no outcome yet.
 
     `avoid` holds the groups, with their generations, at which it failed before.
-    `sent` tells whether bytes of it can have reached an engine. `pending_failure` is
-    its outcome while a possible crash is not confirmed.
+    `sent` tells whether bytes of it can have reached an engine. `ending` is set once
+    its attempt was told to end. `pending_failure` is its outcome while a possible crash
+    is not confirmed.
     """
 
     request: ModelRequest
@@ -25,6 +26,7 @@
     first_content_at_s: float | None = None
     sent: bool = False
     resumes: int = 0
+    ending: bool = False
     avoid: set[tuple[str, int]] = field(default_factory=set)
     pending_failure: Failure | None = None
 
