--- a/standins/bench_planner.py
+++ b/standins/bench_planner.py
@@ -257,7 +257,7 @@
 
 
 def compare(
-    planners: Mapping[str, Callable[[Weighting], Tuning]], seeds: int, workers: int
+    planners: Mapping[str, Callable[[Weighting], Tuning]], seeds: range, workers: int
 ) -> Iterator[str]:
     """Yield the lines of the table; equal choices run only once."""
     yield "| weighting | planner | downtime, group-s | stranded, VM-s | weighted sum |"
@@ -268,21 +268,22 @@
         for name, choose in planners.items()
     ]
     distinct = list(dict.fromkeys(tuning for _, _, tuning in cases))
-    jobs = [(seed, tuning) for tuning in distinct for seed in range(seeds)]
+    jobs = [(seed, tuning) for tuning in distinct for seed in seeds]
     with ProcessPoolExecutor(workers) as pool:
         scores = dict(zip(jobs, pool.map(_run_job, jobs), strict=True))
     for weighting, name, tuning in cases:
-        yield _row(name, weighting, [scores[seed, tuning] for seed in range(seeds)])
+        yield _row(name, weighting, [scores[seed, tuning] for seed in seeds])
 
 
 @click.command()
 @click.option("--seeds", default=20, show_default=True, help="Number of schedules.")
+@click.option("--first-seed", default=0, show_default=True)
 @click.option("--workers", default=WORKERS, show_default=True)
 @click.option("--variants", is_flag=True, help="Compare variants of the planner.")
-def main(seeds: int, workers: int, variants: bool) -> None:
+def main(seeds: int, first_seed: int, workers: int, variants: bool) -> None:
     """Print both measures of the planner and the baselines as a table."""
     planners = VARIANTS if variants else PLANNERS
-    for line in compare(planners, seeds, workers):
+    for line in compare(planners, range(first_seed, first_seed + seeds), workers):
         click.echo(line)
 
 
