Tell by /ready when a program starts to stop

Cause: the ops port of the entry program answered 503 all the time, because nothing set its readiness, and that of the admin program answered 200 until it ended. Change: the entry program's ops port gives the same answer as its callers' port, and every program is not ready from SIGTERM on, in the place that all programs share.

--- a/gooseberryhall/control/parts.py
+++ b/gooseberryhall/control/parts.py
@@ -24,8 +24,3 @@
     await config_service.async_setup(ctx, ask_peers=partial(config_relay.ask_peer, hub))
     await groups_service.async_setup(ctx, hub.async_send)
     ctx.ops.ready = True
-    ctx.stack.callback(_report_stopping, ctx)
-
-
-def _report_stopping(ctx: ProgramContext) -> None:
-    ctx.ops.ready = False
--- a/gooseberryhall/core/program.py
+++ b/gooseberryhall/core/program.py
@@ -74,6 +74,7 @@
         await async_setup(ctx)
         log_event(_LOGGER, LogEvent.PROGRAM_STARTED, "program started")
         await ctx.stopping.wait()
+        ctx.ops.ready = False
         log_event(_LOGGER, LogEvent.PROGRAM_STOPPING, "program stopping")
     log_event(_LOGGER, LogEvent.PROGRAM_STOPPED, "program stopped")
 
--- a/gooseberryhall/entry/setup.py
+++ b/gooseberryhall/entry/setup.py
@@ -10,7 +10,7 @@
 from ..routing import service as routing_service
 from .front import Front
 from .reporting import async_setup_metrics
-from .server import async_start_server
+from .server import async_start_server, is_ready
 from .stop import async_setup_stop
 
 
@@ -26,4 +26,5 @@
     front = Front(ctx, calls, claims_service.async_setup(ctx))
     await async_start_server(front)
     async_setup_stop(front)
+    ctx.ops.ready_check = lambda: is_ready(front, ctx.runtime.state)
     return front
--- a/gooseberryhall/telemetry/ops.py
+++ b/gooseberryhall/telemetry/ops.py
@@ -18,6 +18,7 @@
         """Start as not ready, with an empty status."""
         self.timeline = timeline
         self.ready = False
+        self.ready_check: Callable[[], bool] | None = None
         self._sources: dict[str, StatusSource] = {}
         self._collectors: list[Callable[[], None]] = []
 
@@ -29,6 +30,10 @@
         """Call `collector` before metrics are rendered."""
         self._collectors.append(collector)
 
+    def is_ready(self) -> bool:
+        """Return the answer of the check, if there is one, or what was set."""
+        return self.ready if self.ready_check is None else self.ready_check()
+
     def status(self) -> dict[str, Any]:
         """Return the status of all parts."""
         return {name: source() for name, source in self._sources.items()}
@@ -48,7 +53,8 @@
         return web.Response(body=content, headers=headers)
 
     async def async_ready(_req: web.Request) -> web.Response:
-        return web.json_response({"ready": ops.ready}, status=200 if ops.ready else 503)
+        ready = ops.is_ready()
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
 
     async def async_status(_req: web.Request) -> web.Response:
         return web.json_response(ops.status())
