--- a/tests/system/control/conftest.py
+++ b/tests/system/control/conftest.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+import pytest
 import pytest_asyncio
 
 from standins.cluster import EDGES, Cluster
@@ -13,11 +14,14 @@
 
 
 @pytest_asyncio.fixture(scope="package", loop_scope="package")
-async def running() -> AsyncIterator[System]:
-    """Return a cluster with a configuration in force."""
+async def running(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> AsyncIterator[System]:
+    """Return a cluster with a configuration in force; its logs outlast the test."""
+    directory = tmp_path_factory.mktemp("cluster")
     connector = aiohttp.TCPConnector(limit=0)
     async with (
-        Cluster(SIZES, proxied=EDGES) as cluster,
+        Cluster(SIZES, proxied=EDGES, directory=directory) as cluster,
         aiohttp.ClientSession(connector=connector) as session,
     ):
         await async_apply(cluster, configuration(cluster))
--- /dev/null
+++ b/tests/system/control/test_configuration.py
@@ -0,0 +1,159 @@
+"""P8: accepted edits are in force everywhere within 8 s and never revert."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from standins.cluster import async_wait_for
+from standins.http import boot_time_s
+from standins.layout import PROGRAMS
+
+from .common import (
+    CONFIG_LIMIT_S,
+    ZONES,
+    System,
+    async_observe_until,
+    async_repeating,
+    node_programs,
+    team,
+)
+from .watches import RevisionWatch, async_revision_of
+
+pytestmark = pytest.mark.asyncio(loop_scope="package")
+
+CONFLICT = 409
+TABLE_DOWN = 503
+MIN_SAMPLES = 20
+# Longer than the period of the control processes' reads of the table.
+OBSERVED_S = 3.0
+
+
+async def _async_wait_in_force(system: System, revision: int) -> float:
+    """Wait until every program of every entry VM shows a revision."""
+
+    async def async_everywhere() -> bool:
+        programs = node_programs(system.cluster)
+        shown = await asyncio.gather(
+            *(async_revision_of(system, *item) for item in programs)
+        )
+        return all(item is not None and item >= revision for item in shown)
+
+    return await async_wait_for(
+        async_everywhere, CONFIG_LIMIT_S, f"revision {revision} in force everywhere"
+    )
+
+
+async def _async_declared(system: System) -> dict[str, Any]:
+    """Return the declared objects in the table by kind and name."""
+    prefix = "config/object/"
+    rows = await system.async_rows()
+    return {key.removeprefix(prefix): row for key, row in rows.items() if prefix in key}
+
+
+async def test_racing_edits_on_one_base_lose_nothing(system: System) -> None:
+    """Guards against an edit that overwrites another one unseen."""
+    first, second = system.cluster.nodes[0], system.cluster.nodes[-1]
+    base = await system.async_revision()
+    answers = await asyncio.gather(
+        system.async_edit(first, base, [team("racer-a")]),
+        system.async_edit(second, base, [team("racer-b")]),
+    )
+    assert sorted(status for status, _ in answers) == [200, CONFLICT]
+    (_, error), *_ = [item for item in answers if item[0] == CONFLICT]
+    won, lost = (
+        ("racer-a", "racer-b") if answers[0][0] == 200 else ("racer-b", "racer-a")
+    )
+    refused = [item["object"]["name"] for item in error["error"]["operations"]]
+    accepted = [
+        item["object"]["name"]
+        for change in error["error"]["accepted"]
+        for item in change["operations"]
+    ]
+    assert (refused, accepted) == ([lost], [won])
+    status, _ = await system.async_edit(
+        second, error["error"]["revision"], [team(lost)]
+    )
+    assert status == 200
+    assert {"team/racer-a", "team/racer-b"} <= (await _async_declared(system)).keys()
+
+
+async def test_edit_reaches_a_zone_that_is_cut_off_from_the_platform(
+    system: System,
+) -> None:
+    """Guards against a zone that keeps an old configuration while it has peers."""
+    cluster = system.cluster
+    for node in cluster.nodes:
+        if node.zone == ZONES[1]:
+            await cluster.platform_proxies[node.name].async_cut()
+    revision = await system.async_accept([team("reaches-all")])
+    await _async_wait_in_force(system, revision)
+
+
+async def test_revision_never_falls_during_outages_and_partitions(
+    system: System,
+) -> None:
+    """Guards against a process that goes back to an older configuration."""
+    cluster = system.cluster
+    watch = RevisionWatch(system)
+    cut_off, restarted = cluster.nodes[0], cluster.nodes[-1]
+    links = [
+        proxy for pair, proxy in cluster.control_proxies.items() if cut_off.name in pair
+    ]
+    async with async_repeating(watch.async_sample):
+        await cluster.platform_proxies[cut_off.name].async_cut()
+        await asyncio.gather(*(proxy.async_cut() for proxy in links))
+        base = await system.async_revision()
+        other = cluster.nodes[1]
+        status, body = await system.async_edit(other, base, [team("unseen")])
+        assert status == 200, body
+        await system.async_platform(down=True)
+        for program in PROGRAMS:
+            await cluster.async_restart(restarted.name, program)
+        status, _ = await system.async_edit(other, base + 1, [team("refused")])
+        assert status == TABLE_DOWN
+        await async_observe_until(boot_time_s() + OBSERVED_S)
+        await asyncio.gather(*(proxy.async_heal() for proxy in links))
+        healed_s = boot_time_s()
+        await _async_wait_in_force(system, base + 1)
+        assert boot_time_s() - healed_s <= CONFIG_LIMIT_S
+        await system.async_platform(down=False)
+        await cluster.platform_proxies[cut_off.name].async_heal()
+        revision = await system.async_accept([team("after")])
+        assert revision == base + 2
+        await _async_wait_in_force(system, revision)
+        await async_observe_until(boot_time_s() + OBSERVED_S)
+    assert watch.samples > MIN_SAMPLES
+
+
+async def test_restarted_entry_vm_serves_while_the_platform_is_down(
+    system: System,
+) -> None:
+    """Guards against a new VM that needs the platform to start.
+
+    Configuration, groups and evidence have to come from its peers.
+    """
+    cluster, node = system.cluster, system.cluster.nodes[0]
+    revision = await system.async_revision()
+    await system.async_platform(down=True, vms_down=True, objects_down=True)
+    for program in PROGRAMS:
+        cluster.kill(node.name, program)
+    for program in PROGRAMS:
+        await cluster.async_restart(node.name, program)
+    started_s = boot_time_s()
+
+    async def async_accepts() -> bool:
+        url = f"{node.address('entry')}/ready"
+        return (await cluster.async_get(url))[0] == 200
+
+    await async_wait_for(async_accepts, CONFIG_LIMIT_S, "the restarted VM is ready")
+    sent = await system.async_send(node)
+    assert sent.result.outcome == "whole", sent
+    assert sent.ended_s - started_s <= CONFIG_LIMIT_S
+    await _async_wait_in_force(system, revision)
+
+    async def async_shows_groups() -> bool:
+        return bool(await system.async_serving(node))
+
+    remaining_s = started_s + CONFIG_LIMIT_S - boot_time_s()
+    await async_wait_for(async_shows_groups, remaining_s, "groups at the admin program")
