--- a/gooseberryhall/groups/service.py
+++ b/gooseberryhall/groups/service.py
@@ -13,12 +13,12 @@
     EngineUnavailableError,
     OrderRefusedError,
     StaleFenceError,
-    TableUnavailableError,
 )
-from ..adapters.table import HttpTable, Table
+from ..adapters.table import Conflict, HttpTable, Table, Transaction
 from ..core.clock import now_s
 from ..core.context import ProgramContext
 from ..core.events import Event
+from ..exceptions import UnavailableError
 from ..links.messages import GroupView, Message
 from ..telemetry.logs import log_event
 from .const import RELEASE_LIMIT_S, TICK_PERIOD_S
@@ -34,7 +34,6 @@
 )
 from .events import (
     DecisionCommitted,
-    GroupViewReceived,
     LeaseRead,
     LeaseWritten,
     OrderFinished,
@@ -77,11 +76,6 @@
     ctx.stack.push_async_callback(_async_stop, service)
 
 
-def on_group_view(ctx: ProgramContext, view: GroupView) -> None:
-    """Take in the groups of a zone as another process announced them."""
-    ctx.runtime.async_dispatch(GroupViewReceived(view.zone, view.revision, view.groups))
-
-
 @dataclass(frozen=True, slots=True)
 class _Service:
     """What the effect handlers share."""
@@ -169,7 +163,7 @@
         epoch_row = None
         if effect.with_epoch:
             epoch_row = await service.table.async_read(epoch_key(effect.zone))
-    except TableUnavailableError:
+    except UnavailableError:
         service.dispatch(LeaseRead(effect.zone, ok=False))
         return
     service.dispatch(
@@ -178,16 +172,7 @@
 
 
 async def _async_write_lease(service: _Service, effect: WriteLease) -> None:
-    revision = conflict = None
-    try:
-        written = await service.table.async_commit(effect.transaction)
-    except TableUnavailableError:
-        pass
-    else:
-        if isinstance(written, Ok):
-            revision = written.ok_value
-        else:
-            conflict = written.err_value
+    revision, conflict = await _async_try_commit(service, effect.transaction)
     service.dispatch(
         LeaseWritten(
             effect.zone, effect.transaction, effect.decided_s, revision, conflict
@@ -195,10 +180,23 @@
     )
 
 
+async def _async_try_commit(
+    service: _Service, transaction: Transaction
+) -> tuple[int | None, Conflict | None]:
+    """Return the revision or the conflict; neither when the outcome is not known."""
+    try:
+        written = await service.table.async_commit(transaction)
+    except UnavailableError:
+        return None, None
+    if isinstance(written, Ok):
+        return written.ok_value, None
+    return None, written.err_value
+
+
 async def _async_read_zone(service: _Service, effect: ReadZone) -> None:
     try:
         snapshot = await service.table.async_read_prefix(group_prefix(effect.zone))
-    except TableUnavailableError:
+    except UnavailableError:
         snapshot = None
     service.dispatch(ZoneRead(effect.zone, effect.epoch_version, snapshot))
 
@@ -206,15 +204,7 @@
 async def _async_commit(service: _Service, effect: CommitDecision) -> None:
     revision = conflict = None
     if service.may_act(effect.zone, effect.epoch_version):
-        try:
-            written = await service.table.async_commit(effect.transaction)
-        except TableUnavailableError:
-            pass
-        else:
-            if isinstance(written, Ok):
-                revision = written.ok_value
-            else:
-                conflict = written.err_value
+        revision, conflict = await _async_try_commit(service, effect.transaction)
     service.dispatch(
         DecisionCommitted(effect.zone, effect.epoch_version, revision, conflict)
     )
--- a/gooseberryhall/membership/prober.py
+++ b/gooseberryhall/membership/prober.py
@@ -10,13 +10,11 @@
 from ..core.context import ProgramContext
 from ..exceptions import UnavailableError
 from .assignment import ProbeTarget
-from .const import PROBE_MIN_PAUSE_S, PROBE_PERIOD_S
+from .const import PROBE_LATE_S, PROBE_MIN_PAUSE_S, PROBE_PERIOD_S, PROBE_TIMEOUT_S
 from .metrics import PROBE_BYTES, PROBED_VMS, PROBES
 from .models import Evidence, MemberHealth
 
 HealthReader = Callable[[str], Awaitable[tuple[MemberHealth, int]]]
-_OK = {"result": "ok"}
-_FAILED = {"result": "failed"}
 
 
 @dataclass(slots=True)
@@ -43,6 +41,9 @@
         self._read_health = read_health
         self._on_result = on_result
         self._probes: dict[str, _Probe] = {}
+        self.answered = 0
+        self.failed = 0
+        self.probe_bytes = 0
 
     def __contains__(self, vm: str) -> bool:
         """Return whether this node probes a VM."""
@@ -60,7 +61,13 @@
         for vm, target in targets.items():
             if vm not in self._probes:
                 self._start(target)
+
+    def collect(self) -> None:
+        """Export the counts of probes."""
         PROBED_VMS.set({}, len(self._probes))
+        PROBES.set({"result": "ok"}, self.answered)
+        PROBES.set({"result": "failed"}, self.failed)
+        PROBE_BYTES.set({}, self.probe_bytes)
 
     def async_probe_now(self, vm: str) -> None:
         """Probe a VM before its next turn."""
@@ -95,8 +102,14 @@
 
     async def _async_probe(self, probe: _Probe, started_s: float) -> None:
         health = await self._async_read(probe.target)
+        if health is None and now_s() - started_s > PROBE_TIMEOUT_S + PROBE_LATE_S:
+            # This process was paused meanwhile; the member may well have answered.
+            return
         probe.answered = health is not None
-        PROBES.inc(_OK if probe.answered else _FAILED)
+        if probe.answered:
+            self.answered += 1
+        else:
+            self.failed += 1
         # Dated at the start, which is never later than the moment of the answer.
         self._on_result(Evidence(probe.target.vm, health, started_s))
 
@@ -105,18 +118,21 @@
             health, size = await self._read_health(target.address)
         except UnavailableError:
             return None
-        PROBE_BYTES.add({}, size)
+        self.probe_bytes += size
         # Another VM may have been given the address.
         return health if health.vm == target.vm else None
 
 
 async def _async_pause(wake: asyncio.Event, pause_s: float) -> None:
     """Wait for the pause or until woken, but not less than the smallest pause."""
-    await asyncio.sleep(PROBE_MIN_PAUSE_S)
     loop = asyncio.get_running_loop()
-    timer = loop.call_later(max(0.0, pause_s - PROBE_MIN_PAUSE_S), wake.set)
+    due_s = loop.time() + pause_s
+    earliest_s = loop.time() + PROBE_MIN_PAUSE_S
+    timer = loop.call_at(max(due_s, earliest_s), wake.set)
     try:
         await wake.wait()
     finally:
         timer.cancel()
         wake.clear()
+    if loop.time() < earliest_s:
+        await asyncio.sleep(earliest_s - loop.time())
--- a/gooseberryhall/membership/service.py
+++ b/gooseberryhall/membership/service.py
@@ -15,14 +15,16 @@
 from ..links.hub import LinkHub
 from ..links.identity import Role
 from ..links.link import Link
-from ..links.messages import GroupView, MemberFailure, SuspectReport
+from ..links.messages import GroupView, MemberFailure, Ping, SuspectReport
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
-from . import heartbeats, peers, receive
+from . import heartbeats, receive
 from .assignment import probe_targets
 from .const import (
-    ASSIGN_PERIOD_S,
-    DIGEST_PERIOD_S,
+    LATE_ANSWER_S,
+    PEER_CHECK_PERIOD_S,
+    PROBE_TIMEOUT_S,
+    UPKEEP_PERIOD_S,
     VM_LIST_JITTER,
     VM_LIST_PERIOD_S,
 )
@@ -30,6 +32,7 @@
 from .effects import MemberChange, MemberChanged, PeerChanged
 from .events import EvidenceReceived
 from .models import Evidence
+from .peers import PeerDialler
 from .prober import Prober
 from .records import add_collector, record_member, record_peer
 
@@ -58,22 +61,39 @@
     """Probe VMs, exchange heartbeats and evidence until the program stops."""
     service = _Service(ctx, hub)
     prober = Prober(
-        ctx, partial(async_health, ctx.session), partial(_on_result, service)
+        ctx,
+        partial(async_health, ctx.session, timeout_s=PROBE_TIMEOUT_S),
+        partial(_on_result, service),
     )
     assign = partial(_assign, service, prober)
     _register_effects(service, assign)
-    receive.subscribe(ctx, hub)
+    on_digest = receive.subscribe(ctx, hub)
+    _send_digests_on_pings(service)
     _subscribe_forwarding(service, prober)
-    heartbeats.async_setup(ctx, hub, peers.async_setup(ctx, hub))
+    dialler = PeerDialler(ctx, hub)
+    heartbeats.async_setup(
+        ctx,
+        hub,
+        dialler,
+        lambda link: service.digests.next_digest(link, service.own_results),
+        on_digest,
+    )
     _read_vms_periodically(
         ctx, vm_list or HttpVmList(ctx.session, ctx.settings.platform.vms_address)
     )
+
+    def keep_up() -> None:
+        assign()
+        dialler.async_check()
+
+    keep_up()
     for period_s, callback in (
-        (ASSIGN_PERIOD_S, assign),
-        (DIGEST_PERIOD_S, partial(_send_digests, service)),
+        (PEER_CHECK_PERIOD_S, heartbeats.create_check(ctx, PEER_CHECK_PERIOD_S)),
+        (UPKEEP_PERIOD_S, keep_up),
     ):
         ctx.stack.callback(ctx.timer.async_subscribe(period_s, callback))
     add_collector(ctx)
+    ctx.ops.add_collector(prober.collect)
     ctx.ops.add_status("membership", partial(_status, service, prober))
 
 
@@ -95,6 +115,9 @@
 
 
 def _assign(service: _Service, prober: Prober) -> None:
+    # While this process stops, its links close, which looks like the end of all peers.
+    if service.ctx.stopping.is_set():
+        return
     targets = probe_targets(service.ctx.runtime.state)
     for vm in service.own_results.keys() - targets.keys():
         del service.own_results[vm]
@@ -103,7 +126,10 @@
 
 def _on_result(service: _Service, evidence: Evidence) -> None:
     service.own_results[evidence.vm] = evidence
+    held = service.ctx.runtime.state.membership.evidence.get(evidence.vm)
     service.ctx.runtime.async_dispatch(EvidenceReceived((evidence,)))
+    if held and evidence.observed_at_s - held.observed_at_s > LATE_ANSWER_S:
+        _send_digests_soon(service)
 
 
 def _send_digests_soon(service: _Service) -> None:
@@ -115,9 +141,29 @@
 
 def _send_digests(service: _Service) -> None:
     service.flush_due = False
+    for link in service.hub.links():
+        _send_digest(service, link)
+
+
+def _send_digest(service: _Service, link: Link) -> None:
+    """Send all evidence to the programs of this VM and own results to peers."""
     held = service.ctx.runtime.state.membership.evidence
-    service.digests.async_send(service.hub.links(*_LOCAL), held)
-    service.digests.async_send(service.hub.links(Role.CONTROL), service.own_results)
+    is_peer = link.role is Role.CONTROL
+    service.digests.async_send(link, service.own_results if is_peer else held)
+
+
+def _send_digests_on_pings(service: _Service) -> None:
+    """Answer the pings of the programs of this VM with news.
+
+    A digest that follows a ping at once is dated without a loss. Peers get the
+    evidence with heartbeats.
+    """
+
+    def on_ping(link: Link, _ping: Ping) -> None:
+        if link.role is not Role.CONTROL:
+            _send_digest(service, link)
+
+    service.hub.subscribe(Ping, on_ping)
 
 
 def _subscribe_forwarding(service: _Service, prober: Prober) -> None:
