Answer the last requests of a stopping entry program

Cause: at the end of a drain the process ended with its listener open. Connections that were accepted in its last moments, and kept-alive ones that a caller had just used, were reset without an answer (seen once in three runs of test_stopped_entry_finishes_its_requests: ServerDisconnectedError 1.3 ms after sending). Ruled out: streams in flight, all of which ended whole. Change: answers of a stopping entry program close their connection; after the drain the listener closes first, and requests on accepted connections are answered for 0.2 s more.

--- a/gooseberryhall/entry/const.py
+++ b/gooseberryhall/entry/const.py
@@ -8,6 +8,8 @@
 # longest time that a plain answer may take.
 RESPONSE_MARGIN_S: Final = 30
 STOP_GRACE_S: Final = 2.0
+# A request may still be on its way on a connection that was just accepted.
+LAST_REQUESTS_S: Final = 0.2
 LISTEN_BACKLOG: Final = 1024
 
 MODEL_PATH: Final = "/v1/chat/completions"
--- a/gooseberryhall/entry/server.py
+++ b/gooseberryhall/entry/server.py
@@ -1,5 +1,6 @@
 """The callers' HTTP server."""
 
+import asyncio
 import json
 import logging
 import secrets
@@ -22,6 +23,7 @@
 from .completions import async_plain_chat, async_stream_chat, parse_chat
 from .const import (
     KEEP_ALIVE_TIMEOUT_S,
+    LAST_REQUESTS_S,
     LISTEN_BACKLOG,
     MODEL_PATH,
     REQUEST_ID_BYTES,
@@ -75,6 +77,15 @@
     await server.before_start()
     await server.after_start()
     await server.start_serving()
+    front.ctx.stack.push_async_callback(_async_stop, server)
+
+
+async def _async_stop(server: Any) -> None:
+    """Accept no connections, then answer requests on those that were just accepted."""
+    server.close()
+    await asyncio.sleep(LAST_REQUESTS_S)
+    for connection in list(server.connections):
+        connection.close_if_idle()
 
 
 def is_ready(front: Front, state: State) -> bool:
@@ -111,13 +122,17 @@
         request_id = f"req-{secrets.token_hex(REQUEST_ID_BYTES)}"
         front.enter()
         try:
-            if not front.accepting:
+            if front.stopping:
+                # A caller would lose a request sent while its connection closes.
                 close_after(http)
+            if not front.accepting:
                 raise stopping()
             return await handler(http, **path)
         except RequestFailedError as exc:
             return error_response(exc.failure, request_id)
         finally:
+            if front.stopping:
+                close_after(http)
             front.leave()
 
     return async_handle
