Give the demonstration's team room on one node and test the audit

Each node admits its part of a team's rate. The paired measurement sends about 13 requests/s through one node, above a sixth of the default 50 requests/s.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -90,6 +90,9 @@
             "name": "harvest",
             "labels": {"site": "hokkaido"},
             "token_sha256": [sha256_hex(TEAM_TOKEN)],
+            # Each node admits its part; the pairs go through one node only.
+            "requests_per_s": 600,
+            "max_in_flight": 600,
         },
         {
             "kind": "request-kind",
--- a/tests/standins/test_load.py
+++ b/tests/standins/test_load.py
@@ -8,6 +8,8 @@
 from aiohttp import test_utils, web
 
 from standins.answers import expected_words
+from standins.audit import command_faults
+from standins.client import ServiceResult
 from standins.load import LoadPlan, async_run_load
 
 KINDS = ("whole", "cut", "wrong", "error", "refused")
@@ -60,3 +62,17 @@
         report.sent
     )
     assert report.errors["stream_broken"] > 0
+
+
+def test_answers_that_contradict_the_records_are_found() -> None:
+    """Guards against an audit that overlooks a second run or a false answer."""
+    commands = {
+        "ok": ServiceResult(200),
+        "open": ServiceResult(409, ran="unknown"),
+        "twice": ServiceResult(200),
+        "lost": ServiceResult(200),
+        "false": ServiceResult(503, ran="no"),
+    }
+    runs = {"ok": 1, "open": 1, "twice": 2, "false": 1}
+    faults = command_faults(commands, runs)
+    assert [fault.split()[0] for fault in faults] == ["twice", "lost", "false"]
