--- a/standins/engine.py
+++ b/standins/engine.py
@@ -130,7 +130,9 @@
 ) -> None:
     async def async_records(_req: web.Request) -> web.Response:
         records = asdict(engine.records)
-        listed = {name: list(records.pop(name)) for name in ("runs", "orders")}
+        listed = {
+            name: list(records.pop(name)) for name in ("runs", "orders", "refusals")
+        }
         return web.json_response(
             {
                 "vm": engine.options.vm,
@@ -150,6 +152,7 @@
         "leaving": attribute_setter(faults, "leaving", bool),
         "honour_fence": attribute_setter(faults, "honour_fence", bool),
         "drop_events": attribute_setter(cache, "drop_events", int),
+        "clear_cache": lambda _value: cache.clear(boot_time_s()),
     }
     app.router.add_post("/_control", control_handler(fields))
     app.router.add_get("/_records", async_records)
