Keep freed VMs for the spec for which a group was dissolved

While the second of two dissolved groups still drained, a spec of lower priority could take back the VMs of the first one. The free VMs of a domain whose ending groups will complete a group are now reserved for its spec.

--- a/gooseberryhall/groups/placement.py
+++ b/gooseberryhall/groups/placement.py
@@ -18,10 +18,16 @@
     return own < own_limit and own + others < limit
 
 
-def place_group(view: PlanView, spec: GroupSpec, spares: int = 0) -> FormGroup | None:
+def place_group(
+    view: PlanView,
+    spec: GroupSpec,
+    reserved: frozenset[str] = frozenset(),
+    spares: int = 0,
+) -> FormGroup | None:
     """Return a new group of the spec that leaves `spares` VMs free in its domain."""
     candidates = []
-    for domain, vms in by_domain(view.free_vms[spec.name]).items():
+    free = [vm for vm in view.free_vms[spec.name] if vm.vm not in reserved]
+    for domain, vms in by_domain(free).items():
         if len(vms) < spec.members + spares:
             continue
         chosen = _choose_members(view, spec, vms)
--- a/gooseberryhall/groups/planner.py
+++ b/gooseberryhall/groups/planner.py
@@ -5,7 +5,7 @@
 from .lifecycle import find_strays, step_group
 from .models import GroupPhase
 from .placement import may_load, place_group
-from .preemption import choose_victim
+from .preemption import awaited_vms, choose_victim
 from .rows import GroupRow
 from .shares import spec_order
 from .view import PlanView
@@ -30,10 +30,14 @@
 def _next_change(view: PlanView) -> Decision | None:
     ordered = sorted(view.specs, key=spec_order)
     load_allowed = may_load(view)
+    reserved: frozenset[str] = frozenset()
     for spec in ordered:
-        change = _complete_minimum(view, spec, load_allowed)
+        if not _lacks_minimum(view, spec):
+            continue
+        change = _complete_minimum(view, spec, load_allowed, reserved)
         if change is not None:
             return change
+        reserved |= awaited_vms(view, spec)
     for spec in ordered:
         change = _roll_out(view, spec) or _remove_surplus(view, spec)
         if change is not None:
@@ -41,24 +45,29 @@
     if not load_allowed:
         return None
     for spec in ordered:
-        change = _add_group(view, spec)
+        change = _add_group(view, spec, reserved)
         if change is not None:
             return change
     return None
 
 
+def _lacks_minimum(view: PlanView, spec: GroupSpec) -> bool:
+    return len(_usable(view, spec)) < view.share(spec.name).min_groups
+
+
+def _usable(view: PlanView, spec: GroupSpec) -> list[GroupRow]:
+    return [row for row in view.rows_of(spec.name) if _is_usable(view, row)]
+
+
 def _complete_minimum(
-    view: PlanView, spec: GroupSpec, load_allowed: bool
+    view: PlanView, spec: GroupSpec, load_allowed: bool, reserved: frozenset[str]
 ) -> Decision | None:
     """Return a group that the minimum lacks, or the group to dissolve for it."""
-    usable = [row for row in view.rows_of(spec.name) if _is_usable(view, row)]
-    if len(usable) >= view.share(spec.name).min_groups:
-        return None
     if load_allowed:
-        formed = place_group(view, spec)
+        formed = place_group(view, spec, reserved)
         if formed is not None:
             return formed
-    waiting = len(view.rows_of(spec.name)) > len(usable)
+    waiting = len(view.rows_of(spec.name)) > len(_usable(view, spec))
     if waiting or not view.tuning.preempt:
         return None
     victim = choose_victim(view, spec)
@@ -79,7 +88,9 @@
     return view.is_answering(row)
 
 
-def _add_group(view: PlanView, spec: GroupSpec) -> FormGroup | None:
+def _add_group(
+    view: PlanView, spec: GroupSpec, reserved: frozenset[str]
+) -> FormGroup | None:
     """Return a group above the minimum."""
     rows = view.rows_of(spec.name)
     share = view.share(spec.name)
@@ -91,7 +102,7 @@
     if len(rows) >= share.max_groups + surge or total >= spec.max_groups + surge:
         return None
     spares = 0 if surge else view.tuning.spares
-    return place_group(view, spec, spares)
+    return place_group(view, spec, reserved, spares)
 
 
 def is_outdated(spec: GroupSpec, row: GroupRow) -> bool:
--- a/gooseberryhall/groups/preemption.py
+++ b/gooseberryhall/groups/preemption.py
@@ -27,6 +27,23 @@
     return best[1] if best else None
 
 
+def awaited_vms(view: PlanView, spec: GroupSpec) -> frozenset[str]:
+    """Return the free VMs of the domain whose ending groups will complete a group.
+
+    Specs of lower priority must not take them while the other VMs still drain.
+    """
+    free = {vm.vm for vm in view.free_vms[spec.name]}
+    best: frozenset[str] = frozenset()
+    selected = [vm for vm in view.zone_vms if vm.vm in view.selected[spec.name]]
+    for domain, vms in by_domain(selected).items():
+        names = {vm.vm for vm in vms}
+        own = frozenset(free & names)
+        enough = len(own) + _coming(view, domain, names) >= spec.members
+        if enough and len(own) > len(best):
+            best = own
+    return best
+
+
 def _coming(view: PlanView, domain: str, names: set[str]) -> int:
     """Return how many answering VMs of groups that end the spec could use."""
     return sum(
--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -197,6 +197,16 @@
     assert not ended(make_view([low, high], vms, rows))
 
 
+def test_freed_vms_are_kept_for_the_higher_priority() -> None:
+    """A dissolved group that takes its VMs back would be dissolved over and over."""
+    low = make_spec("a", priority=1, min_groups=2, max_groups=2)
+    high = make_spec("b", members=4)
+    vms = make_vms("z1", "d1", 4)
+    ending = group_row(low, "a-z1-2", vms[2:], GroupPhase.DRAINING)
+    assert not formed(make_view([low, high], vms, [ending]))
+    assert formed(make_view([low], vms, [ending]))
+
+
 def test_preemption_ends_as_few_groups_as_possible() -> None:
     """Each ended group loses its weights and its requests."""
     small = make_spec("a", priority=1, min_groups=2, max_groups=2)
