Export resumes, restarts and service retries

Cause: the collectors of resumes and restarts were declared, but nothing counted them. Change: the relay counts both; requests to plain services are counted by outcome, also refused ones, and recorded in the timeline with their request id.

--- a/gooseberryhall/entry/front.py
+++ b/gooseberryhall/entry/front.py
@@ -61,6 +61,8 @@
 
     def choose_server(self, event: ServiceArrived | ServerFailed) -> ServiceServer:
         """Return the server for a request, or raise RequestFailedError."""
+        if isinstance(event, ServerFailed):
+            entry_metrics().service_retries.inc({})
         self.ctx.runtime.async_dispatch(event)
         decision = self._decisions.pop(event.request_id, None)
         if isinstance(decision, ServerChosen):
@@ -69,10 +71,15 @@
             raise RequestFailedError(_ended())
         raise RequestFailedError(decision.failure)
 
-    def count_service_call(self, service: str, status: int) -> None:
-        """Count an answer of a plain service."""
-        labels = {"service": service, "status": str(status)}
-        entry_metrics().service_calls.inc(labels)
+    def report_service_call(self, request_id: str, service: str, outcome: str) -> None:
+        """Count the outcome of a request to a plain service and record it."""
+        entry_metrics().service_calls.inc({"service": service, "outcome": outcome})
+        self.ctx.ops.timeline.record(
+            "service_request_ended",
+            request_id=request_id,
+            service=service,
+            outcome=outcome,
+        )
 
     def _decide(self, effect: ServerChosen | ServiceRefused) -> None:
         self._decisions[effect.request_id] = effect
--- a/gooseberryhall/entry/metrics.py
+++ b/gooseberryhall/entry/metrics.py
@@ -7,7 +7,8 @@
 
 from ..core.state import State
 from ..requests.effects import RequestEnded
-from ..requests.gaps import GAP_BUCKETS_S, GapCounts
+from ..requests.gaps import GAP_BUCKETS_S
+from ..requests.relay import Calls
 
 _FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.48, 0.75, 1.0, 2.0, 5.0, 10.0, 20.0)
 _QUEUE_BUCKETS_S = (0.001, 0.01, 0.1, 0.5, 1.0, 2.0, 5.0, 10.0)
@@ -49,7 +50,12 @@
         )
         self.service_calls = Counter(
             "gooseberryhall_service_requests_total",
-            "Requests to plain services by service and status",
+            "Requests to plain services by service and outcome",
+            registry=registry,
+        )
+        self.service_retries = Counter(
+            "gooseberryhall_service_retries_total",
+            "Requests to plain services that needed another server",
             registry=registry,
         )
         self.gap_buckets = Counter(
@@ -85,8 +91,12 @@
         if effect.queue_s is not None:
             self.queue_wait.observe({}, effect.queue_s)
 
-    def collect(self, state: State, gaps: GapCounts) -> None:
+    def collect(self, state: State, calls: Calls) -> None:
         """Update the metrics that mirror the state."""
+        self.resumes.set({}, calls.resumes)
+        for reason, restarts in calls.restarts.items():
+            self.restarts.set({"reason": reason}, restarts)
+        gaps = calls.gaps
         for group, load in state.routing.loads.items():
             self.in_flight.set({"group": group}, load.in_flight)
         waiting = [item.request.team for item in state.limits.waiting.values()]
--- a/gooseberryhall/entry/reporting.py
+++ b/gooseberryhall/entry/reporting.py
@@ -19,7 +19,7 @@
     metrics = entry_metrics()
     ctx.runtime.register(RequestEnded, lambda effect: _on_ended(ctx, metrics, effect))
     ctx.runtime.register(GroupEjected, lambda effect: _on_ejected(ctx, effect))
-    ctx.ops.add_collector(lambda: metrics.collect(ctx.runtime.state, calls.gaps))
+    ctx.ops.add_collector(lambda: metrics.collect(ctx.runtime.state, calls))
 
 
 def _on_ended(ctx: ProgramContext, metrics: EntryMetrics, effect: RequestEnded) -> None:
--- a/gooseberryhall/entry/services.py
+++ b/gooseberryhall/entry/services.py
@@ -82,6 +82,7 @@
     async def async_handle(http: Request, service: str, path: str) -> HTTPResponse:
         del path  # the raw URL keeps the caller's encoding
         work, idempotent, key = _check(front, http, service)
+        outcome = "failed"
         try:
             server = front.choose_server(
                 ServiceArrived(work.request_id, work.team.name, service)
@@ -90,9 +91,13 @@
                 answer = await _async_retry(front, work, server)
             else:
                 answer = await _async_once(front, work, server, key)
+            outcome = str(answer.status)
+        except RequestFailedError as exc:
+            outcome = exc.failure.code
+            raise
         finally:
             front.ctx.runtime.async_dispatch(ServiceEnded(work.request_id))
-        front.count_service_call(service, answer.status)
+            front.report_service_call(work.request_id, service, outcome)
         headers = [*answer.headers, (HEADER_REQUEST_ID, work.request_id)]
         return _response(answer, headers)
 
--- a/gooseberryhall/requests/relay.py
+++ b/gooseberryhall/requests/relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -77,13 +78,18 @@
 
 @dataclass(slots=True)
 class Calls:
-    """The open calls by request id."""
+    """The open calls by request id.
+
+    `resumes` counts resumed streams and `restarts` restarted requests by reason.
+    """
 
     session: aiohttp.ClientSession
     first_token_limit_s: float
     chunk_limit_s: float
     open: dict[str, Call] = field(default_factory=dict)
     gaps: GapCounts = field(default_factory=GapCounts)
+    resumes: int = 0
+    restarts: Counter[str] = field(default_factory=Counter)
 
 
 async def async_run_request(
@@ -117,6 +123,8 @@
 
 def async_command(ctx: ProgramContext, calls: Calls, command: Command) -> None:
     """Hand an effect of the reducer to the call that it concerns."""
+    if isinstance(command, ResumeAttempt):
+        calls.resumes += 1
     call = calls.open.get(command.request_id)
     if call is None:
         return
@@ -133,6 +141,7 @@
     ctx: ProgramContext, calls: Calls, effect: RequestRestarted
 ) -> None:
     """Cancel what an engine may still run of a restarted request."""
+    calls.restarts[effect.reason.value] += 1
     call = calls.open.get(effect.request_id)
     if call is not None:
         call.target = None
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gooseberryhall.entry.metrics import entry_metrics
 from gooseberryhall.links.messages import MemberFailure, SuspectReport
 from tests.entry.conftest import Cluster, async_until, chat
 from tests.entry.engine import Script
@@ -103,6 +104,8 @@
         body = await response.text()
     assert "[DONE]" not in body
     assert engine.resumed_after == [3, 3]
+    cluster.ctx.ops.collect()
+    assert entry_metrics().resumes.get({}) == 2
 
 
 async def test_caller_disconnect_cancels_the_stream(cluster: Cluster) -> None:
