Show what limits each step of the bench and where control bytes go

A rate at which no process had a full core was reported without a reason, and the control program's bytes as one sum, which says nothing about where to save.

A step now states how long the entry process waited for a processor. The bytes are divided into links sent, links received and probes. The slopes are printed with the points that they come from. Higher loads are tried, since the steps end as soon as the entry process is at a full core.

--- a/standins/bench.py
+++ b/standins/bench.py
@@ -25,10 +25,16 @@
 from .bench_latency import async_measure_latency
 from .bench_prefix import RoutingResult, async_measure_prefix
 from .bench_slopes import (
+    LOAD_HEADER,
+    SIZE_HEADER,
+    SLOPE_HEADER,
     async_measure_loads,
     async_measure_sizes,
+    load_row,
     load_slopes,
+    size_row,
     size_slopes,
+    slope_row,
 )
 from .demo import GROUPS, MEMBERS
 from .figures import Summary, load_average, markdown_table
@@ -36,7 +42,6 @@
 
 Row = tuple[str, str, str]
 HEADER = ("figure", "system", "baseline or target")
-SLOPE_HEADER = ("slope", "at 0", "for each unit")
 PERCENT = 100
 
 
@@ -89,7 +94,8 @@
     return (
         f"limited by: {step.limit}; {step.in_flight} in flight, cores: entry"
         f" {step.entry_cores:.2f}, busiest load generator {step.generator_cores:.2f},"
-        f" busiest engine {step.engine_cores:.2f}; errors/s {step.errors_per_s:.1f}"
+        f" busiest engine {step.engine_cores:.2f}; errors/s {step.errors_per_s:.1f};"
+        f" {step.requests_per_s:.0f} requests/s, {step.chunks_per_s:.0f} chunks/s"
     )
 
 
@@ -105,9 +111,14 @@
         rows.append((f"idle {cost.program}, % of a core", cpu, cpu_target))
         rows.append((f"idle {cost.program}, RSS (MB)", rss, rss_target))
         if cost.kb_per_s is not None:
-            sent = f"{cost.kb_per_s:.2f} (most {cost.kb_per_s_max:.2f})"
-            target = f"at most {CONTROL_KB_PER_S}"
-            rows.append((f"idle {cost.program}, KB/s", sent, target))
+            rate = cost.kb_per_s
+            text = (
+                f"{rate.total:.2f} (most {cost.kb_per_s_max:.2f}): links"
+                f" {rate.link_sent:.2f} sent, {rate.link_received:.2f} received;"
+                f" probes {rate.probes:.2f} in both directions"
+            )
+            target = f"at most {CONTROL_KB_PER_S:.0f}"
+            rows.append((f"idle {cost.program}, KB/s", text, target))
     return rows
 
 
@@ -170,15 +181,17 @@
     say("memory by objects and groups")
     sizes = await async_measure_sizes()
     slopes = load_slopes(loads) + size_slopes(sizes)
-    rows = [
-        (item.name, f"{item.at_zero:.4g}", f"{item.per_unit:.4g}") for item in slopes
-    ]
+    tables = (
+        markdown_table(LOAD_HEADER, [load_row(point) for point in loads]),
+        markdown_table(SIZE_HEADER, [size_row(point) for point in sizes]),
+        markdown_table(SLOPE_HEADER, [slope_row(item) for item in slopes]),
+    )
     figures = {
         "slopes": [asdict(item) for item in slopes],
         "loads": [asdict(point) for point in loads],
         "sizes": [asdict(point) for point in sizes],
     }
-    return _finish(markdown_table(SLOPE_HEADER, rows), figures, load_at_start, start_s)
+    return _finish("\n\n".join(tables), figures, load_at_start, start_s)
 
 
 def _finish(
--- a/standins/bench_capacity.py
+++ b/standins/bench_capacity.py
@@ -11,14 +11,14 @@
 from .bench_cluster import serving_cluster, single_node_sizes
 from .cluster import Cluster
 from .demo import MODEL, TEAM_TOKEN
-from .figures import cpu_s
+from .figures import cpu_s, wait_s
 from .processes import ROOT, ProcessError
 
 GENERATORS = 3
 GROUPS = 6
 ENGINE_OPTIONS = ("--token-ms", "4", "--first-token-ms", "2", "--slots", "1000")
-REQUEST_STEPS = (3, 6, 12, 24, 48)
-CHUNK_STEPS = (9, 18, 36, 72, 144)
+REQUEST_STEPS = (3, 12, 24, 48, 96)
+CHUNK_STEPS = (18, 36, 72, 144, 288)
 SHORT_TOKENS = 1
 LONG_TOKENS = 250
 WARM_UP_S = 2.0
@@ -30,7 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """Rates and used cores at one load; `engine_cores` is that of the busiest."""
+    """Rates and used cores at one load; `engine_cores` is that of the busiest.
+
+    `entry_wait_share` is the share of the time in which the entry process was ready to
+    run but had no processor.
+    """
 
     in_flight: int
     tokens: int
@@ -40,6 +44,7 @@
     entry_cores: float
     generator_cores: float
     engine_cores: float
+    entry_wait_share: float = 0.0
     last_error: str = ""
 
     @property
@@ -52,6 +57,8 @@
         ):
             if cores >= BUSY_CORES:
                 return name
+        if self.entry_cores + self.entry_wait_share >= BUSY_CORES:
+            return "machine (the entry process waits for a processor)"
         return "none"
 
 
@@ -108,9 +115,9 @@
         for share in _shares(in_flight)
     ]
     await asyncio.sleep(start_s - time.monotonic())
-    first_s, before = time.monotonic(), [cpu_s(pid) for pid in (entry, *engines)]
+    first_s, before = time.monotonic(), _used_s(entry, engines)
     await asyncio.sleep(seconds)
-    took_s, after = time.monotonic() - first_s, [cpu_s(p) for p in (entry, *engines)]
+    took_s, after = time.monotonic() - first_s, _used_s(entry, engines)
     cores = [(b - a) / took_s for a, b in zip(before, after, strict=True)]
     results = await asyncio.gather(*loads)
     totals = {
@@ -121,13 +128,19 @@
         in_flight=in_flight,
         tokens=tokens,
         **totals,
-        entry_cores=cores[0],
+        entry_wait_share=cores[0],
+        entry_cores=cores[1],
         generator_cores=max(result["cpu_cores"] for result in results),
-        engine_cores=max(cores[1:]),
+        engine_cores=max(cores[2:]),
         last_error=next((r["last_error"] for r in results if r["last_error"]), ""),
     )
 
 
+def _used_s(entry: int, engines: Sequence[int]) -> list[float]:
+    """Return the wait of the entry process, then the processor time of all."""
+    return [wait_s(entry), *(cpu_s(pid) for pid in (entry, *engines))]
+
+
 def _shares(in_flight: int) -> list[int]:
     """Divide the requests in flight among the load generators."""
     shares = [
--- a/standins/bench_idle.py
+++ b/standins/bench_idle.py
@@ -1,7 +1,7 @@
 """Measures what the programs cost while no request arrives."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 
 from .cluster import Cluster
 from .figures import cpu_s, memory_mb, metric_total
@@ -15,19 +15,34 @@
 CONTROL_CPU_PERCENT = 1.5
 CONTROL_RSS_MB = 64.0
 CONTROL_KB_PER_S = 2.0
-BYTE_METRICS = ("gooseberryhall_link_bytes_total", "gooseberryhall_probe_bytes_total")
+PROBE_BYTES = "gooseberryhall_probe_bytes_total"
+LINK_BYTES = "gooseberryhall_link_bytes_total"
+
+
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """Bytes, or KB a second, of a control program by purpose."""
+
+    link_sent: float
+    link_received: float
+    probes: float
+
+    @property
+    def total(self) -> float:
+        """Return the sum of both directions and the probes."""
+        return self.link_sent + self.link_received + self.probes
 
 
 @dataclass(frozen=True, slots=True)
 class IdleCost:
-    """Mean and greatest cost of a program over the nodes; bytes only for control."""
+    """Mean and greatest cost of a program over the nodes; traffic only of control."""
 
     program: str
     cpu_percent: float
     cpu_percent_max: float
     rss_mb: float
     rss_mb_max: float
-    kb_per_s: float | None = None
+    kb_per_s: Traffic | None = None
     kb_per_s_max: float | None = None
 
 
@@ -45,7 +60,7 @@
         for key, pid in _pids(cluster).items()
     }
     rates = [
-        (await _async_bytes(cluster, node) - sent[node.name]) / seconds / BYTES_PER_KB
+        _rate(sent[node.name], await _async_bytes(cluster, node), seconds)
         for node in cluster.nodes
     ]
     return [_cost(cluster, program, used, rates) for program in PROGRAMS]
@@ -55,7 +70,7 @@
     cluster: Cluster,
     program: str,
     used: dict[tuple[str, str], float],
-    rates: list[float],
+    rates: list[Traffic],
 ) -> IdleCost:
     pids = {key: pid for key, pid in _pids(cluster).items() if key[1] == program}
     cpu = [used[key] for key in pids]
@@ -67,8 +82,8 @@
         cpu_percent_max=max(cpu),
         rss_mb=_mean(rss),
         rss_mb_max=max(rss),
-        kb_per_s=_mean(rates) if has_bytes else None,
-        kb_per_s_max=max(rates) if has_bytes else None,
+        kb_per_s=_mean_traffic(rates) if has_bytes else None,
+        kb_per_s_max=max(rate.total for rate in rates) if has_bytes else None,
     )
 
 
@@ -76,6 +91,21 @@
     return sum(values) / len(values)
 
 
+def _rate(before: Traffic, after: Traffic, seconds: float) -> Traffic:
+    """Return the KB a second between two readings."""
+    return Traffic(
+        *(
+            (last - first) / seconds / BYTES_PER_KB
+            for first, last in zip(astuple(before), astuple(after), strict=True)
+        )
+    )
+
+
+def _mean_traffic(rates: list[Traffic]) -> Traffic:
+    columns = zip(*(astuple(rate) for rate in rates), strict=True)
+    return Traffic(*(_mean(list(column)) for column in columns))
+
+
 def _pids(cluster: Cluster) -> dict[tuple[str, str], int]:
     return {
         (node.name, program): cluster.process(node.name, program).pid
@@ -84,10 +114,14 @@
     }
 
 
-async def _async_bytes(cluster: Cluster, node: NodeLayout) -> float:
+async def _async_bytes(cluster: Cluster, node: NodeLayout) -> Traffic:
     url = f"{node.ops_address('control')}/metrics"
     async with cluster.session.get(url) as response:
         text = await response.text()
-    if BYTE_METRICS[0] not in text:
-        raise ProcessError(f"{url}: no {BYTE_METRICS[0]}")
-    return sum(metric_total(text, name) for name in BYTE_METRICS)
+    if LINK_BYTES not in text or PROBE_BYTES not in text:
+        raise ProcessError(f"{url}: the byte metrics are missing")
+    return Traffic(
+        link_sent=metric_total(text, LINK_BYTES, 'direction="sent"'),
+        link_received=metric_total(text, LINK_BYTES, 'direction="received"'),
+        probes=metric_total(text, PROBE_BYTES),
+    )
--- a/standins/bench_slopes.py
+++ b/standins/bench_slopes.py
@@ -26,6 +26,12 @@
 SETTLE_S = 3.0
 IN_FORCE_LIMIT_S = 8.0
 PER_THOUSAND = 1000
+LOAD_HEADER = (
+    *("requests in flight", "tokens each", "requests/s", "chunks/s"),
+    *("entry cores", "entry RSS (MB)"),
+)
+SIZE_HEADER = ("more objects", "groups", *(f"{name} RSS (MB)" for name in PROGRAMS))
+SLOPE_HEADER = ("slope", "at 0", "for each unit")
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,9 +149,30 @@
         objects = [(p.objects / PER_THOUSAND, p.rss_mb[program]) for p in by_objects]
         groups = [(float(p.groups), p.rss_mb[program]) for p in by_groups]
         slopes.append(_slope(f"{program} RSS (MB) for each 1,000 objects", objects))
-        slopes.append(_slope(f"{program} RSS (MB) for each group", groups))
+        slopes.append(_slope(f"{program} RSS (MB) for each group of one VM", groups))
     return slopes
 
 
+def load_row(point: LoadPoint) -> list[str]:
+    """Return the line of a table with LOAD_HEADER."""
+    step = point.step
+    return [
+        *(str(step.in_flight), str(step.tokens)),
+        *(f"{step.requests_per_s:.1f}", f"{step.chunks_per_s:.0f}"),
+        *(f"{step.entry_cores:.3f}", f"{point.rss_mb:.1f}"),
+    ]
+
+
+def size_row(point: SizePoint) -> list[str]:
+    """Return the line of a table with SIZE_HEADER."""
+    memory = [f"{point.rss_mb[program]:.1f}" for program in PROGRAMS]
+    return [str(point.objects), str(point.groups), *memory]
+
+
+def slope_row(item: Slope) -> list[str]:
+    """Return the line of a table with SLOPE_HEADER."""
+    return [item.name, f"{item.at_zero:.4g}", f"{item.per_unit:.4g}"]
+
+
 def _slope(name: str, points: Sequence[tuple[float, float]]) -> Slope:
     return Slope(name, intercept(points), slope(points))
--- a/standins/figures.py
+++ b/standins/figures.py
@@ -11,6 +11,7 @@
 KIB_PER_MB = 1024
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 LOAD_DIGITS = 2
+NS_PER_S = 1_000_000_000
 LOWER_QUARTILE, MEDIAN, UPPER_QUARTILE, TAIL = 25, 50, 75, 95
 
 
@@ -64,6 +65,12 @@
     return (int(user) + int(system)) / TICKS_PER_S
 
 
+def wait_s(pid: int) -> float:
+    """Return how long the main thread of a process waited for a processor."""
+    waited_ns = Path(f"/proc/{pid}/schedstat").read_text().split()[1]
+    return int(waited_ns) / NS_PER_S
+
+
 def memory_mb(pid: int, field: str = "VmRSS") -> float:
     """Return a memory field of a process. Raises ProcessError."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
@@ -72,10 +79,12 @@
     raise ProcessError(f"no {field} of process {pid}")
 
 
-def metric_total(text: str, name: str) -> float:
-    """Return the sum of a metric over its labels."""
+def metric_total(text: str, name: str, label: str = "") -> float:
+    """Return the sum of a metric over its labels, or over those with one label."""
     lines = [
-        line for line in text.splitlines() if line.startswith((f"{name} ", f"{name}{{"))
+        line
+        for line in text.splitlines()
+        if line.startswith((f"{name} ", f"{name}{{")) and label in line
     ]
     return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
 
--- a/tests/standins/test_figures.py
+++ b/tests/standins/test_figures.py
@@ -37,6 +37,7 @@
     assert stat_cpu_s(stat) == pytest.approx(200 / TICKS_PER_S)
     text = 'bytes{way="in"} 2\nbytes{way="out"} 3\nbytes_total 50\nbytes 1\n'
     assert metric_total(text, "bytes") == 6.0
+    assert metric_total(text, "bytes", 'way="in"') == 2.0
 
 
 def test_added_latency_compares_the_chunks_of_a_pair() -> None:
