Move the share of a VM that says it leaves

Ruled out: waiting for the list, whose lag is not bounded. Change: VMs that say that they leave count as lost when the groups are divided. Conclusion: the zone with spare VMs forms the group at once.

--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -5,6 +5,7 @@
 they are read again first.
 """
 
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 from ..config.models import GroupSpec
@@ -203,16 +204,12 @@
 def current_division(state: "State", now_s: float) -> Division:
     """Return the division of the declared groups, computed when its input changed."""
     groups = state.groups
-    long_silent = frozenset(
-        vm
-        for vm, since_s in groups.silent_since_s.items()
-        if now_s - since_s > SHARE_GRACE_S
-    )
-    key = (state.config.revision, groups.vms_changes, long_silent)
+    lost = frozenset(_lost_vms(state, now_s))
+    key = (state.config.revision, groups.vms_changes, lost)
     if groups.division is None or groups.division.key != key:
         specs = tuple(state.config.of_type(GroupSpec))
         labels = {vm: state.config.labels_of_vm(vm) for vm in groups.vms}
-        shares = divide(specs, groups.vms.values(), labels, long_silent)
+        shares = divide(specs, groups.vms.values(), labels, lost)
         vms = groups.vms.values()
         selected = {
             spec.name: frozenset(vm.vm for vm in selected_vms(spec, vms, labels))
@@ -222,6 +219,19 @@
     return groups.division
 
 
+def _lost_vms(state: "State", now_s: float) -> Iterator[str]:
+    """Yield the VMs with which no zone can fill its share.
+
+    A VM says that it leaves before the platform's list does.
+    """
+    for vm, since_s in state.groups.silent_since_s.items():
+        if now_s - since_s > SHARE_GRACE_S:
+            yield vm
+    for vm, evidence in state.membership.evidence.items():
+        if evidence.health is not None and evidence.health.leaving:
+            yield vm
+
+
 def _carry_out(state: "State", zone: str, now_s: float) -> list[Effect]:
     """Plan once; return the orders and the first transaction that follow."""
     plan_state = state.groups.plans[zone]
--- a/tests/groups/test_lifecycle.py
+++ b/tests/groups/test_lifecycle.py
@@ -11,6 +11,7 @@
     FAILED_LIMIT_S,
     ORDER_TIMEOUT_S,
 )
+from gooseberryhall.groups.controller import current_division
 from gooseberryhall.groups.decisions import (
     Decision,
     FreeMembers,
@@ -158,3 +159,18 @@
         ("2", GroupPhase.SERVING)
     ] * 3
     assert sum(measures.downtime_s.values()) == before_s
+
+
+def test_share_of_a_leaving_vm_moves_to_another_zone() -> None:
+    """A VM that leaves by its own word must not hold a zone's share of the groups."""
+    spec = make_spec("a", min_groups=2, max_groups=2)
+    vms = [*make_vms("z1", "d1", 2), *make_vms("z2", "d2", 4)]
+    world = World([spec], vms)
+    world.run_for(5.0)
+    state, now_s = world.node.state, world.node.now_s
+    before = current_division(state, now_s).shares
+    assert before["a", "z1"].min_groups == 1
+    world.engines["d1-0"].leaving = True
+    world.run_for(2.0)
+    after = current_division(state, world.node.now_s).shares
+    assert after["a", "z2"].min_groups == 2
