Confirm the crash of a member that stays silent

Cause: the prober dates a failed probe at its start, and crash confirmation took that date for the last answer. The silence never reached 2 s, and a failed probe 1 s after the break even cleared the suspicion. A crash counted only when the server came back with another boot id. Ruled out: lost reports between nodes; the same request was refused when the crashed servers were started again at once. Change: the silence counts from the last accepted answer, and only answers clear a suspicion. Before and after: the new test of the reducer fails without the change and passes with it; test_a_crashed_server_that_stays_down_counts passes with it.

--- a/gooseberryhall/requests/suspects.py
+++ b/gooseberryhall/requests/suspects.py
@@ -10,6 +10,7 @@
 from ..core.effects import Effect
 from ..core.state import State
 from ..exceptions import Ran
+from ..membership.models import Evidence
 from ..routing.models import Target
 from .const import (
     CRASH_CLEAR_S,
@@ -157,8 +158,8 @@
         if evidence is None:
             continue
         if evidence.health is None:
-            # One missed probe is no crash; `observed_at_s` is the last answer.
-            crashed = now_s - evidence.observed_at_s > CRASH_SILENCE_S
+            # One missed probe is no crash.
+            crashed = now_s - _last_answer_s(state, evidence) > CRASH_SILENCE_S
         else:
             crashed = evidence.health.boot_id != boot_id
         if crashed:
@@ -166,11 +167,21 @@
     return None
 
 
+def _last_answer_s(state: State, evidence: Evidence) -> float:
+    """Return when a member answered last; each failed probe renews the evidence."""
+    order = state.membership.order.get(evidence.vm)
+    if order is None:
+        return evidence.observed_at_s
+    return min(evidence.observed_at_s, order.received_s)
+
+
 def _is_cleared(state: State, item: PossibleCrash) -> bool:
     """Return whether all members answered a while after the stream had broken."""
     evidence = [state.membership.evidence.get(vm) for vm, _ in item.target.boot_ids]
     return all(
-        report is not None and report.observed_at_s > item.broke_at_s + CRASH_CLEAR_S
+        report is not None
+        and report.health is not None
+        and report.observed_at_s > item.broke_at_s + CRASH_CLEAR_S
         for report in evidence
     )
 
--- a/tests/requests/test_suspects.py
+++ b/tests/requests/test_suspects.py
@@ -1,6 +1,6 @@
 """Tests of requests that were in flight when servers crashed."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from gooseberryhall.core.effects import Effect
 from gooseberryhall.core.events import Event, Tick
@@ -8,6 +8,8 @@
 from gooseberryhall.core.state import State
 from gooseberryhall.exceptions import Ran
 from gooseberryhall.groups.models import Group
+from gooseberryhall.membership.events import EvidenceReceived
+from gooseberryhall.membership.models import Evidence
 from gooseberryhall.requests.const import MAX_SUSPECTS, SUSPECT_LIFETIME_S
 from gooseberryhall.requests.effects import FailRequest, ReportSuspect, StartAttempt
 from gooseberryhall.requests.events import (
@@ -165,6 +167,28 @@
     assert node.failed[running].failure.code == "request_crashes_servers"
 
 
+def test_failing_probes_confirm_a_crash() -> None:
+    """Each failed probe is dated now and must not hide that the member is silent."""
+    node = create_node("a", "b")
+    request_id = node.arrive("guilty")
+    group = node.state.groups.groups[node.groups[request_id]]
+    answers = tuple(
+        node.state.membership.evidence[member.vm] for member in group.members
+    )
+    node.now_s = 0.1
+    node.send(
+        EvidenceReceived(tuple(replace(item, observed_at_s=0.1) for item in answers))
+    )
+    node.break_streams(group.group)
+    for _ in range(4):
+        node.now_s += 1.0
+        lost = Evidence(group.lead.vm, None, node.now_s)
+        other = replace(answers[1], observed_at_s=node.now_s)
+        node.send(EvidenceReceived((lost, other)))
+        node.send(Tick())
+    assert [report.vm for report in node.reports] == [group.lead.vm]
+
+
 def test_one_incident_counts_once() -> None:
     """All members of a group can fail together, and nodes can name different ones."""
     node = create_node("a", "b")
--- a/tests/system/requests/test_crashes.py
+++ b/tests/system/requests/test_crashes.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from standins.cluster import async_wait_for
 from standins.engine_chat import CRASH_MARKER
+from standins.layout import NodeLayout
 
 from .common import (
     CallerStream,
@@ -23,6 +25,8 @@
 
 REFUSED = "request_crashes_servers"
 CRASHES_TO_REFUSE = 2
+# Silence of 2 s, two probes and their reports.
+CONFIRMATION_LIMIT_S = 5.0
 # The first token takes 1.3 s, so that the others have no content at the crash.
 SLOW_FACTOR = 60
 
@@ -40,6 +44,21 @@
     await async_wait_whole(bed)
 
 
+async def _async_wait_suspected(bed: RunningSystem, node: NodeLayout, vm: str) -> None:
+    """Wait until a node has confirmed the crash of a server."""
+
+    async def async_is_suspected() -> bool:
+        url = f"{node.ops_address('entry')}/timeline?after=0"
+        _, page = await bed.cluster.async_get(url)
+        return any(
+            entry["kind"] == "request_suspected" and entry["fields"]["vm"] == vm
+            for entry in page["entries"]
+        )
+
+    limit_s = CONFIRMATION_LIMIT_S
+    await async_wait_for(async_is_suspected, limit_s, f"crash of {vm} confirmed")
+
+
 async def _async_assert_refused(bed: RunningSystem, prompt: str) -> None:
     """Send a request through every node, each of which must refuse it."""
     for node in bed.nodes:
@@ -90,6 +109,18 @@
     assert whole > len(innocents) / 2, (whole, len(innocents))
 
 
+async def test_a_crashed_server_that_stays_down_counts(bed: RunningSystem) -> None:
+    """Guards against a crash that is seen only when the server comes back."""
+    prompt = f"{CRASH_MARKER} and stay down"
+    for node in bed.nodes[:CRASHES_TO_REFUSE]:
+        before = _crashed(bed)
+        assert not (await async_chat(bed, node, prompt)).is_whole
+        (vm,) = _crashed(bed).items() - before.items()
+        await _async_wait_suspected(bed, node, vm[1])
+    await _async_assert_refused(bed, prompt)
+    assert len(_crashed(bed)) == CRASHES_TO_REFUSE
+
+
 async def test_a_request_resent_at_once_takes_down_two_groups_at_most(
     bed: RunningSystem,
 ) -> None:
