Drain for a rollout only when all nodes see the new group

Cause: the lease holder drained an old group 8 ms after it marked the new one serving. Other nodes learn of the new group's health by digests within two periods of 0.5 s, and for that time they saw one serving group where the spec declares at least two (test_rollout_keeps_the_minimum_serving, fewest groups seen 1, minimum 2). Ruled out: the rows of the table, which always held two groups in the phase serving. Change: a group counts for the minimum once it has been serving for 2 s. The view of test_rollout_keeps_the_minimum now says how long its groups serve, because without that they count as new; its checks are unchanged and one for new groups was added.

--- a/gooseberryhall/groups/const.py
+++ b/gooseberryhall/groups/const.py
@@ -30,6 +30,8 @@
 DRAIN_LIMIT_S: Final = 600.0
 # Entry processes send no new work to a draining group after this time.
 DRAIN_NOTICE_S: Final = 3.0
+# Evidence of a new group reaches all entry processes after two digest periods of 0.5 s.
+SERVING_NOTICE_S: Final = 2.0
 LOADING_LIMIT_S: Final = 900.0
 # A lead reports a failure while it misses a member, also for a moment after its return.
 FAILED_LIMIT_S: Final = 10.0
--- a/gooseberryhall/groups/planner.py
+++ b/gooseberryhall/groups/planner.py
@@ -1,6 +1,7 @@
 """Plans the groups of one zone: a pure function from what is known to decisions."""
 
 from ..config.models import GroupSpec
+from .const import SERVING_NOTICE_S
 from .decisions import Decision, DrainGroup, FormGroup, Reason, ReleaseGroup
 from .lifecycle import find_strays, step_group
 from .models import GroupPhase
@@ -139,8 +140,12 @@
 def _drain_one(
     view: PlanView, spec: GroupSpec, names: list[str], reason: Reason
 ) -> DrainGroup | None:
-    """Return the first group without which the minimum still serves."""
-    sound = {row.name for row in view.rows_of(spec.name) if view.is_sound(row)}
+    """Return the first group without which the minimum still serves everywhere."""
+    sound = {
+        row.name
+        for row in view.rows_of(spec.name)
+        if view.is_sound(row) and view.phase_age_s(row) >= SERVING_NOTICE_S
+    }
     for name in sorted(names, key=lambda item: item in sound):
         if len(sound - {name}) >= view.share(spec.name).min_groups:
             return DrainGroup(name, reason)
--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gooseberryhall.config.models import GroupSpec, Policy
+from gooseberryhall.groups.const import SERVING_NOTICE_S
 from gooseberryhall.groups.decisions import DrainGroup, FormGroup, Reason, ReleaseGroup
 from gooseberryhall.groups.models import Group, GroupPhase, Member, Vm, VmState
 from gooseberryhall.groups.planner import plan
@@ -13,7 +14,7 @@
 from gooseberryhall.groups.shares import Share, divide
 from gooseberryhall.groups.state import LoadedModel
 from gooseberryhall.groups.tuning import HOLD_FOR_MEMBER_S, WAIT_FOR_MEMBER_S, Tuning
-from gooseberryhall.groups.view import PlanView
+from gooseberryhall.groups.view import PlanView, phase_key
 from gooseberryhall.membership.models import Evidence, MemberHealth, MemberState
 
 from .world import make_spec, make_vms
@@ -234,8 +235,12 @@
         group_row(spec, f"a-z1-{n}", vms[2 * n : 2 * n + 2]) for n in range(serving)
     ]
     newer = spec.model_copy(update={"version": "2"})
-    view = make_view([newer], vms, rows)
+    served = {phase_key(row): NOW_S - SERVING_NOTICE_S for row in rows}
+    view = make_view([newer], vms, rows, phase_since_s=served)
     assert len(ended(view)) == drained
+    # Other nodes may not see yet that a group serves, so it does not count.
+    recent = {phase_key(row): NOW_S - SERVING_NOTICE_S / 2 for row in rows[1:]}
+    assert not ended(replace(view, phase_since_s={**served, **recent}))
     # A group that does not serve by evidence does not count and ends first.
     broken = silence(view, "d1-5" if serving == 3 else "d1-3", 1)
     assert set(ended(broken)) == ({"a-z1-2"} if drained else set())
