--- a/gooseberryhall/entry/const.py
+++ b/gooseberryhall/entry/const.py
@@ -4,10 +4,12 @@
 
 REQUEST_TIMEOUT_S: Final = 10
 KEEP_ALIVE_TIMEOUT_S: Final = 120
-# Sanic ends a connection that wrote nothing for this long. The drain limit is the
-# longest time that a plain answer may take.
+# Sanic ends a connection on which it wrote nothing for this much longer than any
+# request may take. It does not see the chunks of streams.
 RESPONSE_MARGIN_S: Final = 30
 STOP_GRACE_S: Final = 2.0
+# A request may still be on its way on a connection that was just accepted.
+LAST_REQUESTS_S: Final = 0.2
 LISTEN_BACKLOG: Final = 1024
 
 MODEL_PATH: Final = "/v1/chat/completions"
--- a/gooseberryhall/requests/relay.py
+++ b/gooseberryhall/requests/relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -77,13 +78,18 @@
 
 @dataclass(slots=True)
 class Calls:
-    """The open calls by request id."""
+    """The open calls by request id.
+
+    `resumes` counts resumed streams and `restarts` restarted requests by reason.
+    """
 
     session: aiohttp.ClientSession
     first_token_limit_s: float
     chunk_limit_s: float
     open: dict[str, Call] = field(default_factory=dict)
     gaps: GapCounts = field(default_factory=GapCounts)
+    resumes: int = 0
+    restarts: Counter[str] = field(default_factory=Counter)
 
 
 async def async_run_request(
@@ -117,6 +123,8 @@
 
 def async_command(ctx: ProgramContext, calls: Calls, command: Command) -> None:
     """Hand an effect of the reducer to the call that it concerns."""
+    if isinstance(command, ResumeAttempt):
+        calls.resumes += 1
     call = calls.open.get(command.request_id)
     if call is None:
         return
@@ -133,6 +141,7 @@
     ctx: ProgramContext, calls: Calls, effect: RequestRestarted
 ) -> None:
     """Cancel what an engine may still run of a restarted request."""
+    calls.restarts[effect.reason.value] += 1
     call = calls.open.get(effect.request_id)
     if call is not None:
         call.target = None
@@ -140,6 +149,13 @@
         _cancel_at(ctx, calls, effect.request_id, effect.target)
 
 
+def async_end_attempt(calls: Calls, request_id: str) -> None:
+    """End an attempt as if it had made no progress."""
+    call = calls.open.get(request_id)
+    if call is not None:
+        _end_attempt(call)
+
+
 def async_check_progress(calls: Calls) -> None:
     """End the attempts that made no progress within their limit."""
     now = now_s()
