Count link bytes between nodes apart from those inside a VM

Cause: the budget of 2 KB/s for control is about the network, but the metric also counted frames to the entry and admin programs of the same VM. Ruled out: leaving local frames out of the metric. Conclusion: the figure now is what the budget is about.

--- a/gooseberryhall/links/link.py
+++ b/gooseberryhall/links/link.py
@@ -34,7 +34,7 @@
 )
 from .identity import PeerIdentity, Role
 from .messages import Heartbeat, Message, Ping
-from .metrics import FRAMES_REFUSED, LINKS_CLOSED, TRAFFIC
+from .metrics import FRAMES_REFUSED, LINKS_CLOSED, LOCAL_TRAFFIC, PEER_TRAFFIC
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -69,6 +69,7 @@
         self._ws = ws
         self._handlers = handlers
         both_control = own_role is Role.CONTROL and peer.role is Role.CONTROL
+        self._traffic = PEER_TRAFFIC if both_control else LOCAL_TRAFFIC
         self._ping_period_s = (
             PEER_PING_PERIOD_S if both_control else LOCAL_PING_PERIOD_S
         )
@@ -183,7 +184,7 @@
             while self.error is None:
                 frame = await self._ws.recv()
                 self._last_received_s = now_s()
-                TRAFFIC.received_bytes += len(frame)
+                self._traffic.received_bytes += len(frame)
                 self._handle(decode_message(frame))
         except MalformedFrameError as exc:
             self.async_abort(exc)
@@ -207,7 +208,7 @@
                     frame = self._queue.popleft()
                     await self._ws.send(frame)
                     self._queued_bytes -= len(frame)
-                    TRAFFIC.sent_bytes += len(frame)
+                    self._traffic.sent_bytes += len(frame)
         except ConnectionClosed:
             return
 
--- a/gooseberryhall/links/metrics.py
+++ b/gooseberryhall/links/metrics.py
@@ -5,7 +5,10 @@
 from aioprometheus import Counter, Gauge
 
 LINKS = Gauge("gooseberryhall_links", "Open links by role of the other end")
-LINK_BYTES = Counter("gooseberryhall_link_bytes_total", "Bytes in frames by direction")
+LINK_BYTES = Counter(
+    "gooseberryhall_link_bytes_total",
+    "Bytes in frames by direction and scope: between nodes (peers) or in a VM (local)",
+)
 FRAMES_REFUSED = Counter(
     "gooseberryhall_frames_refused_total", "Frames and handshakes refused by error"
 )
@@ -22,10 +25,14 @@
     received_bytes: int = 0
 
 
-TRAFFIC = Traffic()
+PEER_TRAFFIC = Traffic()
+LOCAL_TRAFFIC = Traffic()
 
 
 def collect_traffic() -> None:
     """Export the counted bytes."""
-    LINK_BYTES.set({"direction": "sent"}, TRAFFIC.sent_bytes)
-    LINK_BYTES.set({"direction": "received"}, TRAFFIC.received_bytes)
+    for scope, traffic in (("peers", PEER_TRAFFIC), ("local", LOCAL_TRAFFIC)):
+        LINK_BYTES.set({"direction": "sent", "scope": scope}, traffic.sent_bytes)
+        LINK_BYTES.set(
+            {"direction": "received", "scope": scope}, traffic.received_bytes
+        )
--- a/standins/bench_idle.py
+++ b/standins/bench_idle.py
@@ -17,6 +17,8 @@
 CONTROL_KB_PER_S = 2.0
 PROBE_BYTES = "gooseberryhall_probe_bytes_total"
 LINK_BYTES = "gooseberryhall_link_bytes_total"
+# Frames to the other programs of a VM do not use the network.
+PEERS = 'scope="peers"'
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +123,7 @@
     if LINK_BYTES not in text or PROBE_BYTES not in text:
         raise ProcessError(f"{url}: the byte metrics are missing")
     return Traffic(
-        link_sent=metric_total(text, LINK_BYTES, 'direction="sent"'),
-        link_received=metric_total(text, LINK_BYTES, 'direction="received"'),
+        link_sent=metric_total(text, LINK_BYTES, 'direction="sent"', PEERS),
+        link_received=metric_total(text, LINK_BYTES, 'direction="received"', PEERS),
         probes=metric_total(text, PROBE_BYTES),
     )
--- a/standins/figures.py
+++ b/standins/figures.py
@@ -79,12 +79,13 @@
     raise ProcessError(f"no {field} of process {pid}")
 
 
-def metric_total(text: str, name: str, label: str = "") -> float:
-    """Return the sum of a metric over its labels, or over those with one label."""
+def metric_total(text: str, name: str, *labels: str) -> float:
+    """Return the sum of a metric over its labels, or over those with these labels."""
     lines = [
         line
         for line in text.splitlines()
-        if line.startswith((f"{name} ", f"{name}{{")) and label in line
+        if line.startswith((f"{name} ", f"{name}{{"))
+        and all(label in line for label in labels)
     ]
     return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
 
