Look only at new events in the test of a server that stays down

Cause: the test took a suspicion that an earlier test had recorded for the same VM for the new one, and went on before the second crash was confirmed. Ruled out: a late report between nodes; alone the test passed. Change: the wait reads the events after the last one before the request.

--- a/tests/system/requests/test_crashes.py
+++ b/tests/system/requests/test_crashes.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import pytest
 
@@ -44,15 +45,29 @@
     await async_wait_whole(bed)
 
 
-async def _async_wait_suspected(bed: RunningSystem, node: NodeLayout, vm: str) -> None:
+async def _async_timeline(
+    bed: RunningSystem, node: NodeLayout, after: int
+) -> list[dict[str, Any]]:
+    """Return the events of an entry process after a sequence number."""
+    entries: list[dict[str, Any]] = []
+    while True:
+        url = f"{node.ops_address('entry')}/timeline?after={after}"
+        _, page = await bed.cluster.async_get(url)
+        entries += page["entries"]
+        if not page["more"]:
+            return entries
+        after = entries[-1]["seq"]
+
+
+async def _async_wait_suspected(
+    bed: RunningSystem, node: NodeLayout, vm: str, after: int
+) -> None:
     """Wait until a node has confirmed the crash of a server."""
 
     async def async_is_suspected() -> bool:
-        url = f"{node.ops_address('entry')}/timeline?after=0"
-        _, page = await bed.cluster.async_get(url)
         return any(
             entry["kind"] == "request_suspected" and entry["fields"]["vm"] == vm
-            for entry in page["entries"]
+            for entry in await _async_timeline(bed, node, after)
         )
 
     limit_s = CONFIRMATION_LIMIT_S
@@ -114,9 +129,11 @@
     prompt = f"{CRASH_MARKER} and stay down"
     for node in bed.nodes[:CRASHES_TO_REFUSE]:
         before = _crashed(bed)
+        entries = await _async_timeline(bed, node, 0)
+        last = entries[-1]["seq"] if entries else 0
         assert not (await async_chat(bed, node, prompt)).is_whole
-        (vm,) = _crashed(bed).items() - before.items()
-        await _async_wait_suspected(bed, node, vm[1])
+        (vm,) = set(_crashed(bed).values()) - set(before.values())
+        await _async_wait_suspected(bed, node, vm, last)
     await _async_assert_refused(bed, prompt)
     assert len(_crashed(bed)) == CRASHES_TO_REFUSE
 
