Forget the latencies of a group that was formed again

Cause: latencies and ejection were kept by group name, so a new generation with other VMs could be refused new work for 15 s because of the slow ones before it. Ruled out: shorter ejection (a straggler would return too early). Change: latencies belong to a generation. The new test fails without the change. Conclusion: done.

--- a/gooseberryhall/routing/reducer.py
+++ b/gooseberryhall/routing/reducer.py
@@ -37,8 +37,16 @@
 
 def _forget_removed_groups(state: "State") -> None:
     routing, groups = state.routing, state.groups.groups
-    for name in [name for name in routing.latencies if name not in groups]:
-        del routing.latencies[name]
+    generations = {name: group.generation for name, group in groups.items()}
+    for name in list(routing.latencies):
+        generation = generations.get(name)
+        # Other VMs serve a group that was formed again; they may be as fast as any.
+        if generation is None or routing.generations.get(name) not in (
+            None,
+            generation,
+        ):
+            del routing.latencies[name]
+    routing.generations = generations
     for name in [name for name in routing.prefixes if name not in groups]:
         del routing.prefixes[name]
     for name in [name for name in routing.loads if name not in groups]:
--- a/gooseberryhall/routing/state.py
+++ b/gooseberryhall/routing/state.py
@@ -52,10 +52,12 @@
 class RoutingState:
     """Load, latency and prefix knowledge by group.
 
+    `generations` holds the generations to which the latencies belong.
     `paused_servers` holds until when a server of a plain service is asked last.
     """
 
     loads: dict[str, GroupLoad] = field(default_factory=dict)
     latencies: dict[str, GroupLatency] = field(default_factory=dict)
+    generations: dict[str, int] = field(default_factory=dict)
     prefixes: dict[str, GroupPrefixes] = field(default_factory=dict)
     paused_servers: dict[tuple[str, str], float] = field(default_factory=dict)
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -151,6 +151,19 @@
     assert chosen(state, 13.0, only="g0") == "g0"
 
 
+def test_group_that_was_formed_again_is_not_ejected() -> None:
+    """The members of a new generation must not pay for slow ones before them."""
+    state = create_state()
+    names = [f"g{number}" for number in range(4)]
+    for name in names:
+        add_group(state, name)
+    observe(state, {name: 0.2 if name == "g0" else 0.02 for name in names})
+    assert is_ejected(state.routing, "g0", 13.0)
+    add_group(state, "g0", generation=2, now_s=13.0)
+    reduce(state, StragglerCheck(), 13.0)
+    assert not is_ejected(state.routing, "g0", 13.0)
+
+
 def test_spec_priority_then_name_decides() -> None:
     """Two nodes that choose different specs would split a team's requests."""
     low = SPEC.model_copy(update={"name": "a-low", "priority": 1})
