--- a/standins/measure_control.py
+++ b/standins/measure_control.py
@@ -18,7 +18,7 @@
 from .layout import PortPicker
 from .processes import ProcessError, ProcessSet
 
-NODES = 7
+DEFAULT_NODES = 7
 ZONE = "z1"
 START_LIMIT_S = 30.0
 POLL_PERIOD_S = 0.2
@@ -63,8 +63,8 @@
 async def engines(vms: int) -> AsyncIterator[tuple[str, str]]:
     """Serve idle engines, each at its own loopback address, and the VM list.
 
-    Yields the address of the list. All engines share one listener; the name of the VM
-    follows from the address that was called.
+    Yields the address of the list. The name of a VM follows from the address that was
+    called.
     """
 
     async def async_health(req: web.Request) -> web.Response:
@@ -83,8 +83,9 @@
             }
         )
 
+    hosts = [f"127.1.{n // 250}.{n % 250 + 1}" for n in range(vms)]
+
     async def async_vms(_req: web.Request) -> web.Response:
-        hosts = [f"127.1.{n // 250}.{n % 250 + 1}" for n in range(vms)]
         listed = [
             {
                 "vm": _vm_name(host),
@@ -103,8 +104,10 @@
     app.router.add_get("/vms", async_vms)
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, "0.0.0.0", 0, backlog=1024).start()
+    await web.TCPSite(runner, HOST, 0).start()
     port = runner.addresses[0][1]
+    for host in hosts:
+        await web.TCPSite(runner, host, port).start()
     try:
         yield f"http://{HOST}:{port}", str(port)
     finally:
@@ -150,11 +153,13 @@
     }
 
 
-async def async_measure(vms: int, seconds: float, directory: Path) -> list[Cost]:
+async def async_measure(
+    count: int, vms: int, seconds: float, directory: Path
+) -> list[Cost]:
     """Return the cost of each control process while nothing changes."""
     ports = PortPicker()
     nodes = [
-        NodePorts(f"n{number}", ports.pick(), ports.pick()) for number in range(NODES)
+        NodePorts(f"n{number}", ports.pick(), ports.pick()) for number in range(count)
     ]
     processes = ProcessSet(directory)
     try:
@@ -202,7 +207,7 @@
         async with asyncio.timeout(START_LIMIT_S):
             while True:
                 found = [await _async_membership(session, node) for node in nodes]
-                complete = all(len(item["peers"]) == NODES - 1 for item in found)
+                complete = all(len(item["peers"]) == len(nodes) - 1 for item in found)
                 if complete and sum(item["probed_vms"] for item in found) == vms:
                     return
                 await asyncio.sleep(POLL_PERIOD_S)
@@ -259,12 +264,14 @@
     )
 
 
-async def async_measure_all(sizes: Sequence[int], seconds: float) -> dict[str, Any]:
+async def async_measure_all(
+    nodes: int, sizes: Sequence[int], seconds: float
+) -> dict[str, Any]:
     """Return the cost at each size and its slope for each probed VM of a node."""
     means = []
     for size in sizes:
         with tempfile.TemporaryDirectory() as directory:
-            costs = await async_measure(size * NODES, seconds, Path(directory))
+            costs = await async_measure(nodes, size * nodes, seconds, Path(directory))
         means.append(mean_cost(costs))
         row = {name: round(value, 3) for name, value in asdict(means[-1]).items()}
         click.echo(json.dumps(row), err=True)
@@ -273,7 +280,7 @@
         for name in ("cpu_percent", "rss_mb", "link_bytes_per_s", "probe_bytes_per_s")
     }
     return {
-        "nodes": NODES,
+        "nodes": nodes,
         "seconds": seconds,
         "sizes": [asdict(mean) for mean in means],
         "slope_per_probed_vm": per_vm,
@@ -281,11 +288,12 @@
 
 
 @click.command()
+@click.option("--nodes", default=DEFAULT_NODES, help="Number of control processes.")
 @click.option("--size", "sizes", type=int, multiple=True, default=(1, 6, 18, 54))
 @click.option("--seconds", type=float, default=20.0, help="Duration at each size.")
-def main(sizes: tuple[int, ...], seconds: float) -> None:
-    """Measure control processes with six peers; sizes are probed VMs for each node."""
-    click.echo(json.dumps(asyncio.run(async_measure_all(sizes, seconds))))
+def main(nodes: int, sizes: tuple[int, ...], seconds: float) -> None:
+    """Measure idle control processes; sizes are probed VMs for each node."""
+    click.echo(json.dumps(asyncio.run(async_measure_all(nodes, sizes, seconds))))
 
 
 if __name__ == "__main__":
