Use standard terms in the planner and share test fakes

Cause: names such as stray, onlooker, dark and sound need explaining, and the object store fake and the recognition of an own transaction stood twice. Ruled out: renaming fields of rows, which are stored. Change: orphan, follower, unreachable, serving; FakeObjects in tests/fakes.py; the fake table uses applied_revision of the adapter. Conclusion: no behaviour changes.

--- a/gooseberryhall/adapters/table.py
+++ b/gooseberryhall/adapters/table.py
@@ -150,7 +150,7 @@
         conflict = Conflict(
             {item["key"]: _optional_row(item) for item in body["conflicts"]}
         )
-        applied = _applied_revision(transaction, conflict)
+        applied = applied_revision(transaction, conflict)
         return Ok(applied) if applied is not None else Err(conflict)
 
     async def _async_call(
@@ -182,7 +182,7 @@
     return None if item["version"] == ABSENT else _row(item)
 
 
-def _applied_revision(transaction: Transaction, conflict: Conflict) -> int | None:
+def applied_revision(transaction: Transaction, conflict: Conflict) -> int | None:
     """Return the revision at which this same transaction was applied before."""
     for key in transaction.puts:
         row = conflict.rows.get(key)
--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -13,7 +13,7 @@
 from ..membership.models import MemberState
 from ..telemetry.catalogue import LogEvent
 from .const import BLOCKED_VM_S, SHARE_GRACE_S, VIEW_PERIOD_S, ZONE_READ_PERIOD_S
-from .decisions import LoadAdapters, ReleaseStray, SendGroupOrder, WaitForMember
+from .decisions import LoadAdapters, ReleaseOrphan, SendGroupOrder, WaitForMember
 from .effects import AnnounceGroups, Outcome, ReadZone, ReportGroups
 from .events import DecisionCommitted, OrderFinished, ZoneRead
 from .exceptions import GroupRowError
@@ -74,7 +74,7 @@
 def reduce_zone_read(state: "State", event: ZoneRead, now_s: float) -> list[Effect]:
     """Take over the groups as read from the table."""
     if event.epoch_version == 0:
-        return _take_onlooker_read(state, event, now_s)
+        return _take_follower_read(state, event, now_s)
     plan_state = state.groups.plans.get(event.zone)
     if plan_state is None or plan_state.epoch_version != event.epoch_version:
         return []
@@ -93,7 +93,7 @@
     return [AnnounceGroups(event.zone), *_plan_if_held(state, event.zone, now_s)]
 
 
-def _take_onlooker_read(state: "State", event: ZoneRead, now_s: float) -> list[Effect]:
+def _take_follower_read(state: "State", event: ZoneRead, now_s: float) -> list[Effect]:
     view = state.groups.views.setdefault(event.zone, ViewState())
     view.reading = False
     lease = state.groups.leases.get(event.zone)
@@ -245,7 +245,7 @@
         match decision:
             case WaitForMember():
                 plan_state.waits[decision.group] = decision
-            case SendGroupOrder() | LoadAdapters() | ReleaseStray():
+            case SendGroupOrder() | LoadAdapters() | ReleaseOrphan():
                 effects.append(send_order(plan_state, view, decision))
             case _ if plan_state.pending is None and not plan_state.reading:
                 effects += commit(plan_state, view, decision)
--- a/gooseberryhall/groups/decisions.py
+++ b/gooseberryhall/groups/decisions.py
@@ -97,7 +97,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReleaseStray(Decision):
+class ReleaseOrphan(Decision):
     """Order a VM that is assigned to no group to leave the group it reports."""
 
     vm: str
--- a/gooseberryhall/groups/execution.py
+++ b/gooseberryhall/groups/execution.py
@@ -15,7 +15,7 @@
     MarkAdapters,
     MarkServing,
     ReleaseGroup,
-    ReleaseStray,
+    ReleaseOrphan,
     SendGroupOrder,
     WaitForMember,
 )
@@ -37,7 +37,7 @@
     WaitForMember,
     SendGroupOrder,
     LoadAdapters,
-    ReleaseStray,
+    ReleaseOrphan,
     ReleaseGroup,
     DrainGroup,
     MarkServing,
@@ -64,13 +64,13 @@
 def send_order(
     plan_state: ZonePlan,
     view: PlanView,
-    decision: SendGroupOrder | LoadAdapters | ReleaseStray,
+    decision: SendGroupOrder | LoadAdapters | ReleaseOrphan,
 ) -> SendOrder:
     """Return the order that a decision asks for and note it as in flight."""
     adapters = None
     match decision:
-        case ReleaseStray():
-            order = _stray_order(view, decision)
+        case ReleaseOrphan():
+            order = _orphan_order(view, decision)
         case LoadAdapters():
             adapters = decision.adapters
             order = replace(
@@ -109,7 +109,7 @@
     )
 
 
-def _stray_order(view: PlanView, decision: ReleaseStray) -> Order:
+def _orphan_order(view: PlanView, decision: ReleaseOrphan) -> Order:
     """Return a release whose fence is the revision at which the VM had no group."""
     return Order(
         kind=OrderKind.RELEASE,
--- a/gooseberryhall/groups/explain.py
+++ b/gooseberryhall/groups/explain.py
@@ -47,7 +47,7 @@
     name = view.group_of_vm.get(vm.vm)
     if name is not None:
         row = view.rows[name]
-        if view.is_sound(row):
+        if view.is_serving(row):
             return None
         return _PHASE_REASONS.get(row.phase, StrandedReason.GROUP_CLOSED)
     if health.group:
--- a/gooseberryhall/groups/lifecycle.py
+++ b/gooseberryhall/groups/lifecycle.py
@@ -22,7 +22,7 @@
     MarkServing,
     Reason,
     ReleaseGroup,
-    ReleaseStray,
+    ReleaseOrphan,
     SendGroupOrder,
     WaitForMember,
 )
@@ -49,20 +49,20 @@
             return _step_releasing(view, row)
 
 
-def find_strays(view: PlanView) -> list[Decision]:
+def find_orphans(view: PlanView) -> list[Decision]:
     """Return orders to VMs that run a group to which they are not assigned.
 
     An order of an earlier lease holder can arrive late at an engine that ignores
     fencing numbers. Without a release the VM would stay unusable.
     """
-    strays: list[Decision] = []
+    orphans: list[Decision] = []
     for vm in view.zone_vms:
         health = view.health(vm.vm)
         if health is None or not health.group or vm.vm in view.group_of_vm:
             continue
         if _is_order_due(view, vm.vm, fence=None):
-            strays.append(ReleaseStray(health.group, vm.vm, health.generation))
-    return strays
+            orphans.append(ReleaseOrphan(health.group, vm.vm, health.generation))
+    return orphans
 
 
 def _step_loading(view: PlanView, row: GroupRow) -> list[Decision]:
@@ -99,7 +99,7 @@
     Health does not show adapters, so the engines' acceptance counts.
     """
     wanted = view.spec_by_name[row.group.spec].adapters
-    if wanted == row.adapters or not view.is_sound(row):
+    if wanted == row.adapters or not view.is_serving(row):
         return []
     lacking = [
         member.vm
@@ -190,7 +190,7 @@
 
 
 def _stop_reason(view: PlanView, row: GroupRow) -> Reason | None:
-    """Return why the group should stop although its members are sound."""
+    """Return why the group should stop although its members are healthy."""
     spec = view.spec_by_name.get(row.group.spec)
     if spec is None:
         return Reason.SPEC_REMOVED
--- a/gooseberryhall/groups/measures.py
+++ b/gooseberryhall/groups/measures.py
@@ -53,7 +53,7 @@
 
     A group that another zone has above its own minimum makes up for a missing one.
     """
-    serving = sum(view.is_sound(row) for row in view.rows_of(spec.name))
+    serving = sum(view.is_serving(row) for row in view.rows_of(spec.name))
     in_zone = view.share(spec.name).min_groups - serving
     if in_zone <= 0:
         return 0
--- a/gooseberryhall/groups/planner.py
+++ b/gooseberryhall/groups/planner.py
@@ -3,7 +3,7 @@
 from ..config.models import GroupSpec
 from .const import SERVING_NOTICE_S
 from .decisions import Decision, DrainGroup, FormGroup, Reason, ReleaseGroup
-from .lifecycle import find_strays, step_group
+from .lifecycle import find_orphans, step_group
 from .models import GroupPhase
 from .placement import may_load, place_group
 from .preemption import awaited_vms, choose_victim
@@ -21,7 +21,7 @@
         for _, row in sorted(view.rows.items())
         for decision in step_group(view, row)
     ]
-    decisions += find_strays(view)
+    decisions += find_orphans(view)
     change = _next_change(view)
     if change is not None:
         decisions.append(change)
@@ -152,12 +152,12 @@
     view: PlanView, spec: GroupSpec, names: list[str], reason: Reason
 ) -> DrainGroup | None:
     """Return the first group without which the minimum still serves everywhere."""
-    sound = {
+    serving = {
         row.name
         for row in view.rows_of(spec.name)
-        if view.is_sound(row) and view.phase_age_s(row) >= SERVING_NOTICE_S
+        if view.is_serving(row) and view.phase_age_s(row) >= SERVING_NOTICE_S
     }
-    for name in sorted(names, key=lambda item: item in sound):
-        if len(sound - {name}) >= view.share(spec.name).min_groups:
+    for name in sorted(names, key=lambda item: item in serving):
+        if len(serving - {name}) >= view.share(spec.name).min_groups:
             return DrainGroup(name, reason)
     return None
--- a/gooseberryhall/groups/view.py
+++ b/gooseberryhall/groups/view.py
@@ -77,7 +77,7 @@
         }
 
     @cached_property
-    def is_dark(self) -> bool:
+    def is_unreachable(self) -> bool:
         """Return whether no VM of the zone gives fresh evidence."""
         return all(self.health(vm.vm) is None for vm in self.zone_vms)
 
@@ -123,7 +123,7 @@
         }
 
     @cached_property
-    def sound(self) -> frozenset[str]:
+    def serving(self) -> frozenset[str]:
         """Return the names of the groups that serve by evidence."""
         return frozenset(
             row.name
@@ -138,9 +138,9 @@
         """Return why evidence does not show the member serving in its group."""
         return self.closed_by_member[row.name, member.vm]
 
-    def is_sound(self, row: GroupRow) -> bool:
+    def is_serving(self, row: GroupRow) -> bool:
         """Return whether the group serves by evidence."""
-        return row.name in self.sound
+        return row.name in self.serving
 
     def is_answering(self, row: GroupRow) -> bool:
         """Return whether all members answered lately."""
--- a/gooseberryhall/groups/waiting.py
+++ b/gooseberryhall/groups/waiting.py
@@ -12,7 +12,7 @@
 
 def missing_limit_s(view: PlanView, row: GroupRow) -> float:
     """Return how long members of the group may be silent before it is released."""
-    if view.is_dark:
+    if view.is_unreachable:
         # When no VM of the zone answers, this process is more likely cut off than
         # all VMs are dead, and a release could not reach them anyway.
         return float("inf")
--- a/gooseberryhall/membership/reducer.py
+++ b/gooseberryhall/membership/reducer.py
@@ -2,7 +2,7 @@
 
 Evidence from another process is dated at a lower bound of the time at which the member
 answered (see `Link.evidence_time_s`), so two reports cannot always be put in order.
-Doubt closes the group: only evidence that is certainly newer opens it again.
+Ambiguous evidence closes the group: only a report that is certainly newer opens it.
 """
 
 from collections.abc import Mapping
@@ -30,8 +30,8 @@
     from ..core.reducer import Handler
     from ..core.state import State
 
-# Evidence in doubt keeps its boot id, but is dated too old to open a group.
-_DOUBTED_AGE_S = 2 * EVIDENCE_LIMIT_S
+# Ambiguous evidence keeps its boot id, but is dated too old to open a group.
+_AMBIGUOUS_AGE_S = 2 * EVIDENCE_LIMIT_S
 _NO_ORDER = EvidenceOrder(floor_s=float("-inf"), received_s=float("-inf"), boot_id="")
 
 
@@ -118,8 +118,8 @@
     if other_boot and evidence.observed_at_s <= order.received_s:
         # Either boot may be the later one. The member did restart, so neither counts
         # until an answer that was certainly given after this moment.
-        doubted_s = min(evidence.observed_at_s, now_s - _DOUBTED_AGE_S)
-        membership.evidence[evidence.vm] = replace(evidence, observed_at_s=doubted_s)
+        ambiguous_s = min(evidence.observed_at_s, now_s - _AMBIGUOUS_AGE_S)
+        membership.evidence[evidence.vm] = replace(evidence, observed_at_s=ambiguous_s)
         membership.order[evidence.vm] = EvidenceOrder(now_s, now_s, health.boot_id)
         return
     if evidence.observed_at_s <= order.floor_s:
--- a/standins/http.py
+++ b/standins/http.py
@@ -57,8 +57,8 @@
     kinds = (int, float) if kind is float else (kind,)
 
     def apply(value: Any) -> None:
-        is_stray_bool = isinstance(value, bool) and kind is not bool
-        if is_stray_bool or not isinstance(value, kinds):
+        is_unexpected_bool = isinstance(value, bool) and kind is not bool
+        if is_unexpected_bool or not isinstance(value, kinds):
             raise ControlError(f"{name} must be {kind.__name__}")
         setattr(target, name, kind(value))
 
--- a/tests/claims/test_runner.py
+++ b/tests/claims/test_runner.py
@@ -30,26 +30,7 @@
 from gooseberryhall.claims.runner import ClaimService
 from gooseberryhall.claims.sweep import async_sweep
 from gooseberryhall.exceptions import Ran
-from tests.fakes import FakeTable
-
-
-@dataclass
-class FakeObjects:
-    """Object store in memory."""
-
-    data: dict[str, bytes] = field(default_factory=dict)
-
-    async def async_put(self, key: str, data: bytes) -> None:
-        """Store data."""
-        self.data[key] = data
-
-    async def async_get(self, key: str) -> bytes | None:
-        """Return data."""
-        return self.data.get(key)
-
-    async def async_delete(self, key: str) -> None:
-        """Remove data."""
-        self.data.pop(key, None)
+from tests.fakes import FakeObjects, FakeTable
 
 
 @dataclass
--- a/tests/entry/test_services.py
+++ b/tests/entry/test_services.py
@@ -11,9 +11,8 @@
 from gooseberryhall.claims.budget import WriteBudget
 from gooseberryhall.claims.runner import ClaimService
 from gooseberryhall.config.models import PlainService, RequestKind, ServiceServer
-from tests.claims.test_runner import FakeObjects
 from tests.entry.conftest import TOKEN, Cluster, free_port
-from tests.fakes import FakeTable
+from tests.fakes import FakeObjects, FakeTable
 
 
 @dataclass
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """In-memory stand-ins that several test folders share."""
 
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
@@ -8,18 +9,37 @@
 from gooseberryhall.adapters.table import (
     ABSENT,
     DEFAULT_TIMEOUT_S,
-    TOKEN_FIELD,
     Conflict,
     Row,
     RowValue,
     Snapshot,
     Transaction,
+    applied_revision,
 )
 
 # The real adapter sends a commit again after a lost answer, within its timeout.
 COMMIT_ATTEMPTS = 2
 
 
+@dataclass
+class FakeObjects:
+    """Object store in memory."""
+
+    data: dict[str, bytes] = field(default_factory=dict)
+
+    async def async_put(self, key: str, data: bytes) -> None:
+        """Store data."""
+        self.data[key] = data
+
+    async def async_get(self, key: str) -> bytes | None:
+        """Return data."""
+        return self.data.get(key)
+
+    async def async_delete(self, key: str) -> None:
+        """Remove data."""
+        self.data.pop(key, None)
+
+
 class FakeTable:
     """A transactional table in memory with the outcomes of the real adapter.
 
@@ -85,7 +105,7 @@
     def _apply(self, transaction: Transaction) -> Result[int, Conflict]:
         conflict = self._conflict(transaction.checks)
         if conflict is not None:
-            applied = _applied_revision(transaction, conflict)
+            applied = applied_revision(transaction, conflict)
             return Err(conflict) if applied is None else Ok(applied)
         self.revision += 1
         for key, value in transaction.stamped_puts().items():
@@ -102,12 +122,3 @@
             if (row.version if row else ABSENT) != checks[key]
         }
         return Conflict(differing) if differing else None
-
-
-def _applied_revision(transaction: Transaction, conflict: Conflict) -> int | None:
-    """Find the transaction's own token in the conflicting rows, as the adapter does."""
-    for key in transaction.puts:
-        row = conflict.rows.get(key)
-        if row is not None and row.value.get(TOKEN_FIELD) == transaction.token:
-            return row.version
-    return None
--- a/tests/groups/test_lifecycle.py
+++ b/tests/groups/test_lifecycle.py
@@ -18,7 +18,7 @@
     LoadAdapters,
     MarkAdapters,
     ReleaseGroup,
-    ReleaseStray,
+    ReleaseOrphan,
     SendGroupOrder,
 )
 from gooseberryhall.groups.effects import Outcome
@@ -109,11 +109,11 @@
     assert not of_type(replace(other, orders=in_flight), SendGroupOrder)
 
 
-def test_stray_is_released() -> None:
+def test_orphan_is_released() -> None:
     """A VM that runs a group without being assigned would stay unusable."""
     view = make_view([SPEC], VMS, [])
-    stray = report(view, "d1-0", group="gone", generation=3)
-    assert of_type(stray, ReleaseStray) == [ReleaseStray("gone", "d1-0", 3)]
+    orphan = report(view, "d1-0", group="gone", generation=3)
+    assert of_type(orphan, ReleaseOrphan) == [ReleaseOrphan("gone", "d1-0", 3)]
 
 
 def test_adapters_are_loaded_without_a_regroup() -> None:
