Remove the load report that nobody read

Cause: entry programs sent their requests in flight by group each second, and no part used them; routing corrects the engines' reports by the node's own sends. Ruled out: adding other nodes' loads to the estimate, because engines already report them, late but complete. Conclusion: one message a second less on each local link.

--- a/gooseberryhall/entry/setup.py
+++ b/gooseberryhall/entry/setup.py
@@ -21,7 +21,7 @@
         LimitsConfigured(settings.queue_limit, settings.queue_wait_limit_s)
     )
     calls = await requests_service.async_setup(ctx, send)
-    await routing_service.async_setup(ctx, send)
+    routing_service.async_setup(ctx)
     async_setup_metrics(ctx, calls)
     front = Front(ctx, calls, claims_service.async_setup(ctx))
     await async_start_server(front)
--- a/gooseberryhall/links/messages.py
+++ b/gooseberryhall/links/messages.py
@@ -13,8 +13,6 @@
 from ..groups.models import Group
 from ..membership.models import MemberHealth, Node
 
-NodeName = Annotated[str, Field(min_length=1, max_length=64)]
-
 
 class MessagePart(BaseModel):
     """Base of all messages and their parts; unknown fields are refused."""
@@ -147,14 +145,6 @@
     nodes: tuple[Node, ...]
 
 
-class LoadReport(Message):
-    """Requests in flight from one entry process, by group."""
-
-    type: Literal["load"] = "load"
-    node: NodeName
-    in_flight: dict[str, int]
-
-
 AnyMessage = Annotated[
     Ping
     | Heartbeat
@@ -165,8 +155,7 @@
     | ConfigRequest
     | SuspectReport
     | MemberFailure
-    | LiveNodes
-    | LoadReport,
+    | LiveNodes,
     Field(discriminator="type"),
 ]
 
--- a/gooseberryhall/routing/service.py
+++ b/gooseberryhall/routing/service.py
@@ -1,6 +1,4 @@
-"""Reads cache events and reports this node's load."""
-
-from collections.abc import Callable
+"""Reads the cache events of engines."""
 
 import aiohttp
 
@@ -9,13 +7,12 @@
 from ..core.context import ProgramContext
 from ..core.state import State
 from ..groups.models import Group, GroupPhase
-from ..links.messages import LoadReport, Message
-from .const import CACHE_POLL_JITTER, CACHE_POLL_PERIOD_S, LOAD_REPORT_PERIOD_S
+from .const import CACHE_POLL_JITTER, CACHE_POLL_PERIOD_S
 from .events import CacheChange, CacheEventsReceived
 
 
-async def async_setup(ctx: ProgramContext, send: Callable[[Message], None]) -> None:
-    """Subscribe to the timer; `send` passes a message to the control process."""
+def async_setup(ctx: ProgramContext) -> None:
+    """Poll the cache events of near groups."""
     polling: set[str] = set()
 
     def poll() -> None:
@@ -31,9 +28,6 @@
             polling.discard(group.group)
 
     ctx.timer.async_subscribe(CACHE_POLL_PERIOD_S, poll, jitter=CACHE_POLL_JITTER)
-    ctx.timer.async_subscribe(
-        LOAD_REPORT_PERIOD_S, lambda: send(load_report(ctx.runtime.state))
-    )
 
 
 def groups_to_poll(state: State) -> list[Group]:
@@ -48,16 +42,6 @@
     ]
 
 
-def load_report(state: State) -> LoadReport:
-    """Return this node's requests in flight by group."""
-    in_flight = {
-        group: load.in_flight
-        for group, load in state.routing.loads.items()
-        if load.in_flight
-    }
-    return LoadReport(node=state.identity.node, in_flight=in_flight)
-
-
 async def _async_poll(
     ctx: ProgramContext, session: aiohttp.ClientSession, group: Group
 ) -> None:
