--- a/gooseberryhall/routing/choice.py
+++ b/gooseberryhall/routing/choice.py
@@ -9,7 +9,7 @@
 from ..groups.models import Group
 from ..membership.evidence import group_closed_reason
 from .const import AFFINITY_LOAD_FACTOR
-from .load import estimated_load
+from .load import estimated_load, last_start_s
 from .models import Target
 from .prefix import matched_blocks
 from .stragglers import is_ejected
@@ -98,15 +98,21 @@
     mean = sum(item.load for item in candidates) / len(candidates)
     limit = AFFINITY_LOAD_FACTOR * mean + 1
 
-    def rank(item: _Candidate) -> tuple[int, int, int]:
+    def rank(item: _Candidate) -> tuple[int, int, float, int]:
         group = item.group
         cached = 0
         if wanted.blocks and item.load <= limit:
             cached = matched_blocks(
                 state.routing, group.group, group.generation, wanted.blocks
             )
-        # The node's name spreads equal choices of several nodes over the groups.
-        return (-cached, item.load, _spread(state.identity.node, group.group))
+        # Groups that are equal otherwise take turns. The node's name spreads the first
+        # choices of several nodes.
+        return (
+            -cached,
+            item.load,
+            last_start_s(state.routing, group.group),
+            _spread(state.identity.node, group.group),
+        )
 
     return min(candidates, key=rank).group
 
--- a/gooseberryhall/routing/load.py
+++ b/gooseberryhall/routing/load.py
@@ -11,6 +11,7 @@
 def note_start(state: RoutingState, group: str, now_s: float) -> None:
     """Count a request that is sent to a group."""
     _change(state, group, 1, now_s)
+    state.loads[group].last_start_s = now_s
 
 
 def note_end(state: RoutingState, group: str, now_s: float) -> None:
@@ -24,6 +25,12 @@
     return 0 if load is None else load.in_flight
 
 
+def last_start_s(state: RoutingState, group: str) -> float:
+    """Return when this node last sent a request to a group."""
+    load = state.loads.get(group)
+    return float("-inf") if load is None else load.last_start_s
+
+
 def estimated_load(
     state: RoutingState, group: Group, evidence: Mapping[str, Evidence]
 ) -> int:
--- a/gooseberryhall/routing/state.py
+++ b/gooseberryhall/routing/state.py
@@ -9,10 +9,12 @@
     """Requests of this node in a group.
 
     `changes` holds the times and signs of the newest changes, by which a load report is
-    corrected for what this node did after it.
+    corrected for what this node did after it. `last_start_s` is when this node last
+    sent a request to the group.
     """
 
     in_flight: int = 0
+    last_start_s: float = float("-inf")
     changes: deque[tuple[float, int]] = field(default_factory=deque)
 
 
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -196,3 +196,19 @@
         for path in ("/fan/1", "/fans/1", "/fan")
     }
     assert names == {"/fan/1": "read", "/fans/1": "all", "/fan": "read"}
+
+
+def test_idle_groups_take_turns() -> None:
+    """Without load or prefixes, one group must not get all requests of a node."""
+    state = create_state()
+    for name in ("a", "b", "c"):
+        add_group(state, name)
+    groups = []
+    for number in range(6):
+        now_s = number * 0.1
+        group = chosen(state, now_s)
+        note_start(state.routing, group, now_s)
+        note_end(state.routing, group, now_s + 0.05)
+        groups.append(group)
+    assert sorted(groups[:3]) == ["a", "b", "c"]
+    assert groups[3:] == groups[:3]
