Export which leases a control process holds

Cause: no metric showed which node plans a zone. Ruled out: the owner by the row alone, which is still named after the lease has lapsed. Change: a gauge by zone, 1 while the lease is held.

--- a/gooseberryhall/groups/measures.py
+++ b/gooseberryhall/groups/measures.py
@@ -26,6 +26,9 @@
     "gooseberryhall_stranded_vm_seconds_total",
     "Seconds of healthy VMs in no serving group, by zone and reason",
 )
+LEASES = Gauge(
+    "gooseberryhall_lease_held", "1 while this process holds the lease of a zone"
+)
 GROUPS = Gauge("gooseberryhall_groups", "Groups of owned zones by spec and phase")
 
 
@@ -80,8 +83,10 @@
             measures.stranded_s[key] = measures.stranded_s.get(key, 0.0) + elapsed_s
 
 
-def export(state: "State") -> None:
-    """Copy the totals to the metrics."""
+def export(state: "State", now_s: float) -> None:
+    """Copy totals, leases and groups to the metrics."""
+    for zone, lease in state.groups.leases.items():
+        LEASES.set({"zone": zone}, int(lease.is_held(now_s)))
     measures = state.groups.measures
     for (spec, zone), total_s in measures.downtime_s.items():
         DOWNTIME.set({"spec": spec, "zone": zone}, total_s)
--- a/gooseberryhall/groups/service.py
+++ b/gooseberryhall/groups/service.py
@@ -71,7 +71,7 @@
         TICK_PERIOD_S, lambda: ctx.runtime.async_dispatch(PlanningTick()), jitter=0.1
     )
     ctx.stack.callback(unsubscribe)
-    ctx.ops.add_collector(lambda: export(ctx.runtime.state))
+    ctx.ops.add_collector(lambda: export(ctx.runtime.state, clock()))
     ctx.ops.add_status("groups", lambda: status(ctx.runtime.state, clock()))
     ctx.stack.push_async_callback(_async_stop, service)
 
--- a/tests/groups/test_lifecycle.py
+++ b/tests/groups/test_lifecycle.py
@@ -9,6 +9,7 @@
     DRAIN_LIMIT_S,
     DRAIN_NOTICE_S,
     FAILED_LIMIT_S,
+    LEASE_DURATION_S,
     ORDER_TIMEOUT_S,
 )
 from gooseberryhall.groups.controller import current_division
@@ -22,6 +23,7 @@
     SendGroupOrder,
 )
 from gooseberryhall.groups.effects import Outcome
+from gooseberryhall.groups.measures import LEASES, export
 from gooseberryhall.groups.models import GroupPhase
 from gooseberryhall.groups.planner import plan
 from gooseberryhall.groups.state import OrderState
@@ -174,3 +176,13 @@
     world.run_for(2.0)
     after = current_division(state, world.node.now_s).shares
     assert after["a", "z2"].min_groups == 2
+
+
+def test_lease_is_exported_only_while_it_is_held() -> None:
+    """An operator must not see a planner in a zone whose lease has lapsed."""
+    world = World([make_spec("a")], make_vms("z1", "d1", 2))
+    world.run_for(3.0)
+    export(world.node.state, world.node.now_s)
+    assert LEASES.get({"zone": "z1"}) == 1
+    export(world.node.state, world.node.now_s + LEASE_DURATION_S)
+    assert LEASES.get({"zone": "z1"}) == 0
