Name the members in the reports of group decisions

Cause: timeline --vm showed when a VM answered, but not which groups it joined and left, as a try of the command line on a running cluster showed. Ruled out: a search by group in the command, which does not know past members. Change: the events of a group's life hold its generation and members.

--- a/gooseberryhall/groups/controller.py
+++ b/gooseberryhall/groups/controller.py
@@ -277,6 +277,7 @@
         plan_state.read_s = float("-inf")
         _block_conflicting_vms(plan_state, event, now_s)
         return []
+    row = pending.old
     if pending.old is not None:
         del plan_state.rows[pending.old.name]
     if pending.new is not None:
@@ -286,7 +287,7 @@
     _note_change(state.groups, event.zone, plan_state, now_s)
     return [
         AnnounceGroups(event.zone),
-        report(event.zone, pending.decision),
+        report(event.zone, pending.decision, row),
         *_plan_if_held(state, event.zone, now_s),
     ]
 
--- a/gooseberryhall/groups/execution.py
+++ b/gooseberryhall/groups/execution.py
@@ -1,6 +1,7 @@
 """Turns decisions of the planner into transactions and orders."""
 
 from dataclasses import replace
+from typing import Any
 
 from ..adapters.engine import Order, OrderKind
 from ..adapters.table import Transaction
@@ -172,10 +173,16 @@
     return GroupRow(group, adapters=spec.adapters)
 
 
-def report(zone: str, decision: Decision) -> ReportGroups:
-    """Return the report of a decision that was confirmed."""
+def report(zone: str, decision: Decision, row: GroupRow | None) -> ReportGroups:
+    """Return the report of a decision that was confirmed.
+
+    It names the members, by which the time line of a VM finds it.
+    """
     name, message = _REPORTS[type(decision)]
-    fields = [("zone", zone), ("group", decision.group)]
+    fields: list[tuple[str, Any]] = [("zone", zone), ("group", decision.group)]
+    if row is not None:
+        members = [member.vm for member in row.group.members]
+        fields += [("generation", row.group.generation), ("members", members)]
     reason = getattr(decision, "reason", None)
     if reason is not None:
         fields.append(("reason", reason.value))
--- a/standins/planner_world.py
+++ b/standins/planner_world.py
@@ -30,6 +30,7 @@
     Outcome,
     ReadLease,
     ReadZone,
+    ReportGroups,
     SendOrder,
     WriteLease,
 )
@@ -185,6 +186,7 @@
     now_s: float = 0.0
     queue: list[Effect] = field(default_factory=list)
     views: list[GroupViewReceived] = field(default_factory=list)
+    reports: list[ReportGroups] = field(default_factory=list)
 
     @classmethod
     def create(
@@ -230,6 +232,8 @@
                 self.dispatch(self._order(effect, engines))
             case AnnounceGroups(zone=zone):
                 self._announce(zone)
+            case ReportGroups():
+                self.reports.append(effect)
             case _:
                 pass
 
--- a/tests/groups/test_controller.py
+++ b/tests/groups/test_controller.py
@@ -2,6 +2,7 @@
 
 from gooseberryhall.adapters.table import Row
 from gooseberryhall.groups.models import GroupPhase
+from gooseberryhall.telemetry.catalogue import LogEvent
 
 from .world import World, make_spec, make_vms
 
@@ -32,3 +33,16 @@
     del world.table.rows["group/z1/new"]
     world.run_for(60)
     assert world.phases() == {"a-z1-2": GroupPhase.SERVING}
+
+
+def test_reports_name_the_members() -> None:
+    """The time line of a VM must show the groups that it joined and left."""
+    world = World([make_spec("a")], make_vms("z1", "d1", 2))
+    world.run_for(5.0)
+    assigned = next(
+        dict(effect.fields)
+        for effect in world.node.reports
+        if effect.event is LogEvent.GROUP_ASSIGNED
+    )
+    assert sorted(assigned["members"]) == ["d1-0", "d1-1"]
+    assert assigned["generation"] > 0
