Let models take turns in a domain before traffic begins

A spare's join whose epoch was drawn before it waited was refused as superseded and ended the node's ownership. Change: large models first in each domain, spares after the groups, epochs drawn when the order is sent, ownership given up only when the stored lease has a later term.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -282,7 +282,8 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 for member in group.members:
-                    tasks.create_task(self._async_join(member, group, model))
+                    join = self._async_join(member, lambda: group, model)
+                    tasks.create_task(join)
             await self._async_open(known, profile)
         except* FormationError as exc:
             reason = "; ".join(str(error) for error in exc.exceptions)
@@ -314,17 +315,26 @@
         self._retired.add(key)
         self.known.pop(key, None)
 
-    async def _async_join(self, member: str, group: Group, model: Model) -> None:
-        """Make a server a ready member. Raises `FormationError`."""
+    async def _async_join(
+        self, member: str, create_group: Callable[[], Group], model: Model
+    ) -> None:
+        """Make a server a ready member. Raises `FormationError`.
+
+        The group is created when its order is sent, as servers refuse a join whose
+        epoch is lower than one they have seen.
+        """
         server = self._require(member)
         needs_load = server.last_model != model.name and model.name not in server.staged
         if not needs_load:
             warm = server.last_model == model.name
             expected_s = REJOIN_S if warm else model.warmup_s
-            await self._async_join_now(server, group, expected_s, READY_POLL_S)
+            await self._async_join_now(server, create_group(), expected_s, READY_POLL_S)
             return
         async with self.loads:
-            await self._async_join_now(server, group, model.load_s, LOAD_POLL_S)
+            server = self._require(member)
+            await self._async_join_now(
+                server, create_group(), model.load_s, LOAD_POLL_S
+            )
 
     async def _async_join_now(
         self, server: BackendServer, group: Group, expected_s: float, poll_s: float
@@ -399,9 +409,12 @@
 
     async def _async_prepare(self, server_id: str, model: Model) -> None:
         """Load a model on a free server, in a group that never opens."""
-        epoch = self._next_epoch()
-        name = f"{SPARE_GROUP_PREFIX}{self.zone}-{epoch}"
-        group = Group(name, epoch, model.name, (server_id,))
+
+        def create_group() -> Group:
+            epoch = self._next_epoch()
+            name = f"{SPARE_GROUP_PREFIX}{self.zone}-{epoch}"
+            return Group(name, epoch, model.name, (server_id,))
+
         self._log(
             LogEvent.SPARE_PREPARED,
             "free server loads a model",
@@ -409,13 +422,13 @@
             model=model.name,
         )
         try:
-            await self._async_join(server_id, group, model)
+            await self._async_join(server_id, create_group, model)
         except FormationError as exc:
-            self._log(LogEvent.GROUP_FAILED, str(exc), group=name)
+            self._log(LogEvent.GROUP_FAILED, str(exc), server=server_id)
         finally:
             self._preparing.pop(server_id, None)
 
-    def _dissolve(self, known: KnownGroup, reason: str, **fields: object) -> None:
+    def _dissolve(self, known: KnownGroup, reason: str, **fields: Any) -> None:
         known.phase = Phase.DISSOLVING
         self._log(LogEvent.GROUP_DISSOLVED, reason, group=known.group.name, **fields)
         self.on_change()
@@ -432,7 +445,9 @@
             attempts += 1
             if outcome is OrderOutcome.SUPERSEDED:
                 self.on_superseded()
-            elif outcome is not OrderOutcome.NO_ANSWER or (self._is_head_gone(known) and attempts >= LEAVE_ATTEMPTS_TO_LOST_HEAD):
+            elif outcome is not OrderOutcome.NO_ANSWER or (
+                self._is_head_gone(known) and attempts >= LEAVE_ATTEMPTS_TO_LOST_HEAD
+            ):
                 break
             await asyncio.sleep(LEAVE_RETRY_S)
         key = (known.group.name, known.group.epoch)
@@ -495,7 +510,7 @@
         self._epochs += 1
         return self.term * EPOCHS_PER_TERM + self._epochs
 
-    def _log(self, event: LogEvent, message: str, **fields: object) -> None:
+    def _log(self, event: LogEvent, message: str, **fields: Any) -> None:
         log_event(_LOGGER, event, message, zone=self.zone, term=self.term, **fields)
 
 
--- a/gooseberryhall/fleet/planner.py
+++ b/gooseberryhall/fleet/planner.py
@@ -86,93 +86,132 @@
     free = {server.server_id: server for server in facts.free}
     counts = Counter(facts.elsewhere)
     counts.update(group.model for group, _ in facts.groups)
+    placed = Counter((domain, group.model) for group, domain in facts.groups)
     while True:
-        choice = _next_group(facts, list(free.values()), counts)
+        choice = _next_group(facts, list(free.values()), counts, placed)
         if choice is None:
             break
-        plan.groups.append(choice)
-        counts[choice.model] += 1
-        for member in choice.members:
+        group, domain = choice
+        plan.groups.append(group)
+        counts[group.model] += 1
+        placed[domain, group.model] += 1
+        for member in group.members:
             del free[member]
-    plan.spares = _plan_spares(facts, list(free.values()), plan.groups)
+    plan.spares = _plan_spares(facts, list(free.values()), placed)
     return plan
 
 
 def _next_group(
-    facts: ZoneFacts, free: list[FreeServer], counts: Counter[str]
-) -> GroupPlan | None:
+    facts: ZoneFacts,
+    free: list[FreeServer],
+    counts: Counter[str],
+    placed: Counter[tuple[str, str]],
+) -> tuple[GroupPlan, str] | None:
+    """Return the next group and its domain."""
     models = sorted(
         facts.profile.models, key=lambda model: (counts[model.name], -model.size)
     )
+    domains = {server.domain for server in free}
     for model in models:
         options = [
             option
-            for domain in {server.domain for server in free}
-            if (option := _option(facts, free, domain, model)) is not None
+            for domain in domains
+            if facts.traffic_seen or _is_next_in_domain(facts, model, domain, placed)
+            if (option := _option(facts, free, domain, model, placed)) is not None
         ]
         if options:
-            return min(options, key=lambda option: option[0])[1]
+            rank, plan = min(options, key=lambda option: option[0])
+            return plan, rank[-1]
     return None
 
 
+def _is_next_in_domain(
+    facts: ZoneFacts, model: Model, domain: str, placed: Counter[tuple[str, str]]
+) -> bool:
+    """Return whether the model's turn has come in a domain.
+
+    Servers register one after the other. If the first ones were used for a small
+    model, too few would be left for a large one, so models take turns, large first.
+    """
+    turn = min(
+        facts.profile.models,
+        key=lambda other: (placed[domain, other.name], -other.size, other.name),
+    )
+    return turn.name == model.name
+
+
 def _option(
-    facts: ZoneFacts, free: list[FreeServer], domain: str, model: Model
+    facts: ZoneFacts,
+    free: list[FreeServer],
+    domain: str,
+    model: Model,
+    placed: Counter[tuple[str, str]],
 ) -> tuple[tuple[float, int, str], GroupPlan] | None:
     """Return the best group of the model in the domain, with its rank."""
     servers = sorted(
-        (server for server in free if server.domain == domain),
+        (
+            server
+            for server in free
+            if server.domain == domain and server.preparing is None
+        ),
         key=lambda server: (server.join_s(model), server.server_id),
     )
-    keep = 0 if facts.traffic_seen else SPARES_PER_DOMAIN
+    keep = 0
+    if not facts.traffic_seen and placed[domain, model.name]:
+        keep = SPARES_PER_DOMAIN
     if len(servers) < model.size + keep:
         return None
     members = servers[: model.size]
     join_s = members[-1].join_s(model)
     if facts.traffic_seen and join_s > max(model.warmup_s, REJOIN_S):
         return None
-    same = sum(
-        1
-        for group, place in facts.groups
-        if place == domain and group.model == model.name
-    )
     plan = GroupPlan(model.name, tuple(server.server_id for server in members), join_s)
-    return (join_s, same - len(servers), domain), plan
+    rank = (join_s, placed[domain, model.name] - len(servers), domain)
+    return rank, plan
 
 
 def _plan_spares(
-    facts: ZoneFacts, free: Iterable[FreeServer], planned: Sequence[GroupPlan]
+    facts: ZoneFacts, free: Iterable[FreeServer], placed: Counter[tuple[str, str]]
 ) -> list[SparePlan]:
     """Give each free server without weights the model that its domain lacks most."""
     servers = list(free)
     plans: list[SparePlan] = []
     prepared: Counter[tuple[str, str]] = Counter()
     for server in servers:
-        model = server.preparing or server.last_model
-        if model is not None:
-            prepared[server.domain, model] += 1
+        loaded = server.preparing or server.last_model
+        if loaded is not None:
+            prepared[server.domain, loaded] += 1
     for server in sorted(servers, key=lambda server: server.server_id):
         if server.preparing is not None or server.last_model is not None:
             continue
-        model = _spare_model(facts, server, prepared)
+        if not facts.traffic_seen and not _has_all_models(facts, server, placed):
+            continue
+        model = _spare_model(facts, server, prepared, placed)
         prepared[server.domain, model.name] += 1
         plans.append(SparePlan(server.server_id, model.name))
     return plans
 
 
+def _has_all_models(
+    facts: ZoneFacts, server: FreeServer, placed: Counter[tuple[str, str]]
+) -> bool:
+    """Return whether the server's domain has a group of each model."""
+    return all(placed[server.domain, model.name] for model in facts.profile.models)
+
+
 def _spare_model(
-    facts: ZoneFacts, server: FreeServer, prepared: Counter[tuple[str, str]]
+    facts: ZoneFacts,
+    server: FreeServer,
+    prepared: Counter[tuple[str, str]],
+    placed: Counter[tuple[str, str]],
 ) -> Model:
     def rank(model: Model) -> tuple[bool, int, int, str]:
         ready = prepared[server.domain, model.name]
         missing = model.size - ready % model.size
-        groups = sum(
-            1
-            for group, place in facts.groups
-            if place == server.domain and group.model == model.name
-        )
         # Servers of a group that lost a member wait for just this one.
         completes = ready > 0 and missing == 1
+        spares = ready - placed[server.domain, model.name]
         staged = model.name in server.staged
-        return (not completes, ready - groups - staged, missing, model.name)
+        return (not completes, spares - staged, missing, model.name)
 
     return min(facts.profile.models, key=rank)
--- a/gooseberryhall/gateway/caller.py
+++ b/gooseberryhall/gateway/caller.py
@@ -55,6 +55,7 @@
         self._chunked = False
         self._keep_alive = True
         self._responding = False
+        self._reading = False
         self.closing = False
         self._reset_message()
 
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from typing import Any
 
 from ..fleet.models import BackendServer
 from ..telemetry.catalogue import LogEvent
@@ -89,7 +90,7 @@
 
 
 def log_request(
-    event: LogEvent, message: str, ctx: RequestContext, **fields: object
+    event: LogEvent, message: str, ctx: RequestContext, **fields: Any
 ) -> None:
     """Write a decision about a request with its id."""
     log_event(
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -341,13 +341,31 @@
             profile=self._profile,
             elsewhere=lambda: self._elsewhere(zone),
             traffic_seen=lambda: self.gateway.traffic_seen,
-            on_change=lambda: self.gossip.send(),
-            on_superseded=lambda: self._release(zone, "a server saw a later term"),
+            on_change=self.gossip.send,
+            on_superseded=lambda: self._verify(zone),
             create_task=self.create_task,
             loads=asyncio.Semaphore(loads),
         )
         log_event(_LOGGER, LogEvent.ZONE_OWNED, "zone is owned", zone=zone, term=term)
 
+    def _verify(self, zone: str) -> None:
+        """Check in the store that this node still owns a zone."""
+        if zone not in self._taking:
+            self._taking.add(zone)
+            self.create_task(self._async_verify(zone))
+
+    async def _async_verify(self, zone: str) -> None:
+        try:
+            stored = await self.parts.leases.async_read_lease(zone)
+        except UnavailableError as exc:
+            log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="leases")
+            return
+        finally:
+            self._taking.discard(zone)
+        controller = self.controllers.get(zone)
+        if stored is not None and controller and stored.term > controller.term:
+            self._release(zone, f"{stored.owner} owns a later term")
+
     def _release(self, zone: str, reason: str) -> None:
         if self.controllers.pop(zone, None) is not None:
             self._owner_seen_s[zone] = self._loop.time()
--- a/gooseberryhall/platform/orders.py
+++ b/gooseberryhall/platform/orders.py
@@ -13,7 +13,7 @@
 from .servers import ServerReport, decode_report
 
 ORDER_TIMEOUT_S: Final = 0.6
-REPORT_TIMEOUT_S: Final = 0.35
+REPORT_TIMEOUT_S: Final = 0.2
 
 _OUTCOMES: Final = {
     200: OrderOutcome.DONE,
--- a/gooseberryhall/platform/store.py
+++ b/gooseberryhall/platform/store.py
@@ -91,7 +91,11 @@
 
         Raises `HistoryLostError` if changes are missing, else `StoreError`.
         """
-        query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+        query: dict[str, str | int] = {
+            "table": table,
+            "after": after,
+            "wait_ms": int(wait_s * 1000),
+        }
         reply = await self._async_get("rows-feed", query, wait_s + FEED_SLACK_S)
         page = _decode(reply.body)
         return RowSet(tuple(_decode_rows(page.rows)), page.row_version)
