--- a/gooseberryhall/fleet/const.py
+++ b/gooseberryhall/fleet/const.py
@@ -20,8 +20,6 @@
 JOIN_SLACK_S: Final = 2.0
 OPEN_SLACK_S: Final = 1.5
 LEAVE_RETRY_S: Final = 0.3
-# Orders to a head whose entry is gone before it is taken as gone.
-LEAVE_ATTEMPTS_TO_LOST_HEAD: Final = 2
 EPOCHS_PER_TERM: Final = 1_000_000
 SPARE_GROUP_PREFIX: Final = "spare-"
 
--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -17,7 +17,6 @@
     HOLD_AFTER_PAUSE_S,
     JOIN_SLACK_FACTOR,
     JOIN_SLACK_S,
-    LEAVE_ATTEMPTS_TO_LOST_HEAD,
     LEAVE_RETRY_S,
     LEAVING_GROUP_S,
     LOAD_POLL_S,
@@ -62,6 +61,8 @@
     may_be_open: bool
     leaving_since_s: float | None = None
     examined_s: float = 0.0
+    # Members that left while the head did not answer.
+    released: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -209,7 +210,10 @@
     def _plan(self, profile: EngineProfile, now_s: float) -> None:
         self._retry_dead(now_s)
         taken = {
-            member for known in self.known.values() for member in known.group.members
+            member
+            for known in self.known.values()
+            for member in known.group.members
+            if member not in known.released
         }
         free = [
             FreeServer(
@@ -330,6 +334,12 @@
             expected_s = REJOIN_S if warm else model.warmup_s
             await self._async_join_now(server, create_group(), expected_s, READY_POLL_S)
             return
+        if not self.traffic_seen():
+            # Loads before the first request share the weight store without delay.
+            await self._async_join_now(
+                server, create_group(), model.load_s, LOAD_POLL_S
+            )
+            return
         async with self.loads:
             server = self._require(member)
             await self._async_join_now(
@@ -435,27 +445,48 @@
         self.create_task(self._async_dissolve(known))
 
     async def _async_dissolve(self, known: KnownGroup) -> None:
-        """Close the head of a group, after which its members are free.
+        """Free the members of a group.
 
-        Until the head has left, or is gone, members must not join other groups.
+        A server must not join another group while the head of its own may serve.
+        So the head leaves first; members of a head that does not answer leave
+        themselves. A head that returns with the group is dissolved again.
         """
-        attempts = 0
-        while True:
+        key = (known.group.name, known.group.epoch)
+        while key in self.known:
             outcome = await self.engines.async_leave(known.head, known.group, self.term)
-            attempts += 1
             if outcome is OrderOutcome.SUPERSEDED:
                 self.on_superseded()
-            elif outcome is not OrderOutcome.NO_ANSWER or (
-                self._is_head_gone(known) and attempts >= LEAVE_ATTEMPTS_TO_LOST_HEAD
-            ):
+            elif outcome is not OrderOutcome.NO_ANSWER:
+                self._retired.add(key)
+                break
+            if await self._async_release_members(known):
                 break
             await asyncio.sleep(LEAVE_RETRY_S)
-        key = (known.group.name, known.group.epoch)
-        self._retired.add(key)
         self.known.pop(key, None)
         if known.head.server_id in self.view.servers:
             await self._async_report(known.head)
 
+    async def _async_release_members(self, known: KnownGroup) -> bool:
+        """Let members leave; return whether none is left to free, nor the head."""
+        async with asyncio.TaskGroup() as tasks:
+            for member in known.group.members[1:]:
+                if member not in known.released:
+                    tasks.create_task(self._async_release(known, member))
+        return self._is_head_gone(known) and known.released.issuperset(
+            known.group.members[1:]
+        )
+
+    async def _async_release(self, known: KnownGroup, member: str) -> None:
+        server = self.view.servers.get(member)
+        if server is None:
+            known.released.add(member)
+            return
+        outcome = await self.engines.async_leave(server, known.group, self.term)
+        if outcome in {OrderOutcome.NO_ANSWER, OrderOutcome.SUPERSEDED}:
+            return
+        await self._async_report(server)
+        known.released.add(member)
+
     def _is_head_gone(self, known: KnownGroup) -> bool:
         """Return whether the store no longer lists this life of the head."""
         server = self.view.servers.get(known.head.server_id)
