Let a server leave an earlier owner's group before it joins another

Change: before its first join of a life the owner reads the server's report, and the server leaves a group that this owner did not close.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -87,6 +87,8 @@
     # Servers that do not answer: life and time of the next try.
     _dead: dict[str, tuple[int, float]] = field(default_factory=dict)
     _preparing: dict[str, str] = field(default_factory=dict)
+    # Lives of servers that this owner has asked for a report.
+    _verified: set[tuple[str, int]] = field(default_factory=set)
     _epochs: int = 0
     _last_tick_s: float = 0.0
     _hold_until_s: float = 0.0
@@ -350,6 +352,7 @@
         self, server: BackendServer, group: Group, expected_s: float, poll_s: float
     ) -> None:
         loop = asyncio.get_running_loop()
+        await self._async_leave_earlier_group(server)
         outcome = await self.engines.async_join(server, group, self.term)
         if outcome is OrderOutcome.NO_ANSWER:
             outcome = await self.engines.async_join(server, group, self.term)
@@ -377,6 +380,36 @@
                 continue
             await asyncio.sleep(_VIEW_POLL_S)
 
+    async def _async_leave_earlier_group(self, server: BackendServer) -> None:
+        """Take a server out of a group whose head may still serve.
+
+        An earlier owner may have formed it, and the head's entry may be missing.
+        Raises `FormationError`.
+        """
+        life = (server.server_id, server.born_ms)
+        if life not in self._verified:
+            if not await self._async_report(server):
+                self._mark_dead(server)
+                raise FormationError(f"{server.server_id} does not answer")
+            self._verified.add(life)
+        membership = self._require(server.server_id).membership
+        if membership is None or membership.group.startswith(SPARE_GROUP_PREFIX):
+            return
+        if (membership.group, membership.epoch) in self._retired:
+            return
+        earlier = Group(membership.group, membership.epoch, "", (server.server_id,))
+        outcome = await self.engines.async_leave(server, earlier, self.term)
+        self._log(
+            LogEvent.EARLIER_GROUP_LEFT,
+            "server leaves a group of an earlier owner",
+            server=server.server_id,
+            group=membership.group,
+            outcome=outcome,
+        )
+        if outcome not in ACCEPTED:
+            await self._async_refused(server, outcome)
+            raise FormationError(f"leave of {server.server_id}: {outcome}")
+
     def _is_ready(self, server_id: str, group: Group) -> bool:
         server = self.view.servers.get(server_id)
         if server is None or server.membership is None:
