Merge reports and entries of servers by epoch

Change: memberships are compared by epoch and state, heartbeats only order entries; groups of an earlier owner that lack entries wait two seconds; nodes of other zones contend for a zone after 8 s, because it is mostly cut off with its servers.

--- a/gooseberryhall/fleet/const.py
+++ b/gooseberryhall/fleet/const.py
@@ -26,7 +26,8 @@
 OWNERSHIP_PERIOD_S: Final = 0.2
 # Nodes that start together hear of each other before they contend.
 SETTLE_S: Final = 0.45
-# Nodes of other zones contend this much later than the zone's own.
-OTHER_ZONE_DELAY_S: Final = 1.5
+# Nodes of other zones contend this much later than the zone's own: a zone without
+# live nodes is more often cut off, with its servers, than without machines.
+OTHER_ZONE_DELAY_S: Final = 8.0
 # A node that hears no peer is probably cut off itself.
 ISOLATED_DELAY_S: Final = 3.0
--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -28,7 +28,7 @@
 from .models import BackendServer, EngineProfile, Group, MemberState, Model
 from .orders import ACCEPTED, Engines, OrderOutcome
 from .planner import REJOIN_S, FreeServer, GroupPlan, SparePlan, ZoneFacts, plan_zone
-from .view import FleetView
+from .view import LAPSED_ENTRY_GRACE_S, FleetView
 
 _LOGGER = logging.getLogger(__name__)
 _VIEW_POLL_S = 0.02
@@ -87,6 +87,9 @@
     # Servers that do not answer: life and time of the next try.
     _dead: dict[str, tuple[int, float]] = field(default_factory=dict)
     _preparing: dict[str, str] = field(default_factory=dict)
+    # Groups of an earlier owner that lack entries of members, and since when.
+    _partial: dict[Key, float] = field(default_factory=dict)
+    _held: set[str] = field(default_factory=set)
     # Lives of servers that this owner has asked for a report.
     _verified: set[tuple[str, int]] = field(default_factory=set)
     _epochs: int = 0
@@ -105,7 +108,7 @@
         if profile is None or self._is_on_hold():
             return
         now_s = asyncio.get_running_loop().time()
-        self._adopt(profile)
+        self._adopt(profile, now_s)
         for known in list(self.known.values()):
             if known.phase is Phase.OPEN:
                 self._check(known, now_s)
@@ -141,8 +144,10 @@
             if server.zone == self.zone and server.service == self.service
         ]
 
-    def _adopt(self, profile: EngineProfile) -> None:
+    def _adopt(self, profile: EngineProfile, now_s: float) -> None:
         """Take over groups that an earlier owner left."""
+        partial: dict[Key, float] = {}
+        self._held = set()
         for group, states in self.view.groups():
             key = (group.name, group.epoch)
             head = self.view.servers[group.head]
@@ -154,19 +159,31 @@
                 continue
             model = profile.model(group.model)
             whole = model is not None and len(group.members) == model.size
-            known = KnownGroup(group, Phase.OPEN, head, head.domain, may_be_open=True)
-            self.known[key] = known
-            self._log(
-                LogEvent.GROUP_ADOPTED,
-                "group of an earlier owner",
-                group=group.name,
-                head_state=states[0],
-                whole=whole,
-            )
-            if not whole or states[0] is not MemberState.OPEN:
-                self._dissolve(known, "left unfinished by an earlier owner")
-            else:
-                self.on_change()
+            since_s = self._partial.get(key, now_s)
+            if not whole and now_s - since_s < LAPSED_ENTRY_GRACE_S:
+                # Entries of members may have lapsed with the store and return.
+                partial[key] = since_s
+                self._held.update(group.members)
+                continue
+            self._adopt_group(group, states[0], head, whole=whole)
+        self._partial = partial
+
+    def _adopt_group(
+        self, group: Group, state: MemberState, head: BackendServer, *, whole: bool
+    ) -> None:
+        known = KnownGroup(group, Phase.OPEN, head, head.domain, may_be_open=True)
+        self.known[group.name, group.epoch] = known
+        self._log(
+            LogEvent.GROUP_ADOPTED,
+            "group of an earlier owner",
+            group=group.name,
+            head_state=state,
+            whole=whole,
+        )
+        if not whole or state is not MemberState.OPEN:
+            self._dissolve(known, "left unfinished by an earlier owner")
+        else:
+            self.on_change()
 
     def _check(self, known: KnownGroup, now_s: float) -> None:
         """Dissolve a group that lost a member or is about to."""
@@ -227,6 +244,7 @@
             )
             for server in self._members()
             if server.server_id not in taken
+            and server.server_id not in self._held
             and not server.leaving
             and server.server_id not in self._dead
         ]
@@ -549,10 +567,10 @@
         self.view.put_report(
             server.server_id,
             born_ms=report.born_ms,
-            orders_accepted=report.orders_accepted,
             membership=report.membership,
             staged=report.staged,
             last_model=report.last_model,
+            now_s=asyncio.get_running_loop().time(),
         )
         return True
 
--- a/gooseberryhall/fleet/models.py
+++ b/gooseberryhall/fleet/models.py
@@ -28,6 +28,10 @@
     rank: int
     state: MemberState
 
+    def progress(self) -> tuple[int, int]:
+        """Return a key that grows within one life of a server."""
+        return (self.epoch, _MEMBER_STATE_ORDER[self.state])
+
 
 @dataclass(frozen=True, slots=True)
 class BackendServer:
@@ -48,13 +52,8 @@
     # Model of the server's last group since its start.
     last_model: str | None = None
     membership: Membership | None = None
-    # Number of orders accepted in this life.
-    orders_accepted: int = 0
-
-    def freshness(self) -> tuple[int, int, int]:
-        """Return a key that grows with each description of the server."""
-        state = self.membership.state if self.membership else MemberState.JOINING
-        return (self.born_ms, self.orders_accepted, _MEMBER_STATE_ORDER[state])
+    # Number of the heartbeat that wrote the entry; grows within a life.
+    heartbeat: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/fleet/orders.py
+++ b/gooseberryhall/fleet/orders.py
@@ -33,10 +33,6 @@
     def born_ms(self) -> int:
         """Unix time in milliseconds of the start of this life."""
 
-    @property
-    def orders_accepted(self) -> int:
-        """Number of orders accepted in this life."""
-
     @property
     def membership(self) -> Membership | None:
         """Group of the server."""
--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -9,6 +9,20 @@
 LAPSED_ENTRY_GRACE_S = 2.0
 
 
+# An entry that a server wrote before it gave a report may arrive after it.
+REPORT_PRECEDENCE_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class _Reported:
+    """What the last direct report of a server said."""
+
+    time_s: float
+    born_ms: int
+    # Highest epoch known at that time.
+    epoch: int
+
+
 @dataclass(slots=True)
 class FleetView:
     """Backend servers by id.
@@ -18,28 +32,46 @@
     """
 
     servers: dict[str, BackendServer] = field(default_factory=dict)
+    _reported: dict[str, _Reported] = field(default_factory=dict)
     # Servers whose entry went while the store was away, and when to forget them.
     _lapsed: dict[str, float] = field(default_factory=dict)
 
-    def put_entry(self, server: BackendServer) -> None:
-        """Take an entry of the store, unless a direct report is newer."""
+    def put_entry(self, server: BackendServer, now_s: float) -> None:
+        """Take an entry of the store, unless what is known is newer."""
+        self._lapsed.pop(server.server_id, None)
         known = self.servers.get(server.server_id)
-        if known is not None and known.freshness() > server.freshness():
+        if known is None or known.born_ms < server.born_ms:
+            self.servers[server.server_id] = server
+            return
+        if known.born_ms > server.born_ms or known.heartbeat > server.heartbeat:
+            return
+        if self._is_older(server.membership, known, now_s):
             server = replace(
                 server,
                 membership=known.membership,
                 staged=known.staged,
                 last_model=known.last_model,
-                orders_accepted=known.orders_accepted,
-                born_ms=known.born_ms,
             )
         self.servers[server.server_id] = server
-        self._lapsed.pop(server.server_id, None)
+
+    def _is_older(
+        self, membership: Membership | None, known: BackendServer, now_s: float
+    ) -> bool:
+        """Return whether an entry's membership is older than the known one."""
+        reported = self._reported.get(known.server_id)
+        if reported is None or reported.born_ms != known.born_ms:
+            return False
+        if membership is None:
+            return now_s - reported.time_s < REPORT_PRECEDENCE_S
+        if known.membership is None:
+            return membership.epoch <= reported.epoch
+        return membership.progress() < known.membership.progress()
 
     def remove_entry(self, server_id: str) -> None:
         """Forget a server whose entry is gone."""
         self.servers.pop(server_id, None)
         self._lapsed.pop(server_id, None)
+        self._reported.pop(server_id, None)
 
     def replace_entries(
         self, entries: Iterable[BackendServer], *, after_outage: bool, now_s: float
@@ -58,7 +90,7 @@
             else:
                 self.remove_entry(server_id)
         for server in listed.values():
-            self.put_entry(server)
+            self.put_entry(server, now_s)
 
     def forget_lapsed(self, now_s: float) -> list[str]:
         """Forget the servers whose entries did not return; return their ids."""
@@ -72,25 +104,26 @@
         server_id: str,
         *,
         born_ms: int,
-        orders_accepted: int,
         membership: Membership | None,
         staged: frozenset[str],
         last_model: str | None,
+        now_s: float,
     ) -> None:
         """Take what a server said of itself in a direct report."""
         known = self.servers.get(server_id)
-        if known is None:
+        if known is None or born_ms < known.born_ms:
             return
-        reported = replace(
+        epochs = [
+            item.epoch for item in (membership, known.membership) if item is not None
+        ]
+        self._reported[server_id] = _Reported(now_s, born_ms, max(epochs, default=0))
+        self.servers[server_id] = replace(
             known,
             born_ms=born_ms,
-            orders_accepted=orders_accepted,
             membership=membership,
             staged=staged,
             last_model=last_model,
         )
-        if reported.freshness() >= known.freshness():
-            self.servers[server_id] = reported
 
     def open_groups(self, sizes: dict[str, int]) -> list[Group]:
         """Return the groups that the entries show as open and whole.
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -248,7 +248,7 @@
 
     def _on_entry(self, server: BackendServer) -> None:
         known = self.view.servers.get(server.server_id)
-        self.view.put_entry(server)
+        self.view.put_entry(server, self._loop.time())
         if known is None:
             self._log_server(server.server_id, "entry is new")
         elif server.leaving and not known.leaving:
--- a/gooseberryhall/platform/servers.py
+++ b/gooseberryhall/platform/servers.py
@@ -26,8 +26,6 @@
 class _Common(msgspec.Struct):
     # Unix time in milliseconds at which this life of the server started.
     born: int = 0
-    # Number of orders that began something in this life.
-    sequence: _Natural = 0
     models: list[_Model] = []
     # Models whose weights are on the host.
     staged: list[str] = []
@@ -40,6 +38,8 @@
     zone: str
     state: Literal["ready", "draining"]
     slots: _Natural = 0
+    # Number of the heartbeat; the reports' field of this name counts orders.
+    sequence: _Natural = 0
     # Fabric domain of the server's host.
     domain: str | int = ""
 
@@ -54,7 +54,6 @@
     """What a server said of itself in a direct report."""
 
     born_ms: int
-    orders_accepted: int
     membership: Membership | None
     staged: frozenset[str]
     last_model: str | None
@@ -80,7 +79,7 @@
         staged=frozenset(raw.staged),
         last_model=raw.models[0].name if raw.models else None,
         membership=_membership(raw.group),
-        orders_accepted=raw.sequence,
+        heartbeat=raw.sequence,
     )
 
 
@@ -92,7 +91,6 @@
         raise RowFormatError(f"report: {exc}") from exc
     return ServerReport(
         born_ms=raw.born,
-        orders_accepted=raw.sequence,
         membership=_membership(raw.group),
         staged=frozenset(raw.staged),
         last_model=raw.models[0].name if raw.models else None,
