--- a/gooseberryhall/fleet/planner.py
+++ b/gooseberryhall/fleet/planner.py
@@ -1,4 +1,7 @@
-"""Decides which groups are formed and what spare servers prepare. No input or output."""
+"""Decides which groups are formed and what spare servers prepare.
+
+Pure functions over the facts of one zone.
+"""
 
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
@@ -209,8 +212,8 @@
         ready = prepared[server.domain, model.name]
         missing = model.size - ready % model.size
         # Servers of a group that lost a member wait for just this one.
-        completes = ready > 0 and missing == 1
         spares = ready - placed[server.domain, model.name]
+        completes = spares > 0 and missing == 1
         staged = model.name in server.staged
         return (not completes, spares - staged, missing, model.name)
 
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -18,20 +18,25 @@
     latency: Histogram = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the collectors and register them."""
+        """Create the collectors in the registry."""
         self.requests = Counter(
-            "gooseberryhall_requests_total", "Requests by route and outcome."
+            "gooseberryhall_requests_total",
+            "Requests by route and outcome.",
+            registry=self.registry,
         )
         self.retries = Counter(
-            "gooseberryhall_retries_total", "Requests sent again, by cause."
+            "gooseberryhall_retries_total",
+            "Requests sent again, by cause.",
+            registry=self.registry,
         )
         self.stalls = Counter(
-            "gooseberryhall_group_stalls_total", "Groups found silent."
+            "gooseberryhall_group_stalls_total",
+            "Groups found silent.",
+            registry=self.registry,
         )
         self.latency = Histogram(
             "gooseberryhall_first_answer_seconds",
             "Time to the first part of an answer.",
             buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
         )
-        for collector in (self.requests, self.retries, self.stalls, self.latency):
-            self.registry.register(collector)
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -29,27 +29,16 @@
     state: GatewayState, ctx: RequestContext, conn: CallerConnection
 ) -> OwnAnswer | None:
     """Answer the caller with a server's response, or return an answer of our own."""
-    loop = asyncio.get_running_loop()
     fallback: Answer | None = None
     failure: OwnAnswer | None = None
-    while ctx.rejections < MAX_REJECTIONS:
-        if ctx.deadline_s - loop.time() < MIN_SEND_S:
-            break
-        server = _choose(state, ctx)
-        if server is None:
-            break
-        if ctx.sends and not state.budget(ctx.service).take(loop.time()):
-            break
+    while (server := _next_server(state, ctx)) is not None:
         result = await _async_try(state, ctx, server)
         if isinstance(result, OwnAnswer):
             failure = result
         elif result is not None:
-            if not _should_retry(state, ctx, result[0]):
-                _deliver(conn, result)
-                return None
             fallback = result
-        if ctx.ran_on and not ctx.may_run_again():
-            break
+            if not (is_server_failure(result[0]) and ctx.may_run_again()):
+                break
     if fallback is not None:
         _deliver(conn, fallback)
         return None
@@ -58,10 +47,17 @@
     return refuse_busy(state.rng) if ctx.sends else refuse_no_group(state.rng)
 
 
-def _choose(state: GatewayState, ctx: RequestContext) -> BackendServer | None:
+def _next_server(state: GatewayState, ctx: RequestContext) -> BackendServer | None:
+    """Return the server of the next try, or None if there is none."""
     now_s = asyncio.get_running_loop().time()
+    if ctx.rejections >= MAX_REJECTIONS or ctx.deadline_s - now_s < MIN_SEND_S:
+        return None
+    if ctx.ran_on and not ctx.may_run_again():
+        return None
     chosen = choose_server(state.server_candidates(ctx, now_s), state.rng)
-    return state.servers().get(chosen.server_id) if chosen else None
+    if chosen is None or (ctx.sends and not state.budget(ctx.service).take(now_s)):
+        return None
+    return state.servers().get(chosen.server_id)
 
 
 async def _async_try(
@@ -120,10 +116,6 @@
     return answer
 
 
-def _should_retry(state: GatewayState, ctx: RequestContext, head: ResponseHead) -> bool:
-    return is_server_failure(head) and ctx.may_run_again()
-
-
 def _try_until(ctx: RequestContext) -> float:
     """Return the end of this try; an idempotent one leaves time for another."""
     now_s = asyncio.get_running_loop().time()
--- a/gooseberryhall/transport/exceptions.py
+++ b/gooseberryhall/transport/exceptions.py
@@ -20,7 +20,7 @@
 
 
 class ExchangeAbortedError(TransportError):
-    """This process ended the exchange, for example because the server stalled."""
+    """An exchange was ended here, for example because the server stalled."""
 
 
 class ExchangeTimeoutError(TransportError):
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of core."""
--- /dev/null
+++ b/tests/fleet/common.py
@@ -0,0 +1,250 @@
+"""Model servers that check the rules of groups."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from gooseberryhall.fleet.controller import ZoneController
+from gooseberryhall.fleet.models import (
+    BackendServer,
+    EngineProfile,
+    Group,
+    Membership,
+    MemberState,
+    Model,
+)
+from gooseberryhall.fleet.orders import OrderOutcome
+from gooseberryhall.fleet.view import FleetView
+from gooseberryhall.transport.pool import Address
+
+LARGE = Model("large", 3, 1.0, 0.5, 4.0, 0.02)
+SMALL = Model("small", 2, 0.6, 0.5, 3.0, 0.02)
+PROFILE = EngineProfile(4, (LARGE, SMALL), 0.02, 4.0, 6, 0.006, 50_000.0)
+ADDRESS = Address("127.0.0.1", 1)
+
+
+def server(server_id: str, domain: str = "d", **changes: Any) -> BackendServer:
+    """Return a server of zone z without a group."""
+    values: dict[str, Any] = {
+        "server_id": server_id,
+        "service": "engine",
+        "address": ADDRESS,
+        "zone": "z",
+        "leaving": False,
+        "slots": 4,
+        "born_ms": 1,
+        "domain": domain,
+    }
+    return BackendServer(**{**values, **changes})
+
+
+@dataclass(slots=True)
+class FakeServer:
+    """A model server."""
+
+    entry: BackendServer
+    membership: Membership | None = None
+    members: tuple[str, ...] = ()
+    last_model: str | None = None
+    staged: frozenset[str] = frozenset()
+    reachable: bool = True
+    highest_epoch: int = 0
+    highest_fence: int = 0
+    orders: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class FakeReport:
+    """A report of a fake server."""
+
+    born_ms: int
+    membership: Membership | None
+    staged: frozenset[str]
+    last_model: str | None
+    slowdown: float = 1.0
+
+
+class FakeEngines:
+    """Fake servers that carry out orders and note broken rules."""
+
+    def __init__(self, *servers: BackendServer) -> None:
+        """Create reachable servers without groups."""
+        self.servers = {entry.server_id: FakeServer(entry) for entry in servers}
+        self.violations: list[str] = []
+        self.lost_answers = 0
+
+    async def async_join(
+        self, server: BackendServer, group: Group, fence: int
+    ) -> OrderOutcome:
+        """Join at once, unless a rule of the protocol refuses it."""
+        await asyncio.sleep(0)
+        fake = self._reach(server, "join", fence)
+        if isinstance(fake, OrderOutcome):
+            return fake
+        if group.epoch < fake.highest_epoch:
+            return OrderOutcome.SUPERSEDED
+        self._check_join(fake, group)
+        fake.highest_epoch = group.epoch
+        rank = group.members.index(server.server_id)
+        fake.membership = Membership(group.name, group.epoch, rank, MemberState.READY)
+        fake.members = group.members
+        fake.last_model = group.model
+        fake.staged = frozenset({group.model})
+        return self._answer(OrderOutcome.STARTED)
+
+    async def async_open(
+        self, server: BackendServer, group: Group, fence: int
+    ) -> OrderOutcome:
+        """Open the head's group and check that all members are ready."""
+        await asyncio.sleep(0)
+        fake = self._reach(server, "open", fence)
+        if isinstance(fake, OrderOutcome):
+            return fake
+        membership = fake.membership
+        if membership is None or membership.epoch != group.epoch:
+            return OrderOutcome.UNFIT
+        for member in group.members:
+            other = self.servers[member].membership
+            if other is None or other.epoch != group.epoch:
+                self.violations.append(f"{group.name} opened without {member}")
+        fake.membership = Membership(group.name, group.epoch, 0, MemberState.OPEN)
+        return self._answer(OrderOutcome.STARTED)
+
+    async def async_leave(
+        self, server: BackendServer, group: Group, fence: int
+    ) -> OrderOutcome:
+        """Leave the group if the server is in it."""
+        await asyncio.sleep(0)
+        fake = self._reach(server, "leave", fence)
+        if isinstance(fake, OrderOutcome):
+            return fake
+        membership = fake.membership
+        if membership is None or membership.epoch != group.epoch:
+            return OrderOutcome.UNFIT
+        fake.membership = None
+        return self._answer(OrderOutcome.DONE)
+
+    async def async_report(self, server: BackendServer) -> FakeReport | None:
+        """Return the server's state."""
+        await asyncio.sleep(0)
+        fake = self.servers.get(server.server_id)
+        if fake is None or not fake.reachable:
+            return None
+        return FakeReport(
+            fake.entry.born_ms, fake.membership, fake.staged, fake.last_model
+        )
+
+    def open_groups(self) -> dict[str, tuple[str, ...]]:
+        """Return the members of each open group."""
+        return {
+            fake.membership.group: fake.members
+            for fake in self.servers.values()
+            if fake.membership and fake.membership.state is MemberState.OPEN
+        }
+
+    def _check_join(self, fake: FakeServer, group: Group) -> None:
+        membership = fake.membership
+        if membership is None or membership.group == group.name:
+            return
+        head = self.servers.get(fake.members[0])
+        if (
+            head is not None
+            and head.membership is not None
+            and head.membership.group == membership.group
+            and head.membership.state is MemberState.OPEN
+        ):
+            self.violations.append(
+                f"{fake.entry.server_id} joined {group.name} while "
+                f"{membership.group} was open"
+            )
+
+    def _reach(
+        self, server: BackendServer, order: str, fence: int
+    ) -> FakeServer | OrderOutcome:
+        fake = self.servers.get(server.server_id)
+        if fake is None or not fake.reachable:
+            return OrderOutcome.NO_ANSWER
+        if fence < fake.highest_fence:
+            return OrderOutcome.SUPERSEDED
+        fake.highest_fence = fence
+        fake.orders.append(order)
+        return fake
+
+    def _answer(self, outcome: OrderOutcome) -> OrderOutcome:
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return OrderOutcome.NO_ANSWER
+        return outcome
+
+
+@dataclass(slots=True)
+class Zone:
+    """A controller over fake servers, driven by hand."""
+
+    engines: FakeEngines
+    view: FleetView = field(default_factory=FleetView)
+    traffic: bool = False
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    superseded: int = 0
+
+    def create(self, term: int = 1) -> ZoneController:
+        """Return a controller of the given term."""
+        return ZoneController(
+            zone="z",
+            service="engine",
+            term=term,
+            view=self.view,
+            engines=self.engines,
+            profile=lambda: PROFILE,
+            elsewhere=dict,
+            traffic_seen=lambda: self.traffic,
+            on_change=lambda: None,
+            on_superseded=self._supersede,
+            create_task=self._create_task,
+            loads=asyncio.Semaphore(2),
+        )
+
+    def list_servers(self, *missing: str) -> None:
+        """Give the view the entries of all servers but the missing ones."""
+        entries = []
+        for fake in self.engines.servers.values():
+            if fake.entry.server_id not in missing:
+                entries.append(
+                    server(
+                        fake.entry.server_id,
+                        fake.entry.domain,
+                        membership=fake.membership,
+                        staged=fake.staged,
+                        last_model=fake.last_model,
+                        leaving=fake.entry.leaving,
+                        born_ms=fake.entry.born_ms,
+                    )
+                )
+        now_s = asyncio.get_running_loop().time()
+        self.view.replace_entries(entries, after_outage=False, now_s=now_s)
+
+    async def async_run(
+        self, controller: ZoneController, until: Callable[[], bool]
+    ) -> None:
+        """Tick until a condition holds. Raises `TimeoutError` after five seconds."""
+        for _ in range(500):
+            if until():
+                return
+            controller.tick()
+            await asyncio.sleep(0.01)
+        raise TimeoutError("condition did not come true")
+
+    async def async_stop(self) -> None:
+        """Cancel all tasks, as the end of a process does."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _supersede(self) -> None:
+        self.superseded += 1
+
+    def _create_task(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coro)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/tests/fleet/test_planner.py
@@ -0,0 +1,111 @@
+"""Tests of the planner's choices."""
+
+from collections import Counter
+from collections.abc import Sequence
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberryhall.fleet.models import EngineProfile, Group, Model
+from gooseberryhall.fleet.planner import FreeServer, ZoneFacts, plan_zone
+
+LARGE = Model("large", 4, 1.0, 0.57, 16.0, 1.6)
+SMALL = Model("small", 3, 0.6, 0.43, 12.0, 1.1)
+PROFILE = EngineProfile(13, (LARGE, SMALL), 0.3, 4.5, 6, 0.006, 50_700.0)
+NOTHING: frozenset[str] = frozenset()
+
+
+def _free(
+    name: str, domain: str = "d", last: str | None = None, staged: str | None = None
+) -> FreeServer:
+    on_host = frozenset({staged}) if staged else NOTHING
+    return FreeServer(name, domain, last, on_host)
+
+
+def _facts(
+    free: Sequence[FreeServer],
+    *,
+    groups: Sequence[tuple[Group, str]] = (),
+    traffic: bool = True,
+) -> ZoneFacts:
+    return ZoneFacts(PROFILE, free, groups, {}, traffic)
+
+
+def test_first_servers_of_a_domain_wait_for_the_large_model() -> None:
+    """Servers register one by one; the small model must not take the first ones."""
+    assert plan_zone(_facts([_free(f"s{n}") for n in range(3)], traffic=False)) == (
+        plan_zone(_facts([], traffic=False))
+    )
+    plan = plan_zone(_facts([_free(f"s{n}") for n in range(4)], traffic=False))
+    assert [group.model for group in plan.groups] == ["large"]
+
+
+def test_domain_of_nine_serves_both_models_and_keeps_a_spare_of_each() -> None:
+    """Two spares make both models whole again without a load."""
+    plan = plan_zone(_facts([_free(f"s{n}") for n in range(9)], traffic=False))
+    assert [group.model for group in plan.groups] == ["large", "small"]
+    assert sorted(spare.model for spare in plan.spares) == ["large", "small"]
+
+
+def test_group_is_not_formed_of_servers_that_must_load() -> None:
+    """Three ready servers must not wait 16 s for one without weights."""
+    ready = [_free(f"s{n}", last="large") for n in range(3)]
+    plan = plan_zone(_facts([*ready, _free("new")]))
+    assert plan.groups == []
+    assert [(spare.server_id, spare.model) for spare in plan.spares] == [
+        ("new", "large")
+    ]
+
+
+def test_server_that_loads_for_another_model_is_not_taken() -> None:
+    """A join to a group would be undone by the load that is under way."""
+    loading = FreeServer("s2", "d", None, NOTHING, preparing="small")
+    ready = [_free(f"s{n}", last="small") for n in range(2)]
+    assert plan_zone(_facts([*ready, loading])).groups == []
+
+
+def test_servers_with_the_model_are_preferred() -> None:
+    """A join takes 0.2 s for a server whose last group had the model."""
+    servers = [
+        _free("staged", staged="small"),
+        *(_free(f"s{n}", last="small") for n in range(3)),
+    ]
+    (group,) = plan_zone(_facts(servers)).groups
+    assert "staged" not in group.members
+
+
+def test_group_does_not_span_domains() -> None:
+    """A group across domains is several times slower."""
+    servers = [_free(f"s{n}", f"d{n % 2}", last="large") for n in range(6)]
+    assert [group.model for group in plan_zone(_facts(servers)).groups] == []
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["d0", "d1"]),
+            st.sampled_from([None, "large", "small"]),
+            st.sampled_from([None, "large", "small"]),
+        ),
+        max_size=24,
+    ),
+    st.booleans(),
+)
+def test_each_server_is_planned_once(
+    drawn: list[tuple[str, str | None, str | None]], traffic: bool
+) -> None:
+    """No server may belong to two groups, and groups have the model's size."""
+    servers = [
+        _free(f"s{number}", domain, last, staged)
+        for number, (domain, last, staged) in enumerate(drawn)
+    ]
+    plan = plan_zone(_facts(servers, traffic=traffic))
+    domains = {server.server_id: server.domain for server in servers}
+    used = Counter(member for group in plan.groups for member in group.members)
+    used.update(spare.server_id for spare in plan.spares)
+    assert all(count == 1 for count in used.values())
+    for group in plan.groups:
+        model = PROFILE.model(group.model)
+        assert model is not None
+        assert len(group.members) == model.size
+        assert len({domains[member] for member in group.members}) == 1
--- /dev/null
+++ b/tests/gateway/common.py
@@ -0,0 +1,247 @@
+"""Scripted servers and a gateway in front of them."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+from gooseberryhall.fleet.models import (
+    BackendServer,
+    Configuration,
+    EngineProfile,
+    Group,
+    Limits,
+    Model,
+    Route,
+    Service,
+    Target,
+    Tenant,
+)
+from gooseberryhall.gateway.app import async_handle
+from gooseberryhall.gateway.backends import Backends
+from gooseberryhall.gateway.budget import RetryBudget
+from gooseberryhall.gateway.metrics import GatewayMetrics
+from gooseberryhall.gateway.state import GatewayState
+from gooseberryhall.gateway.wire import WireNames
+from gooseberryhall.node.listeners import async_listen
+from gooseberryhall.transport.pool import Address, ConnectionPool
+
+WIRE = WireNames(
+    request_id=b"x-id",
+    deadline_ms=b"x-deadline",
+    expected_server=b"x-server",
+    signature=b"x-signature",
+    not_run=b"x-not-run",
+    faulty_server=b"x-faulty",
+    team=b"x-team",
+    priority=b"x-priority",
+    model=b"x-model",
+    token_counts=b"x-tokens",
+    last_event_id=b"last-event-id",
+    key_scheme=b"Key ",
+)
+MODEL = Model("large", 2, 1.0, 1.0, 16.0, 1.6)
+ENGINE = EngineProfile(4, (MODEL,), 0.3, 4.0, 6, 0.006, 50_000.0)
+
+
+@dataclass(slots=True)
+class ReceivedRequest:
+    """A request as a server read it."""
+
+    head: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Script = Callable[[ReceivedRequest, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class ScriptedServer:
+    """A server that answers each request by a script."""
+
+    server_id: str
+    script: Script
+    address: Address = field(default_factory=lambda: Address("127.0.0.1", 0))
+    requests: list[ReceivedRequest] = field(default_factory=list)
+    connections: int = 0
+
+    async def async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the requests of one connection."""
+        self.connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                first, *lines = head.strip().split("\r\n")
+                headers = dict(line.lower().split(": ", 1) for line in lines)
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                request = ReceivedRequest(first, headers, body)
+                self.requests.append(request)
+                await self.script(request, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
+async def async_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition. Raises `TimeoutError` after five seconds."""
+    for _ in range(500):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise TimeoutError("condition did not come true")
+
+
+def answer(
+    request: ReceivedRequest,
+    body: bytes = b"done",
+    *,
+    status: int = 200,
+    extra: str = "x-signature: s1\r\n",
+    request_id: str | None = None,
+) -> bytes:
+    """Return a whole response."""
+    echoed = request_id or request.headers["x-id"]
+    head = f"HTTP/1.1 {status} X\r\nx-id: {echoed}\r\n{extra}"
+    return f"{head}content-length: {len(body)}\r\n\r\n".encode() + body
+
+
+def stream_head(request: ReceivedRequest, signature: str = "s1") -> bytes:
+    """Return the head of a response in chunks."""
+    return (
+        f"HTTP/1.1 200 OK\r\nx-id: {request.headers['x-id']}\r\n"
+        f"x-signature: {signature}\r\ntransfer-encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk; an empty one ends the response."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    """Return a server-sent event."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def route(**changes: object) -> Route:
+    """Return a route to the plain service, with changes."""
+    values: dict[str, object] = {
+        "name": "r",
+        "host": b"example",
+        "prefix": b"/a/",
+        "idempotent": True,
+        "streaming": False,
+        "resumable": False,
+        "anonymous": False,
+        "priority": 1,
+        "timeout_s": 1.0,
+        "latency_objective_s": 0.2,
+        "attempts": 2,
+        "targets": (Target("plain", 1.0),),
+    }
+    return Route(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def stream_route(**changes: object) -> Route:
+    """Return a resumable route to the model service, with changes."""
+    values: dict[str, object] = {
+        "streaming": True,
+        "resumable": True,
+        "targets": (Target("engine", 1.0),),
+    }
+    return route(**{**values, **changes})
+
+
+@dataclass(slots=True)
+class Gateway:
+    """A gateway that listens on loopback."""
+
+    state: GatewayState
+    address: Address
+    servers: dict[str, BackendServer]
+    groups: list[Group]
+
+    async def async_ask(
+        self,
+        extra: str = "",
+        *,
+        method: str = "GET",
+        path: str = "/a/1",
+        body: str = "",
+    ) -> bytes:
+        """Send one request and return all bytes until the connection ends."""
+        reader, writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        writer.write(
+            f"{method} {path} HTTP/1.1\r\nhost: example\r\nx-id: 17\r\n"
+            f"authorization: Key secret\r\nconnection: close\r\n{extra}"
+            f"content-length: {len(body)}\r\n\r\n{body}".encode()
+        )
+        try:
+            return await asyncio.wait_for(reader.read(), 5)
+        except ConnectionResetError:
+            return b""
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def async_gateway(
+    routes: tuple[Route, ...],
+    plain: tuple[ScriptedServer, ...] = (),
+    heads: tuple[ScriptedServer, ...] = (),
+) -> AsyncIterator[Gateway]:
+    """Run scripted servers and a gateway before them."""
+    cfg = Configuration(
+        version=1,
+        routes=routes,
+        services={
+            "plain": Service("plain"),
+            "engine": Service("engine", ENGINE),
+        },
+        tenants_by_key={b"secret": Tenant("team-a", 2)},
+        has_tenants=True,
+    )
+    async with AsyncExitStack() as stack:
+        servers = {}
+        for scripted, service in [
+            *((server, "plain") for server in plain),
+            *((server, "engine") for server in heads),
+        ]:
+            listener = await asyncio.start_server(
+                scripted.async_serve, "127.0.0.1", 0, limit=1 << 20
+            )
+            stack.callback(listener.close)
+            scripted.address = Address(*listener.sockets[0].getsockname()[:2])
+            servers[scripted.server_id] = BackendServer(
+                scripted.server_id, service, scripted.address, "z", False, 4
+            )
+        groups = [
+            Group(f"g-{server.server_id}", 1, "large", (server.server_id,))
+            for server in heads
+        ]
+        state = GatewayState(
+            zone="z",
+            wire=WIRE,
+            pool=ConnectionPool(WIRE.request_id),
+            backends=Backends(lambda _: None),
+            metrics=GatewayMetrics(),
+            configuration=lambda: cfg,
+            servers=lambda: servers,
+            open_groups=lambda: groups,
+            create_budget=lambda: RetryBudget(0.2, 10, 10),
+        )
+        stack.callback(state.pool.close)
+        callers = await async_listen(
+            stack,
+            Address("127.0.0.1", 0),
+            lambda conn, request: async_handle(state, conn, request),
+            Limits,
+        )
+        address = Address(*callers.server.sockets[0].getsockname()[:2])
+        yield Gateway(state, address, servers, groups)
--- /dev/null
+++ b/tests/gateway/test_stream.py
@@ -0,0 +1,147 @@
+"""Tests of event streams from groups that break, stall or are full."""
+
+import asyncio
+import re
+
+from gooseberryhall.gateway.const import GROUP_STALL_S
+from tests.gateway.common import (
+    Gateway,
+    ReceivedRequest,
+    ScriptedServer,
+    answer,
+    async_gateway,
+    chunk,
+    event,
+    stream_head,
+    stream_route,
+)
+
+_LAST = 5
+
+
+async def _async_whole(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Send all events after the caller's last one."""
+    first = int(request.headers.get("last-event-id", 0)) + 1
+    writer.write(stream_head(request, "whole"))
+    for number in range(first, _LAST + 1):
+        writer.write(chunk(event(number)))
+    writer.write(chunk(b""))
+
+
+async def _async_break(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Break off within the third event."""
+    writer.write(stream_head(request, "broken"))
+    writer.write(chunk(event(1)) + chunk(event(2)) + chunk(event(3)[:9]))
+    await writer.drain()
+    writer.transport.abort()
+
+
+async def _async_silent(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Send one event and fall silent, as a head does that lost a member."""
+    writer.write(stream_head(request, "silent"))
+    writer.write(chunk(event(1)))
+    await asyncio.sleep(10)
+
+
+async def _async_full(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(request, status=503, extra="x-not-run: 1\r\n"))
+
+
+def _ids(response: bytes) -> list[int]:
+    return [int(number) for number in re.findall(rb"(?<!x-)id: (\d+)", response)]
+
+
+def _prefer(gateway: Gateway, server_id: str) -> None:
+    gateway.state.backends.peer_load = {
+        key: 0 if key == server_id else 1 for key in gateway.servers
+    }
+
+
+async def test_stream_is_relayed_whole() -> None:
+    """All events and the server's signature reach the caller."""
+    head = ScriptedServer("h1", _async_whole)
+    async with async_gateway((stream_route(),), heads=(head,)) as gateway:
+        response = await gateway.async_ask("x-model: large\r\n")
+    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert b"x-signature: whole" in response
+    assert response.endswith(b"0\r\n\r\n")
+
+
+async def test_broken_stream_goes_on_at_another_group() -> None:
+    """No event may be missing or come twice when a head crashes within one."""
+    heads = (ScriptedServer("h1", _async_break), ScriptedServer("h2", _async_whole))
+    async with async_gateway((stream_route(),), heads=heads) as gateway:
+        _prefer(gateway, "h1")
+        response = await gateway.async_ask("x-model: large\r\n")
+    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert b"x-signature: broken" in response
+    assert heads[1].requests[0].headers["last-event-id"] == "2"
+    assert response.endswith(b"0\r\n\r\n")
+
+
+async def test_broken_stream_that_may_not_be_resumed_is_cut() -> None:
+    """An incomplete stream must not look complete, nor run twice."""
+    heads = (ScriptedServer("h1", _async_break), ScriptedServer("h2", _async_whole))
+    once = stream_route(resumable=False, idempotent=False, attempts=1)
+    async with async_gateway((once,), heads=heads) as gateway:
+        _prefer(gateway, "h1")
+        response = await gateway.async_ask("x-model: large\r\n")
+    assert not response.endswith(b"0\r\n\r\n")
+    assert heads[1].requests == []
+
+
+async def test_silent_group_loses_its_streams_at_once() -> None:
+    """Streams of a group that lost a member go on elsewhere before callers leave."""
+    heads = (ScriptedServer("h1", _async_silent), ScriptedServer("h2", _async_whole))
+    async with async_gateway((stream_route(timeout_s=5.0),), heads=heads) as gateway:
+        _prefer(gateway, "h1")
+        loop = asyncio.get_running_loop()
+
+        async def async_check() -> None:
+            while True:
+                gateway.state.backends.check_stalls({"h1", "h2"}, loop.time())
+                await asyncio.sleep(0.02)
+
+        checks = asyncio.create_task(async_check())
+        started_s = loop.time()
+        response = await gateway.async_ask("x-model: large\r\n")
+        took_s = loop.time() - started_s
+        checks.cancel()
+        suspected = gateway.state.backends.is_suspected("h1", loop.time())
+    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert took_s < GROUP_STALL_S + 0.5
+    assert suspected
+
+
+async def test_full_group_is_skipped() -> None:
+    """A rejection is not a run, so another group takes the request."""
+    heads = (ScriptedServer("h1", _async_full), ScriptedServer("h2", _async_whole))
+    once = stream_route(resumable=False, idempotent=False, attempts=1)
+    async with async_gateway((once,), heads=heads) as gateway:
+        _prefer(gateway, "h1")
+        response = await gateway.async_ask("x-model: large\r\n")
+    assert _ids(response) == [1, 2, 3, 4, 5]
+
+
+async def test_model_without_group_is_refused_at_once() -> None:
+    """What cannot be served is refused at once and not held until its deadline."""
+    head = ScriptedServer("h1", _async_whole)
+    async with async_gateway((stream_route(),), heads=(head,)) as gateway:
+        gateway.groups.clear()
+        started_s = asyncio.get_running_loop().time()
+        response = await gateway.async_ask("x-model: large\r\n")
+        waited_s = asyncio.get_running_loop().time() - started_s
+    assert response.startswith(b"HTTP/1.1 503")
+    assert b"retry-after" in response
+    assert waited_s < 0.2
+    assert head.requests == []
+
+
+async def test_request_that_crashes_servers_is_stopped() -> None:
+    """A request that took down three heads reaches no further one."""
+    heads = tuple(ScriptedServer(f"h{n}", _async_break) for n in range(6))
+    async with async_gateway((stream_route(attempts=1),), heads=heads) as gateway:
+        for _ in range(5):
+            response = await gateway.async_ask("x-model: large\r\n")
+    assert response.startswith(b"HTTP/1.1 503")
+    assert 3 <= sum(len(head.requests) for head in heads) <= 4
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,180 @@
+"""Tests of the platform's settings, configuration and server entries."""
+
+import json
+from typing import Any
+
+import pytest
+
+from gooseberryhall.fleet.models import MemberState
+from gooseberryhall.platform.configuration import decode_configuration
+from gooseberryhall.platform.exceptions import PlatformSettingsError, RowFormatError
+from gooseberryhall.platform.servers import decode_entry, decode_report
+from gooseberryhall.platform.settings import SETTINGS_VARIABLE, load_settings
+
+SETTINGS: dict[str, Any] = {
+    "node_name": "frontend-a-1",
+    "zone": "a",
+    "ip_address": "10.1.0.4",
+    "zones": {"b": "r", "a": "r"},
+    "listen_addresses": {"frontend": "10.1.0.4:8227", "ready": "10.1.0.4:8220"},
+    "internal_port_range": [7340, 7355],
+    "platform": {"address": "10.200.1.7:8223", "form": "table"},
+    "bounds": {"drain_timeout_ms": 2000, "stall_ms": 4000, "unknown": True},
+    "a_new_field": [1],
+}
+CONFIGURATION: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "A.Example",
+            "prefix": "/x/",
+            "kind": "streaming",
+            "timeout_ms": 8000,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "traffic_split": [
+                {"service": "e", "weight": 90},
+                {"service": "p", "weight": 10},
+            ],
+            "attempts": 2,
+            "stream_resumption": True,
+        },
+        {
+            "name": "r2",
+            "host": "a.example",
+            "prefix": "/x/y/",
+            "kind": "unsafe",
+            "timeout_ms": 800,
+            "service": "p",
+            "attempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "e",
+            "engine": {
+                "slots": 13,
+                "models": [{"name": "m", "size": 4, "load_time_s": 16.0}],
+                "formation_ms": 300.0,
+            },
+        },
+        {"name": "p"},
+    ],
+    "limits": {"idle_timeout_ms": 15000},
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+ENTRY: dict[str, Any] = {
+    "service": "e",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "slots": 13,
+    "state": "ready",
+    "models": [{"name": "m", "version": 1}],
+    "staged": ["m"],
+    "domain": "d1",
+    "born": 1700000000000,
+    "sequence": 4,
+    "group": {"name": "g", "epoch": 3, "rank": 0, "state": "open"},
+}
+
+
+def test_settings_are_read(tmp_path: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Fields that the system does not know are ignored."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(SETTINGS))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    settings = load_settings()
+    assert settings.zones == ("a", "b")
+    assert settings.callers.port == 8227
+    assert settings.leaving_server_s == 2.0
+    assert settings.member_stall_s == 4.0
+
+
+def test_unusable_settings_are_refused(
+    tmp_path: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The error names the file and the field."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({**SETTINGS, "zones": 3}))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    with pytest.raises(PlatformSettingsError, match="zones"):
+        load_settings()
+    monkeypatch.delenv(SETTINGS_VARIABLE)
+    with pytest.raises(PlatformSettingsError, match=SETTINGS_VARIABLE):
+        load_settings()
+
+
+def test_longest_prefix_selects_the_route() -> None:
+    """A request must not reach the service of a shorter prefix."""
+    cfg = decode_configuration(json.dumps(CONFIGURATION).encode())
+    short = cfg.find_route(b"a.example", b"/x/1")
+    long = cfg.find_route(b"a.example", b"/x/y/1")
+    assert short is not None
+    assert long is not None
+    assert (short.name, short.idempotent, short.resumable) == ("r1", True, True)
+    assert (long.name, long.idempotent, long.attempts) == ("r2", False, 1)
+    assert cfg.find_route(b"a.example", b"/z/") is None
+    assert cfg.find_route(b"other", b"/x/1") is None
+
+
+def test_keys_lead_to_their_team() -> None:
+    """Each key of a team is known, and no other."""
+    cfg = decode_configuration(json.dumps(CONFIGURATION).encode())
+    assert cfg.tenants_by_key[b"k2"].name == "t"
+    assert b"k3" not in cfg.tenants_by_key
+    assert cfg.has_tenants
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": "7"},
+        {"routes": [{"name": "r"}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "kind": "other"}]},
+        {"services": None},
+    ],
+)
+def test_malformed_configuration_is_refused(change: dict[str, Any]) -> None:
+    """The configuration in force stays when a row cannot be read."""
+    with pytest.raises(RowFormatError):
+        decode_configuration(json.dumps({**CONFIGURATION, **change}).encode())
+
+
+def test_entry_of_a_head_is_decoded() -> None:
+    """The entry names the server's life, domain and group."""
+    server = decode_entry("i-1", json.dumps(ENTRY).encode())
+    assert server.membership is not None
+    assert server.membership.state is MemberState.OPEN
+    assert (server.born_ms, server.domain, server.last_model) == (
+        1700000000000,
+        "d1",
+        "m",
+    )
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\x00",
+        b"[]",
+        b"{}",
+        json.dumps({**ENTRY, "state": "odd"}).encode(),
+        json.dumps({**ENTRY, "address": "nowhere"}).encode(),
+        json.dumps({**ENTRY, "address": 5}).encode(),
+        json.dumps({**ENTRY, "group": {"name": "g"}}).encode(),
+    ],
+)
+def test_entry_of_another_writer_names_no_server(data: bytes) -> None:
+    """Fields may be missing or of another type, or bytes unreadable."""
+    with pytest.raises(RowFormatError):
+        decode_entry("i-1", data)
+
+
+def test_report_counts_orders_where_entries_count_heartbeats() -> None:
+    """The two meanings of one field name must not be compared (TWO on scale-1)."""
+    report = decode_report(json.dumps({**ENTRY, "sequence": 1, "pace": 2.5}).encode())
+    assert report.slowdown == 2.5
+    assert not hasattr(report, "heartbeat")
+    assert decode_entry("i-1", json.dumps(ENTRY).encode()).heartbeat == 4
