Put a second model on each host and balance the models

Change: hosts load the model that their server does not run, groups of the model with the fewest go first and others wait, one zone at a time exchanges a group; members of a dead head leave at once.

--- a/gooseberryhall/fleet/const.py
+++ b/gooseberryhall/fleet/const.py
@@ -13,14 +13,20 @@
 EXAMINE_PERIOD_S: Final = 1.0
 # A group whose member leaves is dissolved when its streams had this long to end.
 LEAVING_GROUP_S: Final = 1.7
-READY_POLL_S: Final = 0.1
+READY_POLL_S: Final = 0.04
+# Time between two groups that are dissolved in favour of another model.
+EXCHANGE_PERIOD_S: Final = 3.0
 LOAD_POLL_S: Final = 0.5
+STAGE_POLL_S: Final = 0.2
 # Joins may take this much longer than stated, as loads share the weight store.
 JOIN_SLACK_FACTOR: Final = 4.0
 JOIN_SLACK_S: Final = 2.0
 OPEN_SLACK_S: Final = 1.5
 LEAVE_RETRY_S: Final = 0.3
 EPOCHS_PER_TERM: Final = 1_000_000
+# Time for which a domain waits for the servers of a group that is dissolved.
+DISSOLVE_WAIT_S: Final = 0.5
+SUMMARY_PERIOD_S: Final = 2.0
 SPARE_GROUP_PREFIX: Final = "spare-"
 
 OWNERSHIP_PERIOD_S: Final = 0.2
--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -12,8 +13,10 @@
 from ..telemetry.logs import log_event
 from .const import (
     DEAD_S,
+    DISSOLVE_WAIT_S,
     EPOCHS_PER_TERM,
     EXAMINE_PERIOD_S,
+    EXCHANGE_PERIOD_S,
     HOLD_AFTER_PAUSE_S,
     JOIN_SLACK_FACTOR,
     JOIN_SLACK_S,
@@ -24,10 +27,20 @@
     PAUSE_LIMIT_S,
     READY_POLL_S,
     SPARE_GROUP_PREFIX,
+    STAGE_POLL_S,
+    SUMMARY_PERIOD_S,
 )
 from .models import BackendServer, EngineProfile, Group, MemberState, Model
 from .orders import ACCEPTED, Engines, OrderOutcome
-from .planner import REJOIN_S, FreeServer, GroupPlan, SparePlan, ZoneFacts, plan_zone
+from .planner import (
+    REJOIN_S,
+    FreeServer,
+    GroupPlan,
+    SparePlan,
+    ZoneFacts,
+    plan_staging,
+    plan_zone,
+)
 from .view import LAPSED_ENTRY_GRACE_S, FleetView
 
 _LOGGER = logging.getLogger(__name__)
@@ -60,6 +73,7 @@
     # Whether the head may have got the order to serve.
     may_be_open: bool
     leaving_since_s: float | None = None
+    dissolved_s: float = 0.0
     examined_s: float = 0.0
     # Members that left while the head did not answer.
     released: set[str] = field(default_factory=set)
@@ -75,7 +89,7 @@
     view: FleetView
     engines: Engines
     profile: Callable[[], EngineProfile | None]
-    elsewhere: Callable[[], Mapping[str, int]]
+    elsewhere: Callable[[], Mapping[str, Mapping[str, int]]]
     traffic_seen: Callable[[], bool]
     on_change: Callable[[], None]
     on_superseded: Callable[[], None]
@@ -87,12 +101,15 @@
     # Servers that do not answer: life and time of the next try.
     _dead: dict[str, tuple[int, float]] = field(default_factory=dict)
     _preparing: dict[str, str] = field(default_factory=dict)
+    _staging: set[str] = field(default_factory=set)
     # Groups of an earlier owner that lack entries of members, and since when.
     _partial: dict[Key, float] = field(default_factory=dict)
     _held: set[str] = field(default_factory=set)
     # Lives of servers that this owner has asked for a report.
     _verified: set[tuple[str, int]] = field(default_factory=set)
     _epochs: int = 0
+    _exchanged_s: float = 0.0
+    _summarized_s: float = 0.0
     _last_tick_s: float = 0.0
     _hold_until_s: float = 0.0
 
@@ -234,23 +251,21 @@
             for member in known.group.members
             if member not in known.released
         }
-        free = [
-            FreeServer(
-                server_id=server.server_id,
-                domain=server.domain,
-                last_model=_loaded_model(server),
-                staged=server.staged,
-                preparing=self._preparing.get(server.server_id),
-            )
+        usable = [
+            server
             for server in self._members()
-            if server.server_id not in taken
-            and server.server_id not in self._held
+            if server.server_id not in self._held
             and not server.leaving
             and server.server_id not in self._dead
         ]
         facts = ZoneFacts(
+            zone=self.zone,
             profile=profile,
-            free=free,
+            free=[
+                self._describe(server)
+                for server in usable
+                if server.server_id not in taken
+            ],
             groups=[
                 (known.group, known.domain)
                 for known in self.known.values()
@@ -258,12 +273,114 @@
             ],
             elsewhere=self.elsewhere(),
             traffic_seen=self.traffic_seen(),
+            members=[
+                self._describe(server) for server in usable if server.server_id in taken
+            ],
+            unsettled=frozenset(
+                known.domain
+                for known in self.known.values()
+                if known.phase is Phase.DISSOLVING
+                and now_s - known.dissolved_s < DISSOLVE_WAIT_S
+                and not self._is_released(known)
+            ),
         )
         plan = plan_zone(facts)
         for group_plan in plan.groups:
             self._form(profile, group_plan)
         for spare_plan in plan.spares:
             self._prepare(profile, spare_plan)
+        for group in plan.dissolved:
+            self._exchange(group, now_s)
+        self._summarize(facts, now_s)
+        self._plan_staging(profile)
+
+    def _describe(self, server: BackendServer) -> FreeServer:
+        return FreeServer(
+            server_id=server.server_id,
+            domain=server.domain,
+            last_model=_loaded_model(server),
+            staged=server.staged,
+            preparing=self._preparing.get(server.server_id),
+        )
+
+    def _summarize(self, facts: ZoneFacts, now_s: float) -> None:
+        """Log the use of the zone's servers, so that idle ones can be explained."""
+        if now_s - self._summarized_s < SUMMARY_PERIOD_S:
+            return
+        self._summarized_s = now_s
+        free = Counter(
+            f"{server.domain}/{server.last_model or '-'}/"
+            f"{'+'.join(sorted(server.staged)) or '-'}/{server.preparing or '-'}"
+            for server in facts.free
+        )
+        self._log(
+            LogEvent.ZONE_SUMMARY,
+            "use of the zone's servers",
+            groups=Counter(
+                f"{known.group.model}/{known.phase}" for known in self.known.values()
+            ),
+            free=free,
+            silent=len(self._dead),
+            held=len(self._held),
+            staging=len(self._staging),
+        )
+
+    def _exchange(self, group: Group, now_s: float) -> None:
+        """Dissolve a group of a model that has many, at most one at a time."""
+        known = self.known.get((group.name, group.epoch))
+        busy = any(other.phase is not Phase.OPEN for other in self.known.values())
+        if known is None or busy or now_s - self._exchanged_s < EXCHANGE_PERIOD_S:
+            return
+        self._exchanged_s = now_s
+        self._dissolve(known, "another model has too few groups")
+
+    def _plan_staging(self, profile: EngineProfile) -> None:
+        """Put a second model on the hosts, as far as the weight store is free."""
+        servers = [
+            self._describe(server)
+            for server in self._members()
+            if server.server_id not in self._staging
+            and server.server_id not in self._preparing
+            and server.server_id not in self._dead
+            and not server.leaving
+        ]
+        for plan in plan_staging(profile, servers):
+            # A spare that loads is of use sooner than a second model on a host.
+            if self.traffic_seen() and (self._preparing or self._staging):
+                return
+            model = profile.model(plan.model)
+            if model is not None:
+                self._staging.add(plan.server_id)
+                self.create_task(self._async_stage(plan.server_id, model))
+
+    async def _async_stage(self, server_id: str, model: Model) -> None:
+        """Load a model onto a server's host."""
+        try:
+            await self._async_stage_now(server_id, model)
+        finally:
+            self._staging.discard(server_id)
+
+    async def _async_stage_now(self, server_id: str, model: Model) -> None:
+        loop = asyncio.get_running_loop()
+        server = self.view.servers.get(server_id)
+        if server is None:
+            return
+        outcome = await self.engines.async_stage(server, model.name, self.term)
+        self._log(
+            LogEvent.MODEL_STAGED,
+            "host loads a second model",
+            server=server_id,
+            model=model.name,
+            outcome=outcome,
+        )
+        if outcome is OrderOutcome.SUPERSEDED:
+            self.on_superseded()
+        limit_s = loop.time() + model.load_s * JOIN_SLACK_FACTOR + JOIN_SLACK_S
+        while loop.time() < limit_s:
+            known = self.view.servers.get(server_id)
+            if known is None or model.name in known.staged:
+                return
+            await asyncio.sleep(STAGE_POLL_S)
 
     def _retry_dead(self, now_s: float) -> None:
         for server_id, (born_ms, due_s) in list(self._dead.items()):
@@ -491,6 +608,7 @@
 
     def _dissolve(self, known: KnownGroup, reason: str, **fields: Any) -> None:
         known.phase = Phase.DISSOLVING
+        known.dissolved_s = asyncio.get_running_loop().time()
         self._log(LogEvent.GROUP_DISSOLVED, reason, group=known.group.name, **fields)
         self.on_change()
         self.create_task(self._async_dissolve(known))
@@ -504,11 +622,14 @@
         """
         key = (known.group.name, known.group.epoch)
         while key in self.known:
+            if self._is_dead(known.head):
+                await self._async_release_members(known)
             outcome = await self.engines.async_leave(known.head, known.group, self.term)
             if outcome is OrderOutcome.SUPERSEDED:
                 self.on_superseded()
             elif outcome is not OrderOutcome.NO_ANSWER:
                 self._retired.add(key)
+                self._note_left(known.group, known.group.head)
                 break
             if await self._async_release_members(known):
                 break
@@ -517,6 +638,13 @@
         if known.head.server_id in self.view.servers:
             await self._async_report(known.head)
 
+    def _is_released(self, known: KnownGroup) -> bool:
+        """Return whether all members that answer have left a dead head."""
+        return all(
+            member in known.released or member in self._dead
+            for member in known.group.members
+        )
+
     async def _async_release_members(self, known: KnownGroup) -> bool:
         """Let members leave; return whether none is left to free, nor the head."""
         async with asyncio.TaskGroup() as tasks:
@@ -535,9 +663,13 @@
         outcome = await self.engines.async_leave(server, known.group, self.term)
         if outcome in {OrderOutcome.NO_ANSWER, OrderOutcome.SUPERSEDED}:
             return
-        await self._async_report(server)
+        self._note_left(known.group, member)
         known.released.add(member)
 
+    def _note_left(self, group: Group, server_id: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.view.note_left(server_id, group.epoch, now_s)
+
     def _is_head_gone(self, known: KnownGroup) -> bool:
         """Return whether the store no longer lists this life of the head."""
         server = self.view.servers.get(known.head.server_id)
--- a/gooseberryhall/fleet/orders.py
+++ b/gooseberryhall/fleet/orders.py
@@ -68,6 +68,11 @@
     ) -> OrderOutcome:
         """Tell a server to leave a group at once."""
 
+    async def async_stage(
+        self, server: BackendServer, model: str, fence: int
+    ) -> OrderOutcome:
+        """Tell a server to load a model's weights onto its host."""
+
     async def async_report(self, server: BackendServer) -> Report | None:
         """Return what a server says of itself, or None if it does not answer."""
 
--- a/gooseberryhall/fleet/planner.py
+++ b/gooseberryhall/fleet/planner.py
@@ -13,6 +13,9 @@
 # Servers of a domain that stay out of groups when the first ones are formed, so
 # that a group that loses a member is whole again without a load of weights.
 SPARES_PER_DOMAIN: Final = 2
+# Groups that a model may have more than the one with the fewest before free servers
+# wait for the latter.
+MAX_LEAD: Final = 2
 # Time of a join if the server's last group had the same model.
 REJOIN_S: Final = 0.2
 
@@ -42,14 +45,19 @@
 class ZoneFacts:
     """What the planner knows of one zone."""
 
+    zone: str
     profile: EngineProfile
     free: Sequence[FreeServer]
     # Groups of the zone that serve or are being formed, with their domain.
     groups: Sequence[tuple[Group, str]]
-    # Groups of other zones that serve, by model.
-    elsewhere: Mapping[str, int]
+    # Groups of other zones that serve, by zone and model.
+    elsewhere: Mapping[str, Mapping[str, int]]
     # Whether callers' requests have begun; before, loads are short.
     traffic_seen: bool
+    # Servers of the zone's groups.
+    members: Sequence[FreeServer] = ()
+    # Domains where a group is being dissolved, so that more servers are free soon.
+    unsettled: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +82,8 @@
     """Orders to carry out now."""
 
     groups: list[GroupPlan] = field(default_factory=list)
+    # Groups to dissolve because another model needs their servers more.
+    dissolved: list[Group] = field(default_factory=list)
     spares: list[SparePlan] = field(default_factory=list)
 
 
@@ -87,8 +97,7 @@
     """
     plan = ZonePlan()
     free = {server.server_id: server for server in facts.free}
-    counts = Counter(facts.elsewhere)
-    counts.update(group.model for group, _ in facts.groups)
+    counts = _count_groups(facts)
     placed = Counter((domain, group.model) for group, domain in facts.groups)
     while True:
         choice = _next_group(facts, list(free.values()), counts, placed)
@@ -101,9 +110,78 @@
         for member in group.members:
             del free[member]
     plan.spares = _plan_spares(facts, list(free.values()), placed)
+    if facts.traffic_seen and not plan.groups:
+        plan.dissolved = _plan_exchange(facts, list(free.values()), counts)
     return plan
 
 
+def _count_groups(facts: ZoneFacts) -> Counter[str]:
+    """Return the groups of each model in all zones."""
+    counts = Counter({model.name: 0 for model in facts.profile.models})
+    for models in facts.elsewhere.values():
+        counts.update(models)
+    counts.update(group.model for group, _ in facts.groups)
+    return counts
+
+
+def _plan_exchange(
+    facts: ZoneFacts, free: list[FreeServer], counts: Counter[str]
+) -> list[Group]:
+    """Return a group whose servers let a model with too few groups form one.
+
+    Only the zone with the most groups of the other model gives one up, so that
+    zones do not all act on the same imbalance.
+    """
+    if not counts:
+        return []
+    most, fewest = (
+        max(counts, key=lambda name: (counts[name], name)),
+        min(counts, key=lambda name: (counts[name], name)),
+    )
+    model = facts.profile.model(fewest)
+    if model is None or counts[most] - counts[fewest] < MAX_LEAD + 1:
+        return []
+    own = sum(1 for group, _ in facts.groups if group.model == most)
+    others = [(models.get(most, 0), zone) for zone, models in facts.elsewhere.items()]
+    if any((count, zone) > (own, facts.zone) for count, zone in others):
+        return []
+    members = {server.server_id: server for server in facts.members}
+    for group, domain in facts.groups:
+        if group.model != most:
+            continue
+        candidates = [members[name] for name in group.members if name in members]
+        candidates += [server for server in free if server.domain == domain]
+        quick = [
+            server
+            for server in candidates
+            if server.preparing is None
+            and server.join_s(model) <= max(model.warmup_s, REJOIN_S)
+        ]
+        if len(quick) >= model.size:
+            return [group]
+    return []
+
+
+def plan_staging(
+    profile: EngineProfile, servers: Iterable[FreeServer]
+) -> list[SparePlan]:
+    """Return the models to put on the hosts of servers that have a model loaded.
+
+    A server rejoins a group of its last model at once. With another model on its
+    host it can also join that model's groups after a short warm-up, so that servers
+    left over by one model are not stranded.
+    """
+    plans = []
+    for server in servers:
+        if server.last_model is None or server.staged - {server.last_model}:
+            continue
+        others = [model for model in profile.models if model.name != server.last_model]
+        if others:
+            largest = max(others, key=lambda model: (model.size, model.name))
+            plans.append(SparePlan(server.server_id, largest.name))
+    return plans
+
+
 def _next_group(
     facts: ZoneFacts,
     free: list[FreeServer],
@@ -114,8 +192,11 @@
     models = sorted(
         facts.profile.models, key=lambda model: (counts[model.name], -model.size)
     )
-    domains = {server.domain for server in free}
+    domains = {server.domain for server in free} - facts.unsettled
+    fewest = min(counts.values(), default=0)
     for model in models:
+        if facts.traffic_seen and counts[model.name] >= fewest + MAX_LEAD:
+            continue
         options = [
             option
             for domain in domains
--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -116,6 +116,9 @@
         epochs = [
             item.epoch for item in (membership, known.membership) if item is not None
         ]
+        earlier = self._reported.get(server_id)
+        if earlier is not None and earlier.born_ms == born_ms:
+            epochs.append(earlier.epoch)
         self._reported[server_id] = _Reported(now_s, born_ms, max(epochs, default=0))
         self.servers[server_id] = replace(
             known,
@@ -125,6 +128,16 @@
             last_model=last_model,
         )
 
+    def note_left(self, server_id: str, epoch: int, now_s: float) -> None:
+        """Take a confirmed order that made a server leave its group."""
+        known = self.servers.get(server_id)
+        if known is None or known.membership is None:
+            return
+        if known.membership.epoch != epoch:
+            return
+        self._reported[server_id] = _Reported(now_s, known.born_ms, epoch)
+        self.servers[server_id] = replace(known, membership=None)
+
     def open_groups(self, sizes: dict[str, int]) -> list[Group]:
         """Return the groups that the entries show as open and whole.
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -41,6 +41,9 @@
 # More entries that vanish at once than this share have lapsed with the store.
 LAPSE_SHARE = 0.3
 REGISTER_RETRY_S = 0.5
+# Zones rarely load at the same time, so each may use more than its share of the
+# loads that the weight store serves without delay.
+LOADS_OVERCOMMIT = 2
 PEER_READS = 3
 PEER_READ_PERIOD_S = 0.7
 
@@ -296,12 +299,15 @@
         profile = self._profile()
         return {model.name: model.size for model in profile.models} if profile else {}
 
-    def _elsewhere(self, zone: str) -> dict[str, int]:
-        counts: dict[str, int] = {}
+    def _elsewhere(self, zone: str) -> dict[str, dict[str, int]]:
+        """Return the groups of the other zones by zone and model."""
+        counts: dict[str, dict[str, int]] = {}
         for group in self.open_groups():
             head = self.view.servers.get(group.head)
-            if head is not None and head.zone != zone:
-                counts[group.model] = counts.get(group.model, 0) + 1
+            if head is None or head.zone == zone:
+                continue
+            models = counts.setdefault(head.zone, {})
+            models[group.model] = models.get(group.model, 0) + 1
         return counts
 
     def _create_budget(self) -> RetryBudget:
@@ -331,7 +337,8 @@
         profile = self._profile()
         if service is None or profile is None:
             return
-        loads = max(1, -(-profile.loads_at_once // len(self.settings.zones)))
+        share = -(-profile.loads_at_once // len(self.settings.zones))
+        loads = LOADS_OVERCOMMIT * share
         self.controllers[zone] = ZoneController(
             zone=zone,
             service=service.name,
--- a/gooseberryhall/platform/orders.py
+++ b/gooseberryhall/platform/orders.py
@@ -13,7 +13,7 @@
 from .servers import ServerReport, decode_report
 
 ORDER_TIMEOUT_S: Final = 0.6
-REPORT_TIMEOUT_S: Final = 0.2
+REPORT_TIMEOUT_S: Final = 0.15
 
 _OUTCOMES: Final = {
     200: OrderOutcome.DONE,
@@ -58,6 +58,13 @@
         """Tell a server to leave a group at once."""
         return await self._async_order(server, _scoped("leave", group), fence)
 
+    async def async_stage(
+        self, server: BackendServer, model: str, fence: int
+    ) -> OrderOutcome:
+        """Tell a server to load a model's weights onto its host."""
+        body = {"operation": "stage", "model": model}
+        return await self._async_order(server, body, fence)
+
     async def async_report(self, server: BackendServer) -> ServerReport | None:
         """Return what a server says of itself, or None if it does not answer."""
         headers = _headers(server)
--- a/tests/fleet/common.py
+++ b/tests/fleet/common.py
@@ -125,6 +125,17 @@
         fake.membership = None
         return self._answer(OrderOutcome.DONE)
 
+    async def async_stage(
+        self, server: BackendServer, model: str, fence: int
+    ) -> OrderOutcome:
+        """Replace the model on the host."""
+        await asyncio.sleep(0)
+        fake = self._reach(server, "stage", fence)
+        if isinstance(fake, OrderOutcome):
+            return fake
+        fake.staged = frozenset({model})
+        return self._answer(OrderOutcome.STARTED)
+
     async def async_report(self, server: BackendServer) -> FakeReport | None:
         """Return the server's state."""
         await asyncio.sleep(0)
--- a/tests/fleet/test_planner.py
+++ b/tests/fleet/test_planner.py
@@ -1,13 +1,13 @@
 """Tests of the planner's choices."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from gooseberryhall.fleet.models import EngineProfile, Group, Model
-from gooseberryhall.fleet.planner import FreeServer, ZoneFacts, plan_zone
+from gooseberryhall.fleet.planner import FreeServer, ZoneFacts, plan_staging, plan_zone
 
 LARGE = Model("large", 4, 1.0, 0.57, 16.0, 1.6)
 SMALL = Model("small", 3, 0.6, 0.43, 12.0, 1.1)
@@ -27,8 +27,10 @@
     *,
     groups: Sequence[tuple[Group, str]] = (),
     traffic: bool = True,
+    elsewhere: Mapping[str, Mapping[str, int]] | None = None,
+    members: Sequence[FreeServer] = (),
 ) -> ZoneFacts:
-    return ZoneFacts(PROFILE, free, groups, {}, traffic)
+    return ZoneFacts("z", PROFILE, free, groups, elsewhere or {}, traffic, members)
 
 
 def test_first_servers_of_a_domain_wait_for_the_large_model() -> None:
@@ -80,6 +82,58 @@
     assert [group.model for group in plan_zone(_facts(servers)).groups] == []
 
 
+def test_hosts_get_the_model_that_their_servers_do_not_run() -> None:
+    """Servers left over by one model must be able to complete a group of the other.
+
+    Three servers of the large model and one of the small were stranded in each domain
+    after two losses (scale-1, cuotas-unidas).
+    """
+    servers = [
+        _free("a", last="large", staged="large"),
+        _free("b", last="small", staged="small"),
+        _free("c", last="large", staged="small"),
+        _free("d"),
+    ]
+    plans = plan_staging(PROFILE, servers)
+    assert [(plan.server_id, plan.model) for plan in plans] == [
+        ("a", "small"),
+        ("b", "large"),
+    ]
+    mixed = [_free(f"s{n}", last="large") for n in range(3)]
+    (group,) = plan_zone(
+        _facts([*mixed, _free("b", last="small", staged="large")])
+    ).groups
+    assert group.model == "large"
+
+
+def test_free_servers_wait_for_the_model_with_few_groups() -> None:
+    """The small model must not use up the servers that the large one needs.
+
+    It had six groups and the large model one (scale-1, cuotas-unidas, a trial).
+    """
+    servers = [_free(f"s{n}", last="small", staged="large") for n in range(3)]
+    elsewhere = {"y": {"small": 4, "large": 2}}
+    assert plan_zone(_facts(servers, elsewhere=elsewhere)).groups == []
+    elsewhere = {"y": {"small": 3, "large": 2}}
+    assert len(plan_zone(_facts(servers, elsewhere=elsewhere)).groups) == 1
+
+
+def test_one_zone_gives_up_a_group_for_the_model_with_few() -> None:
+    """All zones see the same imbalance; only one of them may act on it."""
+    group = Group("g", 1, "small", ("a", "b", "c"))
+    members = [_free(name, last="small", staged="large") for name in "abc"]
+    free = [_free("d", last="large")]
+    groups = [(group, "d"), (Group("h", 2, "small", ("e",)), "d")]
+    for other_zone, expected in ((3, []), (1, [group])):
+        facts = _facts(
+            free,
+            groups=groups,
+            elsewhere={"y": {"small": other_zone}},
+            members=members,
+        )
+        assert plan_zone(facts).dissolved == expected
+
+
 @given(
     st.lists(
         st.tuples(
