Let zone owners tell all nodes their groups and servers

Cause: every node followed the servers' entries and told every other node its load, which costs calls of the store and does not scale beyond a few nodes. Change: nodes tell owners, owners tell all; a node reads the entries only while a zone has no live owner; other peers take turns.

--- a/gooseberryhall/fleet/models.py
+++ b/gooseberryhall/fleet/models.py
@@ -176,3 +176,13 @@
     def head(self) -> str:
         """Return the server id of the head."""
         return self.members[0]
+
+
+@dataclass(frozen=True, slots=True)
+class ServedGroup:
+    """A group that takes requests, as the request path needs it."""
+
+    model: str
+    head: BackendServer
+    # A member leaves soon, or nothing was heard of the group for a while.
+    leaving: bool = False
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..fleet.models import BackendServer, Configuration, Group
+from ..fleet.models import BackendServer, Configuration, ServedGroup
 from ..transport.pool import ConnectionPool
 from .backends import Backends
 from .budget import RetryBudget
@@ -27,7 +27,7 @@
     # Configuration in force; None until one was read.
     configuration: Callable[[], Configuration | None]
     servers: Callable[[], dict[str, BackendServer]]
-    open_groups: Callable[[], list[Group]]
+    groups: Callable[[], list[ServedGroup]]
     create_budget: Callable[[], RetryBudget]
     crashes: CrashSuspects = field(default_factory=CrashSuspects)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
@@ -43,26 +43,24 @@
 
     def group_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the open groups that serve the request's model."""
-        servers = self.servers()
         slots = self._group_slots(ctx.service)
         found = []
-        for group in self.open_groups():
-            head = servers.get(group.head)
-            if head is None or head.leaving or head.service != ctx.service:
+        for group in self.groups():
+            head = group.head
+            if head.leaving or head.service != ctx.service:
                 continue
             if ctx.model is not None and group.model != ctx.model:
                 continue
-            if group.head in ctx.excluded:
+            if head.server_id in ctx.excluded:
                 continue
-            members = [servers.get(member) for member in group.members]
             found.append(
                 Candidate(
-                    server_id=group.head,
-                    in_flight=self.backends.load(group.head),
+                    server_id=head.server_id,
+                    in_flight=self.backends.load(head.server_id),
                     slots=slots,
                     same_zone=head.zone == self.zone,
-                    suspected=self.backends.is_suspected(group.head, now_s),
-                    leaving=any(member is None or member.leaving for member in members),
+                    suspected=self.backends.is_suspected(head.server_id, now_s),
+                    leaving=group.leaving,
                 )
             )
         return found
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -7,7 +7,8 @@
 import cbor2
 
 from ..exceptions import InvalidInputError
-from ..fleet.models import Group
+from ..fleet.models import BackendServer, ServedGroup
+from ..transport.pool import Address
 
 
 class GossipError(InvalidInputError):
@@ -16,11 +17,15 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnedZone:
-    """The groups of a zone as its owner knows them."""
+    """What the owner of a zone tells all nodes about its servers."""
 
     zone: str
     term: int
-    groups: tuple[Group, ...] = ()
+    groups: tuple[ServedGroup, ...] = ()
+    # Servers of plain services.
+    servers: tuple[BackendServer, ...] = ()
+    # Requests in flight from all nodes, by server.
+    load: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +44,8 @@
     load: dict[str, int] = field(default_factory=dict)
     # Heads that this node found silent and has not seen answer since.
     suspects: tuple[str, ...] = ()
-    owned: tuple[OwnedZone, ...] = ()
+    # Set if the node owns a zone; one datagram holds one zone.
+    owned: OwnedZone | None = None
     # Servers lost by requests that may crash them, by fingerprint.
     crashes: dict[str, list[str]] = field(default_factory=dict)
 
@@ -57,14 +63,7 @@
             gossip.config_version,
             gossip.load,
             list(gossip.suspects),
-            [
-                [
-                    owned.zone,
-                    owned.term,
-                    [_encode_group(group) for group in owned.groups],
-                ]
-                for owned in gossip.owned
-            ],
+            None if gossip.owned is None else _encode_owned(gossip.owned),
             gossip.crashes,
         ]
     )
@@ -84,7 +83,7 @@
             config_version=int(values[6]),
             load={_text(key): int(count) for key, count in values[7].items()},
             suspects=tuple(_text(value) for value in values[8]),
-            owned=tuple(_decode_owned(value) for value in values[9]),
+            owned=_decode_owned(values[9]) if values[9] is not None else None,
             crashes={
                 _text(key): [_text(server) for server in servers]
                 for key, servers in values[10].items()
@@ -101,23 +100,53 @@
         raise GossipError(f"malformed datagram: {exc!r}") from exc
 
 
-def _encode_group(group: Group) -> list[Any]:
-    return [group.name, group.epoch, group.model, list(group.members)]
+def _encode_owned(owned: OwnedZone) -> list[Any]:
+    return [
+        owned.zone,
+        owned.term,
+        [
+            [group.model, group.leaving, _encode_server(group.head)]
+            for group in owned.groups
+        ],
+        [_encode_server(server) for server in owned.servers],
+        owned.load,
+    ]
 
 
 def _decode_owned(values: Any) -> OwnedZone:
+    zone = _text(values[0])
     return OwnedZone(
-        zone=_text(values[0]),
+        zone=zone,
         term=int(values[1]),
         groups=tuple(
-            Group(
-                _text(group[0]),
-                int(group[1]),
-                _text(group[2]),
-                tuple(_text(member) for member in group[3]),
-            )
+            ServedGroup(_text(group[0]), _decode_server(group[2], zone), bool(group[1]))
             for group in values[2]
         ),
+        servers=tuple(_decode_server(server, zone) for server in values[3]),
+        load={_text(key): int(count) for key, count in values[4].items()},
+    )
+
+
+def _encode_server(server: BackendServer) -> list[Any]:
+    address = server.address
+    return [
+        server.server_id,
+        server.service,
+        address.host,
+        address.port,
+        server.leaving,
+        server.slots,
+    ]
+
+
+def _decode_server(values: Any, zone: str) -> BackendServer:
+    return BackendServer(
+        server_id=_text(values[0]),
+        service=_text(values[1]),
+        address=Address(_text(values[2]), int(values[3])),
+        zone=zone,
+        leaving=bool(values[4]),
+        slots=int(values[5]),
     )
 
 
--- a/gooseberryhall/gossip/peers.py
+++ b/gooseberryhall/gossip/peers.py
@@ -1,11 +1,18 @@
 """Peers of a node, by what they said last."""
 
-from collections.abc import Iterable
+import itertools
 from dataclasses import dataclass, field
 
-from ..fleet.models import Group
 from ..transport.pool import Address
-from .const import DOWN_PEER_PERIOD_S, PEER_DOWN_S, PEER_FORGOTTEN_S
+from .const import (
+    CLAIM_FRESH_S,
+    DOWN_PEER_PERIOD_S,
+    GOSSIP_PERIOD_S,
+    PEER_DOWN_S,
+    PEER_FORGOTTEN_S,
+    PEERS_PER_PERIOD,
+    TURNS_UNTIL_DOWN,
+)
 from .messages import Gossip, OwnedZone
 
 
@@ -19,12 +26,26 @@
     last: Gossip | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """The last message of a zone's owner."""
+
+    node: str
+    owned: OwnedZone
+    heard_s: float
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Return whether the owner was heard a moment ago."""
+        return now_s - self.heard_s < CLAIM_FRESH_S
+
+
 @dataclass(slots=True)
 class Peers:
-    """Known peers by node name."""
+    """Known peers by node name, and the claims of zones."""
 
     own_name: str
     peers: dict[str, Peer] = field(default_factory=dict)
+    claims: dict[str, Claim] = field(default_factory=dict)
 
     def add(self, name: str, address: Address, now_s: float) -> None:
         """Add a peer that is listed in the store."""
@@ -54,16 +75,28 @@
         known.last = gossip
         known.heard_s = now_s
         known.address = Address(host, gossip.port)
+        if gossip.owned is not None:
+            self._receive_claim(gossip.node, gossip.owned, now_s)
         return True
 
-    def due(self, now_s: float) -> list[Peer]:
-        """Return the peers that get a datagram now."""
+    def due(self, now_s: float, *, owner: bool) -> list[Peer]:
+        """Return the peers that get a datagram now.
+
+        Owners of zones hear every node in each period, and tell every node. Other
+        peers take turns.
+        """
+        owners = {claim.node for claim in self.claims.values() if claim.is_fresh(now_s)}
         found = []
+        others = []
         for name, peer in list(self.peers.items()):
             if now_s - peer.heard_s > PEER_FORGOTTEN_S:
                 del self.peers[name]
-            elif self._is_up(peer, now_s) or now_s - peer.sent_s >= DOWN_PEER_PERIOD_S:
+            elif name in owners or (owner and self._is_up(peer, now_s)):
                 found.append(peer)
+            elif self._is_up(peer, now_s) or now_s - peer.sent_s >= DOWN_PEER_PERIOD_S:
+                others.append(peer)
+        others.sort(key=lambda peer: peer.sent_s)
+        found.extend(itertools.islice(others, PEERS_PER_PERIOD))
         return found
 
     def live(self, now_s: float) -> list[Gossip]:
@@ -82,21 +115,28 @@
                 total[server_id] = total.get(server_id, 0) + count
         return total
 
-    def owner_groups(self, zone: str, now_s: float) -> OwnedZone | None:
-        """Return the claim of the live owner with the highest term."""
-        claims = [
-            owned
-            for gossip in self.live(now_s)
-            for owned in gossip.owned
-            if owned.zone == zone
-        ]
-        return max(claims, key=lambda owned: owned.term, default=None)
+    def claim(self, zone: str, now_s: float) -> OwnedZone | None:
+        """Return what the zone's live owner says."""
+        claim = self.claims.get(zone)
+        return claim.owned if claim and claim.is_fresh(now_s) else None
 
-    @staticmethod
-    def _is_up(peer: Peer, now_s: float) -> bool:
-        return now_s - peer.heard_s < PEER_DOWN_S
+    def last_claim(self, zone: str) -> OwnedZone | None:
+        """Return what the zone's owner said last, however old."""
+        claim = self.claims.get(zone)
+        return claim.owned if claim else None
 
+    def _receive_claim(self, node: str, owned: OwnedZone, now_s: float) -> None:
+        known = self.claims.get(owned.zone)
+        if (
+            known is not None
+            and known.owned.term > owned.term
+            and known.is_fresh(now_s)
+        ):
+            return
+        self.claims[owned.zone] = Claim(node, owned, now_s)
 
-def heads(groups: Iterable[Group]) -> set[str]:
-    """Return the server ids of the heads."""
-    return {group.head for group in groups}
+    def _is_up(self, peer: Peer, now_s: float) -> bool:
+        """Return whether the peer was heard within its last few turns."""
+        periods = TURNS_UNTIL_DOWN * len(self.peers) / PEERS_PER_PERIOD
+        down_s = max(PEER_DOWN_S, periods * GOSSIP_PERIOD_S)
+        return now_s - peer.heard_s < down_s
--- a/gooseberryhall/gossip/service.py
+++ b/gooseberryhall/gossip/service.py
@@ -15,12 +15,12 @@
 
 
 class GossipService(asyncio.DatagramProtocol):
-    """Tells all peers what `compose` returns and passes on what they tell."""
+    """Tells peers what `compose` returns and passes on what they tell."""
 
     def __init__(
         self,
         peers: Peers,
-        compose: Callable[[], Gossip],
+        compose: Callable[[], list[Gossip]],
         on_gossip: Callable[[Gossip], None],
     ) -> None:
         """Create a service without a socket."""
@@ -58,18 +58,23 @@
         if self._transport is None:
             return
         now_s = self._loop.time()
-        due = self._peers.due(now_s)
-        if not due:
-            return
-        data = encode(self._compose())
-        if len(data) > MAX_DATAGRAM_BYTES:
-            log_event(
-                _LOGGER,
-                LogEvent.DATAGRAM_TOO_LARGE,
-                "datagram may be split on its way",
-                level=logging.WARNING,
-                bytes=len(data),
-            )
-        for peer in due:
-            peer.sent_s = now_s
-            self._transport.sendto(data, (peer.address.host, peer.address.port))
+        messages = self._compose()
+        owner = any(message.owned is not None for message in messages)
+        due = self._peers.due(now_s, owner=owner)
+        for message in messages:
+            data = encode(message)
+            if len(data) > MAX_DATAGRAM_BYTES:
+                _log_size(len(data))
+            for peer in due:
+                peer.sent_s = now_s
+                self._transport.sendto(data, (peer.address.host, peer.address.port))
+
+
+def _log_size(size: int) -> None:
+    log_event(
+        _LOGGER,
+        LogEvent.DATAGRAM_TOO_LARGE,
+        "datagram may be split on its way",
+        level=logging.WARNING,
+        bytes=size,
+    )
--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -1,6 +1,6 @@
 """What the node program needs of a platform's store."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -18,6 +18,9 @@
     on_snapshot: Callable[[Iterable[BackendServer], bool], None]
     on_entry: Callable[[BackendServer], None]
     on_removed: Callable[[list[str]], None]
+    # Waits until entries are wanted; returns whether it had to wait, after which
+    # all entries are read again.
+    async_wait_wanted: Callable[[], Awaitable[bool]]
     # Time between two questions for changes.
     pause_s: Callable[[], float]
 
@@ -26,9 +29,18 @@
     """Configuration, servers and nodes as the store lists them."""
 
     async def async_follow_configuration(
-        self, on_configuration: Callable[[Configuration], None]
+        self,
+        on_configuration: Callable[[Configuration], None],
+        wait_s: Callable[[], float],
     ) -> None:
-        """Pass on each new version until cancelled."""
+        """Pass on each new version until cancelled.
+
+        A question for changes waits `wait_s`; a connection that went silent is not
+        noticed before.
+        """
+
+    async def async_read_configuration(self) -> Configuration | None:
+        """Return the newest version. Raises `UnavailableError`."""
 
     async def async_follow_servers(self, listener: ServerListener) -> None:
         """Pass on entries of servers until cancelled."""
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -14,7 +14,6 @@
     BackendServer,
     Configuration,
     EngineProfile,
-    Group,
     Limits,
     Service,
 )
@@ -26,18 +25,24 @@
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, OwnedZone
-from ..gossip.peers import Peers, heads
+from ..gossip.peers import Peers
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from ..transport.pool import Address, ConnectionPool
 from .directory import PlatformParts, ServerListener
 from .settings import NodeSettings
+from .table import RoutingTable, count_groups, describe_zone
 
 _LOGGER = logging.getLogger(__name__)
 
-OWNER_FEED_PAUSE_S = 0.02
+OWNER_FEED_PAUSE_S = 0.04
 FEED_PAUSE_S = 0.25
+# A node asks again after this time. Owners notice a connection that went silent and
+# tell the others by the version in their datagrams.
+OWNER_CONFIGURATION_WAIT_S = 2.0
+CONFIGURATION_WAIT_S = 10.0
+WANTED_POLL_S = 0.05
 # More entries that vanish at once than this share have lapsed with the store.
 LAPSE_SHARE = 0.3
 REGISTER_RETRY_S = 0.5
@@ -61,6 +66,7 @@
         self.parts = parts
         self.view = FleetView()
         self.peers = Peers(settings.node)
+        self.table = RoutingTable()
         self.controllers: dict[str, ZoneController] = {}
         self.configuration: Configuration | None = None
         self._incarnation = incarnation
@@ -70,8 +76,12 @@
         self._owner_seen_s: dict[str, float] = {}
         self._taking: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._servers_known = False
         self._was_ready = False
+        # Whether the view follows the store; it is not needed while all zones have
+        # owners that tell their groups.
+        self._view_live = False
+        self._reported_load: dict[str, int] = {}
+        self._reading_configuration = False
         self.gateway = GatewayState(
             zone=settings.zone,
             wire=parts.wire,
@@ -79,8 +89,8 @@
             backends=Backends(self._on_stall),
             metrics=GatewayMetrics(),
             configuration=lambda: self.configuration,
-            servers=lambda: self.view.servers,
-            open_groups=self.open_groups,
+            servers=lambda: self.table.servers,
+            groups=lambda: self.table.groups,
             create_budget=self._create_budget,
         )
         self._suspects: dict[str, float] = {}
@@ -88,7 +98,7 @@
     @property
     def ready(self) -> bool:
         """Return whether the node can route requests."""
-        return self.configuration is not None and self._servers_known
+        return self.configuration is not None and bool(self.table.servers)
 
     def limits(self) -> Limits:
         """Return the limits of callers that are in force."""
@@ -97,9 +107,17 @@
     def start(self) -> None:
         """Start to follow the store."""
         directory = self.parts.directory
-        self.create_task(directory.async_follow_configuration(self._configure))
+        self.create_task(
+            directory.async_follow_configuration(
+                self._configure, self._configuration_wait_s
+            )
+        )
         listener = ServerListener(
-            self._on_servers, self._on_entry, self._on_removed, self._feed_pause_s
+            self._on_servers,
+            self._on_entry,
+            self._on_removed,
+            self._async_wait_view_wanted,
+            self._feed_pause_s,
         )
         self.create_task(directory.async_follow_servers(listener))
         self.create_task(self._async_register())
@@ -117,38 +135,12 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def open_groups(self) -> list[Group]:
-        """Return the groups of all zones that serve, as far as known.
-
-        The zone's live owner knows best; without one the servers' entries decide.
-        """
-        now_s = self._loop.time()
-        fallback: list[Group] | None = None
-        found: list[Group] = []
-        for zone in self.settings.zones:
-            controller = self.controllers.get(zone)
-            if controller is not None:
-                found.extend(controller.open_groups())
-                continue
-            owned = self.peers.owner_groups(zone, now_s)
-            if owned is not None:
-                found.extend(owned.groups)
-                continue
-            if fallback is None:
-                fallback = self.view.open_groups(self._sizes())
-            found.extend(
-                group
-                for group in fallback
-                if self.view.servers[group.head].zone == zone
-            )
-        return found
-
     def tick(self) -> None:
-        """Let the controllers act, and take the peers' load."""
+        """Let the controllers act, and take what the peers told."""
         now_s = self._loop.time()
         for server_id in self.view.forget_lapsed(now_s):
             self._log_server(server_id, "entry did not return")
-        self.gateway.backends.peer_load = self.peers.load(now_s)
+        self._update_table()
         for controller in list(self.controllers.values()):
             controller.tick()
         if self.ready != self._was_ready:
@@ -160,16 +152,62 @@
                 ready=self.ready,
             )
 
+    def _update_table(self) -> None:
+        """Bring the routing table and the peers' load up to date.
+
+        The zone's live owner knows best; without one the servers' entries decide,
+        and without the store what the owner said last.
+        """
+        now_s = self._loop.time()
+        table = RoutingTable()
+        load = self.peers.load(now_s) if self.controllers else {}
+        for zone in self.settings.zones:
+            claim = self.peers.claim(zone, now_s)
+            if zone in self.controllers:
+                table.add(self._describe_owned(zone))
+            elif claim is not None:
+                table.add(claim)
+                for server_id, count in claim.load.items():
+                    own = self._reported_load.get(server_id, 0)
+                    load[server_id] = max(0, count - own)
+            elif self._view_live:
+                table.add(self._describe_unowned(zone))
+            elif (last := self.peers.last_claim(zone)) is not None:
+                table.add(last, outdated=True)
+        self.table = table
+        self.gateway.backends.peer_load = load
+
+    def _describe_owned(self, zone: str) -> OwnedZone:
+        controller = self.controllers[zone]
+        return describe_zone(
+            self.view,
+            zone,
+            controller.term,
+            controller.open_groups(),
+            grouped_service=controller.service,
+            load=self.gateway.backends.load,
+        )
+
+    def _describe_unowned(self, zone: str) -> OwnedZone:
+        service = self._engine_service()
+        return describe_zone(
+            self.view,
+            zone,
+            0,
+            self.view.open_groups(self._sizes()),
+            grouped_service=service.name if service else None,
+            load=lambda _: 0,
+        )
+
     def check_stalls(self) -> None:
         """Move requests away from groups that fell silent."""
-        group_heads = heads(self.open_groups())
-        self.gateway.backends.check_stalls(group_heads, self._loop.time())
+        self.gateway.backends.check_stalls(self.table.heads(), self._loop.time())
 
     def clean_up(self) -> None:
         """Drop what is no longer needed."""
         now_s = self._loop.time()
         self.gateway.pool.close_expired()
-        self.gateway.backends.forget_unused(set(self.view.servers))
+        self.gateway.backends.forget_unused(set(self.table.servers))
         self.gateway.crashes.forget_old(now_s)
         for head, until_s in list(self._suspects.items()):
             if until_s <= now_s:
@@ -177,12 +215,12 @@
 
     def contend(self) -> None:
         """Take or give up zones."""
-        if self._engine_service() is None:
+        if self._engine_service() is None or not self._view_live:
             return
         now_s = self._loop.time()
         live = self.peers.live(now_s)
         for zone in self.settings.zones:
-            claim = self.peers.owner_groups(zone, now_s)
+            claim = self.peers.claim(zone, now_s)
             controller = self.controllers.get(zone)
             if controller is not None:
                 if claim is not None and claim.term > controller.term:
@@ -203,8 +241,14 @@
                 self._taking.add(zone)
                 self.create_task(self._async_take(zone))
 
-    def compose_gossip(self) -> Gossip:
-        """Return what this node tells its peers now."""
+    def compose_gossip(self) -> list[Gossip]:
+        """Return what this node tells its peers now, one message for each zone."""
+        self._reported_load = self.gateway.backends.own_load()
+        if not self.controllers:
+            return [self._compose(None)]
+        return [self._compose(self._describe_owned(zone)) for zone in self.controllers]
+
+    def _compose(self, owned: OwnedZone | None) -> Gossip:
         self._sequence += 1
         return Gossip(
             node=self.settings.node,
@@ -214,12 +258,9 @@
             port=self.settings.internal_port,
             traffic_seen=self.gateway.traffic_seen,
             config_version=self.configuration.version if self.configuration else 0,
-            load=self.gateway.backends.own_load(),
+            load=self._reported_load,
             suspects=tuple(self._suspects),
-            owned=tuple(
-                OwnedZone(zone, controller.term, tuple(controller.open_groups()))
-                for zone, controller in self.controllers.items()
-            ),
+            owned=owned,
             crashes=self.gateway.crashes.suspects(),
         )
 
@@ -230,6 +271,10 @@
         self.gateway.crashes.merge(gossip.crashes, self._loop.time())
         for head in gossip.suspects:
             self._examine(head)
+        known = self.configuration.version if self.configuration else 0
+        if gossip.config_version > known and not self._reading_configuration:
+            self._reading_configuration = True
+            self.create_task(self._async_read_configuration())
 
     def _configure(self, cfg: Configuration) -> None:
         if self.configuration is not None and cfg.version <= self.configuration.version:
@@ -247,7 +292,7 @@
         self.view.replace_entries(
             entries, after_outage=after_outage, now_s=self._loop.time()
         )
-        self._servers_known = True
+        self._view_live = True
 
     def _on_entry(self, server: BackendServer) -> None:
         known = self.view.servers.get(server.server_id)
@@ -271,6 +316,40 @@
             self.view.remove_entry(server_id)
             self._log_server(server_id, "entry is gone")
 
+    async def _async_wait_view_wanted(self) -> bool:
+        waited = False
+        while not self._is_view_wanted():
+            waited = True
+            self._view_live = False
+            await asyncio.sleep(WANTED_POLL_S)
+        return waited
+
+    def _is_view_wanted(self) -> bool:
+        if self.controllers:
+            return True
+        now_s = self._loop.time()
+        return any(
+            self.peers.claim(zone, now_s) is None for zone in self.settings.zones
+        )
+
+    async def _async_read_configuration(self) -> None:
+        """Read the version that a peer has, as this node's question hangs."""
+        try:
+            cfg = await self.parts.directory.async_read_configuration()
+        except UnavailableError as exc:
+            log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="configuration")
+            await asyncio.sleep(REGISTER_RETRY_S)
+            return
+        finally:
+            self._reading_configuration = False
+        if cfg is not None:
+            self._configure(cfg)
+
+    def _configuration_wait_s(self) -> float:
+        if self.controllers or not self.peers.claims:
+            return OWNER_CONFIGURATION_WAIT_S
+        return CONFIGURATION_WAIT_S
+
     def _feed_pause_s(self) -> float:
         return OWNER_FEED_PAUSE_S if self.controllers else FEED_PAUSE_S
 
@@ -299,17 +378,6 @@
         profile = self._profile()
         return {model.name: model.size for model in profile.models} if profile else {}
 
-    def _elsewhere(self, zone: str) -> dict[str, dict[str, int]]:
-        """Return the groups of the other zones by zone and model."""
-        counts: dict[str, dict[str, int]] = {}
-        for group in self.open_groups():
-            head = self.view.servers.get(group.head)
-            if head is None or head.zone == zone:
-                continue
-            models = counts.setdefault(head.zone, {})
-            models[group.model] = models.get(group.model, 0) + 1
-        return counts
-
     def _create_budget(self) -> RetryBudget:
         nodes = 1 + len(self.peers.peers)
         return RetryBudget(
@@ -346,7 +414,7 @@
             view=self.view,
             engines=self.parts.engines,
             profile=self._profile,
-            elsewhere=lambda: self._elsewhere(zone),
+            elsewhere=lambda: count_groups(self.table.groups, zone),
             traffic_seen=lambda: self.gateway.traffic_seen,
             on_change=self.gossip.send,
             on_superseded=lambda: self._verify(zone),
--- /dev/null
+++ b/gooseberryhall/node/table.py
@@ -0,0 +1,81 @@
+"""The groups and servers that this node can send requests to."""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
+
+from ..fleet.models import BackendServer, Group, ServedGroup
+from ..fleet.view import FleetView
+from ..gossip.messages import OwnedZone
+
+
+@dataclass(slots=True)
+class RoutingTable:
+    """Groups that take requests, and servers of all services by id."""
+
+    groups: list[ServedGroup] = field(default_factory=list)
+    servers: dict[str, BackendServer] = field(default_factory=dict)
+
+    def add(self, owned: OwnedZone, *, outdated: bool = False) -> None:
+        """Add what a zone's owner says; outdated groups are used last."""
+        for group in owned.groups:
+            if outdated:
+                group = replace(group, leaving=True)  # noqa: PLW2901
+            self.groups.append(group)
+            self.servers[group.head.server_id] = group.head
+        for server in owned.servers:
+            self.servers[server.server_id] = server
+
+    def heads(self) -> set[str]:
+        """Return the server ids of the groups' heads."""
+        return {group.head.server_id for group in self.groups}
+
+
+def describe_zone(
+    view: FleetView,
+    zone: str,
+    term: int,
+    groups: Iterable[Group],
+    *,
+    grouped_service: str | None,
+    load: Callable[[str], int],
+) -> OwnedZone:
+    """Return what is known of a zone's open groups and plain servers."""
+    served = [
+        group for known in groups if (group := _serve(view, zone, known)) is not None
+    ]
+    plain = [
+        server
+        for server in view.servers.values()
+        if server.zone == zone and server.service != grouped_service
+    ]
+    ids = [group.head.server_id for group in served]
+    ids += [server.server_id for server in plain]
+    return OwnedZone(
+        zone,
+        term,
+        tuple(served),
+        tuple(plain),
+        {server_id: count for server_id in ids if (count := load(server_id))},
+    )
+
+
+def _serve(view: FleetView, zone: str, group: Group) -> ServedGroup | None:
+    head = view.servers.get(group.head)
+    if head is None or head.zone != zone:
+        return None
+    members = [view.servers.get(member) for member in group.members]
+    leaving = any(member is None or member.leaving for member in members)
+    return ServedGroup(group.model, head, leaving)
+
+
+def count_groups(
+    groups: Sequence[ServedGroup], besides: str
+) -> dict[str, dict[str, int]]:
+    """Return the number of groups by zone and model, without one zone."""
+    counts: dict[str, dict[str, int]] = {}
+    for group in groups:
+        if group.head.zone == besides:
+            continue
+        models = counts.setdefault(group.head.zone, {})
+        models[group.model] = models.get(group.model, 0) + 1
+    return counts
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Final
 
 from ..fleet.models import BackendServer, Configuration
@@ -24,8 +25,7 @@
 CONFIGURATION_KEY: Final = "config"
 SERVER_TABLE: Final = "servers"
 
-# A connection that went silent is noticed after this time; a configuration must be
-# in force within two seconds of calm.
+# A connection that went silent is noticed after this time.
 FEED_WAIT_S: Final = 2.5
 RETRY_MIN_S: Final = 0.15
 RETRY_MAX_S: Final = 0.6
@@ -39,21 +39,28 @@
         self._store = store
 
     async def async_follow_configuration(
-        self, on_configuration: Callable[[Configuration], None]
+        self,
+        on_configuration: Callable[[Configuration], None],
+        wait_s: Callable[[], float],
     ) -> None:
         """Pass on each new version until cancelled."""
 
         def take(rows: RowSet) -> None:
-            for row in rows.rows:
-                if row.key == CONFIGURATION_KEY and row.value is not None:
-                    _decode_into(row, on_configuration)
+            cfg = _find_configuration(rows)
+            if cfg is not None:
+                on_configuration(cfg)
 
-        async def no_pause() -> None:
-            return
+        async def async_wanted() -> bool:
+            return False
 
-        await self._async_follow(
-            OPERATOR_TABLE, lambda rows, _: take(rows), take, no_pause
+        follower = _Follower(
+            OPERATOR_TABLE, lambda rows, _: take(rows), take, async_wanted, wait_s
         )
+        await self._async_follow(follower)
+
+    async def async_read_configuration(self) -> Configuration | None:
+        """Return the newest version. Raises `StoreError`."""
+        return _find_configuration(await self._store.async_read(OPERATOR_TABLE))
 
     async def async_follow_servers(self, listener: ServerListener) -> None:
         """Pass on entries of servers until cancelled."""
@@ -73,10 +80,15 @@
             if removed:
                 listener.on_removed(removed)
 
-        async def pause() -> None:
-            await asyncio.sleep(listener.pause_s())
-
-        await self._async_follow(SERVER_TABLE, on_snapshot, on_rows, pause)
+        follower = _Follower(
+            SERVER_TABLE,
+            on_snapshot,
+            on_rows,
+            listener.async_wait_wanted,
+            lambda: FEED_WAIT_S,
+            listener.pause_s,
+        )
+        await self._async_follow(follower)
 
     async def async_register(self, node: str, address: Address) -> None:
         """Store this node's address. Raises `StoreError`."""
@@ -86,44 +98,65 @@
         """Return the addresses of all nodes. Raises `StoreError`."""
         return await async_read_nodes(self._store)
 
-    async def _async_follow(
-        self,
-        table: str,
-        on_snapshot: Callable[[RowSet, bool], None],
-        on_rows: Callable[[RowSet], None],
-        async_pause: Callable[[], Awaitable[None]],
-    ) -> None:
+    async def _async_follow(self, follower: "_Follower") -> None:
         """Read a table, follow its changes, and read it again after each gap."""
         version: int | None = None
         outage = False
         while True:
+            if await follower.async_wait_wanted():
+                version = None
             try:
-                if version is None:
-                    rows = await self._store.async_read(table)
-                    if outage:
-                        _log(LogEvent.STORE_REGAINED, "table is read again", table)
-                    on_snapshot(rows, outage)
-                    outage = False
-                else:
-                    rows = await self._store.async_watch(table, version, FEED_WAIT_S)
-                    on_rows(rows)
-                version = rows.version
-                await async_pause()
+                version = await self._async_follow_once(follower, version, outage)
+                outage = False
+                await asyncio.sleep(follower.pause_s())
             except HistoryLostError:
                 version = None
             except StoreError as exc:
                 if not outage:
-                    _log(LogEvent.STORE_LOST, str(exc), table)
+                    _log(LogEvent.STORE_LOST, str(exc), follower.table)
                 outage = True
                 version = None
                 await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
-
-def _decode_into(row: Row, on_configuration: Callable[[Configuration], None]) -> None:
-    try:
-        on_configuration(decode_configuration(row.value or b""))
-    except RowFormatError as exc:
-        log_event(_LOGGER, LogEvent.ROW_REFUSED, str(exc), level=logging.WARNING)
+    async def _async_follow_once(
+        self, follower: "_Follower", version: int | None, outage: bool
+    ) -> int:
+        """Pass on what is new; return the version up to which it is known."""
+        if version is not None:
+            rows = await self._store.async_watch(
+                follower.table, version, follower.wait_s()
+            )
+            follower.on_rows(rows)
+            return rows.version
+        rows = await self._store.async_read(follower.table)
+        if outage:
+            _log(LogEvent.STORE_REGAINED, "table is read again", follower.table)
+        follower.on_snapshot(rows, outage)
+        return rows.version
+
+
+@dataclass(frozen=True, slots=True)
+class _Follower:
+    """Takes the rows of a table."""
+
+    table: str
+    on_snapshot: Callable[[RowSet, bool], None]
+    on_rows: Callable[[RowSet], None]
+    async_wait_wanted: Callable[[], Awaitable[bool]]
+    wait_s: Callable[[], float]
+    pause_s: Callable[[], float] = lambda: 0.0
+
+
+def _find_configuration(rows: RowSet) -> Configuration | None:
+    """Return the configuration if the rows hold one that can be read."""
+    for row in rows.rows:
+        if row.key != CONFIGURATION_KEY or row.value is None:
+            continue
+        try:
+            return decode_configuration(row.value)
+        except RowFormatError as exc:
+            log_event(_LOGGER, LogEvent.ROW_REFUSED, str(exc), level=logging.WARNING)
+    return None
 
 
 def _decode_server(row: Row) -> BackendServer | None:
