--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -38,11 +38,13 @@
 _LOGGER = logging.getLogger(__name__)
 
 OWNER_FEED_PAUSE_S = 0.04
-FEED_PAUSE_S = 0.25
+FEED_PAUSE_S = 1.0
 # A node asks again after this time. Owners notice a connection that went silent and
 # tell the others by the version in their datagrams.
 OWNER_CONFIGURATION_WAIT_S = 2.0
-CONFIGURATION_WAIT_S = 10.0
+CONFIGURATION_WAIT_S = 20.0
+# A peer may be told of a version a moment earlier.
+CONFIGURATION_LAG_S = 0.4
 WANTED_POLL_S = 0.05
 # More entries that vanish at once than this share have lapsed with the store.
 LAPSE_SHARE = 0.3
@@ -307,7 +309,7 @@
         known = self.configuration.version if self.configuration else 0
         if gossip.config_version > known and not self._reading_configuration:
             self._reading_configuration = True
-            self.create_task(self._async_read_configuration())
+            self.create_task(self._async_read_configuration(gossip.config_version))
 
     def _configure(self, cfg: Configuration) -> None:
         if self.configuration is not None and cfg.version <= self.configuration.version:
@@ -365,9 +367,12 @@
             self.peers.claim(zone, now_s) is None for zone in self.settings.zones
         )
 
-    async def _async_read_configuration(self) -> None:
-        """Read the version that a peer has, as this node's question hangs."""
+    async def _async_read_configuration(self, version: int) -> None:
+        """Read the version that a peer has, if this node's question hangs."""
         try:
+            await asyncio.sleep(CONFIGURATION_LAG_S)
+            if self.configuration and self.configuration.version >= version:
+                return
             cfg = await self.parts.directory.async_read_configuration()
         except UnavailableError as exc:
             log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="configuration")
--- a/gooseberryhall/platform/leases.py
+++ b/gooseberryhall/platform/leases.py
@@ -65,10 +65,13 @@
 
     Raises `StoreError`.
     """
-    rows = (await store.async_read(NODE_TABLE)).rows
-    version = next((row.version for row in rows if row.key == node), 0)
     value = msgspec.json.encode(_NodeRow(address.host, address.port))
-    await store.async_write(NODE_TABLE, node, value, version)
+    try:
+        await store.async_write(NODE_TABLE, node, value, 0)
+    except StoreConflictError:
+        rows = (await store.async_read(NODE_TABLE)).rows
+        version = next((row.version for row in rows if row.key == node), 0)
+        await store.async_write(NODE_TABLE, node, value, version)
 
 
 async def async_read_nodes(store: Store) -> dict[str, Address]:
