Let spares of an earlier owner go on loading, form groups across domains

Change: the model of a spare is part of its group's name; a zone without a group of a model forms one across domains until a domain can.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -34,6 +34,7 @@
 from .orders import ACCEPTED, Engines, OrderOutcome
 from .planner import (
     REJOIN_S,
+    SEVERAL_DOMAINS,
     FreeServer,
     GroupPlan,
     SparePlan,
@@ -188,7 +189,9 @@
     def _adopt_group(
         self, group: Group, state: MemberState, head: BackendServer, *, whole: bool
     ) -> None:
-        known = KnownGroup(group, Phase.OPEN, head, head.domain, may_be_open=True)
+        known = KnownGroup(
+            group, Phase.OPEN, head, self._domain(group), may_be_open=True
+        )
         self.known[group.name, group.epoch] = known
         self._log(
             LogEvent.GROUP_ADOPTED,
@@ -215,6 +218,14 @@
             if now_s - known.leaving_since_s > LEAVING_GROUP_S:
                 self._dissolve(known, "member leaves")
 
+    def _domain(self, group: Group) -> str:
+        domains = {
+            self.view.servers[member].domain
+            for member in group.members
+            if member in self.view.servers
+        }
+        return domains.pop() if len(domains) == 1 else SEVERAL_DOMAINS
+
     def _is_lost(self, known: KnownGroup, member: str) -> bool:
         server = self.view.servers.get(member)
         if server is None or self._is_dead(server):
@@ -300,7 +311,7 @@
             domain=server.domain,
             last_model=_loaded_model(server),
             staged=server.staged,
-            preparing=self._preparing.get(server.server_id),
+            preparing=self._preparing.get(server.server_id) or _prepared_model(server),
         )
 
     def _summarize(self, facts: ZoneFacts, now_s: float) -> None:
@@ -402,7 +413,8 @@
         epoch = self._next_epoch()
         group = Group(f"{self.zone}-{epoch}", epoch, plan.model, plan.members)
         head = self.view.servers[group.head]
-        known = KnownGroup(group, Phase.FORMING, head, head.domain, may_be_open=False)
+        domain = self._domain(group)
+        known = KnownGroup(group, Phase.FORMING, head, domain, may_be_open=False)
         self.known[group.name, group.epoch] = known
         self._log(
             LogEvent.GROUP_PLANNED,
@@ -590,7 +602,7 @@
 
         def create_group() -> Group:
             epoch = self._next_epoch()
-            name = f"{SPARE_GROUP_PREFIX}{self.zone}-{epoch}"
+            name = f"{SPARE_GROUP_PREFIX}{model.name}-{epoch}"
             return Group(name, epoch, model.name, (server_id,))
 
         self._log(
@@ -728,6 +740,16 @@
         log_event(_LOGGER, event, message, zone=self.zone, term=self.term, **fields)
 
 
+def _prepared_model(server: BackendServer) -> str | None:
+    """Return the model that a spare loads, also if an earlier owner ordered it."""
+    membership = server.membership
+    if membership is None or membership.state is not MemberState.JOINING:
+        return None
+    if not membership.group.startswith(SPARE_GROUP_PREFIX):
+        return None
+    return membership.group.removeprefix(SPARE_GROUP_PREFIX).rpartition("-")[0]
+
+
 def _loaded_model(server: BackendServer) -> str | None:
     """Return the model whose groups the server can join at once."""
     membership = server.membership
--- a/gooseberryhall/fleet/planner.py
+++ b/gooseberryhall/fleet/planner.py
@@ -17,6 +17,8 @@
 # wait for the model that is behind.
 MAX_LEAD: Final = 2
 MIN_SHARE: Final = 0.01
+# Domain of a group whose members are in several domains.
+SEVERAL_DOMAINS: Final = ""
 # Time of a join if the server's last group had the same model.
 REJOIN_S: Final = 0.2
 
@@ -112,10 +114,28 @@
             del free[member]
     plan.spares = _plan_spares(facts, list(free.values()), placed)
     if facts.traffic_seen and not plan.groups:
-        plan.dissolved = _plan_exchange(facts, list(free.values()), counts)
+        idle = list(free.values())
+        plan.dissolved = _plan_regroup(facts, idle) or _plan_exchange(
+            facts, idle, counts
+        )
     return plan
 
 
+def _plan_regroup(facts: ZoneFacts, free: list[FreeServer]) -> list[Group]:
+    """Return a group of several domains whose servers can form one in a domain."""
+    members = {server.server_id: server for server in facts.members}
+    for group, domain in facts.groups:
+        model = facts.profile.model(group.model)
+        if domain != SEVERAL_DOMAINS or model is None:
+            continue
+        candidates = [members[name] for name in group.members if name in members]
+        quick = _quick_servers([*candidates, *free], model)
+        by_domain = Counter(server.domain for server in quick)
+        if any(count >= model.size for count in by_domain.values()):
+            return [group]
+    return []
+
+
 def _weight(model: Model) -> float:
     """Return the servers of a group over the model's share of all servers."""
     return model.size / max(model.share, MIN_SHARE)
@@ -168,13 +188,7 @@
             continue
         candidates = [members[name] for name in group.members if name in members]
         candidates += [server for server in free if server.domain == domain]
-        quick = [
-            server
-            for server in candidates
-            if server.preparing is None
-            and server.join_s(model) <= max(model.warmup_s, REJOIN_S)
-        ]
-        if len(quick) >= model.size:
+        if len(_quick_servers(candidates, model)) >= model.size:
             return [group]
     return []
 
@@ -211,10 +225,8 @@
         facts.profile.models, key=lambda model: (fill[model.name], -model.size)
     )
     domains = {server.domain for server in free} - facts.unsettled
-    limit = min(fill.values(), default=0.0) + _lead_limit(facts)
     for model in models:
-        # Weights differ a little between models, so the limit is rounded to groups.
-        if facts.traffic_seen and fill[model.name] + _weight(model) / 2 >= limit:
+        if facts.traffic_seen and _must_wait(facts, fill, model):
             continue
         options = [
             option
@@ -225,9 +237,54 @@
         if options:
             rank, plan = min(options, key=lambda option: option[0])
             return plan, rank[-1]
+    if facts.traffic_seen and not facts.unsettled:
+        return _across_domains(facts, free, fill)
+    return None
+
+
+def _must_wait(facts: ZoneFacts, fill: dict[str, float], model: Model) -> bool:
+    """Return whether free servers wait for a model that is behind this one.
+
+    Weights differ a little between models, so the limit is rounded to groups.
+    """
+    limit = min(fill.values(), default=0.0) + _lead_limit(facts)
+    return fill[model.name] + _weight(model) / 2 >= limit
+
+
+def _across_domains(
+    facts: ZoneFacts, free: list[FreeServer], fill: dict[str, float]
+) -> tuple[GroupPlan, str] | None:
+    """Return a group of several domains for a model that the zone does not serve.
+
+    It is slow, but better than none, and its servers would be idle.
+    """
+    served = {group.model for group, _ in facts.groups}
+    for model in sorted(facts.profile.models, key=lambda model: fill[model.name]):
+        if model.name in served or _must_wait(facts, fill, model):
+            continue
+        servers = _quick_servers(free, model)
+        if len(servers) < model.size:
+            continue
+        members = servers[: model.size]
+        names = tuple(server.server_id for server in members)
+        return (
+            GroupPlan(model.name, names, members[-1].join_s(model)),
+            SEVERAL_DOMAINS,
+        )
     return None
 
 
+def _quick_servers(free: Iterable[FreeServer], model: Model) -> list[FreeServer]:
+    """Return the servers that join the model's groups without a load."""
+    quick = [
+        server
+        for server in free
+        if server.preparing is None
+        and server.join_s(model) <= max(model.warmup_s, REJOIN_S)
+    ]
+    return sorted(quick, key=lambda server: (server.join_s(model), server.server_id))
+
+
 def _is_next_in_domain(
     facts: ZoneFacts, model: Model, domain: str, placed: Counter[tuple[str, str]]
 ) -> bool:
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -3,7 +3,8 @@
 import asyncio
 from dataclasses import replace
 
-from gooseberryhall.fleet.models import MemberState
+from gooseberryhall.fleet.const import SPARE_GROUP_PREFIX
+from gooseberryhall.fleet.models import Membership, MemberState
 from tests.fleet.common import FakeEngines, Zone, server
 
 
@@ -197,3 +198,19 @@
     await zone.async_stop()
     head = zone.engines.servers[large.head]
     assert head.membership is None or head.membership.state is not MemberState.OPEN
+
+
+async def test_new_owner_lets_spares_go_on_loading() -> None:
+    """A second join starts the load of the weights again (trouble-1, tks-aeration)."""
+    zone = _zone(1)
+    zone.traffic = True
+    fake = zone.engines.servers["s0"]
+    name = f"{SPARE_GROUP_PREFIX}small-1000004"
+    fake.membership = Membership(name, 1000004, 0, MemberState.JOINING)
+    zone.list_servers()
+    controller = zone.create(term=2)
+    for _ in range(10):
+        controller.tick()
+        await asyncio.sleep(0.01)
+    await zone.async_stop()
+    assert "join" not in fake.orders
