Hand zones over when the store does not answer their owner

Change: datagrams tell whether the store answers; nodes then check the owner's servers against the entries, and one of them takes the zone at once. An earlier owner steps down without the store, and its orders in progress end.

--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -49,6 +49,8 @@
     port: int
     traffic_seen: bool = False
     config_version: int = 0
+    # Whether the store does not answer this node.
+    store_lost: bool = False
     # Traffic of this node, by server.
     traffic: dict[str, ServerTraffic] = field(default_factory=dict)
     # Heads that this node found silent and has not seen answer since.
@@ -70,6 +72,7 @@
             gossip.port,
             gossip.traffic_seen,
             gossip.config_version,
+            gossip.store_lost,
             _encode_traffic(gossip.traffic),
             list(gossip.suspects),
             None if gossip.owned is None else _encode_owned(gossip.owned),
@@ -90,12 +93,13 @@
             port=int(values[4]),
             traffic_seen=bool(values[5]),
             config_version=int(values[6]),
-            traffic=_decode_traffic(values[7]),
-            suspects=tuple(_text(value) for value in values[8]),
-            owned=_decode_owned(values[9]) if values[9] is not None else None,
+            store_lost=bool(values[7]),
+            traffic=_decode_traffic(values[8]),
+            suspects=tuple(_text(value) for value in values[9]),
+            owned=_decode_owned(values[10]) if values[10] is not None else None,
             crashes={
                 _text(key): [_text(server) for server in servers]
-                for key, servers in values[10].items()
+                for key, servers in values[11].items()
             },
         )
     except (
--- a/gooseberryhall/gossip/peers.py
+++ b/gooseberryhall/gossip/peers.py
@@ -50,6 +50,8 @@
     node: str
     owned: OwnedZone
     heard_s: float
+    # Whether the owner cannot follow the store, so that servers may have left.
+    store_lost: bool = False
 
     def is_fresh(self, now_s: float) -> bool:
         """Return whether the owner was heard a moment ago."""
@@ -93,7 +95,8 @@
         known.heard_s = now_s
         known.address = Address(host, gossip.port)
         if gossip.owned is not None:
-            self._receive_claim(gossip.node, gossip.owned, now_s)
+            claim = Claim(gossip.node, gossip.owned, now_s, gossip.store_lost)
+            self._receive_claim(claim)
         return True
 
     def due(self, now_s: float, *, owner: bool) -> list[Peer]:
@@ -144,15 +147,16 @@
         claim = self.claims.get(zone)
         return claim.owned if claim else None
 
-    def _receive_claim(self, node: str, owned: OwnedZone, now_s: float) -> None:
-        known = self.claims.get(owned.zone)
+    def _receive_claim(self, claim: Claim) -> None:
+        zone = claim.owned.zone
+        known = self.claims.get(zone)
         if (
             known is not None
-            and known.owned.term > owned.term
-            and known.is_fresh(now_s)
+            and known.owned.term > claim.owned.term
+            and known.is_fresh(claim.heard_s)
         ):
             return
-        self.claims[owned.zone] = Claim(node, owned, now_s)
+        self.claims[zone] = claim
 
     def _is_up(self, peer: Peer, now_s: float) -> bool:
         """Return whether the peer was heard within its last few turns."""
--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -18,6 +18,8 @@
     on_snapshot: Callable[[Iterable[BackendServer], bool], None]
     on_entry: Callable[[BackendServer], None]
     on_removed: Callable[[list[str]], None]
+    # The store does not answer; entries may be outdated until the next snapshot.
+    on_lost: Callable[[], None]
     # Waits until entries are wanted; returns whether it had to wait, after which
     # all entries are read again.
     async_wait_wanted: Callable[[], Awaitable[bool]]
@@ -32,6 +34,7 @@
         self,
         on_configuration: Callable[[Configuration], None],
         wait_s: Callable[[], float],
+        on_lost: Callable[[], None],
     ) -> None:
         """Pass on each new version until cancelled.
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import replace
 from typing import Any
 
 from ..exceptions import GooseberryhallError, UnavailableError
@@ -79,10 +80,12 @@
         self._owner_seen_s: dict[str, float] = {}
         self._taking: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._zone_tasks: dict[str, set[asyncio.Task[None]]] = {}
         self._was_ready = False
         # Whether the view follows the store; it is not needed while all zones have
         # owners that tell their groups.
         self._view_live = False
+        self._store_lost = False
         self._reported_load: dict[str, int] = {}
         self._reading_configuration = False
         self.gateway = GatewayState(
@@ -112,24 +115,26 @@
         directory = self.parts.directory
         self.create_task(
             directory.async_follow_configuration(
-                self._configure, self._configuration_wait_s
+                self._configure, self._configuration_wait_s, self._on_store_lost
             )
         )
         listener = ServerListener(
             self._on_servers,
             self._on_entry,
             self._on_removed,
+            self._on_store_lost,
             self._async_wait_view_wanted,
             self._feed_pause_s,
         )
         self.create_task(directory.async_follow_servers(listener))
         self.create_task(self._async_register())
 
-    def create_task(self, coro: Coroutine[Any, Any, None]) -> None:
+    def create_task(self, coro: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a coroutine; a failure is logged."""
         task = self._loop.create_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._task_done)
+        return task
 
     async def async_cancel_tasks(self) -> None:
         """Cancel all tasks and wait for their end."""
@@ -169,7 +174,12 @@
             if zone in self.controllers:
                 table.add(self._describe_owned(zone))
             elif claim is not None:
-                table.add(claim.owned)
+                if claim.store_lost and self._view_live:
+                    table.add_checked(claim.owned, self.view)
+                    unowned = self._describe_unowned(zone)
+                    table.add(replace(unowned, groups=()))
+                else:
+                    table.add(claim.owned)
                 for server_id, item in claim.owned.traffic.items():
                     others = PeerTraffic()
                     others.add(item, claim.heard_s)
@@ -250,31 +260,37 @@
 
     def contend(self) -> None:
         """Take or give up zones."""
+        now_s = self._loop.time()
+        for zone, controller in list(self.controllers.items()):
+            claim = self.peers.claim(zone, now_s)
+            if claim is not None and claim.owned.term > controller.term:
+                self._release(zone, "a peer owns a later term")
         if self._engine_service() is None or not self._view_live:
             return
-        now_s = self._loop.time()
-        live = self.peers.live(now_s)
         for zone in self.settings.zones:
-            claim = self.peers.claim(zone, now_s)
-            controller = self.controllers.get(zone)
-            if controller is not None:
-                if claim is not None and claim.owned.term > controller.term:
-                    self._release(zone, "a peer owns a later term")
-                continue
-            if claim is not None:
-                self._owner_seen_s[zone] = now_s
-                continue
-            facts = OwnershipFacts(
-                own=NodeName(self.settings.node, self.settings.zone),
-                live_peers=[NodeName(gossip.node, gossip.zone) for gossip in live],
-                knows_peers=bool(self.peers.peers),
-                zone=zone,
-                ownerless_s=now_s - self._owner_seen_s.get(zone, self._started_s),
-                uptime_s=now_s - self._started_s,
-            )
-            if should_take(facts) and zone not in self._taking:
-                self._taking.add(zone)
-                self.create_task(self._async_take(zone))
+            if zone not in self.controllers and zone not in self._taking:
+                self._contend_for(zone, now_s)
+
+    def _contend_for(self, zone: str, now_s: float) -> None:
+        claim = self.peers.claim(zone, now_s)
+        if claim is not None and not claim.store_lost:
+            self._owner_seen_s[zone] = now_s
+            return
+        facts = OwnershipFacts(
+            own=NodeName(self.settings.node, self.settings.zone),
+            live_peers=[
+                NodeName(gossip.node, gossip.zone)
+                for gossip in self.peers.live(now_s)
+                if not gossip.store_lost
+            ],
+            knows_peers=bool(self.peers.peers),
+            zone=zone,
+            ownerless_s=now_s - self._owner_seen_s.get(zone, self._started_s),
+            uptime_s=now_s - self._started_s,
+        )
+        if should_take(facts):
+            self._taking.add(zone)
+            self.create_task(self._async_take(zone))
 
     def compose_gossip(self) -> list[Gossip]:
         """Return what this node tells its peers now, one message for each zone."""
@@ -293,6 +309,7 @@
             port=self.settings.internal_port,
             traffic_seen=self.gateway.traffic_seen,
             config_version=self.configuration.version if self.configuration else 0,
+            store_lost=self._store_lost,
             traffic=self._own_traffic(),
             suspects=tuple(self._suspects),
             owned=owned,
@@ -328,6 +345,12 @@
             entries, after_outage=after_outage, now_s=self._loop.time()
         )
         self._view_live = True
+        self._store_lost = False
+
+    def _on_store_lost(self) -> None:
+        """Note that entries may be outdated; groups go on with what is known."""
+        self._view_live = False
+        self._store_lost = True
 
     def _on_entry(self, server: BackendServer) -> None:
         known = self.view.servers.get(server.server_id)
@@ -363,8 +386,9 @@
         if self.controllers:
             return True
         now_s = self._loop.time()
-        return any(
-            self.peers.claim(zone, now_s) is None for zone in self.settings.zones
+        claims = [self.peers.claim(zone, now_s) for zone in self.settings.zones]
+        return self._store_lost or any(
+            claim is None or claim.store_lost for claim in claims
         )
 
     async def _async_read_configuration(self, version: int) -> None:
@@ -456,11 +480,25 @@
             traffic_seen=lambda: self.gateway.traffic_seen,
             on_change=self.gossip.send,
             on_superseded=lambda: self._verify(zone),
-            create_task=self.create_task,
+            create_task=self._create_zone_task(zone),
             loads=asyncio.Semaphore(loads),
         )
         log_event(_LOGGER, LogEvent.ZONE_OWNED, "zone is owned", zone=zone, term=term)
 
+    def _create_zone_task(
+        self, zone: str
+    ) -> Callable[[Coroutine[Any, Any, None]], None]:
+        """Return a function that runs a coroutine until the zone is released."""
+        tasks: set[asyncio.Task[None]] = set()
+        self._zone_tasks[zone] = tasks
+
+        def create_task(coro: Coroutine[Any, Any, None]) -> None:
+            task = self.create_task(coro)
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+        return create_task
+
     def _verify(self, zone: str) -> None:
         """Check in the store that this node still owns a zone."""
         if zone not in self._taking:
@@ -482,6 +520,9 @@
     def _release(self, zone: str, reason: str) -> None:
         if self.controllers.pop(zone, None) is not None:
             self._owner_seen_s[zone] = self._loop.time()
+            # Orders of an earlier term would compete with those of the new owner.
+            for task in self._zone_tasks.pop(zone):
+                task.cancel()
             log_event(_LOGGER, LogEvent.ZONE_RELEASED, reason, zone=zone)
 
     async def _async_register(self) -> None:
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -25,6 +25,14 @@
         for server in owned.servers:
             self.servers[server.server_id] = server
 
+    def add_checked(self, owned: OwnedZone, view: FleetView) -> None:
+        """Add the groups of an owner that does not know which servers left."""
+        for group in owned.groups:
+            head = view.servers.get(group.head.server_id)
+            if head is not None and not head.leaving:
+                self.groups.append(group)
+                self.servers[head.server_id] = group.head
+
     def heads(self) -> set[str]:
         """Return the server ids of the groups' heads."""
         return {group.head.server_id for group in self.groups}
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -42,6 +42,7 @@
         self,
         on_configuration: Callable[[Configuration], None],
         wait_s: Callable[[], float],
+        on_lost: Callable[[], None],
     ) -> None:
         """Pass on each new version until cancelled."""
 
@@ -54,7 +55,12 @@
             return False
 
         follower = _Follower(
-            OPERATOR_TABLE, lambda rows, _: take(rows), take, async_wanted, wait_s
+            OPERATOR_TABLE,
+            lambda rows, _: take(rows),
+            take,
+            on_lost,
+            async_wanted,
+            wait_s,
         )
         await self._async_follow(follower)
 
@@ -84,6 +90,7 @@
             SERVER_TABLE,
             on_snapshot,
             on_rows,
+            listener.on_lost,
             listener.async_wait_wanted,
             lambda: FEED_WAIT_S,
             listener.pause_s,
@@ -116,6 +123,7 @@
                     _log(LogEvent.STORE_LOST, str(exc), follower.table)
                 outage = True
                 version = None
+                follower.on_lost()
                 await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
     async def _async_follow_once(
@@ -142,6 +150,7 @@
     table: str
     on_snapshot: Callable[[RowSet, bool], None]
     on_rows: Callable[[RowSet], None]
+    on_lost: Callable[[], None]
     async_wait_wanted: Callable[[], Awaitable[bool]]
     wait_s: Callable[[], float]
     pause_s: Callable[[], float] = lambda: 0.0
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -54,7 +54,7 @@
 def test_other_shapes_are_refused() -> None:
     """A well-formed CBOR value of another shape is no message."""
     with pytest.raises(GossipError):
-        decode(cbor2.dumps([1] * 11))
+        decode(cbor2.dumps([1] * 12))
 
 
 def test_late_datagram_does_not_undo_a_newer_one() -> None:
