--- a/gooseberryhall/node/listeners.py
+++ b/gooseberryhall/node/listeners.py
@@ -5,12 +5,17 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
+from aioprometheus import Registry
+from aioprometheus.renderer import render
+
 from ..fleet.models import Limits
 from ..gateway.caller import CallerConnection
 from ..gateway.models import CallerRequest, OwnAnswer
+from ..transport.exchange import ResponseHead
 from ..transport.pool import Address
 
 BACKLOG = 512
+TEXT_FORMAT = "text/plain"
 
 Handler = Callable[[CallerConnection, CallerRequest], Awaitable[None]]
 
@@ -61,3 +66,16 @@
         conn.answer(answer, None, b"")
 
     return async_answer
+
+
+def answer_metrics(registry: Registry) -> Handler:
+    """Return a handler that answers with the metrics as text."""
+
+    async def async_answer(conn: CallerConnection, _: CallerRequest) -> None:
+        body, headers = render(registry, [TEXT_FORMAT])
+        fields = [(key.lower().encode(), str(headers[key]).encode()) for key in headers]
+        conn.begin_response(ResponseHead(200, fields), length=len(body))
+        conn.write_body(body)
+        conn.end_response()
+
+    return async_answer
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -19,7 +19,7 @@
 from ..telemetry.logs import log_event
 from ..transport.pool import Address
 from .directory import PlatformParts
-from .listeners import Listener, answer_readiness, async_listen
+from .listeners import Listener, answer_metrics, answer_readiness, async_listen
 from .node import Node
 from .settings import NodeSettings
 
@@ -58,6 +58,8 @@
         )
         readiness = answer_readiness(lambda: node.ready and not stopping.is_set())
         await async_listen(stack, settings.readiness, readiness, Limits)
+        metrics = answer_metrics(node.gateway.metrics.registry)
+        await async_listen(stack, settings.metrics, metrics, Limits)
         await _async_start_gossip(stack, node, settings)
         node.start()
         timer.async_subscribe(TICK_PERIOD_S, node.tick)
--- a/gooseberryhall/node/settings.py
+++ b/gooseberryhall/node/settings.py
@@ -16,6 +16,8 @@
     callers: Address
     # Listens for the load balancer's readiness questions.
     readiness: Address
+    # Listens for readers of the metrics.
+    metrics: Address
     # Address of this VM, and the port for datagrams between nodes.
     host: str
     internal_port: int
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -7,11 +7,13 @@
 import msgspec
 
 from ..node.settings import NodeSettings
-from ..transport.pool import parse_address
+from ..transport.pool import Address, parse_address
 from .exceptions import PlatformSettingsError
 
 SETTINGS_VARIABLE: Final = "GOOSEBERRYHALL_SETTINGS"
 MS_PER_S: Final = 1000
+# deploy/system.toml names the same port.
+METRICS_PORT: Final = 9464
 
 
 class _Listen(msgspec.Struct):
@@ -73,6 +75,7 @@
         zones=tuple(sorted(raw.zones)),
         callers=parse_address(raw.listen_addresses.frontend),
         readiness=parse_address(raw.listen_addresses.ready),
+        metrics=Address(raw.ip_address, METRICS_PORT),
         host=raw.ip_address,
         internal_port=raw.internal_port_range[0],
         store=parse_address(raw.platform.address),
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -32,7 +32,21 @@
 )
 ADDRESS = Address("127.0.0.1", 1)
 SETTINGS = NodeSettings(
-    "n1", "z", ("z",), ADDRESS, ADDRESS, "127.0.0.1", 1, ADDRESS, 2, 8, 0.2, 10, 130, 4
+    "n1",
+    "z",
+    ("z",),
+    ADDRESS,
+    ADDRESS,
+    ADDRESS,
+    "127.0.0.1",
+    1,
+    ADDRESS,
+    2,
+    8,
+    0.2,
+    10,
+    130,
+    4,
 )
 
 
