Count the time without an owner from its last datagram

After the cut the owners dissolved each other's groups. Change: the last claim is noted in every case, and an isolated node takes its own zone only.

--- a/gooseberryhall/fleet/ownership.py
+++ b/gooseberryhall/fleet/ownership.py
@@ -36,7 +36,7 @@
     if facts.uptime_s < SETTLE_S:
         return False
     if facts.knows_peers and not facts.live_peers:
-        return facts.ownerless_s >= ISOLATED_DELAY_S
+        return facts.own.zone == facts.zone and facts.ownerless_s >= ISOLATED_DELAY_S
     nodes = [facts.own, *facts.live_peers]
     local = [node for node in nodes if node.zone == facts.zone]
     if not local and facts.ownerless_s < OTHER_ZONE_DELAY_S:
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -27,7 +27,7 @@
 from ..gateway.state import GatewayState
 from ..gossip.const import MAX_PROGRESS_AGE_S, MS_PER_S
 from ..gossip.messages import Gossip, OwnedZone, ServerTraffic
-from ..gossip.peers import Peers, PeerTraffic
+from ..gossip.peers import Claim, Peers, PeerTraffic
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
@@ -261,20 +261,22 @@
     def contend(self) -> None:
         """Take or give up zones."""
         now_s = self._loop.time()
-        for zone, controller in list(self.controllers.items()):
+        for zone in self.settings.zones:
             claim = self.peers.claim(zone, now_s)
-            if claim is not None and claim.owned.term > controller.term:
+            controller = self.controllers.get(zone)
+            if claim is not None and not claim.store_lost:
+                self._owner_seen_s[zone] = now_s
+            if controller is None:
+                self._contend_for(zone, claim, now_s)
+            elif claim is not None and claim.owned.term > controller.term:
                 self._release(zone, "a peer owns a later term")
-        if self._engine_service() is None or not self._view_live:
-            return
-        for zone in self.settings.zones:
-            if zone not in self.controllers and zone not in self._taking:
-                self._contend_for(zone, now_s)
 
-    def _contend_for(self, zone: str, now_s: float) -> None:
-        claim = self.peers.claim(zone, now_s)
+    def _contend_for(self, zone: str, claim: Claim | None, now_s: float) -> None:
         if claim is not None and not claim.store_lost:
-            self._owner_seen_s[zone] = now_s
+            return
+        if self._engine_service() is None or not self._view_live:
+            return
+        if zone in self._taking:
             return
         facts = OwnershipFacts(
             own=NodeName(self.settings.node, self.settings.zone),
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -40,3 +40,5 @@
     """A node that is cut off must not take zones that are owned."""
     assert not should_take(_facts(A1, ownerless_s=ISOLATED_DELAY_S / 2))
     assert should_take(_facts(A1, ownerless_s=ISOLATED_DELAY_S + 0.1))
+    # A node of a zone that is cut off took the other zones too (incident inc-0fc6).
+    assert not should_take(_facts(B1, ownerless_s=OTHER_ZONE_DELAY_S + 0.1))
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -208,6 +208,27 @@
     assert started.node.controllers == {}
 
 
+async def test_zone_is_not_taken_the_moment_its_owner_falls_silent(
+    started: Started,
+) -> None:
+    """The time without an owner counts from the owner's last datagram.
+
+    A node that did not read the entries counted it from its start, and took zones
+    that were cut off for a moment (incident inc-0fc6).
+    """
+    started.node._started_s -= 100
+    started.hear("n9", owned=_claim(1, "h1"))
+    claim = started.node.peers.claims["z"]
+    started.node.settings = replace(SETTINGS, zone="y")
+    started.node.contend()
+    started.node.peers.claims["z"] = replace(claim, heard_s=claim.heard_s - 5)
+    started.node.peers.peers["n9"].heard_s -= 5
+    started.list_servers([server("h1")])
+    started.node.contend()
+    await asyncio.sleep(0.01)
+    assert started.leases.taken == []
+
+
 async def test_last_groups_of_a_lost_owner_are_used_last(started: Started) -> None:
     """Without owner and store, what was served a moment ago probably still is."""
     started.hear(owned=_claim(2, "h1"))
