Let servers wait only for a model that they can join quickly

Change: only servers that the model that is behind can use at once wait; new servers load that model first.

--- a/gooseberryhall/fleet/planner.py
+++ b/gooseberryhall/fleet/planner.py
@@ -112,7 +112,8 @@
         placed[domain, group.model] += 1
         for member in group.members:
             del free[member]
-    plan.spares = _plan_spares(facts, list(free.values()), placed)
+    fill = _fill(facts, counts)
+    plan.spares = _plan_spares(facts, list(free.values()), placed, fill)
     if facts.traffic_seen and not plan.groups:
         idle = list(free.values())
         plan.dissolved = _plan_regroup(facts, idle) or _plan_exchange(
@@ -226,13 +227,14 @@
     )
     domains = {server.domain for server in free} - facts.unsettled
     for model in models:
-        if facts.traffic_seen and _must_wait(facts, fill, model):
-            continue
+        usable = free
+        if facts.traffic_seen and _is_ahead(facts, fill, model):
+            usable = _not_needed_by(facts, free, fill)
         options = [
             option
             for domain in domains
             if facts.traffic_seen or _is_next_in_domain(facts, model, domain, placed)
-            if (option := _option(facts, free, domain, model, placed)) is not None
+            if (option := _option(facts, usable, domain, model, placed)) is not None
         ]
         if options:
             rank, plan = min(options, key=lambda option: option[0])
@@ -242,8 +244,8 @@
     return None
 
 
-def _must_wait(facts: ZoneFacts, fill: dict[str, float], model: Model) -> bool:
-    """Return whether free servers wait for a model that is behind this one.
+def _is_ahead(facts: ZoneFacts, fill: dict[str, float], model: Model) -> bool:
+    """Return whether the model has many groups more than its share.
 
     Weights differ a little between models, so the limit is rounded to groups.
     """
@@ -251,6 +253,15 @@
     return fill[model.name] + _weight(model) / 2 >= limit
 
 
+def _not_needed_by(
+    facts: ZoneFacts, free: list[FreeServer], fill: dict[str, float]
+) -> list[FreeServer]:
+    """Return the servers that cannot quickly join the model that is behind."""
+    behind = min(facts.profile.models, key=lambda model: fill[model.name])
+    needed = {server.server_id for server in _quick_servers(free, behind)}
+    return [server for server in free if server.server_id not in needed]
+
+
 def _across_domains(
     facts: ZoneFacts, free: list[FreeServer], fill: dict[str, float]
 ) -> tuple[GroupPlan, str] | None:
@@ -260,7 +271,7 @@
     """
     served = {group.model for group, _ in facts.groups}
     for model in sorted(facts.profile.models, key=lambda model: fill[model.name]):
-        if model.name in served or _must_wait(facts, fill, model):
+        if model.name in served or _is_ahead(facts, fill, model):
             continue
         servers = _quick_servers(free, model)
         if len(servers) < model.size:
@@ -335,7 +346,10 @@
 
 
 def _plan_spares(
-    facts: ZoneFacts, free: Iterable[FreeServer], placed: Counter[tuple[str, str]]
+    facts: ZoneFacts,
+    free: Iterable[FreeServer],
+    placed: Counter[tuple[str, str]],
+    fill: dict[str, float],
 ) -> list[SparePlan]:
     """Give each free server without weights the model that its domain lacks most."""
     servers = list(free)
@@ -350,7 +364,7 @@
             continue
         if not facts.traffic_seen and not _has_all_models(facts, server, placed):
             continue
-        model = _spare_model(facts, server, prepared, placed)
+        model = _spare_model(facts, server, prepared, placed, fill)
         prepared[server.domain, model.name] += 1
         plans.append(SparePlan(server.server_id, model.name))
     return plans
@@ -368,14 +382,18 @@
     server: FreeServer,
     prepared: Counter[tuple[str, str]],
     placed: Counter[tuple[str, str]],
+    fill: dict[str, float],
 ) -> Model:
-    def rank(model: Model) -> tuple[bool, int, int, str]:
+    fewest = min(fill.values())
+
+    def rank(model: Model) -> tuple[bool, bool, int, int, str]:
         ready = prepared[server.domain, model.name]
         missing = model.size - ready % model.size
         # Servers of a group that lost a member wait for just this one.
         spares = ready - placed[server.domain, model.name]
         completes = spares > 0 and missing == 1
         staged = model.name in server.staged
-        return (not completes, spares - staged, missing, model.name)
+        ahead = fill[model.name] - fewest > _weight(model)
+        return (ahead, not completes, spares - staged, missing, model.name)
 
     return min(facts.profile.models, key=rank)
--- a/tests/fleet/test_planner.py
+++ b/tests/fleet/test_planner.py
@@ -66,6 +66,16 @@
     ]
 
 
+def test_new_server_loads_the_model_that_is_behind() -> None:
+    """The large model had three groups and the small one six (incident inc-0fc6)."""
+    elsewhere = {"y": {"small": 6, "large": 3}}
+    ready = [_free(f"s{n}", last="small") for n in range(2)]
+    plan = plan_zone(_facts([*ready, _free("new")], elsewhere=elsewhere))
+    assert [(spare.server_id, spare.model) for spare in plan.spares] == [
+        ("new", "large")
+    ]
+
+
 def test_server_that_loads_for_another_model_is_not_taken() -> None:
     """A join to a group would be undone by the load that is under way."""
     loading = FreeServer("s2", "d", None, NOTHING, preparing="small")
@@ -139,6 +149,8 @@
     servers = [_free(f"s{n}", last="small", staged="large") for n in range(3)]
     elsewhere = {"y": {"small": 4, "large": 2}}
     assert plan_zone(_facts(servers, elsewhere=elsewhere)).groups == []
+    useless = [_free(f"s{n}", last="small", staged="small") for n in range(3)]
+    assert len(plan_zone(_facts(useless, elsewhere=elsewhere)).groups) == 1
     elsewhere = {"y": {"small": 3, "large": 2}}
     assert len(plan_zone(_facts(servers, elsewhere=elsewhere)).groups) == 1
 
