Know sooner that a server leaves when its zone's owner fell silent

A silent connection of an owner was noticed after 3.2 s. Change: a pause of 0.25 s and questions of 0.9 s.

--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -39,10 +39,10 @@
 _LOGGER = logging.getLogger(__name__)
 
 OWNER_FEED_PAUSE_S = 0.04
-FEED_PAUSE_S = 1.0
+FEED_PAUSE_S = 0.25
 # A node asks again after this time. Owners notice a connection that went silent and
 # tell the others by the version in their datagrams.
-OWNER_CONFIGURATION_WAIT_S = 2.0
+OWNER_CONFIGURATION_WAIT_S = 1.5
 CONFIGURATION_WAIT_S = 20.0
 # A peer may be told of a version a moment earlier.
 CONFIGURATION_LAG_S = 0.4
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -25,8 +25,9 @@
 CONFIGURATION_KEY: Final = "config"
 SERVER_TABLE: Final = "servers"
 
-# A connection that went silent is noticed after this time.
-FEED_WAIT_S: Final = 2.5
+# A connection that went silent is noticed after this time; a server that leaves
+# must get no requests two seconds later, on nodes that the owner tells.
+FEED_WAIT_S: Final = 0.9
 RETRY_MIN_S: Final = 0.15
 RETRY_MAX_S: Final = 0.6
 
--- a/gooseberryhall/platform/store.py
+++ b/gooseberryhall/platform/store.py
@@ -20,7 +20,7 @@
 
 CALL_TIMEOUT_S: Final = 1.0
 # Added to the time that a feed call waits for a change.
-FEED_SLACK_S: Final = 0.7
+FEED_SLACK_S: Final = 0.5
 MAX_ROWS: Final = 500
 
 _OK: Final = 200
