Split the controller and the node into modules of one job

The zone's state, orders to single servers, life cycle of groups, staging and planning are modules of functions over the state; ownership, registration and traffic leave the node. Settings and fields that nothing read are removed. No change of behaviour is intended.

--- a/gooseberryhall/fleet/const.py
+++ b/gooseberryhall/fleet/const.py
@@ -13,6 +13,7 @@
 EXAMINE_PERIOD_S: Final = 1.0
 # A group whose member leaves is dissolved when its streams had this long to end.
 LEAVING_GROUP_S: Final = 1.7
+VIEW_POLL_S: Final = 0.02
 READY_POLL_S: Final = 0.04
 # Time between two groups that are dissolved in favour of another model.
 EXCHANGE_PERIOD_S: Final = 3.0
--- /dev/null
+++ b/gooseberryhall/fleet/members.py
@@ -0,0 +1,156 @@
+"""Orders to single servers: join, leave and reports."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..telemetry.catalogue import LogEvent
+from .const import (
+    DEAD_S,
+    JOIN_SLACK_FACTOR,
+    JOIN_SLACK_S,
+    LOAD_POLL_S,
+    READY_POLL_S,
+    SPARE_GROUP_PREFIX,
+    VIEW_POLL_S,
+)
+from .exceptions import FormationError
+from .models import BackendServer, Group, Model
+from .orders import ACCEPTED, OrderOutcome
+from .planner import REJOIN_S
+from .zone import KnownGroup, ZoneState
+
+
+async def async_join(
+    zone: ZoneState, member: str, create_group: Callable[[], Group], model: Model
+) -> None:
+    """Make a server a ready member. Raises `FormationError`.
+
+    The group is created when its order is sent, as servers refuse a join whose
+    epoch is lower than one they have seen.
+    """
+    server = zone.require(member)
+    needs_load = server.last_model != model.name and model.name not in server.staged
+    if not needs_load:
+        warm = server.last_model == model.name
+        expected_s = REJOIN_S if warm else model.warmup_s
+        await _async_join_now(zone, server, create_group(), expected_s, READY_POLL_S)
+        return
+    if not zone.traffic_seen():
+        # Loads before the first request share the weight store without delay.
+        await _async_join_now(zone, server, create_group(), model.load_s, LOAD_POLL_S)
+        return
+    async with zone.loads:
+        server = zone.require(member)
+        await _async_join_now(zone, server, create_group(), model.load_s, LOAD_POLL_S)
+
+
+async def _async_join_now(
+    zone: ZoneState,
+    server: BackendServer,
+    group: Group,
+    expected_s: float,
+    poll_s: float,
+) -> None:
+    loop = asyncio.get_running_loop()
+    await _async_leave_earlier_group(zone, server)
+    outcome = await zone.engines.async_join(server, group, zone.term)
+    if outcome is OrderOutcome.NO_ANSWER:
+        outcome = await zone.engines.async_join(server, group, zone.term)
+    if outcome is OrderOutcome.NO_ANSWER:
+        zone.mark_dead(server)
+    if outcome not in ACCEPTED:
+        await _async_refused(zone, server, outcome)
+        raise FormationError(f"join of {server.server_id}: {outcome}")
+    ordered_s = loop.time()
+    limit_s = ordered_s + expected_s * JOIN_SLACK_FACTOR + JOIN_SLACK_S
+    # Loads are short before traffic begins, so they are asked about early.
+    next_poll_s = ordered_s + min(expected_s, LOAD_POLL_S)
+    misses = 0
+    while not zone.is_ready(server.server_id, group):
+        now_s = loop.time()
+        if now_s > limit_s or server.server_id not in zone.view.servers:
+            raise FormationError(f"{server.server_id} did not become ready")
+        if now_s >= next_poll_s:
+            answered = await zone.async_report(server)
+            misses = 0 if answered else misses + 1
+            if misses > 1:
+                zone.mark_dead(server)
+                raise FormationError(f"{server.server_id} does not answer")
+            next_poll_s = loop.time() + poll_s
+            continue
+        await asyncio.sleep(VIEW_POLL_S)
+
+
+async def _async_leave_earlier_group(zone: ZoneState, server: BackendServer) -> None:
+    """Take a server out of a group whose head may still serve.
+
+    An earlier owner may have formed it, and the head's entry may be missing.
+    Raises `FormationError`.
+    """
+    life = (server.server_id, server.born_ms)
+    if life not in zone.verified:
+        if not await zone.async_report(server):
+            zone.mark_dead(server)
+            raise FormationError(f"{server.server_id} does not answer")
+        zone.verified.add(life)
+    membership = zone.require(server.server_id).membership
+    if membership is None or membership.group.startswith(SPARE_GROUP_PREFIX):
+        return
+    if (membership.group, membership.epoch) in zone.retired:
+        return
+    earlier = Group(membership.group, membership.epoch, "", (server.server_id,))
+    outcome = await zone.engines.async_leave(server, earlier, zone.term)
+    zone.log(
+        LogEvent.EARLIER_GROUP_LEFT,
+        "server leaves a group of an earlier owner",
+        server=server.server_id,
+        group=membership.group,
+        outcome=outcome,
+    )
+    if outcome not in ACCEPTED:
+        await _async_refused(zone, server, outcome)
+        raise FormationError(f"leave of {server.server_id}: {outcome}")
+
+
+async def _async_refused(
+    zone: ZoneState, server: BackendServer, outcome: OrderOutcome
+) -> None:
+    if outcome is OrderOutcome.SUPERSEDED:
+        zone.on_superseded()
+    if outcome is not OrderOutcome.NO_ANSWER:
+        await zone.async_report(server)
+
+
+async def _async_revive(zone: ZoneState, server: BackendServer) -> None:
+    if await zone.async_report(server):
+        zone.dead.pop(server.server_id, None)
+
+
+async def async_examine(zone: ZoneState, known: KnownGroup) -> None:
+    """Ask all members of a silent group for a report, each twice at most."""
+    members = [
+        zone.view.servers[member]
+        for member in known.group.members
+        if member in zone.view.servers
+    ]
+    async with asyncio.TaskGroup() as tasks:
+        for server in members:
+            tasks.create_task(_async_examine_member(zone, server))
+
+
+async def _async_examine_member(zone: ZoneState, server: BackendServer) -> None:
+    for _ in range(2):
+        if await zone.async_report(server):
+            return
+    zone.mark_dead(server)
+
+
+def retry_dead(zone: ZoneState, now_s: float) -> None:
+    """Ask servers that did not answer again when their time has come."""
+    for server_id, (born_ms, due_s) in list(zone.dead.items()):
+        server = zone.view.servers.get(server_id)
+        if server is None or server.born_ms != born_ms:
+            del zone.dead[server_id]
+        elif due_s <= now_s:
+            zone.dead[server_id] = (born_ms, now_s + DEAD_S)
+            zone.create_task(_async_revive(zone, server))
--- a/gooseberryhall/fleet/models.py
+++ b/gooseberryhall/fleet/models.py
@@ -77,10 +77,8 @@
     slots: int
     models: tuple[Model, ...]
     formation_s: float
-    loads_per_s: float
+    # Loads of weights that are not slowed down by each other.
     loads_at_once: int
-    step_s: float
-    read_tokens_per_s: float
 
     def model(self, name: str) -> Model | None:
         """Return a model by name."""
--- a/gooseberryhall/gateway/wire.py
+++ b/gooseberryhall/gateway/wire.py
@@ -20,13 +20,9 @@
     signature: bytes
     # States that the server did not run the request.
     not_run: bytes
-    # Server at fault for a rejection.
-    faulty_server: bytes
     team: bytes
     priority: bytes
     model: bytes
-    # Prompt tokens and the limit of output tokens, separated by a comma.
-    token_counts: bytes
     last_event_id: bytes
     # Scheme of the authorization header that carries an API key, with its space.
     key_scheme: bytes
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import logging
-import random
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Coroutine, Iterable
 from dataclasses import replace
 from typing import Any
 
-from ..exceptions import GooseberryhallError, UnavailableError
+from ..exceptions import UnavailableError
 from ..fleet.const import DEAD_S
-from ..fleet.controller import ZoneController
-from ..fleet.exceptions import LeaseTakenError
+from ..fleet.controller import suspect, tick
 from ..fleet.models import (
     BackendServer,
     Configuration,
@@ -18,23 +16,25 @@
     Limits,
     Service,
 )
-from ..fleet.ownership import NodeName, OwnershipFacts, should_take
 from ..fleet.view import FleetView
+from ..fleet.zone import ZoneState
 from ..gateway.backends import Backends
 from ..gateway.budget import RetryBudget
 from ..gateway.const import RETRY_SLACK_SHARE
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
-from ..gossip.const import MAX_PROGRESS_AGE_S, MS_PER_S
 from ..gossip.messages import Gossip, OwnedZone, ServerTraffic
-from ..gossip.peers import Claim, Peers, PeerTraffic
+from ..gossip.peers import Peers
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
-from ..transport.pool import Address, ConnectionPool
+from ..transport.pool import ConnectionPool
 from .directory import PlatformParts, ServerListener
+from .owner import RunInZone, ZoneOwner
+from .registration import async_register
 from .settings import NodeSettings
 from .table import RoutingTable, count_groups, describe_zone
+from .traffic import others_traffic, own_traffic, take_traffic, total_traffic
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -49,12 +49,10 @@
 WANTED_POLL_S = 0.05
 # More entries that vanish at once than this share have lapsed with the store.
 LAPSE_SHARE = 0.3
-REGISTER_RETRY_S = 0.5
+CONFIGURATION_RETRY_S = 0.5
 # Zones rarely load at the same time, so each may use more than its share of the
 # loads that the weight store serves without delay.
 LOADS_OVERCOMMIT = 2
-PEER_READS = 3
-PEER_READ_PERIOD_S = 0.7
 
 
 class Node:
@@ -71,22 +69,18 @@
         self.view = FleetView()
         self.peers = Peers(settings.node)
         self.table = RoutingTable()
-        self.controllers: dict[str, ZoneController] = {}
         self.configuration: Configuration | None = None
         self._incarnation = incarnation
         self._sequence = 0
         self._loop = asyncio.get_running_loop()
-        self._started_s = self._loop.time()
-        self._owner_seen_s: dict[str, float] = {}
-        self._taking: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._zone_tasks: dict[str, set[asyncio.Task[None]]] = {}
         self._was_ready = False
         # Whether the view follows the store; it is not needed while all zones have
         # owners that tell their groups.
         self._view_live = False
         self._store_lost = False
-        self._reported_load: dict[str, int] = {}
+        # Traffic that the peers were told last.
+        self._reported: dict[str, ServerTraffic] = {}
         self._reading_configuration = False
         self.gateway = GatewayState(
             zone=settings.zone,
@@ -100,6 +94,15 @@
             create_budget=self._create_budget,
         )
         self._suspects: dict[str, float] = {}
+        self.owner = ZoneOwner(
+            settings=settings,
+            leases=parts.leases,
+            peers=self.peers,
+            is_able=lambda: self._view_live and self._engine_service() is not None,
+            create_zone=self._create_zone,
+            create_task=self.create_task,
+            started_s=self._loop.time(),
+        )
 
     @property
     def ready(self) -> bool:
@@ -127,7 +130,9 @@
             self._feed_pause_s,
         )
         self.create_task(directory.async_follow_servers(listener))
-        self.create_task(self._async_register())
+        self.create_task(
+            async_register(directory, self.settings, self.peers, self.gossip.send)
+        )
 
     def create_task(self, coro: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a coroutine; a failure is logged."""
@@ -144,13 +149,13 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def tick(self) -> None:
-        """Let the controllers act, and take what the peers told."""
+        """Act for the owned zones, and take what the peers told."""
         now_s = self._loop.time()
         for server_id in self.view.forget_lapsed(now_s):
             self._log_server(server_id, "entry did not return")
         self._update_table()
-        for controller in list(self.controllers.values()):
-            controller.tick()
+        for zone in list(self.owner.zones.values()):
+            tick(zone)
         if self.ready != self._was_ready:
             self._was_ready = self.ready
             log_event(
@@ -168,10 +173,10 @@
         """
         now_s = self._loop.time()
         table = RoutingTable()
-        traffic = self.peers.traffic(now_s) if self.controllers else {}
+        traffic = self.peers.traffic(now_s) if self.owner.zones else {}
         for zone in self.settings.zones:
             claim = self.peers.claim(zone, now_s)
-            if zone in self.controllers:
+            if zone in self.owner.zones:
                 table.add(self._describe_owned(zone))
             elif claim is not None:
                 if claim.store_lost and self._view_live:
@@ -180,57 +185,25 @@
                     table.add(replace(unowned, groups=()))
                 else:
                     table.add(claim.owned)
-                for server_id, item in claim.owned.traffic.items():
-                    others = PeerTraffic()
-                    others.add(item, claim.heard_s)
-                    others.in_flight -= self._reported_load.get(server_id, 0)
-                    traffic[server_id] = others
+                traffic.update(others_traffic(claim, self._reported))
             elif self._view_live:
                 table.add(self._describe_unowned(zone))
             elif (last := self.peers.last_claim(zone)) is not None:
                 table.add(last, outdated=True)
         self.table = table
-        backends = self.gateway.backends
-        backends.peer_load = {
-            server_id: max(0, item.in_flight) for server_id, item in traffic.items()
-        }
-        backends.peer_progress_s = {
-            server_id: item.progress_s for server_id, item in traffic.items()
-        }
-
-    def _traffic(
-        self, in_flight: int, progress_s: float, now_s: float
-    ) -> ServerTraffic:
-        age_s = now_s - progress_s
-        if progress_s == 0.0 or age_s > MAX_PROGRESS_AGE_S:
-            return ServerTraffic(in_flight)
-        return ServerTraffic(in_flight, int(age_s * MS_PER_S))
-
-    def _total_traffic(self, server_id: str) -> ServerTraffic:
-        backends = self.gateway.backends
-        return self._traffic(
-            backends.load(server_id),
-            backends.progress_s(server_id),
-            self._loop.time(),
-        )
-
-    def _own_traffic(self) -> dict[str, ServerTraffic]:
-        now_s = self._loop.time()
-        backends = self.gateway.backends
-        return {
-            server_id: self._traffic(count, backends.own_progress_s(server_id), now_s)
-            for server_id, count in self._reported_load.items()
-        }
+        take_traffic(self.gateway.backends, traffic)
 
     def _describe_owned(self, zone: str) -> OwnedZone:
-        controller = self.controllers[zone]
+        controller = self.owner.zones[zone]
         return describe_zone(
             self.view,
             zone,
             controller.term,
             controller.open_groups(),
             grouped_service=controller.service,
-            traffic=self._total_traffic,
+            traffic=lambda server_id: total_traffic(
+                self.gateway.backends, server_id, self._loop.time()
+            ),
         )
 
     def _describe_unowned(self, zone: str) -> OwnedZone:
@@ -258,48 +231,12 @@
             if until_s <= now_s:
                 del self._suspects[head]
 
-    def contend(self) -> None:
-        """Take or give up zones."""
-        now_s = self._loop.time()
-        for zone in self.settings.zones:
-            claim = self.peers.claim(zone, now_s)
-            controller = self.controllers.get(zone)
-            if claim is not None and not claim.store_lost:
-                self._owner_seen_s[zone] = now_s
-            if controller is None:
-                self._contend_for(zone, claim, now_s)
-            elif claim is not None and claim.owned.term > controller.term:
-                self._release(zone, "a peer owns a later term")
-
-    def _contend_for(self, zone: str, claim: Claim | None, now_s: float) -> None:
-        if claim is not None and not claim.store_lost:
-            return
-        if self._engine_service() is None or not self._view_live:
-            return
-        if zone in self._taking:
-            return
-        facts = OwnershipFacts(
-            own=NodeName(self.settings.node, self.settings.zone),
-            live_peers=[
-                NodeName(gossip.node, gossip.zone)
-                for gossip in self.peers.live(now_s)
-                if not gossip.store_lost
-            ],
-            knows_peers=bool(self.peers.peers),
-            zone=zone,
-            ownerless_s=now_s - self._owner_seen_s.get(zone, self._started_s),
-            uptime_s=now_s - self._started_s,
-        )
-        if should_take(facts):
-            self._taking.add(zone)
-            self.create_task(self._async_take(zone))
-
     def compose_gossip(self) -> list[Gossip]:
         """Return what this node tells its peers now, one message for each zone."""
-        self._reported_load = self.gateway.backends.own_load()
-        if not self.controllers:
+        self._reported = own_traffic(self.gateway.backends, self._loop.time())
+        if not self.owner.zones:
             return [self._compose(None)]
-        return [self._compose(self._describe_owned(zone)) for zone in self.controllers]
+        return [self._compose(self._describe_owned(zone)) for zone in self.owner.zones]
 
     def _compose(self, owned: OwnedZone | None) -> Gossip:
         self._sequence += 1
@@ -312,7 +249,7 @@
             traffic_seen=self.gateway.traffic_seen,
             config_version=self.configuration.version if self.configuration else 0,
             store_lost=self._store_lost,
-            traffic=self._own_traffic(),
+            traffic=self._reported,
             suspects=tuple(self._suspects),
             owned=owned,
             crashes=self.gateway.crashes.suspects(self._loop.time()),
@@ -385,7 +322,7 @@
         return waited
 
     def _is_view_wanted(self) -> bool:
-        if self.controllers:
+        if self.owner.zones:
             return True
         now_s = self._loop.time()
         claims = [self.peers.claim(zone, now_s) for zone in self.settings.zones]
@@ -402,7 +339,7 @@
             cfg = await self.parts.directory.async_read_configuration()
         except UnavailableError as exc:
             log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="configuration")
-            await asyncio.sleep(REGISTER_RETRY_S)
+            await asyncio.sleep(CONFIGURATION_RETRY_S)
             return
         finally:
             self._reading_configuration = False
@@ -410,12 +347,12 @@
             self._configure(cfg)
 
     def _configuration_wait_s(self) -> float:
-        if self.controllers or not self.peers.claims:
+        if self.owner.zones or not self.peers.claims:
             return OWNER_CONFIGURATION_WAIT_S
         return CONFIGURATION_WAIT_S
 
     def _feed_pause_s(self) -> float:
-        return OWNER_FEED_PAUSE_S if self.controllers else FEED_PAUSE_S
+        return OWNER_FEED_PAUSE_S if self.owner.zones else FEED_PAUSE_S
 
     def _on_stall(self, head: str) -> None:
         self.gateway.metrics.stalls.inc({})
@@ -425,8 +362,8 @@
         self.gossip.send()
 
     def _examine(self, head: str) -> None:
-        for controller in self.controllers.values():
-            controller.suspect(head)
+        for zone in self.owner.zones.values():
+            suspect(zone, head)
 
     def _engine_service(self) -> Service | None:
         if self.configuration is None:
@@ -450,110 +387,28 @@
             window_s=self.settings.retry_window_s,
         )
 
-    async def _async_take(self, zone: str) -> None:
-        try:
-            stored = await self.parts.leases.async_read_lease(zone)
-            lease = await self.parts.leases.async_take_lease(
-                zone, self.settings.node, stored
-            )
-        except (LeaseTakenError, UnavailableError) as exc:
-            log_event(_LOGGER, LogEvent.ZONE_RELEASED, str(exc), zone=zone)
-            self._owner_seen_s[zone] = self._loop.time()
-            return
-        finally:
-            self._taking.discard(zone)
-        self._own(zone, lease.term)
-
-    def _own(self, zone: str, term: int) -> None:
+    def _create_zone(
+        self, name: str, term: int, run_in_zone: RunInZone
+    ) -> ZoneState | None:
         service = self._engine_service()
         profile = self._profile()
         if service is None or profile is None:
-            return
+            return None
         share = -(-profile.loads_at_once // len(self.settings.zones))
-        loads = LOADS_OVERCOMMIT * share
-        self.controllers[zone] = ZoneController(
-            zone=zone,
+        return ZoneState(
+            name=name,
             service=service.name,
             term=term,
             view=self.view,
             engines=self.parts.engines,
             profile=self._profile,
-            elsewhere=lambda: count_groups(self.table.groups, zone),
+            elsewhere=lambda: count_groups(self.table.groups, name),
             traffic_seen=lambda: self.gateway.traffic_seen,
             on_change=self.gossip.send,
-            on_superseded=lambda: self._verify(zone),
-            create_task=self._create_zone_task(zone),
-            loads=asyncio.Semaphore(loads),
+            on_superseded=lambda: self.owner.verify(name),
+            create_task=run_in_zone,
+            loads=asyncio.Semaphore(LOADS_OVERCOMMIT * share),
         )
-        log_event(_LOGGER, LogEvent.ZONE_OWNED, "zone is owned", zone=zone, term=term)
-
-    def _create_zone_task(
-        self, zone: str
-    ) -> Callable[[Coroutine[Any, Any, None]], None]:
-        """Return a function that runs a coroutine until the zone is released."""
-        tasks: set[asyncio.Task[None]] = set()
-        self._zone_tasks[zone] = tasks
-
-        def create_task(coro: Coroutine[Any, Any, None]) -> None:
-            task = self.create_task(coro)
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-
-        return create_task
-
-    def _verify(self, zone: str) -> None:
-        """Check in the store that this node still owns a zone."""
-        if zone not in self._taking:
-            self._taking.add(zone)
-            self.create_task(self._async_verify(zone))
-
-    async def _async_verify(self, zone: str) -> None:
-        try:
-            stored = await self.parts.leases.async_read_lease(zone)
-        except UnavailableError as exc:
-            log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="leases")
-            return
-        finally:
-            self._taking.discard(zone)
-        controller = self.controllers.get(zone)
-        if stored is not None and controller and stored.term > controller.term:
-            self._release(zone, f"{stored.owner} owns a later term")
-
-    def _release(self, zone: str, reason: str) -> None:
-        if self.controllers.pop(zone, None) is not None:
-            self._owner_seen_s[zone] = self._loop.time()
-            # Orders of an earlier term would compete with those of the new owner.
-            for task in self._zone_tasks.pop(zone):
-                task.cancel()
-            log_event(_LOGGER, LogEvent.ZONE_RELEASED, reason, zone=zone)
-
-    async def _async_register(self) -> None:
-        """Store this node's address, then learn those of the others."""
-        address = Address(self.settings.host, self.settings.internal_port)
-        while True:
-            try:
-                await self.parts.directory.async_register(self.settings.node, address)
-                break
-            except GooseberryhallError as exc:
-                log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="nodes")
-                await asyncio.sleep(REGISTER_RETRY_S * random.uniform(0.5, 1.5))
-        for _ in range(PEER_READS):
-            await self._async_read_peers()
-            await asyncio.sleep(PEER_READ_PERIOD_S * random.uniform(1.0, 1.5))
-            # Owners know all nodes; the others are heard in turn.
-            if len(self.peers.claims) == len(self.settings.zones):
-                return
-
-    async def _async_read_peers(self) -> None:
-        try:
-            nodes = await self.parts.directory.async_nodes()
-        except GooseberryhallError as exc:
-            log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="nodes")
-            return
-        now_s = self._loop.time()
-        for name, address in nodes.items():
-            self.peers.add(name, address, now_s)
-        self.gossip.send()
 
     def _task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
--- /dev/null
+++ b/gooseberryhall/node/owner.py
@@ -0,0 +1,134 @@
+"""The zones that this node owns, and its part in the contention for them."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..exceptions import UnavailableError
+from ..fleet.exceptions import LeaseTakenError
+from ..fleet.orders import LeaseStore
+from ..fleet.ownership import NodeName, OwnershipFacts, should_take
+from ..fleet.zone import ZoneState
+from ..gossip.peers import Claim, Peers
+from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
+from .settings import NodeSettings
+
+_LOGGER = logging.getLogger(__name__)
+
+CreateTask = Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]
+RunInZone = Callable[[Coroutine[Any, Any, None]], None]
+"""Runs a coroutine until its zone is released."""
+
+
+@dataclass(slots=True)
+class ZoneOwner:
+    """Zones by name, and when their owners were heard."""
+
+    settings: NodeSettings
+    leases: LeaseStore
+    peers: Peers
+    # Whether this node knows enough to decide groups.
+    is_able: Callable[[], bool]
+    # Returns the state of a zone for a term, or None without a configuration.
+    create_zone: Callable[[str, int, RunInZone], ZoneState | None]
+    create_task: CreateTask
+    started_s: float
+    zones: dict[str, ZoneState] = field(default_factory=dict)
+    _owner_seen_s: dict[str, float] = field(default_factory=dict)
+    # Zones whose lease is being read or taken.
+    _busy: set[str] = field(default_factory=set)
+    _tasks: dict[str, set[asyncio.Task[None]]] = field(default_factory=dict)
+
+    def contend(self) -> None:
+        """Take or give up zones."""
+        now_s = asyncio.get_running_loop().time()
+        for name in self.settings.zones:
+            claim = self.peers.claim(name, now_s)
+            zone = self.zones.get(name)
+            if claim is not None and not claim.store_lost:
+                self._owner_seen_s[name] = now_s
+            if zone is None:
+                self._contend_for(name, claim, now_s)
+            elif claim is not None and claim.owned.term > zone.term:
+                self._release(name, "a peer owns a later term")
+
+    def own(self, name: str, term: int) -> None:
+        """Decide the groups of a zone from now on."""
+        zone = self.create_zone(name, term, self._create_run_in_zone(name))
+        if zone is None:
+            return
+        self.zones[name] = zone
+        log_event(_LOGGER, LogEvent.ZONE_OWNED, "zone is owned", zone=name, term=term)
+
+    def verify(self, name: str) -> None:
+        """Check in the store that this node still owns a zone."""
+        if name not in self._busy:
+            self._busy.add(name)
+            self.create_task(self._async_verify(name))
+
+    def _contend_for(self, name: str, claim: Claim | None, now_s: float) -> None:
+        if claim is not None and not claim.store_lost:
+            return
+        if name in self._busy or not self.is_able():
+            return
+        facts = OwnershipFacts(
+            own=NodeName(self.settings.node, self.settings.zone),
+            live_peers=[
+                NodeName(gossip.node, gossip.zone)
+                for gossip in self.peers.live(now_s)
+                if not gossip.store_lost
+            ],
+            knows_peers=bool(self.peers.peers),
+            zone=name,
+            ownerless_s=now_s - self._owner_seen_s.get(name, self.started_s),
+            uptime_s=now_s - self.started_s,
+        )
+        if should_take(facts):
+            self._busy.add(name)
+            self.create_task(self._async_take(name))
+
+    async def _async_take(self, name: str) -> None:
+        try:
+            stored = await self.leases.async_read_lease(name)
+            lease = await self.leases.async_take_lease(name, self.settings.node, stored)
+        except (LeaseTakenError, UnavailableError) as exc:
+            log_event(_LOGGER, LogEvent.ZONE_RELEASED, str(exc), zone=name)
+            self._owner_seen_s[name] = asyncio.get_running_loop().time()
+            return
+        finally:
+            self._busy.discard(name)
+        self.own(name, lease.term)
+
+    async def _async_verify(self, name: str) -> None:
+        try:
+            stored = await self.leases.async_read_lease(name)
+        except UnavailableError as exc:
+            log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="leases")
+            return
+        finally:
+            self._busy.discard(name)
+        zone = self.zones.get(name)
+        if stored is not None and zone is not None and stored.term > zone.term:
+            self._release(name, f"{stored.owner} owns a later term")
+
+    def _release(self, name: str, reason: str) -> None:
+        del self.zones[name]
+        self._owner_seen_s[name] = asyncio.get_running_loop().time()
+        # Orders of an earlier term would compete with those of the new owner.
+        for task in self._tasks.pop(name):
+            task.cancel()
+        log_event(_LOGGER, LogEvent.ZONE_RELEASED, reason, zone=name)
+
+    def _create_run_in_zone(self, name: str) -> RunInZone:
+        tasks: set[asyncio.Task[None]] = set()
+        self._tasks[name] = tasks
+
+        def run_in_zone(coro: Coroutine[Any, Any, None]) -> None:
+            task = self.create_task(coro)
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+        return run_in_zone
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -65,7 +65,7 @@
         timer.async_subscribe(TICK_PERIOD_S, node.tick)
         timer.async_subscribe(STALL_CHECK_PERIOD_S, node.check_stalls)
         timer.async_subscribe(GOSSIP_PERIOD_S, node.gossip.send, jitter=0.1)
-        timer.async_subscribe(OWNERSHIP_PERIOD_S, node.contend, jitter=0.2)
+        timer.async_subscribe(OWNERSHIP_PERIOD_S, node.owner.contend, jitter=0.2)
         timer.async_subscribe(POOL_CLEANUP_PERIOD_S, node.clean_up)
         log_event(_LOGGER, LogEvent.PROGRAM_STARTED, "node started")
         await stopping.wait()
--- /dev/null
+++ b/gooseberryhall/node/registration.py
@@ -0,0 +1,58 @@
+"""Makes a node known and finds the others."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from ..exceptions import GooseberryhallError
+from ..gossip.peers import Peers
+from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
+from ..transport.pool import Address
+from .directory import Directory
+from .settings import NodeSettings
+
+_LOGGER = logging.getLogger(__name__)
+
+REGISTER_RETRY_S = 0.5
+PEER_READS = 3
+PEER_READ_PERIOD_S = 0.7
+
+
+async def async_register(
+    directory: Directory,
+    settings: NodeSettings,
+    peers: Peers,
+    on_peers: Callable[[], None],
+) -> None:
+    """Store this node's address, then learn those of the others.
+
+    Owners of zones know all nodes, so reading ends when all owners were heard.
+    """
+    address = Address(settings.host, settings.internal_port)
+    while True:
+        try:
+            await directory.async_register(settings.node, address)
+            break
+        except GooseberryhallError as exc:
+            log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="nodes")
+            await asyncio.sleep(REGISTER_RETRY_S * random.uniform(0.5, 1.5))
+    for _ in range(PEER_READS):
+        if await _async_read_peers(directory, peers):
+            on_peers()
+        await asyncio.sleep(PEER_READ_PERIOD_S * random.uniform(1.0, 1.5))
+        if len(peers.claims) == len(settings.zones):
+            return
+
+
+async def _async_read_peers(directory: Directory, peers: Peers) -> bool:
+    try:
+        nodes = await directory.async_nodes()
+    except GooseberryhallError as exc:
+        log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="nodes")
+        return False
+    now_s = asyncio.get_running_loop().time()
+    for name, address in nodes.items():
+        peers.add(name, address, now_s)
+    return True
--- a/gooseberryhall/node/settings.py
+++ b/gooseberryhall/node/settings.py
@@ -22,8 +22,6 @@
     host: str
     internal_port: int
     store: Address
-    # Time within which a leaving server must get no new requests.
-    leaving_server_s: float
     # Time between SIGTERM and SIGKILL.
     stop_grace_s: float
     # Retries of a service that all nodes may send in a window, as a share of its
@@ -31,5 +29,3 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
-    # Time after which a group's head gives up work that a lost member holds up.
-    member_stall_s: float
--- /dev/null
+++ b/gooseberryhall/node/traffic.py
@@ -0,0 +1,50 @@
+"""What a node tells of its requests, and takes from its peers."""
+
+from ..gateway.backends import Backends
+from ..gossip.const import MAX_PROGRESS_AGE_S, MS_PER_S
+from ..gossip.messages import ServerTraffic
+from ..gossip.peers import Claim, PeerTraffic
+
+
+def total_traffic(backends: Backends, server_id: str, now_s: float) -> ServerTraffic:
+    """Return the traffic from all nodes to a server."""
+    return _describe(backends.load(server_id), backends.progress_s(server_id), now_s)
+
+
+def own_traffic(backends: Backends, now_s: float) -> dict[str, ServerTraffic]:
+    """Return the traffic of this node by server."""
+    return {
+        server_id: _describe(count, backends.own_progress_s(server_id), now_s)
+        for server_id, count in backends.own_load().items()
+    }
+
+
+def others_traffic(
+    claim: Claim, reported: dict[str, ServerTraffic]
+) -> dict[str, PeerTraffic]:
+    """Return an owner's figures without what this node reported to it."""
+    found = {}
+    for server_id, item in claim.owned.traffic.items():
+        others = PeerTraffic()
+        others.add(item, claim.heard_s)
+        own = reported.get(server_id)
+        others.in_flight -= own.in_flight if own else 0
+        found[server_id] = others
+    return found
+
+
+def take_traffic(backends: Backends, traffic: dict[str, PeerTraffic]) -> None:
+    """Let placement and stall checks use the traffic of other nodes."""
+    backends.peer_load = {
+        server_id: max(0, item.in_flight) for server_id, item in traffic.items()
+    }
+    backends.peer_progress_s = {
+        server_id: item.progress_s for server_id, item in traffic.items()
+    }
+
+
+def _describe(in_flight: int, progress_s: float, now_s: float) -> ServerTraffic:
+    age_s = now_s - progress_s
+    if progress_s == 0.0 or age_s > MAX_PROGRESS_AGE_S:
+        return ServerTraffic(in_flight)
+    return ServerTraffic(in_flight, int(age_s * MS_PER_S))
--- a/gooseberryhall/platform/configuration.py
+++ b/gooseberryhall/platform/configuration.py
@@ -55,11 +55,7 @@
     slots: _Positive
     models: list[_Model] = []
     formation_ms: float = 0.0
-    loads_per_s: float = 1.0
     loads_at_once: _Positive = 1
-    step_ms: float = 0.0
-    # Prompt tokens read in a second.
-    read_per_s: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -151,10 +147,7 @@
                 for model in engine.models
             ),
             formation_s=engine.formation_ms / MS_PER_S,
-            loads_per_s=engine.loads_per_s,
             loads_at_once=engine.loads_at_once,
-            step_s=engine.step_ms / MS_PER_S,
-            read_tokens_per_s=engine.read_per_s,
         ),
     )
 
--- a/gooseberryhall/platform/headers.py
+++ b/gooseberryhall/platform/headers.py
@@ -10,11 +10,9 @@
     expected_server=b"x-expected-instance",
     signature=b"x-response-seal",
     not_run=b"x-not-executed",
-    faulty_server=b"at-server",
     team=b"x-tenant",
     priority=b"x-request-priority",
     model=b"x-model",
-    token_counts=b"x-token-count",
     last_event_id=b"last-event-id",
     key_scheme=b"Token ",
 )
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -24,15 +24,11 @@
 
 
 class _Bounds(msgspec.Struct):
-    # Time that a leaving server still takes requests.
-    drain_timeout_ms: int = 2000
     # Time between SIGTERM and SIGKILL.
     grace_period_s: float = 8.0
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     retry_budget_slack: float = 130.0
-    # Time after which a head gives up the work that a lost member holds up.
-    stall_ms: int = 4000
 
 
 class _Store(msgspec.Struct):
@@ -79,10 +75,8 @@
         host=raw.ip_address,
         internal_port=raw.internal_port_range[0],
         store=parse_address(raw.platform.address),
-        leaving_server_s=bounds.drain_timeout_ms / MS_PER_S,
         stop_grace_s=bounds.grace_period_s,
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_s=bounds.budget_window_s,
         retry_slack=bounds.retry_budget_slack,
-        member_stall_s=bounds.stall_ms / MS_PER_S,
     )
--- a/tests/fleet/common.py
+++ b/tests/fleet/common.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from gooseberryhall.fleet.controller import ZoneController
+from gooseberryhall.fleet.controller import tick
 from gooseberryhall.fleet.models import (
     BackendServer,
     EngineProfile,
@@ -16,11 +16,12 @@
 )
 from gooseberryhall.fleet.orders import OrderOutcome
 from gooseberryhall.fleet.view import FleetView
+from gooseberryhall.fleet.zone import ZoneState
 from gooseberryhall.transport.pool import Address
 
 LARGE = Model("large", 3, 1.0, 0.5, 4.0, 0.02)
 SMALL = Model("small", 2, 0.6, 0.5, 3.0, 0.02)
-PROFILE = EngineProfile(4, (LARGE, SMALL), 0.02, 4.0, 6, 0.006, 50_000.0)
+PROFILE = EngineProfile(4, (LARGE, SMALL), 0.02, 6)
 ADDRESS = Address("127.0.0.1", 1)
 
 
@@ -199,10 +200,10 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     superseded: int = 0
 
-    def create(self, term: int = 1) -> ZoneController:
+    def create(self, term: int = 1) -> ZoneState:
         """Return a controller of the given term."""
-        return ZoneController(
-            zone="z",
+        return ZoneState(
+            name="z",
             service="engine",
             term=term,
             view=self.view,
@@ -235,14 +236,12 @@
         now_s = asyncio.get_running_loop().time()
         self.view.replace_entries(entries, after_outage=False, now_s=now_s)
 
-    async def async_run(
-        self, controller: ZoneController, until: Callable[[], bool]
-    ) -> None:
+    async def async_run(self, controller: ZoneState, until: Callable[[], bool]) -> None:
         """Tick until a condition holds. Raises `TimeoutError` after five seconds."""
         for _ in range(500):
             if until():
                 return
-            controller.tick()
+            tick(controller)
             await asyncio.sleep(0.01)
         raise TimeoutError("condition did not come true")
 
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from gooseberryhall.fleet.const import SPARE_GROUP_PREFIX
+from gooseberryhall.fleet.controller import suspect, tick
 from gooseberryhall.fleet.models import Membership, MemberState
 from tests.fleet.common import FakeEngines, Zone, server
 
@@ -44,7 +45,7 @@
     large = next(group for group in controller.open_groups() if group.model == "large")
     lost = large.members[1]
     zone.engines.servers[lost].reachable = False
-    controller.suspect(large.head)
+    suspect(controller, large.head)
     await zone.async_run(
         controller,
         lambda: any(
@@ -122,7 +123,7 @@
     zone.traffic = True
     second = zone.create(term=2)
     for _ in range(20):
-        second.tick()
+        tick(second)
         await asyncio.sleep(0.01)
     zone.list_servers()
     await zone.async_run(second, lambda: len(second.open_groups()) == 2)
@@ -163,7 +164,7 @@
     stale = replace(zone.view.servers[member], membership=None)
     now_s = asyncio.get_running_loop().time()
     zone.view.put_entry(stale, now_s)
-    controller.tick()
+    tick(controller)
     assert large in controller.open_groups()
     await zone.async_stop()
 
@@ -192,7 +193,7 @@
     fake = zone.engines.servers[large.members[1]]
     fake.entry = replace(fake.entry, leaving=True)
     zone.list_servers()
-    controller.tick()
+    tick(controller)
     assert large in controller.open_groups()
     await zone.async_run(controller, lambda: large not in controller.open_groups())
     await zone.async_stop()
@@ -210,7 +211,7 @@
     zone.list_servers()
     controller = zone.create(term=2)
     for _ in range(10):
-        controller.tick()
+        tick(controller)
         await asyncio.sleep(0.01)
     await zone.async_stop()
     assert "join" not in fake.orders
--- a/tests/fleet/test_planner.py
+++ b/tests/fleet/test_planner.py
@@ -18,7 +18,7 @@
 
 LARGE = Model("large", 4, 1.0, 0.57, 16.0, 1.6)
 SMALL = Model("small", 3, 0.6, 0.43, 12.0, 1.1)
-PROFILE = EngineProfile(13, (LARGE, SMALL), 0.3, 4.5, 6, 0.006, 50_700.0)
+PROFILE = EngineProfile(13, (LARGE, SMALL), 0.3, 6)
 NOTHING: frozenset[str] = frozenset()
 
 
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -32,16 +32,14 @@
     expected_server=b"x-server",
     signature=b"x-signature",
     not_run=b"x-not-run",
-    faulty_server=b"x-faulty",
     team=b"x-team",
     priority=b"x-priority",
     model=b"x-model",
-    token_counts=b"x-tokens",
     last_event_id=b"last-event-id",
     key_scheme=b"Key ",
 )
 MODEL = Model("large", 2, 1.0, 1.0, 16.0, 1.6)
-ENGINE = EngineProfile(4, (MODEL,), 0.3, 4.0, 6, 0.006, 50_000.0)
+ENGINE = EngineProfile(4, (MODEL,), 0.3, 6)
 
 
 @dataclass(slots=True)
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -24,9 +24,7 @@
 from tests.fleet.common import FakeEngines, server
 from tests.gateway.common import WIRE
 
-PROFILE = EngineProfile(
-    4, (Model("m", 2, 1.0, 1.0, 9.0, 1.0),), 0.1, 4.0, 6, 0.006, 5e4
-)
+PROFILE = EngineProfile(4, (Model("m", 2, 1.0, 1.0, 9.0, 1.0),), 0.1, 6)
 CONFIGURATION = Configuration(
     version=3, services={"engine": Service("engine", PROFILE), "p": Service("p")}
 )
@@ -41,12 +39,10 @@
     "127.0.0.1",
     1,
     ADDRESS,
-    2,
     8,
     0.2,
     10,
     130,
-    4,
 )
 
 
@@ -164,7 +160,7 @@
 
 async def test_own_requests_are_not_counted_twice(started: Started) -> None:
     """The owner's figure contains what this node told it."""
-    started.node._reported_load = {"h1": 2}
+    started.node._reported = {"h1": ServerTraffic(2)}
     started.hear(owned=_claim(2, "h1"))
     started.node.tick()
     assert started.node.gateway.backends.load("h1") == 1
@@ -187,25 +183,25 @@
 async def test_zone_is_taken_from_an_owner_without_store(started: Started) -> None:
     """Another node of the zone that reaches the store goes on."""
     started.list_servers([server("h1")])
-    started.node._started_s -= 10
+    started.node.owner.started_s -= 10
     started.hear(owned=_claim(1, "h1"), store_lost=True)
-    started.node.contend()
+    started.node.owner.contend()
     await asyncio.sleep(0.01)
     assert started.leases.taken == ["z"]
-    assert set(started.node.controllers) == {"z"}
+    assert set(started.node.owner.zones) == {"z"}
 
 
 async def test_owner_steps_down_though_it_has_no_store(started: Started) -> None:
     """Two owners would give orders against each other."""
     started.list_servers([server("h1")])
-    started.node._own("z", 2)
+    started.node.owner.own("z", 2)
     started.lose_store()
     started.hear(owned=_claim(2, "h1"))
-    started.node.contend()
-    assert set(started.node.controllers) == {"z"}
+    started.node.owner.contend()
+    assert set(started.node.owner.zones) == {"z"}
     started.hear(owned=_claim(3, "h1"))
-    started.node.contend()
-    assert started.node.controllers == {}
+    started.node.owner.contend()
+    assert started.node.owner.zones == {}
 
 
 async def test_zone_is_not_taken_the_moment_its_owner_falls_silent(
@@ -216,15 +212,15 @@
     A node that did not read the entries counted it from its start, and took zones
     that were cut off for a moment (incident inc-0fc6).
     """
-    started.node._started_s -= 100
+    started.node.owner.started_s -= 100
     started.hear("n9", owned=_claim(1, "h1"))
     claim = started.node.peers.claims["z"]
-    started.node.settings = replace(SETTINGS, zone="y")
-    started.node.contend()
+    started.node.owner.settings = replace(SETTINGS, zone="y")
+    started.node.owner.contend()
     started.node.peers.claims["z"] = replace(claim, heard_s=claim.heard_s - 5)
     started.node.peers.peers["n9"].heard_s -= 5
     started.list_servers([server("h1")])
-    started.node.contend()
+    started.node.owner.contend()
     await asyncio.sleep(0.01)
     assert started.leases.taken == []
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -19,7 +19,7 @@
     "listen_addresses": {"frontend": "10.1.0.4:8227", "ready": "10.1.0.4:8220"},
     "internal_port_range": [7340, 7355],
     "platform": {"address": "10.200.1.7:8223", "form": "table"},
-    "bounds": {"drain_timeout_ms": 2000, "stall_ms": 4000, "unknown": True},
+    "bounds": {"grace_period_s": 9, "unknown": True},
     "a_new_field": [1],
 }
 CONFIGURATION: dict[str, Any] = {
@@ -87,8 +87,7 @@
     settings = load_settings()
     assert settings.zones == ("a", "b")
     assert settings.callers.port == 8227
-    assert settings.leaving_server_s == 2.0
-    assert settings.member_stall_s == 4.0
+    assert settings.stop_grace_s == 9.0
 
 
 def test_unusable_settings_are_refused(
