Tell a lost question for the configuration from lost entries

Cause: found by reading. A failure of the question for the configuration marked the view as outdated, and only a full listing of the entries marked it as live again; an owner whose entries were followed on a sound connection gave its zone away. Change: each table reports its own state.

--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -18,8 +18,9 @@
     on_snapshot: Callable[[Iterable[BackendServer], bool], None]
     on_entry: Callable[[BackendServer], None]
     on_removed: Callable[[list[str]], None]
-    # The store does not answer; entries may be outdated until the next snapshot.
-    on_lost: Callable[[], None]
+    # Takes after each question whether the store answered. If not, entries may be
+    # outdated until the next snapshot.
+    on_store: Callable[[bool], None]
     # Waits until entries are wanted; returns whether it had to wait, after which
     # all entries are read again.
     async_wait_wanted: Callable[[], Awaitable[bool]]
@@ -34,11 +35,12 @@
         self,
         on_configuration: Callable[[Configuration], None],
         wait_s: Callable[[], float],
-        on_lost: Callable[[], None],
+        on_store: Callable[[bool], None],
     ) -> None:
         """Pass on each new version until cancelled.
 
-        A question for changes waits `wait_s`; a connection that went silent is not
+        `on_store` takes after each question whether the store answered. A question
+        for changes waits `wait_s`; a connection that went silent is not
         noticed before.
         """
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -78,7 +78,8 @@
         # Whether the view follows the store; it is not needed while all zones have
         # owners that tell their groups.
         self._view_live = False
-        self._store_lost = False
+        self._servers_lost = False
+        self._configuration_lost = False
         # Traffic that the peers were told last.
         self._reported: dict[str, ServerTraffic] = {}
         self._reading_configuration = False
@@ -109,6 +110,17 @@
         """Return whether the node can route requests."""
         return self.configuration is not None and bool(self.table.servers)
 
+    @property
+    def store_lost(self) -> bool:
+        """Return whether the store does not answer this node.
+
+        An owner follows the entries; a lost question for the configuration alone
+        does not keep it from deciding groups.
+        """
+        if self.owner.zones:
+            return self._servers_lost
+        return self._servers_lost or self._configuration_lost
+
     def limits(self) -> Limits:
         """Return the limits of callers that are in force."""
         return self.configuration.limits if self.configuration else Limits()
@@ -118,14 +130,16 @@
         directory = self.parts.directory
         self.create_task(
             directory.async_follow_configuration(
-                self._configure, self._configuration_wait_s, self._on_store_lost
+                self._configure,
+                self._configuration_wait_s,
+                self._on_configuration_store,
             )
         )
         listener = ServerListener(
             self._on_servers,
             self._on_entry,
             self._on_removed,
-            self._on_store_lost,
+            self._on_server_store,
             self._async_wait_view_wanted,
             self._feed_pause_s,
         )
@@ -248,7 +262,7 @@
             port=self.settings.internal_port,
             traffic_seen=self.gateway.traffic_seen,
             config_version=self.configuration.version if self.configuration else 0,
-            store_lost=self._store_lost,
+            store_lost=self.store_lost,
             traffic=self._reported,
             suspects=tuple(self._suspects),
             owned=owned,
@@ -284,12 +298,15 @@
             entries, after_outage=after_outage, now_s=self._loop.time()
         )
         self._view_live = True
-        self._store_lost = False
 
-    def _on_store_lost(self) -> None:
-        """Note that entries may be outdated; groups go on with what is known."""
-        self._view_live = False
-        self._store_lost = True
+    def _on_server_store(self, answered: bool) -> None:
+        """Note whether entries are followed; groups go on with what is known."""
+        self._servers_lost = not answered
+        if not answered:
+            self._view_live = False
+
+    def _on_configuration_store(self, answered: bool) -> None:
+        self._configuration_lost = not answered
 
     def _on_entry(self, server: BackendServer) -> None:
         known = self.view.servers.get(server.server_id)
@@ -326,7 +343,7 @@
             return True
         now_s = self._loop.time()
         claims = [self.peers.claim(zone, now_s) for zone in self.settings.zones]
-        return self._store_lost or any(
+        return self.store_lost or any(
             claim is None or claim.store_lost for claim in claims
         )
 
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -43,7 +43,7 @@
         self,
         on_configuration: Callable[[Configuration], None],
         wait_s: Callable[[], float],
-        on_lost: Callable[[], None],
+        on_store: Callable[[bool], None],
     ) -> None:
         """Pass on each new version until cancelled."""
 
@@ -59,7 +59,7 @@
             OPERATOR_TABLE,
             lambda rows, _: take(rows),
             take,
-            on_lost,
+            on_store,
             async_wanted,
             wait_s,
         )
@@ -91,7 +91,7 @@
             SERVER_TABLE,
             on_snapshot,
             on_rows,
-            listener.on_lost,
+            listener.on_store,
             listener.async_wait_wanted,
             lambda: FEED_WAIT_S,
             listener.pause_s,
@@ -116,6 +116,7 @@
             try:
                 version = await self._async_follow_once(follower, version, outage)
                 outage = False
+                follower.on_store(True)
                 await asyncio.sleep(follower.pause_s())
             except HistoryLostError:
                 version = None
@@ -124,7 +125,7 @@
                     _log(LogEvent.STORE_LOST, str(exc), follower.table)
                 outage = True
                 version = None
-                follower.on_lost()
+                follower.on_store(False)
                 await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
     async def _async_follow_once(
@@ -151,7 +152,7 @@
     table: str
     on_snapshot: Callable[[RowSet, bool], None]
     on_rows: Callable[[RowSet], None]
-    on_lost: Callable[[], None]
+    on_store: Callable[[bool], None]
     async_wait_wanted: Callable[[], Awaitable[bool]]
     wait_s: Callable[[], float]
     pause_s: Callable[[], float] = lambda: 0.0
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -51,11 +51,16 @@
     """Hands its listener to the test."""
 
     listener: ServerListener | None = None
+    on_configuration_store: Callable[[bool], None] | None = None
 
     async def async_follow_configuration(
-        self, on_configuration: Callable[[Configuration], None], *_: Any
+        self,
+        on_configuration: Callable[[Configuration], None],
+        _: Callable[[], float],
+        on_store: Callable[[bool], None],
     ) -> None:
         """Pass on one version."""
+        self.on_configuration_store = on_store
         on_configuration(CONFIGURATION)
 
     async def async_read_configuration(self) -> Configuration | None:
@@ -124,7 +129,7 @@
     def lose_store(self) -> None:
         """Let the store stop to answer."""
         assert self.directory.listener is not None
-        self.directory.listener.on_lost()
+        self.directory.listener.on_store(False)
 
 
 @pytest.fixture
@@ -225,6 +230,29 @@
     assert started.leases.taken == []
 
 
+async def test_lost_question_for_the_configuration_keeps_the_zone(
+    started: Started,
+) -> None:
+    """The entries are followed on a connection of their own.
+
+    The owner stopped to trust its view for good, and another node took the zone.
+    """
+    started.list_servers([server("h1")])
+    started.node.owner.own("z", 2)
+    assert started.directory.on_configuration_store is not None
+    started.directory.on_configuration_store(False)
+    (gossip,) = started.node.compose_gossip()
+    assert not gossip.store_lost
+    started.lose_store()
+    (gossip,) = started.node.compose_gossip()
+    assert gossip.store_lost
+    started.list_servers([server("h1")])
+    assert started.directory.listener is not None
+    started.directory.listener.on_store(True)
+    (gossip,) = started.node.compose_gossip()
+    assert not gossip.store_lost
+
+
 async def test_last_groups_of_a_lost_owner_are_used_last(started: Started) -> None:
     """Without owner and store, what was served a moment ago probably still is."""
     started.hear(owned=_claim(2, "h1"))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -222,14 +222,12 @@
 async def test_configuration_is_followed_through_an_outage() -> None:
     """A version that came during an outage of the store is in force after it."""
     seen: list[Configuration] = []
-    lost: list[bool] = []
+    alive: list[bool] = []
     async with async_store() as (stand_in, store):
         stand_in.put("op", "config", json.dumps(CONFIGURATION).encode())
         directory = StoreDirectory(store)
         task = asyncio.create_task(
-            directory.async_follow_configuration(
-                seen.append, lambda: 2.0, lambda: lost.append(True)
-            )
+            directory.async_follow_configuration(seen.append, lambda: 2.0, alive.append)
         )
         await _async_until(lambda: bool(seen))
         stand_in.status = 503
@@ -241,7 +239,8 @@
         stand_in.put("op", "config", b"{half")
         stand_in.put("op", "config", changed.replace(b": 9", b": 11"))
         await _async_until(lambda: seen[-1].version == 11)
-        assert lost
+        assert False in alive
+        assert alive[-1]
         task.cancel()
 
 
@@ -266,7 +265,7 @@
         on_snapshot,
         lambda entry: servers.update({entry.server_id: entry}),
         on_removed,
-        lambda: None,
+        lambda _: None,
         async_wanted,
         lambda: 0.0,
     )
