--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -138,10 +138,15 @@
 
 
 async def test_request_that_crashes_servers_is_stopped() -> None:
-    """A request that took down three heads reaches no further one."""
+    """A request that took down three heads reaches no further one.
+
+    Heads are drawn at random, so the same one may be lost more than once before.
+    """
     heads = tuple(ScriptedServer(f"h{n}", _async_break) for n in range(6))
     async with async_gateway((stream_route(attempts=1),), heads=heads) as gateway:
-        for _ in range(5):
+        for _ in range(40):
             response = await gateway.async_ask("x-model: large\r\n")
+            if response.startswith(b"HTTP/1.1 503"):
+                break
     assert response.startswith(b"HTTP/1.1 503")
-    assert 3 <= sum(len(head.requests) for head in heads) <= 4
+    assert sum(1 for head in heads if head.requests) == 3
