Read the rest of a refused body before closing its connection

Cause: Sanic closed the connection 1 ms after its 413 with bytes unread.

Change: an oversized body is read on, 16 MiB at most, after the answer was sent. A new test sends on slowly; it failed with a reset before the change.

--- a/gooseberryhall/entry/const.py
+++ b/gooseberryhall/entry/const.py
@@ -11,6 +11,8 @@
 # A request may still be on its way on a connection that was just accepted.
 LAST_REQUESTS_S: Final = 0.2
 LISTEN_BACKLOG: Final = 1024
+# Bytes of a refused body that are read before the connection is closed.
+DISCARD_LIMIT_BYTES: Final = 16 * 1024 * 1024
 
 MODEL_PATH: Final = "/v1/chat/completions"
 # An idempotent request is tried on another server when one is silent for this long.
--- a/gooseberryhall/entry/server.py
+++ b/gooseberryhall/entry/server.py
@@ -5,10 +5,10 @@
 import logging
 import secrets
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, cast
 
 from sanic import HTTPResponse, Request, Sanic
-from sanic.exceptions import SanicException
+from sanic.exceptions import PayloadTooLarge, SanicException
 
 from ..config.models import GroupSpec
 from ..const import EVIDENCE_LIMIT_S, MAX_BODY_BYTES, MAX_HEADER_BYTES
@@ -22,6 +22,7 @@
 from .auth import find_team
 from .completions import async_plain_chat, async_stream_chat, parse_chat
 from .const import (
+    DISCARD_LIMIT_BYTES,
     KEEP_ALIVE_TIMEOUT_S,
     LAST_REQUESTS_S,
     LISTEN_BACKLOG,
@@ -185,6 +186,8 @@
 async def _on_error(http: Request, exc: Exception) -> HTTPResponse:
     """Answer what the HTTP server refuses, and faults of this program."""
     request_id = f"req-{secrets.token_hex(REQUEST_ID_BYTES)}"
+    if isinstance(exc, PayloadTooLarge):
+        _discard_body(http)
     if isinstance(exc, SanicException):
         return error_response(sanic_failure(exc), request_id)
     log_event(
@@ -196,3 +199,16 @@
         error=type(exc).__name__,
     )
     return error_response(internal(Ran.UNKNOWN), request_id)
+
+
+def _discard_body(http: Request) -> None:
+    """Let Sanic read on after the answer.
+
+    Closing a connection with unread bytes resets it, and the caller would lose the
+    answer.
+    """
+    if http.stream is None:
+        return
+    connection = cast(Any, http.stream)
+    connection.request_max_size = DISCARD_LIMIT_BYTES
+    connection.protocol.request_max_size = DISCARD_LIMIT_BYTES
--- a/tests/system/requests/test_refusals.py
+++ b/tests/system/requests/test_refusals.py
@@ -173,6 +173,30 @@
     _assert_refused(response.status, content, (413, "body_too_large"))
 
 
+async def test_a_caller_that_goes_on_sending_gets_the_refusal(
+    bed: RunningSystem,
+) -> None:
+    """Guards against a reset, which drops the answer before the caller reads it."""
+    node = bed.nodes[0]
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: {node.name}\r\n"
+        f"Authorization: {AUTH['Authorization']}\r\n"
+        f"Content-Length: {4 * MAX_BODY_BYTES}\r\n\r\n"
+    )
+    reader, writer = await asyncio.open_connection("127.0.0.1", node.ports["entry"])
+    try:
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            writer.write(head.encode())
+            for _ in range(4 * MAX_BODY_BYTES // CHUNK_BYTES):
+                writer.write(b" " * CHUNK_BYTES)
+                await writer.drain()
+                await asyncio.sleep(0.001)
+            answer = await reader.read()
+    finally:
+        writer.close()
+    assert answer.startswith(b"HTTP/1.1 413 "), answer[:80]
+
+
 @pytest.mark.parametrize(
     "data",
     [b"\x16\x03\x01\x02\x00\x01\x00", b"GET\r\n\r\n", b"POST / HTTP/1.1\r\n: \r\n\r\n"],
