Report a member as down after two missed probes

Change: only the second missed probe in a row is reported; it follows at once on a new connection. A paused member is known after 2.4 s, before evidence is too old at 3.0 s; a refused connection is known as fast as before.

--- a/gooseberryhall/membership/const.py
+++ b/gooseberryhall/membership/const.py
@@ -11,6 +11,9 @@
 PROBE_PERIOD_S: Final = 1.0
 PROBE_TIMEOUT_S: Final = 0.7
 PROBE_LATE_S: Final = 0.3
+# One slow answer closes no group. Two missed probes are known within 2.4 s, before the
+# evidence is too old.
+MISSES_TO_REPORT: Final = 2
 # Reports of one failure by many entry processes cause one probe.
 PROBE_MIN_PAUSE_S: Final = 0.1
 # One timer for several tasks, because each wake-up costs processor time.
--- a/gooseberryhall/membership/prober.py
+++ b/gooseberryhall/membership/prober.py
@@ -10,7 +10,13 @@
 from ..core.context import ProgramContext
 from ..exceptions import UnavailableError
 from .assignment import ProbeTarget
-from .const import PROBE_LATE_S, PROBE_MIN_PAUSE_S, PROBE_PERIOD_S, PROBE_TIMEOUT_S
+from .const import (
+    MISSES_TO_REPORT,
+    PROBE_LATE_S,
+    PROBE_MIN_PAUSE_S,
+    PROBE_PERIOD_S,
+    PROBE_TIMEOUT_S,
+)
 from .metrics import PROBE_BYTES, PROBED_VMS, PROBES
 from .models import Evidence, MemberHealth
 
@@ -24,7 +30,7 @@
     target: ProbeTarget
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     task: asyncio.Task[Any] | None = None
-    answered: bool = True
+    missed: int = 0
 
 
 class Prober:
@@ -92,9 +98,8 @@
         pause_s = random.uniform(PROBE_MIN_PAUSE_S, PROBE_PERIOD_S)
         while True:
             started_s = now_s()
-            before = probe.answered
             await self._async_probe(probe, started_s)
-            if before and not probe.answered:
+            if 0 < probe.missed < MISSES_TO_REPORT:
                 # A silent connection looks like a dead member; a new one may work.
                 continue
             await _async_pause(probe.wake, started_s + pause_s - now_s())
@@ -105,11 +110,14 @@
         if health is None and now_s() - started_s > PROBE_TIMEOUT_S + PROBE_LATE_S:
             # This process was paused meanwhile; the member may well have answered.
             return
-        probe.answered = health is not None
-        if probe.answered:
-            self.answered += 1
-        else:
+        if health is None:
             self.failed += 1
+            probe.missed += 1
+            if probe.missed < MISSES_TO_REPORT:
+                return
+        else:
+            self.answered += 1
+            probe.missed = 0
         # Dated at the start, which is never later than the moment of the answer.
         self._on_result(Evidence(probe.target.vm, health, started_s))
 
