--- a/gooseberryhall/entry/server.py
+++ b/gooseberryhall/entry/server.py
@@ -209,6 +209,6 @@
     """
     if http.stream is None:
         return
-    connection = cast(Any, http.stream)
+    connection = cast("Any", http.stream)
     connection.request_max_size = DISCARD_LIMIT_BYTES
     connection.protocol.request_max_size = DISCARD_LIMIT_BYTES
--- a/tests/membership/test_prober.py
+++ b/tests/membership/test_prober.py
@@ -14,7 +14,7 @@
 
 VM = "vm-1"
 RESULT_LIMIT_S = 5.0
-HEALTH = cast(MemberHealth, SimpleNamespace(vm=VM))
+HEALTH = cast("MemberHealth", SimpleNamespace(vm=VM))
 
 
 class Member:
@@ -40,7 +40,7 @@
         tasks.append(asyncio.create_task(coro))
         return tasks[-1]
 
-    ctx = cast(ProgramContext, SimpleNamespace(async_create_task=create_task))
+    ctx = cast("ProgramContext", SimpleNamespace(async_create_task=create_task))
     prober = Prober(ctx, member.async_read, results.put_nowait)
     prober.async_set_targets({VM: ProbeTarget(VM, "http://127.0.0.1:1")})
     try:
