Let zone owners ask for changes of entries every 0.15 s

Heartbeats of 300 servers answer each question at once, so the pause of 0.04 s sets the rate.

Change: pause of 0.15 s; a question waits 0.75 s instead of 0.9 s, so that a leaving server is still known within 2 s (tests/node/test_delays.py). Formation does not depend on it: members are asked for reports.

--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -38,7 +38,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-OWNER_FEED_PAUSE_S = 0.04
+# Calls of the store are priced. Heartbeats change entries all the time, so each
+# question is answered at once and the pause decides how many calls an owner makes.
+OWNER_FEED_PAUSE_S = 0.15
 FEED_PAUSE_S = 0.25
 # A node asks again after this time. Owners notice a connection that went silent and
 # tell the others by the version in their datagrams.
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -27,7 +27,7 @@
 
 # A connection that went silent is noticed after this time; a server that leaves
 # must get no requests two seconds later, on nodes that the owner tells.
-FEED_WAIT_S: Final = 0.9
+FEED_WAIT_S: Final = 0.75
 RETRY_MIN_S: Final = 0.15
 RETRY_MAX_S: Final = 0.6
 
