Ask a store that does not answer less often

Change: pauses between failed questions double, up to 0.6 s where requests or groups wait (no configuration, no servers, owners) and up to 1.5 s elsewhere. A node asks for entries only while a zone has no owner that reaches the store; its own lost question for the configuration is no reason. A peer's version starts no read while the node's own question is unanswered.

--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -10,6 +10,20 @@
 from ..transport.pool import Address
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationListener:
+    """Takes what the store says of the configuration."""
+
+    on_configuration: Callable[[Configuration], None]
+    # Takes after each question whether the store answered.
+    on_store: Callable[[bool], None]
+    # Time that a question for changes waits; a connection that went silent is not
+    # noticed before.
+    wait_s: Callable[[], float]
+    # Longest pause between two questions that the store does not answer.
+    retry_limit_s: Callable[[], float]
+
+
 @dataclass(frozen=True, slots=True)
 class ServerListener:
     """Takes what the store says of servers."""
@@ -26,23 +40,15 @@
     async_wait_wanted: Callable[[], Awaitable[bool]]
     # Time between two questions for changes.
     pause_s: Callable[[], float]
+    # Longest pause between two questions that the store does not answer.
+    retry_limit_s: Callable[[], float]
 
 
 class Directory(Protocol):
     """Configuration, servers and nodes as the store lists them."""
 
-    async def async_follow_configuration(
-        self,
-        on_configuration: Callable[[Configuration], None],
-        wait_s: Callable[[], float],
-        on_store: Callable[[bool], None],
-    ) -> None:
-        """Pass on each new version until cancelled.
-
-        `on_store` takes after each question whether the store answered. A question
-        for changes waits `wait_s`; a connection that went silent is not
-        noticed before.
-        """
+    async def async_follow_configuration(self, listener: ConfigurationListener) -> None:
+        """Pass on each new version until cancelled."""
 
     async def async_read_configuration(self) -> Configuration | None:
         """Return the newest version. Raises `UnavailableError`."""
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -29,7 +29,7 @@
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from ..transport.pool import ConnectionPool
-from .directory import PlatformParts, ServerListener
+from .directory import ConfigurationListener, PlatformParts, ServerListener
 from .owner import RunInZone, ZoneOwner
 from .registration import async_register
 from .settings import NodeSettings
@@ -42,6 +42,10 @@
 # question is answered at once and the pause decides how many calls an owner makes.
 OWNER_FEED_PAUSE_S = 0.15
 FEED_PAUSE_S = 0.25
+# Longest pauses between two questions that the store does not answer: where requests
+# or groups wait for the answer, and where they do not.
+RETRY_S = 0.6
+BACKGROUND_RETRY_S = 1.5
 # A node asks again after this time. Owners notice a connection that went silent and
 # tell the others by the version in their datagrams.
 OWNER_CONFIGURATION_WAIT_S = 1.5
@@ -132,9 +136,12 @@
         directory = self.parts.directory
         self.create_task(
             directory.async_follow_configuration(
-                self._configure,
-                self._configuration_wait_s,
-                self._on_configuration_store,
+                ConfigurationListener(
+                    self._configure,
+                    self._on_configuration_store,
+                    self._configuration_wait_s,
+                    self._configuration_retry_s,
+                )
             )
         )
         listener = ServerListener(
@@ -144,6 +151,7 @@
             self._on_server_store,
             self._async_wait_view_wanted,
             self._feed_pause_s,
+            self._server_retry_s,
         )
         self.create_task(directory.async_follow_servers(listener))
         self.create_task(
@@ -279,7 +287,9 @@
         for head in gossip.suspects:
             self._examine(head)
         known = self.configuration.version if self.configuration else 0
-        if gossip.config_version > known and not self._reading_configuration:
+        if gossip.config_version <= known or self._configuration_lost:
+            return
+        if not self._reading_configuration:
             self._reading_configuration = True
             self.create_task(self._async_read_configuration(gossip.config_version))
 
@@ -337,6 +347,8 @@
         while not self._is_view_wanted():
             waited = True
             self._view_live = False
+            # Only the configuration is asked for now.
+            self._servers_lost = False
             await asyncio.sleep(WANTED_POLL_S)
         return waited
 
@@ -345,9 +357,7 @@
             return True
         now_s = self._loop.time()
         claims = [self.peers.claim(zone, now_s) for zone in self.settings.zones]
-        return self.store_lost or any(
-            claim is None or claim.store_lost for claim in claims
-        )
+        return any(claim is None or claim.store_lost for claim in claims)
 
     async def _async_read_configuration(self, version: int) -> None:
         """Read the version that a peer has, if this node's question hangs."""
@@ -370,6 +380,15 @@
             return OWNER_CONFIGURATION_WAIT_S
         return CONFIGURATION_WAIT_S
 
+    def _configuration_retry_s(self) -> float:
+        return RETRY_S if self.configuration is None else BACKGROUND_RETRY_S
+
+    def _server_retry_s(self) -> float:
+        # Owners need the entries first; the others are told by them.
+        if self.owner.zones or not self.table.servers:
+            return RETRY_S
+        return BACKGROUND_RETRY_S
+
     def _feed_pause_s(self) -> float:
         return OWNER_FEED_PAUSE_S if self.owner.zones else FEED_PAUSE_S
 
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from ..fleet.models import BackendServer, Configuration
-from ..node.directory import ServerListener
+from ..node.directory import ConfigurationListener, ServerListener
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from ..transport.pool import Address
@@ -28,8 +28,8 @@
 # A connection that went silent is noticed after this time; a server that leaves
 # must get no requests two seconds later, on nodes that the owner tells.
 FEED_WAIT_S: Final = 0.75
-RETRY_MIN_S: Final = 0.15
-RETRY_MAX_S: Final = 0.6
+RETRY_MIN_S: Final = 0.3
+MAX_DOUBLINGS: Final = 8
 
 
 class StoreDirectory:
@@ -39,18 +39,13 @@
         """Create a directory over a store."""
         self._store = store
 
-    async def async_follow_configuration(
-        self,
-        on_configuration: Callable[[Configuration], None],
-        wait_s: Callable[[], float],
-        on_store: Callable[[bool], None],
-    ) -> None:
+    async def async_follow_configuration(self, listener: ConfigurationListener) -> None:
         """Pass on each new version until cancelled."""
 
         def take(rows: RowSet) -> None:
             cfg = _find_configuration(rows)
             if cfg is not None:
-                on_configuration(cfg)
+                listener.on_configuration(cfg)
 
         async def async_wanted() -> bool:
             return False
@@ -59,9 +54,10 @@
             OPERATOR_TABLE,
             lambda rows, _: take(rows),
             take,
-            on_store,
+            listener.on_store,
             async_wanted,
-            wait_s,
+            listener.wait_s,
+            listener.retry_limit_s,
         )
         await self._async_follow(follower)
 
@@ -94,6 +90,7 @@
             listener.on_store,
             listener.async_wait_wanted,
             lambda: FEED_WAIT_S,
+            listener.retry_limit_s,
             listener.pause_s,
         )
         await self._async_follow(follower)
@@ -109,24 +106,25 @@
     async def _async_follow(self, follower: "_Follower") -> None:
         """Read a table, follow its changes, and read it again after each gap."""
         version: int | None = None
-        outage = False
+        failures = 0
         while True:
             if await follower.async_wait_wanted():
                 version = None
             try:
+                outage = failures > 0
                 version = await self._async_follow_once(follower, version, outage)
-                outage = False
+                failures = 0
                 follower.on_store(True)
                 await asyncio.sleep(follower.pause_s())
             except HistoryLostError:
                 version = None
             except StoreError as exc:
-                if not outage:
+                if not failures:
                     _log(LogEvent.STORE_LOST, str(exc), follower.table)
-                outage = True
+                failures += 1
                 version = None
                 follower.on_store(False)
-                await asyncio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+                await asyncio.sleep(_retry_pause_s(failures, follower.retry_limit_s()))
 
     async def _async_follow_once(
         self, follower: "_Follower", version: int | None, outage: bool
@@ -155,9 +153,16 @@
     on_store: Callable[[bool], None]
     async_wait_wanted: Callable[[], Awaitable[bool]]
     wait_s: Callable[[], float]
+    retry_limit_s: Callable[[], float]
     pause_s: Callable[[], float] = lambda: 0.0
 
 
+def _retry_pause_s(failures: int, limit_s: float) -> float:
+    """Return a pause that grows with the failures in a row, with jitter."""
+    longest_s = min(limit_s, RETRY_MIN_S * 2 ** min(failures - 1, MAX_DOUBLINGS))
+    return random.uniform(longest_s / 2, longest_s)
+
+
 def _find_configuration(rows: RowSet) -> Configuration | None:
     """Return the configuration if the rows hold one that can be read."""
     for row in rows.rows:
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -17,7 +17,11 @@
 )
 from gooseberryhall.fleet.orders import Lease
 from gooseberryhall.gossip.messages import Gossip, OwnedZone, ServerTraffic
-from gooseberryhall.node.directory import PlatformParts, ServerListener
+from gooseberryhall.node.directory import (
+    ConfigurationListener,
+    PlatformParts,
+    ServerListener,
+)
 from gooseberryhall.node.node import Node
 from gooseberryhall.node.settings import NodeSettings
 from gooseberryhall.transport.pool import Address
@@ -53,15 +57,10 @@
     listener: ServerListener | None = None
     on_configuration_store: Callable[[bool], None] | None = None
 
-    async def async_follow_configuration(
-        self,
-        on_configuration: Callable[[Configuration], None],
-        _: Callable[[], float],
-        on_store: Callable[[bool], None],
-    ) -> None:
+    async def async_follow_configuration(self, listener: ConfigurationListener) -> None:
         """Pass on one version."""
-        self.on_configuration_store = on_store
-        on_configuration(CONFIGURATION)
+        self.on_configuration_store = listener.on_store
+        listener.on_configuration(CONFIGURATION)
 
     async def async_read_configuration(self) -> Configuration | None:
         """Return the next version."""
@@ -253,6 +252,22 @@
     assert not gossip.store_lost
 
 
+async def test_node_that_the_store_refuses_does_not_ask_for_entries(
+    started: Started,
+) -> None:
+    """Entries are not needed while an owner that reaches the store tells its groups.
+
+    Each node that the store turned away read two tables every 0.4 s.
+    """
+    assert started.directory.listener is not None
+    started.hear(owned=_claim(2, "h1"))
+    started.lose_store()
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(started.directory.listener.async_wait_wanted(), 0.2)
+    (gossip,) = started.node.compose_gossip()
+    assert not gossip.store_lost
+
+
 async def test_last_groups_of_a_lost_owner_are_used_last(started: Started) -> None:
     """Without owner and store, what was served a moment ago probably still is."""
     started.hear(owned=_claim(2, "h1"))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,7 +14,7 @@
 
 from gooseberryhall.fleet.exceptions import LeaseTakenError
 from gooseberryhall.fleet.models import BackendServer, Configuration
-from gooseberryhall.node.directory import ServerListener
+from gooseberryhall.node.directory import ConfigurationListener, ServerListener
 from gooseberryhall.platform.directory import StoreDirectory
 from gooseberryhall.platform.exceptions import (
     HistoryLostError,
@@ -226,9 +226,10 @@
     async with async_store() as (stand_in, store):
         stand_in.put("op", "config", json.dumps(CONFIGURATION).encode())
         directory = StoreDirectory(store)
-        task = asyncio.create_task(
-            directory.async_follow_configuration(seen.append, lambda: 2.0, alive.append)
+        listener = ConfigurationListener(
+            seen.append, alive.append, lambda: 2.0, lambda: 0.6
         )
+        task = asyncio.create_task(directory.async_follow_configuration(listener))
         await _async_until(lambda: bool(seen))
         stand_in.status = 503
         changed = json.dumps({**CONFIGURATION, "version": 9}).encode()
@@ -244,6 +245,22 @@
         task.cancel()
 
 
+async def test_questions_become_rare_while_the_store_is_away() -> None:
+    """Guards against nodes that together press on a store that refuses them."""
+    alive: list[bool] = []
+    async with async_store() as (stand_in, store):
+        stand_in.status = 503
+        listener = ConfigurationListener(
+            lambda _: None, alive.append, lambda: 2.0, lambda: 2.0
+        )
+        follow = StoreDirectory(store).async_follow_configuration(listener)
+        task = asyncio.create_task(follow)
+        await asyncio.sleep(3.0)
+        task.cancel()
+    # Pauses of 0.15 to 0.3 s at first, then twice as long each time.
+    assert len(alive) <= 6
+
+
 async def test_servers_are_followed_through_a_lost_history() -> None:
     """Entries and removals keep coming after the store dropped its history."""
     servers: dict[str, BackendServer] = {}
@@ -268,6 +285,7 @@
         lambda _: None,
         async_wanted,
         lambda: 0.0,
+        lambda: 0.6,
     )
     entry = json.dumps(ENTRY).encode()
     async with async_store() as (stand_in, store):
