--- a/standins/processes.py
+++ b/standins/processes.py
@@ -28,6 +28,7 @@
     name: str
     command: list[str]
     log: Path
+    environment: dict[str, str] = field(default_factory=dict)
     popen: subprocess.Popen[bytes] | None = None
     is_paused: bool = False
 
@@ -47,7 +48,7 @@
         """Start the process; its output is appended to the log file."""
         if self.is_running:
             raise ProcessError(f"{self.name} runs already")
-        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        environment = {**os.environ, **self.environment, "PYTHONPATH": str(ROOT)}
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(
                 [sys.executable, *self.command],
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -14,9 +14,9 @@
 import pytest
 
 from gooseberryhall.platform.settings import METRICS_PORT, SETTINGS_VARIABLE
+from standins.row_store import RowStore
 from tests.gateway.common import ReceivedRequest, ScriptedServer
 from tests.platform.test_decoding import CONFIGURATION, ENTRY
-from tests.platform.test_store import StandIn
 
 ROOT = Path(__file__).parents[2]
 START_LIMIT_S = 10.0
@@ -103,7 +103,7 @@
     # An address of its own for each test keeps the fixed ports apart.
     host = f"127.{random.randint(1, 254)}.{random.randint(1, 254)}.2"
     async with AsyncExitStack() as stack:
-        store = StandIn()
+        store = RowStore()
         server = ScriptedServer("i-9", _async_answer)
         addresses = []
         for serve in (store.async_serve, server.async_serve):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,14 +1,10 @@
 """Tests of the store's client against a small stand-in of the store."""
 
 import asyncio
-import base64
-import contextlib
 import json
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
 import pytest
 
@@ -24,115 +20,14 @@
 from gooseberryhall.platform.leases import RowLeases, async_read_nodes
 from gooseberryhall.platform.store import MAX_ROWS, Store
 from gooseberryhall.transport.pool import Address, ConnectionPool
+from standins.row_store import RowStore
 from tests.platform.test_decoding import CONFIGURATION, ENTRY
 
 
-@dataclass(slots=True)
-class StandIn:
-    """Rows in memory, with faults."""
-
-    rows: dict[tuple[str, str], tuple[bytes | None, int]] = field(default_factory=dict)
-    version: int = 0
-    status: int = 0
-    oldest: int = 0
-    lose_answers: int = 0
-    reads: int = 0
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def put(self, table: str, key: str, value: bytes | None) -> None:
-        """Write or remove a row."""
-        self.version += 1
-        self.rows[table, key] = (value, self.version)
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    async def async_serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answer the calls of one connection."""
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                first, *lines = head.strip().split("\r\n")
-                headers = dict(line.lower().split(": ", 1) for line in lines)
-                size = int(headers.get("content-length", 0))
-                body = await reader.readexactly(size)
-                status, content = await self._async_answer(first.split()[1], body)
-                if self.lose_answers:
-                    self.lose_answers -= 1
-                    return
-                data = json.dumps(content).encode()
-                start = f"HTTP/1.1 {status} X\r\ncontent-length: {len(data)}"
-                writer.write(start.encode() + b"\r\n\r\n" + data)
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-    async def _async_answer(self, target: str, body: bytes) -> tuple[int, Any]:
-        if self.status:
-            return self.status, {}
-        call = urlsplit(target)
-        query = {key: values[0] for key, values in parse_qs(call.query).items()}
-        if call.path == "/v1/rows-tx":
-            return self._write(json.loads(body))
-        if call.path == "/v1/rows-get":
-            self.reads += 1
-            return 200, self._page(query)
-        after = int(query["after"])
-        if after < self.oldest:
-            return 410, {}
-        if not self._changes(query["table"], after):
-            with contextlib.suppress(TimeoutError):
-                wait_s = int(query["wait_ms"]) / 1000
-                await asyncio.wait_for(self.changed.wait(), wait_s)
-        rows = self._changes(query["table"], after)
-        return 200, {"rows": rows, "row_version": self.version, "current_time_ms": 1}
-
-    def _write(self, call: dict[str, Any]) -> tuple[int, Any]:
-        for row in call["expected_revision"]:
-            stored = self.rows.get((row["table"], row["key"]), (None, 0))
-            if stored[1] != row["row_version"]:
-                return 412, {"rows": []}
-        for row in call["writes"]:
-            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
-        return 200, {"row_version": self.version, "current_time_ms": 1}
-
-    def _page(self, query: dict[str, str]) -> dict[str, Any]:
-        keys = sorted(
-            key
-            for (table, key), (value, _) in self.rows.items()
-            if table == query["table"] and value is not None
-        )
-        keys = [key for key in keys if key >= query.get("from", "")]
-        limit = int(query["limit"])
-        return {
-            "rows": [self._row(query["table"], key) for key in keys[:limit]],
-            "has_more": len(keys) > limit,
-            "row_version": self.version,
-            "current_time_ms": 1,
-        }
-
-    def _changes(self, table: str, after: int) -> list[dict[str, Any]]:
-        keys = [
-            key
-            for (name, key), (_, version) in self.rows.items()
-            if name == table and version > after
-        ]
-        return [self._row(table, key) for key in keys]
-
-    def _row(self, table: str, key: str) -> dict[str, Any]:
-        value, version = self.rows[table, key]
-        row = {"table": table, "part": "", "key": key, "row_version": version}
-        if value is None:
-            return {**row, "removed": True}
-        return {**row, "value": base64.b64encode(value).decode()}
-
-
 @asynccontextmanager
-async def async_store() -> AsyncIterator[tuple[StandIn, Store]]:
+async def async_store() -> AsyncIterator[tuple[RowStore, Store]]:
     """Run a stand-in and a client of it."""
-    stand_in = StandIn()
+    stand_in = RowStore()
     listener = await asyncio.start_server(stand_in.async_serve, "127.0.0.1", 0)
     address = Address(*listener.sockets[0].getsockname()[:2])
     pool = ConnectionPool(b"x-id")
