Add a randomized fault soak of the node program

script/soak starts four node programs in two zones as processes, with stand- ins of the store, of model servers and of plain servers, and injects faults from a seed: nodes are killed, paused, stopped and reloaded; the store refuses, is slow, loses answers and history, or is cut from a node; servers crash, drain and lose their links; routes are added. Callers and servers check twelve promises while it runs. Times are judged only while no part was disturbed for 3 s and neither the soak nor a node lacked a processor.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -119,10 +119,15 @@
     directory: Path
     by_name: dict[str, ManagedProcess] = field(default_factory=dict)
 
-    def add(self, name: str, command: Sequence[str]) -> ManagedProcess:
+    def add(
+        self,
+        name: str,
+        command: Sequence[str],
+        environment: Mapping[str, str] | None = None,
+    ) -> ManagedProcess:
         """Start a process and own it."""
         log = self.directory / f"{name}.log"
-        process = ManagedProcess(name, list(command), log)
+        process = ManagedProcess(name, list(command), log, dict(environment or {}))
         self.by_name[name] = process
         process.start()
         return process
--- /dev/null
+++ b/standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of the node program."""
--- /dev/null
+++ b/standins/soak/callers.py
@@ -0,0 +1,169 @@
+"""Callers that check every answer."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from .const import (
+    ANSWER_SLACK_S,
+    CALLER_PERIOD_S,
+    CALLER_PORT,
+    CONFIG_LIMIT_S,
+    HOST_NAME,
+    KEY,
+    MODEL,
+    ROUTE_TIMEOUT_S,
+    STREAM_EVENTS,
+)
+from .http import CutError, Message, async_read_body, async_read_head, encode_message
+from .records import STORE, Promise
+from .world import SoakNode, World
+
+CONNECT_LIMIT_S = 1.0
+ANSWER_LIMIT_S = 8.0
+MS_PER_S = 1000
+OK = 200
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+OWN_REJECTIONS = frozenset({400, 401, 403, 404, 405, 413, 431})
+UNREACHED = "no connection"
+
+
+class Kind(StrEnum):
+    """Kinds of requests, named like their routes."""
+
+    CHAT = "chat"
+    COMMAND = "command"
+    READ = "read"
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One request of a caller."""
+
+    attempt: str
+    node: SoakNode
+    kind: Kind
+    path: str
+
+    def encode(self) -> bytes:
+        """Return the bytes of the request."""
+        method = "GET" if self.kind is Kind.READ else "POST"
+        headers = {
+            "host": HOST_NAME,
+            "x-attempt-id": self.attempt,
+            "authorization": f"Token {KEY}",
+            "x-deadline-milliseconds": str(round(ROUTE_TIMEOUT_S * MS_PER_S)),
+            "connection": "close",
+        }
+        if self.kind is Kind.CHAT:
+            headers["x-model"] = MODEL
+        return encode_message(f"{method} {self.path} HTTP/1.1", headers)
+
+    def expected_body(self) -> bytes:
+        """Return the whole answer of any server."""
+        if self.kind is Kind.CHAT:
+            events = (
+                f"id: {number}\ndata: {self.path} {number}\n\n"
+                for number in range(1, STREAM_EVENTS + 1)
+            )
+            return "".join(events).encode()
+        return f"{self.path} {self.attempt}".encode()
+
+
+@dataclass(slots=True)
+class Callers:
+    """Sends requests to all nodes and compares the answers with the promises."""
+
+    world: World
+    _ids: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+
+    async def async_run(self) -> None:
+        """Send requests until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                for node in self.world.nodes:
+                    kind = random.choice(list(Kind))
+                    tasks.create_task(self.async_call(node, kind))
+                await asyncio.sleep(random.uniform(0.5, 1.5) * CALLER_PERIOD_S)
+
+    async def async_call(
+        self, node: SoakNode, kind: Kind, prefix: str | None = None
+    ) -> str:
+        """Send one request; return its status or why there is none."""
+        number = next(self._ids)
+        path = f"{prefix or f'/{kind}/'}{number}"
+        attempt = Attempt(f"a{number}", node, kind, path)
+        self.world.records.sent_to[attempt.attempt] = node.name
+        # A stop concerns only what was sent before the program was gone.
+        was_running = node.process.is_running
+        started_s = self.world.records.now_s()
+        outcome = await self._async_send(attempt)
+        self.world.records.outcomes[f"{kind} {outcome}"] += 1
+        if was_running:
+            self._check_outcome(attempt, outcome, started_s)
+        return outcome
+
+    async def _async_send(self, attempt: Attempt) -> str:
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                reader, writer = await asyncio.open_connection(
+                    attempt.node.host, CALLER_PORT
+                )
+        except (OSError, TimeoutError):
+            return UNREACHED
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                writer.write(attempt.encode())
+                message = await async_read_head(reader)
+                if message.status == OK:
+                    self._check_head(attempt, message)
+                body = await async_read_body(reader, message)
+        except CutError as exc:
+            return f"cut: {exc}"
+        except OSError:
+            return "cut: reset"
+        except TimeoutError:
+            return "no answer"
+        finally:
+            writer.transport.abort()
+        if message.status == OK and body != attempt.expected_body():
+            text = f"{attempt.attempt} got {body[:200]!r}"
+            self.world.records.violate(Promise.OWN_ANSWER, text)
+        return str(message.status)
+
+    def _check_head(self, attempt: Attempt, message: Message) -> None:
+        if not message.headers.get("x-response-seal"):
+            text = f"{attempt.attempt} got {message.headers}"
+            self.world.records.violate(Promise.OWN_ANSWER, text)
+
+    def _check_outcome(self, attempt: Attempt, outcome: str, started_s: float) -> None:
+        records = self.world.records
+        if outcome.isdigit() and int(outcome) in NOT_RUN_STATUSES:
+            if attempt.kind is Kind.COMMAND:
+                records.not_run[attempt.attempt] = int(outcome)
+        elif outcome.isdigit() and int(outcome) in OWN_REJECTIONS:
+            self._check_rejection(attempt, outcome)
+        if not records.is_calm(attempt.node.name, STORE):
+            return
+        took_s = records.now_s() - started_s
+        if took_s > ROUTE_TIMEOUT_S + ANSWER_SLACK_S:
+            text = (
+                f"{attempt.attempt} at {attempt.node.name}: {outcome}, {took_s:.2f} s"
+            )
+            records.violate(Promise.IN_TIME, text)
+
+    def _check_rejection(self, attempt: Attempt, outcome: str) -> None:
+        records = self.world.records
+        prefix = f"/{attempt.path.split('/')[1]}/"
+        added_s = self.world.added.get(prefix)
+        text = f"{attempt.path} at {attempt.node.name} got {outcome}"
+        if added_s is None:
+            records.violate(Promise.ALLOWED, text)
+            return
+        age_s = records.now_s() - added_s
+        calm = records.is_calm(attempt.node.name, STORE)
+        if calm and age_s > CONFIG_LIMIT_S + ANSWER_SLACK_S:
+            records.violate(Promise.CONFIG, f"{text}, {age_s:.2f} s after its addition")
--- /dev/null
+++ b/standins/soak/records.py
@@ -0,0 +1,98 @@
+"""What the soak has seen, and the promises that were broken."""
+
+import asyncio
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from .const import LAG_LIMIT_S, LAG_PERIOD_S, STABILITY_WINDOW_S
+
+STORE = "store"
+
+
+class Promise(StrEnum):
+    """A promise that a run can break."""
+
+    WHOLE_GROUP = "a request runs only in a whole group"
+    ONE_GROUP = "a server leaves its group before it joins another"
+    AT_MOST_ONCE = "a command runs at most once"
+    NOT_RUN = "a request that is answered as not run has not run"
+    OWN_ANSWER = "a caller gets the whole answer to its own request"
+    ALLOWED = "a proper request is not rejected"
+    TEAM = "a server sees the team and not the key"
+    DRAIN = "a leaving server gets no new work"
+    CONFIG = "an accepted configuration is in force everywhere"
+    IN_TIME = "a request has its final answer at its route's timeout"
+    PLANNED_STOP = "a planned stop cuts off no request"
+    RECOVERY = "all nodes serve again after the faults"
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A broken promise."""
+
+    promise: Promise
+    at_s: float
+    text: str
+
+
+@dataclass(slots=True)
+class Records:
+    """Runs and answers by caller attempt, and when each part was disturbed.
+
+    Times are in seconds on the clock of the event loop.
+    """
+
+    started_s: float = field(default_factory=lambda: asyncio.get_running_loop().time())
+    runs: defaultdict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
+    # Nodes by the attempt that was sent to them.
+    sent_to: dict[str, str] = field(default_factory=dict)
+    not_run: dict[str, int] = field(default_factory=dict)
+    outcomes: Counter[str] = field(default_factory=Counter)
+    violations: list[Violation] = field(default_factory=list)
+    # Last moment at which a part was disturbed.
+    disturbed_s: dict[str, float] = field(default_factory=dict)
+
+    def now_s(self) -> float:
+        """Return the time since the start of the run."""
+        return asyncio.get_running_loop().time() - self.started_s
+
+    def disturb(self, part: str, for_s: float = 0.0) -> None:
+        """Note that a part is disturbed until a moment from now."""
+        until_s = self.now_s() + for_s
+        self.disturbed_s[part] = max(until_s, self.disturbed_s.get(part, until_s))
+
+    def is_calm(self, *parts: str, for_s: float = STABILITY_WINDOW_S) -> bool:
+        """Return whether neither the parts nor this process were disturbed."""
+        since_s = self.now_s() - for_s
+        return all(
+            self.disturbed_s.get(part, -STABILITY_WINDOW_S) < since_s
+            for part in (*parts, "soak")
+        )
+
+    def violate(self, promise: Promise, text: str) -> None:
+        """Record a broken promise."""
+        self.violations.append(Violation(promise, round(self.now_s(), 3), text))
+
+    def note_run(self, attempt: str, server_id: str, *, command: bool) -> None:
+        """Note that a server began to run a request."""
+        runs = self.runs[attempt]
+        runs.append(server_id)
+        if command and len(runs) > 1:
+            self.violate(Promise.AT_MOST_ONCE, f"{attempt} ran at {runs}")
+
+    def check_not_run(self) -> None:
+        """Compare the answers that state that nothing ran with the runs."""
+        for attempt, status in self.not_run.items():
+            if self.runs.get(attempt):
+                text = f"{attempt} was answered {status} and ran"
+                self.violate(Promise.NOT_RUN, text)
+
+    async def async_watch_lag(self) -> None:
+        """Note when this process is too busy to judge times."""
+        while True:
+            before_s = self.now_s()
+            await asyncio.sleep(LAG_PERIOD_S)
+            if self.now_s() - before_s > LAG_PERIOD_S + LAG_LIMIT_S:
+                self.disturb("soak")
+                self.outcomes["soak process was late"] += 1
--- /dev/null
+++ b/standins/soak/server.py
@@ -0,0 +1,349 @@
+"""Stand-ins of plain servers and model servers, by the platform's protocol."""
+
+import asyncio
+import json
+import random
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..proxy import FaultProxy
+from .const import (
+    ARRIVAL_S,
+    DRAIN_LIMIT_S,
+    EVENT_S,
+    FORMATION_S,
+    LOAD_S,
+    MODEL_SERVICE,
+    PLAIN_WORK_S,
+    REJOIN_S,
+    SLOTS,
+    STALL_S,
+    STREAM_EVENTS,
+    TENANT,
+    WARMUP_S,
+)
+from .http import (
+    MAX_HEAD_BYTES,
+    Message,
+    async_read_body,
+    async_read_head,
+    encode_chunk,
+    encode_message,
+)
+from .records import STORE, Promise, Records
+
+_REASON = "X"
+
+
+@dataclass(slots=True)
+class Membership:
+    """A server's place in a group; the first member is the head."""
+
+    group: str
+    epoch: int
+    members: list[str]
+    state: str = "joining"
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what identifies the group."""
+        return self.group, self.epoch
+
+
+@dataclass(slots=True)
+class Server:
+    """One life of a server; `fleet` holds all servers by id."""
+
+    server_id: str
+    service: str
+    zone: str
+    records: Records
+    fleet: dict[str, "Server"]
+    proxy: FaultProxy | None = None
+    listener: asyncio.Server | None = None
+    born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
+    alive: bool = True
+    # Time of the report that the server leaves; 0 if it stays.
+    leaving_s: float = 0.0
+    staged: str = ""
+    last_model: str = ""
+    membership: Membership | None = None
+    # Groups of which this life was a ready member.
+    was_ready: set[tuple[str, int]] = field(default_factory=set)
+    fence: int = 0
+    epoch_seen: int = 0
+    sequence: int = 0
+    orders: int = 0
+    # Part of the orders that get no answer.
+    lost_answers: float = 0.0
+    running: set[asyncio.Task[None]] = field(default_factory=set)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def async_start(self) -> None:
+        """Listen behind a proxy."""
+        self.listener = await asyncio.start_server(
+            self._async_serve, "127.0.0.1", 0, limit=MAX_HEAD_BYTES
+        )
+        port = self.listener.sockets[0].getsockname()[1]
+        self.proxy = FaultProxy(port)
+        await self.proxy.async_start()
+
+    async def async_stop(self) -> None:
+        """End at once, as in a crash."""
+        self.alive = False
+        self._cut_running()
+        for task in self.tasks:
+            task.cancel()
+        if self.proxy is not None:
+            await self.proxy.async_stop()
+        if self.listener is not None:
+            self.listener.close()
+
+    def entry(self) -> dict[str, Any]:
+        """Return the server's row, and what it reports of itself."""
+        membership = self.membership
+        group = None
+        if membership is not None:
+            group = {
+                "name": membership.group,
+                "epoch": membership.epoch,
+                "rank": membership.members.index(self.server_id),
+                "state": membership.state,
+            }
+        port = self.proxy.port if self.proxy else 0
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{port}",
+            "zone": self.zone,
+            "state": "draining" if self.leaving_s else "ready",
+            "slots": SLOTS,
+            "born": self.born_ms,
+            "sequence": self.sequence,
+            "domain": f"{self.zone}-d1",
+            "models": [{"name": self.last_model}] if self.last_model else [],
+            "staged": [self.staged] if self.staged else [],
+            "group": group,
+        }
+
+    def is_whole(self, membership: Membership) -> bool:
+        """Return whether every member lives and still belongs to the group."""
+        for member in membership.members:
+            server = self.fleet.get(member)
+            if server is None or not server.alive or server.membership is None:
+                return False
+            if server.membership.key != membership.key:
+                return False
+        return True
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None  # noqa: S101
+        self.tasks.add(task)
+        try:
+            while self.alive:
+                message = await async_read_head(reader)
+                body = await async_read_body(reader, message)
+                await self._async_answer(message, body, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.tasks.discard(task)
+            writer.transport.abort()
+
+    async def _async_answer(
+        self, message: Message, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        expected = message.headers.get("x-expected-instance", self.server_id)
+        if expected != self.server_id:
+            self._reject(message, 421, writer)
+        elif message.path == "/v1/report":
+            content = json.dumps({**self.entry(), "pace": 1.0}).encode()
+            writer.write(encode_message(f"HTTP/1.1 200 {_REASON}", {}, content))
+        elif message.path == "/v1/order":
+            self._order(json.loads(body), writer)
+        else:
+            self._check_request(message)
+            if self.service == MODEL_SERVICE:
+                await self._async_stream(message, writer)
+            else:
+                await self._async_plain(message, writer)
+        await writer.drain()
+
+    def _reject(
+        self, message: Message, status: int, writer: asyncio.StreamWriter
+    ) -> None:
+        attempt = message.headers.get("x-attempt-id", "")
+        headers = {"x-attempt-id": attempt, "x-not-executed": "1"}
+        writer.write(encode_message(f"HTTP/1.1 {status} {_REASON}", headers))
+
+    def _check_request(self, message: Message) -> None:
+        attempt = message.headers["x-attempt-id"]
+        node = self.records.sent_to.get(attempt, "")
+        if message.headers.get("x-tenant") != TENANT:
+            self.records.violate(Promise.TEAM, f"{attempt}: {message.headers}")
+        if "authorization" in message.headers:
+            self.records.violate(Promise.TEAM, f"{attempt} carries its key")
+        if not self.leaving_s or not self.records.is_calm(node, STORE, self.server_id):
+            return
+        late_s = self.records.now_s() - self.leaving_s - DRAIN_LIMIT_S - ARRIVAL_S
+        if late_s > 0:
+            text = f"{attempt} from {node} reached {self.server_id} {late_s:.2f} s late"
+            self.records.violate(Promise.DRAIN, text)
+
+    # Requests
+
+    async def _async_plain(
+        self, message: Message, writer: asyncio.StreamWriter
+    ) -> None:
+        attempt = message.headers["x-attempt-id"]
+        command = message.first.startswith("POST")
+        self.records.note_run(attempt, self.server_id, command=command)
+        await asyncio.sleep(random.uniform(*PLAIN_WORK_S))
+        headers = {"x-attempt-id": attempt, "x-response-seal": self.server_id}
+        body = f"{message.path} {attempt}".encode()
+        writer.write(encode_message(f"HTTP/1.1 200 {_REASON}", headers, body))
+
+    async def _async_stream(
+        self, message: Message, writer: asyncio.StreamWriter
+    ) -> None:
+        membership = self.membership
+        is_head = membership is not None and membership.members[0] == self.server_id
+        if membership is None or not is_head or membership.state != "open":
+            self._reject(message, 421, writer)
+            return
+        if len(self.running) >= SLOTS:
+            self._reject(message, 503, writer)
+            return
+        self._check_members(membership)
+        attempt = message.headers["x-attempt-id"]
+        self.records.note_run(attempt, self.server_id, command=False)
+        task = asyncio.create_task(self._async_send_events(message, membership, writer))
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+        await asyncio.gather(task, return_exceptions=True)
+        if task.cancelled():
+            raise ConnectionAbortedError("the stream is cut")
+
+    def _check_members(self, membership: Membership) -> None:
+        for member in membership.members:
+            server = self.fleet.get(member)
+            if server is not None and membership.key not in server.was_ready:
+                text = f"{self.server_id} serves {membership.key} without {member}"
+                self.records.violate(Promise.WHOLE_GROUP, text)
+
+    async def _async_send_events(
+        self, message: Message, membership: Membership, writer: asyncio.StreamWriter
+    ) -> None:
+        attempt = message.headers["x-attempt-id"]
+        first = int(message.headers.get("last-event-id", 0)) + 1
+        writer.write(
+            f"HTTP/1.1 200 {_REASON}\r\nx-attempt-id: {attempt}\r\n"
+            f"x-response-seal: {self.server_id}\r\n"
+            "content-type: text/event-stream\r\n"
+            "transfer-encoding: chunked\r\n\r\n".encode()
+        )
+        for number in range(first, STREAM_EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            await self._async_wait_whole(membership)
+            event = f"id: {number}\ndata: {message.path} {number}\n\n"
+            writer.write(encode_chunk(event.encode()))
+        writer.write(encode_chunk(b""))
+        await writer.drain()
+
+    async def _async_wait_whole(self, membership: Membership) -> None:
+        """Stand still while a member is missing; break after a while."""
+        waited_s = 0.0
+        while not self.is_whole(membership):
+            await asyncio.sleep(EVENT_S)
+            waited_s += EVENT_S
+            if waited_s > STALL_S:
+                if self.membership is membership:
+                    membership.state = "broken"
+                raise asyncio.CancelledError
+
+    def _cut_running(self) -> None:
+        for task in self.running:
+            task.cancel()
+
+    # Orders
+
+    def _order(self, order: dict[str, Any], writer: asyncio.StreamWriter) -> None:
+        status = self._carry_out(order)
+        if random.random() < self.lost_answers:
+            writer.transport.abort()
+            return
+        writer.write(encode_message(f"HTTP/1.1 {status} {_REASON}", {}, b"{}"))
+
+    def _carry_out(self, order: dict[str, Any]) -> int:
+        fence = int(order.get("fencing_token", 0))
+        if fence < self.fence:
+            return 412
+        self.fence = fence
+        self.orders += 1
+        match order["operation"]:
+            case "join":
+                return self._join(order)
+            case "stage":
+                self._spawn(self._async_stage(order["model"]))
+                return 202
+        membership = self.membership
+        if membership is None or membership.key != (order["group"], order["epoch"]):
+            return 200 if order["operation"] == "leave" else 409
+        if order["operation"] == "leave":
+            self.membership = None
+            self._cut_running()
+            return 200
+        if membership.state not in {"ready", "open"}:
+            return 409
+        self._spawn(self._async_open(membership))
+        return 202
+
+    def _join(self, order: dict[str, Any]) -> int:
+        wanted = Membership(order["group"], order["epoch"], list(order["members"]))
+        held = self.membership
+        if held is not None and held.key == wanted.key:
+            return 200 if held.members == wanted.members else 412
+        if self.epoch_seen > wanted.epoch:
+            return 412
+        self.epoch_seen = wanted.epoch
+        if held is not None:
+            self._check_released(held, wanted)
+        self.membership = wanted
+        self._cut_running()
+        self._spawn(self._async_join(wanted, order["model"]))
+        return 202
+
+    def _check_released(self, held: Membership, wanted: Membership) -> None:
+        head = self.fleet.get(held.members[0])
+        if head is None or not head.alive or head.membership is None:
+            return
+        if head.membership.key == held.key and head.membership.state == "open":
+            text = f"{self.server_id} joins {wanted.key}, {held.key} is open"
+            self.records.violate(Promise.ONE_GROUP, text)
+
+    async def _async_join(self, membership: Membership, model: str) -> None:
+        if self.last_model == model:
+            await asyncio.sleep(REJOIN_S)
+        else:
+            await asyncio.sleep(WARMUP_S if self.staged == model else LOAD_S)
+        if self.membership is membership:
+            self.staged = self.last_model = model
+            membership.state = "ready"
+            self.was_ready.add(membership.key)
+
+    async def _async_open(self, membership: Membership) -> None:
+        await asyncio.sleep(FORMATION_S)
+        if self.membership is membership and membership.state == "ready":
+            membership.state = "open"
+
+    async def _async_stage(self, model: str) -> None:
+        await asyncio.sleep(LOAD_S)
+        self.staged = model
+
+    def _spawn(self, coro: Any) -> None:
+        task = asyncio.create_task(coro)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/standins/soak/world.py
@@ -0,0 +1,277 @@
+"""Servers, store and node programs of a soak."""
+
+import asyncio
+import itertools
+import json
+import random
+from collections.abc import Iterator
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ..processes import ManagedProcess, ProcessSet
+from ..proxy import FaultProxy
+from ..row_store import RowStore
+from .const import (
+    CALLER_PORT,
+    DELAY_PERIOD_S,
+    FORMATION_S,
+    GRACE_S,
+    GROUP_SIZE,
+    HEARTBEAT_S,
+    HEARTBEATS_TO_LAPSE,
+    HOST_NAME,
+    INTERNAL_PORTS,
+    KEY,
+    LAG_LIMIT_S,
+    LOAD_S,
+    MODEL,
+    MODEL_SERVERS_PER_ZONE,
+    MODEL_SERVICE,
+    NODES_PER_ZONE,
+    PLAIN_SERVERS_PER_ZONE,
+    PLAIN_SERVICE,
+    READY_PORT,
+    ROUTE_TIMEOUT_S,
+    SLOTS,
+    TENANT,
+    WARMUP_S,
+    ZONES,
+)
+from .http import async_read_head, encode_message
+from .records import Records
+from .server import Server
+
+MS_PER_S = 1000
+NS_PER_S = 1e9
+READY_LIMIT_S = 1.0
+SETTINGS_VARIABLE = "GOOSEBERRYHALL_SETTINGS"
+
+
+@dataclass(slots=True)
+class SoakNode:
+    """A node program, its address and its own way to the store."""
+
+    name: str
+    host: str
+    process: ManagedProcess
+    store_proxy: FaultProxy
+
+    async def async_is_ready(self) -> bool:
+        """Return whether the node takes callers."""
+        try:
+            async with asyncio.timeout(READY_LIMIT_S):
+                reader, writer = await asyncio.open_connection(self.host, READY_PORT)
+                try:
+                    headers = {"host": self.host, "connection": "close"}
+                    writer.write(encode_message("GET /v1/readiness HTTP/1.1", headers))
+                    return (await async_read_head(reader)).status == 200  # noqa: PLR2004
+                finally:
+                    writer.transport.abort()
+        except (OSError, TimeoutError):
+            return False
+
+
+def read_run_delay_s(pid: int) -> float:
+    """Return how long a process was ready to run and had no processor."""
+    try:
+        fields = Path(f"/proc/{pid}/schedstat").read_text().split()
+    except OSError:
+        return 0.0
+    return int(fields[1]) / NS_PER_S
+
+
+@dataclass(slots=True)
+class World:
+    """Everything that a soak runs and disturbs."""
+
+    directory: Path
+    records: Records
+    stack: AsyncExitStack
+    store: RowStore = field(default_factory=RowStore)
+    servers: dict[str, Server] = field(default_factory=dict)
+    nodes: list[SoakNode] = field(default_factory=list)
+    version: int = 0
+    # Prefixes of routes that were added, with the time of their acknowledgement.
+    added: dict[str, float] = field(default_factory=dict)
+    _ids: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    _silent_s: dict[str, float] = field(default_factory=dict)
+
+    async def async_start(self) -> None:
+        """Start servers, store and nodes."""
+        listener = await asyncio.start_server(self.store.async_serve, "127.0.0.1", 0)
+        self.stack.callback(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        self.change_configuration()
+        for zone in ZONES:
+            for _ in range(MODEL_SERVERS_PER_ZONE):
+                await self.async_add_server(MODEL_SERVICE, zone)
+            for _ in range(PLAIN_SERVERS_PER_ZONE):
+                await self.async_add_server(PLAIN_SERVICE, zone)
+        self.stack.push_async_callback(self._async_stop_servers)
+        beats = asyncio.create_task(self._async_send_heartbeats())
+        self.stack.callback(beats.cancel)
+        processes = ProcessSet(self.directory)
+        self.stack.callback(processes.kill_all)
+        # Addresses of its own for each run keep the fixed ports apart.
+        network = f"127.{random.randint(1, 254)}.{random.randint(1, 254)}"
+        for number, zone in enumerate(ZONES * NODES_PER_ZONE, start=2):
+            name, host = f"node-{zone}-{number}", f"{network}.{number}"
+            proxy = FaultProxy(port)
+            await proxy.async_start()
+            self.stack.push_async_callback(proxy.async_stop)
+            process = self._add_process(processes, name, zone, host, proxy.port)
+            self.nodes.append(SoakNode(name, host, process, proxy))
+
+    def _add_process(
+        self, processes: ProcessSet, name: str, zone: str, host: str, store_port: int
+    ) -> ManagedProcess:
+        path = self.directory / f"{name}.json"
+        settings = {
+            "node_name": name,
+            "zone": zone,
+            "ip_address": host,
+            "zones": dict.fromkeys(ZONES, "r"),
+            "listen_addresses": {
+                "frontend": f"{host}:{CALLER_PORT}",
+                "ready": f"{host}:{READY_PORT}",
+            },
+            "internal_port_range": INTERNAL_PORTS,
+            "platform": {"address": f"127.0.0.1:{store_port}"},
+            "bounds": {"grace_period_s": GRACE_S},
+        }
+        path.write_text(json.dumps(settings))
+        return processes.add(
+            name,
+            ["-m", "gooseberryhall.platform"],
+            environment={SETTINGS_VARIABLE: str(path)},
+        )
+
+    async def async_watch_processor(self) -> None:
+        """Note which nodes the machine kept from running, too long to judge times."""
+        delays_s: dict[int, float] = {}
+        while True:
+            await asyncio.sleep(DELAY_PERIOD_S)
+            for node in self.nodes:
+                if not node.process.is_running:
+                    continue
+                pid = node.process.pid
+                delay_s = read_run_delay_s(pid)
+                if delay_s - delays_s.get(pid, delay_s) > LAG_LIMIT_S:
+                    self.records.disturb(node.name)
+                    self.records.outcomes["node without processor"] += 1
+                delays_s[pid] = delay_s
+
+    # Servers
+
+    async def async_add_server(self, service: str, zone: str) -> Server:
+        """Start a server; it has nothing staged."""
+        server_id = f"i-{next(self._ids)}"
+        server = Server(server_id, service, zone, self.records, self.servers)
+        await server.async_start()
+        self.servers[server_id] = server
+        self._write_entry(server)
+        return server
+
+    async def async_crash_server(self, server: Server) -> None:
+        """End a server at once; its entry lapses later."""
+        await server.async_stop()
+
+    async def async_remove_server(self, server: Server) -> None:
+        """Take a drained server away."""
+        await server.async_stop()
+        self._forget(server)
+
+    def announce_leaving(self, server: Server) -> None:
+        """Let a server report that it leaves."""
+        server.leaving_s = self.records.now_s()
+        self._write_entry(server)
+
+    def live_servers(self, service: str) -> list[Server]:
+        """Return the servers that live and stay."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.service == service and server.alive and not server.leaving_s
+        ]
+
+    def _write_entry(self, server: Server) -> None:
+        server.sequence += 1
+        value = json.dumps(server.entry()).encode()
+        self.store.put("servers", server.server_id, value)
+
+    def _forget(self, server: Server) -> None:
+        self.servers.pop(server.server_id, None)
+        self.store.put("servers", server.server_id, None)
+
+    async def _async_send_heartbeats(self) -> None:
+        """Write entries; those of servers that crashed lapse."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for server in list(self.servers.values()):
+                if server.alive:
+                    self._write_entry(server)
+                    continue
+                server_id = server.server_id
+                silent_s = self._silent_s.get(server_id, 0.0) + HEARTBEAT_S
+                self._silent_s[server_id] = silent_s
+                if silent_s >= HEARTBEATS_TO_LAPSE * HEARTBEAT_S:
+                    self._forget(server)
+
+    async def _async_stop_servers(self) -> None:
+        for server in list(self.servers.values()):
+            await server.async_stop()
+
+    # Configuration
+
+    def change_configuration(self, new_prefix: str | None = None) -> None:
+        """Write the next version, with one more route if a prefix is given."""
+        self.version += random.randint(1, 5)
+        if new_prefix is not None:
+            self.added[new_prefix] = self.records.now_s()
+        value = json.dumps(self._configuration()).encode()
+        self.store.put("op", "config", value)
+
+    def _configuration(self) -> dict[str, Any]:
+        timeout_ms = ROUTE_TIMEOUT_S * MS_PER_S
+        shared = {"host": HOST_NAME, "timeout_ms": timeout_ms, "attempts": 2}
+        plain = {**shared, "service": PLAIN_SERVICE, "target_latency_ms": 300}
+        routes: list[dict[str, Any]] = [
+            {**plain, "name": "read", "prefix": "/read/", "kind": "safe"},
+            {**plain, "name": "command", "prefix": "/command/", "kind": "unsafe"},
+            {
+                **shared,
+                "name": "chat",
+                "prefix": "/chat/",
+                "kind": "streaming",
+                "stream_resumption": True,
+                "service": MODEL_SERVICE,
+                "target_latency_ms": 300,
+            },
+        ]
+        for prefix in self.added:
+            name = prefix.strip("/")
+            routes.append({**plain, "name": name, "prefix": prefix, "kind": "safe"})
+        model = {
+            "name": MODEL,
+            "size": GROUP_SIZE,
+            "share": 1.0,
+            "load_time_s": LOAD_S,
+            "warmup_s": WARMUP_S,
+        }
+        engine = {
+            "slots": SLOTS,
+            "models": [model],
+            "formation_ms": FORMATION_S * MS_PER_S,
+            "loads_at_once": 4,
+        }
+        return {
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": MODEL_SERVICE, "engine": engine},
+                {"name": PLAIN_SERVICE},
+            ],
+            "tenants": [{"name": TENANT, "api_keys": [KEY]}],
+        }
