Take a group for broken after 0.45 s of silence

A full batch is silent for a third of a second at most, so 0.6 s left requests waiting for nothing.

Change: the limit is 0.45 s. A test holds both sides of it.

--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -5,7 +5,7 @@
 # A group that sends nothing for this long, although it has requests, has most
 # likely lost a member. Prompts that are read between the tokens of a full batch
 # keep a sound group silent for up to about a third of a second.
-GROUP_STALL_S: Final = 0.6
+GROUP_STALL_S: Final = 0.45
 STALL_CHECK_PERIOD_S: Final = 0.05
 # Time for which a stalled group gets no requests; doubled with each stall in a row.
 STALL_BACKOFF_S: Final = 0.8
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -147,3 +148,18 @@
     assert splitter.events == count
     assert splitter.last_id == b"%d" % count
     assert not splitter.unfinished
+
+
+@pytest.mark.parametrize(("silent_s", "expected"), [(0.34, []), (0.5, ["h"])])
+def test_silence_is_told_apart_from_a_full_batch(
+    silent_s: float, expected: list[str]
+) -> None:
+    """Guards against requests that run into a broken group for longer than needed.
+
+    Prompts between the tokens of a full batch take up to a third of a second.
+    """
+    stalled: list[str] = []
+    backends = Backends(stalled.append)
+    backends.begin("h", Exchange(), 0.0)
+    backends.check_stalls({"h"}, silent_s)
+    assert stalled == expected
