--- /dev/null
+++ b/standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the product with stand-ins."""
--- a/standins/bench.py
+++ b/standins/bench/__main__.py
@@ -13,18 +13,21 @@
 
 import click
 
-from .bench_capacity import Capacity, async_measure_capacity
-from .bench_cluster import serving_cluster
-from .bench_idle import (
+from ..demo import GROUPS, MEMBERS
+from ..layout import ClusterSizes
+from .capacity import Capacity, async_measure_capacity
+from .cluster import serving_cluster
+from .figures import Summary, load_average, markdown_table
+from .idle import (
     CONTROL_CPU_PERCENT,
     CONTROL_KB_PER_S,
     CONTROL_RSS_MB,
     IdleCost,
     async_measure_idle,
 )
-from .bench_latency import async_measure_latency
-from .bench_prefix import RoutingResult, async_measure_prefix, best_hit_share
-from .bench_slopes import (
+from .latency import async_measure_latency
+from .prefix import RoutingResult, async_measure_prefix, best_hit_share
+from .slopes import (
     LOAD_HEADER,
     SIZE_HEADER,
     SLOPE_HEADER,
@@ -36,9 +39,6 @@
     size_slopes,
     slope_row,
 )
-from .demo import GROUPS, MEMBERS
-from .figures import Summary, load_average, markdown_table
-from .layout import ClusterSizes
 
 Row = tuple[str, str, str]
 HEADER = ("figure", "system", "baseline or target")
--- a/standins/bench_capacity.py
+++ b/standins/bench/capacity.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .bench_cluster import serving_cluster, single_node_sizes
-from .cluster import Cluster
-from .demo import MODEL, TEAM_TOKEN
+from ..cluster import Cluster
+from ..demo import MODEL, TEAM_TOKEN
+from ..processes import ROOT, ProcessError
+from .cluster import serving_cluster, single_node_sizes
 from .figures import cpu_s, wait_s
-from .processes import ROOT, ProcessError
 
 GENERATORS = 3
 GROUPS = 6
@@ -166,7 +166,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "standins.bench_client",
+        "standins.bench.client",
         *map(str, command),
         cwd=ROOT,
         stdout=asyncio.subprocess.PIPE,
--- a/standins/bench_client.py
+++ b/standins/bench/client.py
@@ -10,8 +10,8 @@
 import click
 import uvloop
 
+from ..http import HOST
 from .figures import cpu_s
-from .http import HOST
 
 MARK = b"data: "
 # Events of a stream beside its tokens: the usage and the end marker.
--- a/standins/bench_cluster.py
+++ b/standins/bench/cluster.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .cluster import Cluster
-from .demo import async_apply, async_serving, async_wait_serving, declared_objects
-from .layout import ClusterSizes
+from ..cluster import Cluster
+from ..demo import async_apply, async_serving, async_wait_serving, declared_objects
+from ..layout import ClusterSizes
 
 SERVE_LIMIT_S = 60.0
 # High enough that no limit of the configuration shapes a measurement.
--- a/standins/measure_control.py
+++ b/standins/bench/control.py
@@ -13,10 +13,10 @@
 import click
 from aiohttp import web
 
+from ..http import HOST
+from ..layout import PortPicker
+from ..processes import ProcessError, ProcessSet
 from .figures import cpu_s, memory_mb, metric_total, slope
-from .http import HOST
-from .layout import PortPicker
-from .processes import ProcessError, ProcessSet
 
 DEFAULT_NODES = 7
 ZONE = "z1"
--- a/standins/figures.py
+++ b/standins/bench/figures.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from .load import percentile
-from .processes import ProcessError
+from ..load import percentile
+from ..processes import ProcessError
 
 KIB_PER_MB = 1024
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
--- a/standins/bench_idle.py
+++ b/standins/bench/idle.py
@@ -3,10 +3,10 @@
 import asyncio
 from dataclasses import astuple, dataclass
 
-from .cluster import Cluster
+from ..cluster import Cluster
+from ..layout import PROGRAMS, NodeLayout
+from ..processes import ProcessError
 from .figures import cpu_s, memory_mb, metric_total
-from .layout import PROGRAMS, NodeLayout
-from .processes import ProcessError
 
 SETTLE_S = 3.0
 IDLE_S = 16.0
--- a/standins/bench_latency.py
+++ b/standins/bench/latency.py
@@ -7,12 +7,12 @@
 
 import aiohttp
 
-from .bench_cluster import Lead, async_leads
-from .client import ChatResult, async_chat
-from .cluster import Cluster
-from .demo import MODEL, TEAM_TOKEN
+from ..client import ChatResult, async_chat
+from ..cluster import Cluster
+from ..demo import MODEL, TEAM_TOKEN
+from ..processes import ProcessError
+from .cluster import Lead, async_leads
 from .figures import Summary, summary
-from .processes import ProcessError
 
 PAIRS = 100
 WARM_UP_PAIRS = 5
--- a/standins/bench_planner.py
+++ b/standins/bench/planner.py
@@ -18,7 +18,7 @@
 from gooseberryhall.groups.models import Vm, VmState
 from gooseberryhall.groups.tuning import Tuning, tuning_for
 
-from .planner_world import SimEngine, SimNode, SimTable, probe_all
+from ..planner_world import SimEngine, SimNode, SimTable, probe_all
 
 TICK_S: Final = 2.0
 START_S: Final = 120.0
--- a/standins/bench_prefix.py
+++ b/standins/bench/prefix.py
@@ -9,15 +9,15 @@
 
 import aiohttp
 
-from .answers import expected_answer
-from .bench_cluster import Lead, async_leads, serving_cluster
-from .client import ChatResult, Message, async_chat
-from .cluster import Cluster
-from .demo import MODEL, TEAM_TOKEN
+from ..answers import expected_answer
+from ..client import ChatResult, Message, async_chat
+from ..cluster import Cluster
+from ..demo import MODEL, TEAM_TOKEN
+from ..engine.prefix_cache import PrefixCache, prompt_blocks
+from ..layout import ClusterSizes
+from ..processes import ProcessError
+from .cluster import Lead, async_leads, serving_cluster
 from .figures import Summary, summary
-from .layout import ClusterSizes
-from .prefix_cache import PrefixCache, prompt_blocks
-from .processes import ProcessError
 
 SEED = 7
 NODES = 2
--- a/standins/bench_slopes.py
+++ b/standins/bench/slopes.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .bench_capacity import Step, async_step
-from .bench_cluster import serving_cluster, single_node_sizes
-from .cluster import Cluster, async_wait_for
-from .demo import async_apply
+from ..cluster import Cluster, async_wait_for
+from ..demo import async_apply
+from ..layout import PROGRAMS, sha256_hex
+from .capacity import Step, async_step
+from .cluster import serving_cluster, single_node_sizes
 from .figures import intercept, memory_mb, slope
-from .layout import PROGRAMS, sha256_hex
 
 GROUPS = 4
 ENGINE_OPTIONS = ("--token-ms", "20", "--first-token-ms", "5", "--slots", "1000")
--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a model engine."""
--- a/standins/engine.py
+++ b/standins/engine/__main__.py
@@ -13,11 +13,7 @@
 import click
 from aiohttp import web
 
-from .engine_chat import add_chat_routes
-from .engine_group import GroupRunner, add_order_routes
-from .engine_state import Engine, EngineOptions, Faults
-from .engine_streams import StreamPool
-from .http import (
+from ..http import (
     MAX_BODY_BYTES,
     ApplyValue,
     ControlError,
@@ -28,7 +24,11 @@
     error_response,
     run_app,
 )
+from .chat import add_chat_routes
+from .group import GroupRunner, add_order_routes
 from .prefix_cache import PrefixCache
+from .state import Engine, EngineOptions, Faults
+from .streams import StreamPool
 
 LOAD_SAMPLE_PERIOD_S = 0.1
 # Time to send the answer to a control request before the process stops.
--- a/standins/engine_chat.py
+++ b/standins/engine/chat.py
@@ -8,16 +8,16 @@
 
 from aiohttp import web
 
-from .answers import DEFAULT_MAX_TOKENS, expected_words
-from .engine_state import Engine, EngineState
-from .engine_streams import MS_PER_S, Stream, StreamPool, StreamResult
-from .http import (
+from ..answers import DEFAULT_MAX_TOKENS, expected_words
+from ..http import (
     abort_connection,
     async_json_object,
     boot_time_s,
     error_response,
 )
 from .prefix_cache import PrefixCache, prompt_blocks
+from .state import Engine, EngineState
+from .streams import MS_PER_S, Stream, StreamPool, StreamResult
 
 CRASH_MARKER = "CRASH-SERVER"
 DEFAULT_PRIORITY = 5
--- a/standins/engine_group.py
+++ b/standins/engine/group.py
@@ -9,10 +9,10 @@
 import aiohttp
 from aiohttp import web
 
-from .engine_state import Engine, EngineState, Placement
-from .engine_streams import StreamPool
-from .http import async_json_object, boot_time_s, error_response
+from ..http import async_json_object, boot_time_s, error_response
 from .prefix_cache import PrefixCache
+from .state import Engine, EngineState, Placement
+from .streams import StreamPool
 
 MEMBER_POLL_PERIOD_S = 0.2
 MEMBER_POLL_TIMEOUT_S = 0.5
--- a/standins/engine_state.py
+++ b/standins/engine/state.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Any
 
-from .http import boot_time_s
+from ..http import boot_time_s
 
 BOOT_ID_BYTES = 8
 MAX_RECORDS = 20_000
--- a/standins/engine_streams.py
+++ b/standins/engine/streams.py
@@ -9,8 +9,8 @@
 from enum import StrEnum
 from functools import partial
 
-from .engine_state import Records
-from .http import boot_time_s
+from ..http import boot_time_s
+from .state import Records
 
 KEEP_ENDED_S = 30.0
 NO_READER_LIMIT_S = 10.0
--- a/tests/standins/test_figures.py
+++ b/tests/standins/bench/test_figures.py
@@ -2,11 +2,8 @@
 
 import pytest
 
-from standins.bench_capacity import Capacity, Step
-from standins.bench_latency import Added, arrivals_ms
-from standins.bench_prefix import create_turns
-from standins.client import ChatResult
-from standins.figures import (
+from standins.bench.capacity import Capacity, Step
+from standins.bench.figures import (
     TICKS_PER_S,
     intercept,
     metric_total,
@@ -14,7 +11,10 @@
     stat_cpu_s,
     summary,
 )
-from standins.prefix_cache import prompt_blocks
+from standins.bench.latency import Added, arrivals_ms
+from standins.bench.prefix import create_turns
+from standins.client import ChatResult
+from standins.engine.prefix_cache import prompt_blocks
 
 
 def test_summary_takes_the_tail_and_the_middle_half() -> None:
--- /dev/null
+++ b/tests/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the engine stand-in."""
--- a/tests/standins/test_streams.py
+++ b/tests/standins/engine/test_streams.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from standins import engine_streams
 from standins.cluster import async_wait_for
-from standins.engine_state import Records
-from standins.engine_streams import Stream, StreamPool, StreamResult
-from standins.prefix_cache import PrefixCache, prompt_blocks
+from standins.engine import streams
+from standins.engine.prefix_cache import PrefixCache, prompt_blocks
+from standins.engine.state import Records
+from standins.engine.streams import Stream, StreamPool, StreamResult
 
 LIMIT_S = 2.0
 
@@ -53,8 +53,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against streams that run to their end for callers that left."""
-    monkeypatch.setattr(engine_streams, "NO_READER_LIMIT_S", 0.1)
-    monkeypatch.setattr(engine_streams, "SWEEP_PERIOD_S", 0.02)
+    monkeypatch.setattr(streams, "NO_READER_LIMIT_S", 0.1)
+    monkeypatch.setattr(streams, "SWEEP_PERIOD_S", 0.02)
     pool = StreamPool(slots=2, records=Records())
     left, read = _stream("a", frames=10_000), _stream("b", frames=10_000)
     read.readers = 1
--- a/tests/system/requests/test_crashes.py
+++ b/tests/system/requests/test_crashes.py
@@ -9,7 +9,7 @@
 import pytest
 
 from standins.cluster import async_wait_for
-from standins.engine_chat import CRASH_MARKER
+from standins.engine.chat import CRASH_MARKER
 from standins.layout import NodeLayout
 
 from .common import (
