--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -39,13 +39,13 @@
         await world.async_start()
         callers = Callers(world)
         waiting = "the system does not serve"
-        if not await _async_wait_serving(world, callers, START_LIMIT_S):
+        if not await async_wait_serving(world, callers, START_LIMIT_S):
             raise TimeoutError(waiting)
         for watch in (world.records.async_watch_lag(), world.async_watch_processor()):
             stack.callback(asyncio.create_task(watch).cancel)
         calling = asyncio.create_task(callers.async_run())
         await async_inject(world, callers, faults)
-        if not await _async_wait_serving(world, callers, RECOVERY_LIMIT_S):
+        if not await async_wait_serving(world, callers, RECOVERY_LIMIT_S):
             text = f"not after {RECOVERY_LIMIT_S} s: {world.records.outcomes}"
             world.records.violate(Promise.RECOVERY, text)
         calling.cancel()
@@ -56,7 +56,7 @@
         return SoakResult(seed, faults, world.records.violations, outcomes)
 
 
-async def _async_wait_serving(world: World, callers: Callers, limit_s: float) -> bool:
+async def async_wait_serving(world: World, callers: Callers, limit_s: float) -> bool:
     """Wait until every node serves every kind of request."""
     deadline_s = world.records.now_s() + limit_s
     missing = {(node.name, kind): node for node in world.nodes for kind in Kind}
--- a/tests/standins/soak/test_promises.py
+++ b/tests/standins/soak/test_promises.py
@@ -20,9 +20,10 @@
     ROUTE_TIMEOUT_S,
     TENANT,
 )
-from standins.soak.faults import plan_faults
+from standins.soak.faults import INJECTORS, Fault, plan_faults
 from standins.soak.http import Message
 from standins.soak.records import Promise, Records
+from standins.soak.run import async_wait_serving
 from standins.soak.server import Membership, Server
 from standins.soak.world import SoakNode, World, read_run_delay_s
 
@@ -157,6 +158,76 @@
             assert _promises(records) == expected
 
 
+class FakeNode:
+    """A node whose program does what the test says."""
+
+    name = "node-1"
+
+    def __init__(self, *, ready: bool = True) -> None:
+        """Create a node that runs."""
+        self.ready = ready
+        self.process = self
+        self.is_running = True
+        self.starts = 0
+
+    def terminate(self) -> None:
+        """End at once."""
+        self.is_running = False
+
+    def kill(self) -> None:
+        """Do nothing; the program has ended."""
+
+    def start(self) -> None:
+        """Count a start."""
+        self.starts += 1
+
+    async def async_is_ready(self) -> bool:
+        """Return what the test says."""
+        return self.ready
+
+
+class FakeCallers:
+    """Callers that all see the same outcome."""
+
+    def __init__(self, outcome: str) -> None:
+        """Keep the outcome."""
+        self.outcome = outcome
+
+    async def async_call(self, *_: Any) -> str:
+        """Return the outcome."""
+        return self.outcome
+
+
+@pytest.mark.parametrize(
+    ("outcome", "expected"), [("200", []), ("cut: reset", [Promise.PLANNED_STOP])]
+)
+async def test_request_that_a_planned_stop_cuts_is_found(
+    records: Records, outcome: str, expected: list[Promise]
+) -> None:
+    """The node has read the request before it was told to stop."""
+    async with AsyncExitStack() as stack:
+        world = World(Path(), records, stack)
+        world.nodes = [cast("SoakNode", FakeNode())]
+        callers = cast("Callers", FakeCallers(outcome))
+        await INJECTORS["stop"](world, callers, Fault("stop", 0.0, 1.0, 0.0))
+    assert _promises(records) == expected
+
+
+@pytest.mark.parametrize(
+    ("ready", "outcome", "expected"),
+    [(True, "200", True), (True, "503", False), (False, "200", False)],
+)
+async def test_node_that_does_not_recover_is_found(
+    records: Records, *, ready: bool, outcome: str, expected: bool
+) -> None:
+    """It must be ready and serve every kind of request."""
+    async with AsyncExitStack() as stack:
+        world = World(Path(), records, stack)
+        world.nodes = [cast("SoakNode", FakeNode(ready=ready))]
+        callers = cast("Callers", FakeCallers(outcome))
+        assert await async_wait_serving(world, callers, 0.3) is expected
+
+
 def test_time_without_a_processor_is_read() -> None:
     """Guards against a judge that never sees that the machine is too busy."""
     assert read_run_delay_s(os.getpid()) > 0
