Let a test tell why its link did not open

test_reported_failure_is_probed_at_once waited 10 s for a link without a reason; a client that ended with an error now fails the test with it.

--- a/tests/control/test_distribution.py
+++ b/tests/control/test_distribution.py
@@ -53,6 +53,9 @@
     task = asyncio.create_task(async_maintain([address], identity, hub.handlers))
 
     async def async_open() -> bool:
+        # A client that ended with an error would otherwise look like a slow one.
+        if task.done():
+            task.result()
         return bool(hub.links())
 
     try:
