--- a/tests/control/common.py
+++ b/tests/control/common.py
@@ -1,7 +1,9 @@
 """Starts control processes with a small fake platform and fake engines."""
 
 import asyncio
+import contextlib
 import json
+import random
 import secrets
 import signal
 import socket
@@ -29,14 +31,20 @@
 START_LIMIT_S = 10.0
 STOP_LIMIT_S = 5.0
 POLL_S = 0.05
+PORT_RANGE = (10_000, 19_999)
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a port that was free a moment ago.
+
+    It lies below the range of outgoing connections, one of which could take it before
+    the program that is to listen on it has started.
+    """
+    while True:
+        port = random.randint(*PORT_RANGE)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 @dataclass
