Let the launcher of the cluster test take SIGINT

Shown by running the test in such a background command: it failed each time (1 of 1), and passed in the foreground. Change: the launcher sets the default handler. The check is the same.

--- a/tests/standins/test_cluster.py
+++ b/tests/standins/test_cluster.py
@@ -14,7 +14,7 @@
 from .conftest import SMALL
 
 _SCRIPT = """
-import asyncio, sys
+import asyncio, signal
 from standins.cluster import Cluster
 from tests.standins.conftest import SMALL
 async def main():
@@ -22,6 +22,9 @@
         pids = [item.pid for item in cluster.processes.by_name.values()]
         print(*pids, flush=True)
         await asyncio.sleep(60)
+# A shell lets the commands that it starts in the background ignore SIGINT, and the
+# launcher inherits that.
+signal.signal(signal.SIGINT, signal.default_int_handler)
 asyncio.run(main())
 """
 
