Accept the last connections before the listening socket closes

Cause: closing a listening socket resets the connections that the kernel has accepted and the program has not. One chat at a stopping entry VM ended with ECONNRESET after 13 ms. A test that connects five callers while the event loop stands still fails without the change: the callers get no answer. Change: before the close a packet filter drops what would arrive at the socket, and the event loop accepts all that are left.

--- a/gooseberryhall/entry/server.py
+++ b/gooseberryhall/entry/server.py
@@ -13,6 +13,7 @@
 from ..config.models import GroupSpec
 from ..const import EVIDENCE_LIMIT_S, MAX_BODY_BYTES, MAX_HEADER_BYTES
 from ..core.clock import now_s
+from ..core.listening import async_accept_last
 from ..core.state import State
 from ..exceptions import Ran
 from ..requests.exceptions import RequestFailedError
@@ -83,6 +84,7 @@
 
 async def _async_stop(server: Any) -> None:
     """Accept no connections, then answer requests on those that were just accepted."""
+    await async_accept_last(server.server.sockets)
     server.close()
     await asyncio.sleep(LAST_REQUESTS_S)
     for connection in list(server.connections):
--- /dev/null
+++ b/tests/core/test_listening.py
@@ -0,0 +1,73 @@
+"""Tests of the end of listening."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+import uvloop
+
+from gooseberryhall.core.listening import async_accept_last
+
+CALLERS = 20
+LIMIT_S = 5.0
+
+
+async def _async_echo(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(await reader.readexactly(1))
+    await writer.drain()
+    writer.close()
+
+
+async def _async_read_answers(callers: list[socket.socket]) -> list[bytes]:
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(LIMIT_S):
+        return [await loop.sock_recv(caller, 2) for caller in callers]
+
+
+async def _async_close_during_calls() -> list[bytes]:
+    server = await asyncio.start_server(_async_echo, "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()
+    # The event loop does not run meanwhile, so that the kernel alone accepts.
+    callers = [socket.create_connection(address) for _ in range(CALLERS)]
+    try:
+        for caller in callers:
+            caller.sendall(b"a")
+            caller.setblocking(False)
+        await async_accept_last(server.sockets)
+        server.close()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address, LIMIT_S)
+        return await _async_read_answers(callers)
+    finally:
+        for caller in callers:
+            caller.close()
+
+
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_connections_that_the_kernel_accepted_are_served(
+    new_loop: Callable[[], asyncio.AbstractEventLoop],
+) -> None:
+    """Closing the socket at once reset them, without a word on whether they ran."""
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        assert runner.run(_async_close_during_calls()) == [b"a"] * CALLERS
+
+
+async def _async_call_after_the_last() -> None:
+    server = await asyncio.start_server(_async_echo, "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()
+    await async_accept_last(server.sockets)
+    with pytest.raises(TimeoutError):
+        socket.create_connection(address, 0.3)
+    server.close()
+
+
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_no_connection_arrives_between_the_last_and_the_close(
+    new_loop: Callable[[], asyncio.AbstractEventLoop],
+) -> None:
+    """A connection that the kernel accepts there would be reset."""
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(_async_call_after_the_last())
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -51,6 +51,11 @@
     engines: list[FakeEngine] = field(default_factory=list)
     sent: list[Message] = field(default_factory=list)
 
+    @property
+    def port(self) -> int:
+        """Return the port for callers."""
+        return self.ctx.settings.entry.port
+
     @property
     def state(self) -> State:
         """Return the state of the program."""
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -1,9 +1,10 @@
 """Tests of the planned stop."""
 
 import asyncio
+import socket
 
 from gooseberryhall.entry.stop import async_drain
-from tests.entry.conftest import Cluster, async_until, chat
+from tests.entry.conftest import LIMIT_S, Cluster, async_until, chat
 from tests.entry.engine import Script
 
 
@@ -46,3 +47,27 @@
     body = await response.text()
     assert "[DONE]" not in body
     assert '"code": "stopping"' in body
+
+
+async def test_requests_that_the_kernel_accepted_are_answered(
+    cluster: Cluster,
+) -> None:
+    """Connections were reset when the listening socket closed at a planned stop.
+
+    One chat of test_stopped_entry_vm_finishes_its_requests ended with ECONNRESET
+    after 13 ms.
+    """
+    closing = asyncio.create_task(cluster.stack.pop_all().aclose())
+    await asyncio.sleep(0)
+    # The listening socket closes when the event loop runs next.
+    callers = [socket.create_connection(("127.0.0.1", cluster.port)) for _ in range(5)]
+    for caller in callers:
+        caller.sendall(b"GET /ready HTTP/1.1\r\nhost: a\r\n\r\n")
+        caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(LIMIT_S):
+        answers = [await loop.sock_recv(caller, 20) for caller in callers]
+    await closing
+    assert {answer[:12] for answer in answers} == {b"HTTP/1.1 503"}
+    for caller in callers:
+        caller.close()
