--- a/gooseberryhall/cli/output.py
+++ b/gooseberryhall/cli/output.py
@@ -10,6 +10,8 @@
 from ..config.findings import Finding
 from ..config.models import AnyObject
 from ..config.operations import Operation, PutObject
+from .node_logs import LogLine
+from .request_chain import RequestChain
 from .timeline import MergedEntry
 
 INDENT = "  "
@@ -159,6 +161,31 @@
     return table_lines(rows)
 
 
+def chain_lines(chain: RequestChain) -> list[str]:
+    """Return what happened to a request, and what explains it."""
+    return [
+        f"request {chain.request}: {chain.outcome}",
+        *table_lines([_log_row(line) for line in chain.lines]),
+        "decisions and events that explain it (clocks of nodes may differ):",
+        *table_lines([_log_row(line) for line in chain.causes] or [["(none)"]]),
+    ]
+
+
+def chain_data(chain: RequestChain) -> dict[str, Any]:
+    """Return a request's chain as JSON data."""
+    return {
+        "request": chain.request,
+        "outcome": chain.outcome,
+        "lines": [line.model_dump(mode="json") for line in chain.lines],
+        "causes": [line.model_dump(mode="json") for line in chain.causes],
+    }
+
+
+def _log_row(line: LogLine) -> list[str]:
+    when = format_time(line.time.timestamp())
+    return [INDENT + when, line.node, line.event, line.message, _short(line.fields)]
+
+
 def _takes(closed: str | None) -> str:
     return "yes" if closed is None else f"no ({closed})"
 
--- a/gooseberryhall/cli/view_commands.py
+++ b/gooseberryhall/cli/view_commands.py
@@ -2,14 +2,23 @@
 
 import asyncio
 from dataclasses import asdict
+from pathlib import Path
 
 import aiohttp
 import click
 
 from .client import AdminClient
 from .context import CliContext, output_option, pass_context
-from .exceptions import UnreachableError
-from .output import explanation_lines, status_lines, timeline_lines
+from .exceptions import CliError, UnreachableError
+from .node_logs import read_logs
+from .output import (
+    chain_data,
+    chain_lines,
+    explanation_lines,
+    status_lines,
+    timeline_lines,
+)
+from .request_chain import find_chain
 from .timeline import MergedEntry, async_read_all, merge, select
 
 
@@ -25,18 +34,46 @@
 @click.command()
 @click.argument("kind", type=click.Choice(["group", "vm", "request", "team"]))
 @click.argument("name")
+@click.option(
+    "--logs",
+    multiple=True,
+    type=click.Path(exists=True, path_type=Path),
+    help="For `request`: log file of a node program, or a directory of them.",
+)
 @output_option
 @pass_context
-def explain(cli: CliContext, kind: str, name: str) -> None:
+def explain(cli: CliContext, kind: str, name: str, logs: tuple[Path, ...]) -> None:
     """Explain why a group, VM, request or team is in the state it is in.
 
     For `group`, NAME is a group or a group spec. For `request`, only the entry VM that
-    answers is searched; `timeline --request` searches several.
+    answers is searched; `timeline --request` searches several. With `--logs`, no
+    program is asked: the request is explained from the logs of node programs.
     """
+    if logs:
+        _explain_from_logs(cli, kind, name, logs)
+        return
     view = cli.run(lambda client: client.async_explain(kind, name))
     cli.show(view.model_dump(mode="json"), explanation_lines(view))
 
 
+def _explain_from_logs(
+    cli: CliContext, kind: str, name: str, logs: tuple[Path, ...]
+) -> None:
+    if kind != "request":
+        raise click.UsageError("--logs explains requests only")
+    lines, unknown = read_logs(logs)
+    if unknown:
+        click.echo(f"warning: {unknown} lines are not of a node's log", err=True)
+    chain = find_chain(lines, name)
+    if chain is None:
+        raise CliError(
+            f"no line mentions request {name}",
+            field="NAME",
+            fix="pass the logs of the node that its caller reached",
+        )
+    cli.show(chain_data(chain), chain_lines(chain))
+
+
 @click.command()
 @click.option(
     "--ops",
--- /dev/null
+++ b/tests/cli/test_request_chain.py
@@ -0,0 +1,150 @@
+"""Tests of requests explained from the logs of node programs."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from gooseberryhall.telemetry.catalogue import LogEvent
+
+from .conftest import Run
+
+USAGE_ERROR = 2
+
+
+def _line(second: float, node: str, event: LogEvent, text: str, **fields: Any) -> str:
+    """Return a line as node programs write it."""
+    whole, part = divmod(round(second * 1000), 1000)
+    head = {
+        "time": f"2026-05-04 10:00:{whole:02},{part:03}",
+        "level": "INFO",
+        "logger": "gooseberryhall.gateway.sending",
+        "message": text,
+        "program": "node",
+        "node": node,
+        "event": event,
+    }
+    return json.dumps(head | fields)
+
+
+def _write(directory: Path, **files: list[str]) -> str:
+    for name, lines in files.items():
+        (directory / f"{name}.log").write_text("\n".join(lines) + "\n")
+    return str(directory)
+
+
+def _owner_lines() -> list[str]:
+    """Return the log of an owner whose group loses a member after 20 s."""
+    planned, dissolved = LogEvent.GROUP_PLANNED, LogEvent.GROUP_DISSOLVED
+    silent = LogEvent.SERVER_SILENT
+    return [
+        _line(1, "n2", planned, "group is formed", group="g1", members=["s1", "s2"]),
+        _line(2, "n2", planned, "group is formed", group="g2", members=["s3", "s4"]),
+        _line(9, "n2", silent, "server does not answer", server="s2"),
+        _line(20.1, "n2", silent, "server does not answer", server="s2"),
+        _line(20.2, "n2", silent, "server does not answer", server="s4"),
+        _line(20.3, "n2", dissolved, "member lost", group="g1", lost=["s2"]),
+        _line(20.4, "n2", dissolved, "member lost", group="g2", lost=["s4"]),
+    ]
+
+
+def test_cut_stream_leads_to_the_lost_member(run: Run, tmp_path: Path) -> None:
+    """The member that was lost is named in another node's log only."""
+    logs = _write(
+        tmp_path,
+        n1=[
+            _line(18, "n1", LogEvent.STREAM_STARTED, "first event", request="r1"),
+            _line(20, "n1", LogEvent.SEND_FAILED, "silent", request="r1", server="s1"),
+            _line(20, "n1", LogEvent.STREAM_CUT, "ends incomplete", request="r1"),
+            _line(20, "n1", LogEvent.STREAM_CUT, "ends incomplete", request="r2"),
+        ],
+        n2=_owner_lines(),
+    )
+    found = run("explain", "request", "r1", "--logs", logs, "--output", "json")
+    assert found.code == 0
+    assert found.data["outcome"] == "cut in mid-stream: ends incomplete"
+    assert [line["request"] for line in found.data["lines"]] == ["r1"] * 3
+    causes = [
+        (line["message"], line.get("server") or line["group"])
+        for line in found.data["causes"]
+    ]
+    assert causes == [("server does not answer", "s2"), ("member lost", "g1")]
+
+
+def test_refusal_shows_the_capacity_at_that_time(run: Run, tmp_path: Path) -> None:
+    """A refused request names no server; what the zones' owners had tells why."""
+    refused = LogEvent.REQUEST_REFUSED
+    summary = LogEvent.ZONE_SUMMARY
+    logs = _write(
+        tmp_path,
+        n1=[_line(22, "n1", refused, "all full", request="r1", status=503, ran_on=[])],
+        n2=[
+            *_owner_lines(),
+            _line(5, "n2", summary, "use", zone="z1", groups={"m": 2}),
+            _line(21, "n2", summary, "use", zone="z1", groups={"m": 0}),
+            _line(23, "n2", summary, "use", zone="z1", groups={"m": 1}),
+        ],
+    )
+    found = run("explain", "request", "r1", "--logs", logs)
+    assert found.code == 0
+    first, *others = found.out.splitlines()
+    assert first == "request r1: answered with 503: all full; the request has not run"
+    assert next(line for line in others if "groups=" in line).endswith('groups={"m":0}')
+    assert sum("member lost" in line for line in others) == 2
+
+
+def test_outcome_of_a_command_that_may_have_run(run: Run, tmp_path: Path) -> None:
+    """An operator must not take a lost answer for a command that has not run."""
+    lost = _line(
+        3,
+        "n1",
+        LogEvent.REQUEST_REFUSED,
+        "connection closed",
+        request="r1",
+        status=502,
+        ran_on=["s9"],
+    )
+    found = run("explain", "request", "r1", "--logs", _write(tmp_path, n1=[lost]))
+    assert "the request may have run on s9" in found.out
+
+
+def test_events_of_the_request_s_own_node(run: Run, tmp_path: Path) -> None:
+    """A stop explains a stream without an end, and only on the node that had it."""
+    stopping = LogEvent.PROGRAM_STOPPING
+    logs = _write(
+        tmp_path,
+        n1=[
+            _line(3, "n1", LogEvent.STREAM_STARTED, "first event", request="r1"),
+            _line(4, "n1", stopping, "node stopping"),
+        ],
+        n2=[_line(4, "n2", stopping, "node stopping")],
+    )
+    found = run("explain", "request", "r1", "--logs", logs, "--output", "json")
+    assert "no failure is logged" in found.data["outcome"]
+    assert [line["node"] for line in found.data["causes"]] == ["n1"]
+
+
+def test_lines_that_are_no_log_are_counted(run: Run, tmp_path: Path) -> None:
+    """A log may hold a stack trace or a line that was cut; the rest counts."""
+    refused = _line(
+        3, "n1", LogEvent.REQUEST_REFUSED, "x", request="r1", status=503, ran_on=[]
+    )
+    logs = _write(tmp_path, n1=["Traceback", refused, refused[:50], "{}"])
+    found = run("explain", "request", "r1", "--logs", logs)
+    assert found.code == 0
+    assert "warning: 3 lines are not of a node's log" in found.err
+
+
+def test_unknown_request_and_wrong_use_are_refused(run: Run, tmp_path: Path) -> None:
+    """Each error names what to change."""
+    logs = _write(tmp_path, n1=_owner_lines())
+    unknown = run("explain", "request", "r9", "--logs", logs)
+    assert unknown.code == 1
+    assert "no line mentions request r9" in unknown.err
+    wrong_kind = run("explain", "vm", "v1", "--logs", logs)
+    assert wrong_kind.code == USAGE_ERROR
+    assert "--logs explains requests only" in wrong_kind.err
+    empty = tmp_path / "empty"
+    empty.mkdir()
+    missing = run("explain", "request", "r1", "--logs", str(empty))
+    assert missing.code == 1
+    assert "no log files" in missing.err
