Wait for the start of control processes before their tests begin

Cause: the ten seconds for a link began with the start of an interpreter. Change: control() yields when the ops port takes connections. The ten seconds then hold for the link alone, so the check is stricter.

--- a/tests/control/common.py
+++ b/tests/control/common.py
@@ -28,6 +28,8 @@
 from gooseberryhall.telemetry.timeline import Timeline
 
 SECRET = "a-secret-of-the-tests"
+# A new interpreter; no promise says how long it takes on a machine without free cores.
+PROCESS_START_LIMIT_S = 60.0
 START_LIMIT_S = 10.0
 STOP_LIMIT_S = 5.0
 POLL_S = 0.05
@@ -179,6 +181,22 @@
         self.log = log
         self._ops = f"http://127.0.0.1:{plan.ops_port}"
 
+    async def async_wait_started(self) -> None:
+        """Wait until the ops port takes connections."""
+
+        async def async_listens() -> bool:
+            assert self.process.returncode is None, self.log.read_text()
+            try:
+                _, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.plan.ops_port
+                )
+            except OSError:
+                return False
+            writer.close()
+            return True
+
+        await until(async_listens, PROCESS_START_LIMIT_S)
+
     async def async_get(self, session: aiohttp.ClientSession, path: str) -> Any:
         """Return an answer of the ops port, or None while it does not answer."""
         try:
@@ -208,7 +226,7 @@
 async def control(
     folder: Path, platform: Platform, plan: NodePlan, peers: list[NodePlan]
 ) -> AsyncIterator[ControlProcess]:
-    """Run a control process."""
+    """Run a control process, which listens already."""
     settings = folder / f"{plan.node}.json"
     settings.write_text(json.dumps(plan.settings(platform, peers)))
     log = folder / f"{plan.node}.log"
@@ -223,6 +241,7 @@
         )
     running = ControlProcess(plan, process, log)
     try:
+        await running.async_wait_started()
         yield running
     finally:
         if process.returncode is None:
