Start no more loads than the weight store serves, the most useful first

Change: owners count the loads of all zones by the entries; a zone uses its share and what the others leave. The load that completes a group goes first; the others wait, so that later loads follow what is lacking then. The semaphore of a zone goes.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -16,6 +16,7 @@
     SUMMARY_PERIOD_S,
 )
 from .lifecycle import dissolve_group, form_group, is_released
+from .loads import count_loads, free_load_slots
 from .members import async_examine, retry_dead
 from .models import BackendServer, EngineProfile, Group, MemberState
 from .planner import ZoneFacts, plan_zone
@@ -151,6 +152,7 @@
         and not server.leaving
         and server.server_id not in zone.dead
     ]
+    load_slots = free_load_slots(profile, count_loads(zone), zone.zones)
     facts = ZoneFacts(
         zone=zone.name,
         profile=profile,
@@ -178,6 +180,7 @@
             and now_s - known.dissolved_s < DISSOLVE_WAIT_S
             and not is_released(zone, known)
         ),
+        load_slots=load_slots,
     )
     plan = plan_zone(facts)
     for group_plan in plan.groups:
@@ -187,7 +190,7 @@
     for group in plan.dissolved:
         _exchange_group(zone, group, now_s)
     _summarize(zone, facts, now_s)
-    start_staging(zone, profile)
+    start_staging(zone, profile, load_slots - len(plan.spares))
 
 
 def _summarize(zone: ZoneState, facts: ZoneFacts, now_s: float) -> None:
--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -35,13 +35,7 @@
         expected_s = REJOIN_S if warm else model.warmup_s
         await _async_join_now(zone, server, create_group(), expected_s, READY_POLL_S)
         return
-    if not zone.traffic_seen():
-        # Loads before the first request share the weight store without delay.
-        await _async_join_now(zone, server, create_group(), model.load_s, LOAD_POLL_S)
-        return
-    async with zone.loads:
-        server = zone.require(member)
-        await _async_join_now(zone, server, create_group(), model.load_s, LOAD_POLL_S)
+    await _async_join_now(zone, server, create_group(), model.load_s, LOAD_POLL_S)
 
 
 async def _async_join_now(
--- a/gooseberryhall/fleet/planner.py
+++ b/gooseberryhall/fleet/planner.py
@@ -61,6 +61,8 @@
     members: Sequence[FreeServer] = ()
     # Domains where a group is being dissolved, so that more servers are free soon.
     unsettled: frozenset[str] = frozenset()
+    # Loads that may start now; None before traffic begins or for no limit.
+    load_slots: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -351,20 +353,42 @@
     placed: Counter[tuple[str, str]],
     fill: dict[str, float],
 ) -> list[SparePlan]:
-    """Give each free server without weights the model that its domain lacks most."""
+    """Give free servers without weights the models that their domains lack most.
+
+    The loads of most use go first, and only as many start as the weight store serves
+    without delay, so that later ones follow what is lacking then.
+    """
     servers = list(free)
     plans: list[SparePlan] = []
+    slots = len(servers)
+    if facts.traffic_seen and facts.load_slots is not None:
+        slots = facts.load_slots
     prepared: Counter[tuple[str, str]] = Counter()
     for server in servers:
         loaded = server.preparing or server.last_model
         if loaded is not None:
             prepared[server.domain, loaded] += 1
-    for server in sorted(servers, key=lambda server: server.server_id):
-        if server.preparing is not None or server.last_model is not None:
-            continue
-        if not facts.traffic_seen and not _has_all_models(facts, server, placed):
-            continue
-        model = _spare_model(facts, server, prepared, placed, fill)
+    waiting = [
+        server
+        for server in servers
+        if server.preparing is None
+        and server.last_model is None
+        and (facts.traffic_seen or _has_all_models(facts, server, placed))
+    ]
+    while waiting:
+        ranked = [
+            (_rank_load(server, model, prepared, placed, fill), server, model)
+            for server in waiting
+            for model in facts.profile.models
+            if slots > 0 or model.name in server.staged
+        ]
+        if not ranked:
+            break
+        _, server, model = min(
+            ranked, key=lambda item: (item[0], item[1].server_id, item[2].name)
+        )
+        waiting.remove(server)
+        slots -= model.name not in server.staged
         prepared[server.domain, model.name] += 1
         plans.append(SparePlan(server.server_id, model.name))
     return plans
@@ -377,23 +401,19 @@
     return all(placed[server.domain, model.name] for model in facts.profile.models)
 
 
-def _spare_model(
-    facts: ZoneFacts,
+def _rank_load(
     server: FreeServer,
+    model: Model,
     prepared: Counter[tuple[str, str]],
     placed: Counter[tuple[str, str]],
-    fill: dict[str, float],
-) -> Model:
-    fewest = min(fill.values())
-
-    def rank(model: Model) -> tuple[bool, bool, int, int, str]:
-        ready = prepared[server.domain, model.name]
-        missing = model.size - ready % model.size
-        # Servers of a group that lost a member wait for just this one.
-        spares = ready - placed[server.domain, model.name]
-        completes = spares > 0 and missing == 1
-        staged = model.name in server.staged
-        ahead = fill[model.name] - fewest > _weight(model)
-        return (ahead, not completes, spares - staged, missing, model.name)
-
-    return min(facts.profile.models, key=rank)
+    fill: Mapping[str, float],
+) -> tuple[bool, bool, int, int]:
+    """Return how little use a load is: the lowest rank goes first."""
+    ready = prepared[server.domain, model.name]
+    missing = model.size - ready % model.size
+    # Servers of a group that lost a member wait for just this one.
+    spares = ready - placed[server.domain, model.name]
+    completes = spares > 0 and missing == 1
+    staged = model.name in server.staged
+    ahead = fill[model.name] - min(fill.values()) > _weight(model)
+    return (ahead, not completes, spares - staged, missing)
--- a/gooseberryhall/fleet/staging.py
+++ b/gooseberryhall/fleet/staging.py
@@ -10,6 +10,7 @@
     STAGE_POLL_S,
 )
 from .exceptions import FormationError
+from .loads import prepared_model
 from .members import async_join
 from .models import BackendServer, EngineProfile, Group, MemberState, Model
 from .orders import OrderOutcome
@@ -48,7 +49,7 @@
         zone.preparing.pop(server_id, None)
 
 
-def start_staging(zone: ZoneState, profile: EngineProfile) -> None:
+def start_staging(zone: ZoneState, profile: EngineProfile, load_slots: int) -> None:
     """Put a second model on the hosts, as far as the weight store is free."""
     servers = [
         describe_server(zone, server)
@@ -60,7 +61,8 @@
     ]
     for plan in plan_staging(profile, servers):
         # A spare that loads is of use sooner than a second model on a host.
-        if zone.traffic_seen() and (zone.preparing or zone.staging):
+        busy = zone.preparing or zone.staging or load_slots <= 0
+        if zone.traffic_seen() and busy:
             return
         model = profile.model(plan.model)
         if model is not None:
@@ -106,20 +108,10 @@
         domain=server.domain,
         last_model=_loaded_model(server),
         staged=server.staged,
-        preparing=zone.preparing.get(server.server_id) or _prepared_model(server),
+        preparing=zone.preparing.get(server.server_id) or prepared_model(server),
     )
 
 
-def _prepared_model(server: BackendServer) -> str | None:
-    """Return the model that a spare loads, also if an earlier owner ordered it."""
-    membership = server.membership
-    if membership is None or membership.state is not MemberState.JOINING:
-        return None
-    if not membership.group.startswith(SPARE_GROUP_PREFIX):
-        return None
-    return membership.group.removeprefix(SPARE_GROUP_PREFIX).rpartition("-")[0]
-
-
 def _loaded_model(server: BackendServer) -> str | None:
     """Return the model whose groups the server can join at once."""
     membership = server.membership
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -63,8 +63,8 @@
     on_change: Callable[[], None]
     on_superseded: Callable[[], None]
     create_task: Callable[[Coroutine[Any, Any, None]], None]
-    # Weights that this zone loads at once; the weight store serves all zones.
-    loads: asyncio.Semaphore
+    # Zones that share the weight store.
+    zones: int
     known: dict[Key, KnownGroup] = field(default_factory=dict)
     retired: set[Key] = field(default_factory=set)
     # Servers that do not answer: life and time of the next try.
--- a/gooseberryhall/node/const.py
+++ b/gooseberryhall/node/const.py
@@ -20,6 +20,3 @@
 WANTED_POLL_S: Final = 0.05
 # More entries that vanish at once than this share have lapsed with the store.
 LAPSE_SHARE: Final = 0.3
-# Zones rarely load at the same time, so each may use more than its share of the
-# loads that the weight store serves without delay.
-LOADS_OVERCOMMIT: Final = 2
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -20,7 +20,6 @@
 from ..telemetry.logs import log_event
 from ..transport.pool import ConnectionPool
 from .configuration import ConfigurationFollower
-from .const import LOADS_OVERCOMMIT
 from .directory import PlatformParts
 from .owner import RunInZone, ZoneOwner
 from .registration import async_register
@@ -267,10 +266,8 @@
         self, name: str, term: int, run_in_zone: RunInZone
     ) -> ZoneState | None:
         service = self.configuration.engine_service
-        profile = self.configuration.profile
-        if service is None or profile is None:
+        if service is None:
             return None
-        share = -(-profile.loads_at_once // len(self.settings.zones))
         return ZoneState(
             name=name,
             service=service.name,
@@ -283,5 +280,5 @@
             on_change=self.gossip.send,
             on_superseded=lambda: self.owner.verify(name),
             create_task=run_in_zone,
-            loads=asyncio.Semaphore(LOADS_OVERCOMMIT * share),
+            zones=len(self.settings.zones),
         )
--- a/tests/fleet/common.py
+++ b/tests/fleet/common.py
@@ -214,7 +214,7 @@
             on_change=lambda: None,
             on_superseded=self._supersede,
             create_task=self._create_task,
-            loads=asyncio.Semaphore(2),
+            zones=1,
         )
 
     def list_servers(self, *missing: str) -> None:
--- a/tests/fleet/test_planner.py
+++ b/tests/fleet/test_planner.py
@@ -36,8 +36,18 @@
     traffic: bool = True,
     elsewhere: Mapping[str, Mapping[str, int]] | None = None,
     members: Sequence[FreeServer] = (),
+    load_slots: int | None = None,
 ) -> ZoneFacts:
-    return ZoneFacts("z", PROFILE, free, groups, elsewhere or {}, traffic, members)
+    return ZoneFacts(
+        "z",
+        PROFILE,
+        free,
+        groups,
+        elsewhere or {},
+        traffic,
+        members,
+        load_slots=load_slots,
+    )
 
 
 def test_first_servers_of_a_domain_wait_for_the_large_model() -> None:
@@ -66,6 +76,41 @@
     ]
 
 
+def test_load_that_completes_a_group_goes_first() -> None:
+    """Many servers loaded at once, so that none was ready for 20 s (inc-b5dd).
+
+    Three ready servers of a domain waited for one of twelve loads.
+    """
+    new = [_free(f"a{n}", "d0") for n in range(4)]
+    ready = [_free(f"s{n}", "d1", last="large") for n in range(3)]
+    facts = _facts([*new, *ready, _free("last", "d1")], load_slots=1)
+    assert [(spare.server_id, spare.model) for spare in plan_zone(facts).spares] == [
+        ("last", "large")
+    ]
+
+
+def test_no_more_loads_start_than_the_weight_store_serves() -> None:
+    """Each load beyond its limit makes all loads slower."""
+    new = [_free(f"s{n}") for n in range(9)]
+    for slots in (0, 2, 5):
+        assert len(plan_zone(_facts(new, load_slots=slots)).spares) == slots
+    assert len(plan_zone(_facts(new)).spares) == 9
+
+
+def test_warm_up_of_a_staged_model_needs_no_load() -> None:
+    """A host keeps its weights when its server starts again."""
+    servers = [_free("new"), _free("restarted", staged="small")]
+    (spare,) = plan_zone(_facts(servers, load_slots=0)).spares
+    assert (spare.server_id, spare.model) == ("restarted", "small")
+
+
+def test_limit_of_loads_does_not_hold_before_traffic() -> None:
+    """Loads are short then, and they do not slow each other."""
+    servers = [_free(f"s{n}") for n in range(9)]
+    plan = plan_zone(_facts(servers, traffic=False, load_slots=0))
+    assert len(plan.spares) == 2
+
+
 def test_new_server_loads_the_model_that_is_behind() -> None:
     """The large model had three groups and the small one six (incident inc-0fc6)."""
     elsewhere = {"y": {"small": 6, "large": 3}}
