--- a/gooseberryhall/node/tasks.py
+++ b/gooseberryhall/core/tasks.py
@@ -1,4 +1,4 @@
-"""Tasks that run until the node stops."""
+"""Tasks that run until a program stops."""
 
 import asyncio
 import logging
@@ -17,15 +17,16 @@
     """Running tasks; a failure is logged."""
 
     def __init__(self) -> None:
-        """Create an empty set in the running event loop."""
-        self._loop = asyncio.get_running_loop()
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    def create(self, coro: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Run a coroutine."""
-        task = self._loop.create_task(coro)
+        """Create an empty set."""
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def create(
+        self, coro: Coroutine[Any, Any, Any], name: str | None = None
+    ) -> asyncio.Task[Any]:
+        """Run a coroutine until it ends or the tasks are cancelled."""
+        task = asyncio.create_task(coro, name=name)
         self._tasks.add(task)
-        task.add_done_callback(self._done)
+        task.add_done_callback(self._on_done)
         return task
 
     async def async_cancel(self) -> None:
@@ -35,13 +36,15 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _done(self, task: asyncio.Task[None]) -> None:
+    def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
         log_event(
             _LOGGER,
             LogEvent.TASK_FAILED,
-            f"task failed: {task.exception()!r}",
+            "background task failed",
             level=logging.ERROR,
+            task=task.get_name(),
+            error=repr(task.exception()),
         )
--- a/gooseberryhall/node/configuration.py
+++ b/gooseberryhall/node/configuration.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..core.tasks import CreateTask
 from ..exceptions import UnavailableError
 from ..fleet.models import Configuration, EngineProfile, Limits, Service
 from ..telemetry.catalogue import LogEvent
@@ -18,7 +19,6 @@
     RETRY_S,
 )
 from .directory import ConfigurationListener, Directory
-from .tasks import CreateTask
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -4,6 +4,7 @@
 import logging
 from dataclasses import replace
 
+from ..core.tasks import TaskSet
 from ..fleet.const import DEAD_S
 from ..fleet.controller import suspect, tick
 from ..fleet.zone import ZoneState
@@ -26,7 +27,6 @@
 from .servers import ServerFollower
 from .settings import NodeSettings
 from .table import RoutingTable, count_groups, describe_zone
-from .tasks import TaskSet
 from .traffic import others_traffic, own_traffic, take_traffic, total_traffic
 
 _LOGGER = logging.getLogger(__name__)
--- a/gooseberryhall/node/owner.py
+++ b/gooseberryhall/node/owner.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from ..core.tasks import CreateTask
 from ..exceptions import UnavailableError
 from ..fleet.exceptions import LeaseTakenError
 from ..fleet.orders import LeaseStore
@@ -15,7 +16,6 @@
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from .settings import NodeSettings
-from .tasks import CreateTask
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/gooseberryhall/node/servers.py
+++ b/gooseberryhall/node/servers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from ..core.tasks import CreateTask
 from ..fleet.models import BackendServer
 from ..fleet.view import FleetView
 from ..gossip.peers import Peers
@@ -19,7 +20,6 @@
     WANTED_POLL_S,
 )
 from .directory import Directory, ServerListener
-from .tasks import CreateTask
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -5,7 +5,8 @@
 
 from gooseberryhall.fleet.const import SPARE_GROUP_PREFIX
 from gooseberryhall.fleet.controller import suspect, tick
-from gooseberryhall.fleet.models import Membership, MemberState
+from gooseberryhall.fleet.models import Group, Membership, MemberState
+from gooseberryhall.fleet.zone import ZoneState
 from tests.fleet.common import FakeEngines, Zone, server
 
 
@@ -13,18 +14,32 @@
     return Zone(FakeEngines(*(server(f"s{number}") for number in range(count))))
 
 
-async def test_domain_forms_one_group_of_each_model() -> None:
-    """Both models serve, and the servers left over are prepared as spares."""
-    zone = _zone()
+async def _async_formed(zone: Zone) -> ZoneState:
+    """Return a controller whose groups, one of each model, serve."""
     zone.list_servers()
     controller = zone.create()
     await zone.async_run(controller, lambda: len(controller.open_groups()) == 2)
+    return controller
+
+
+async def _async_formed_with_spares(zone: Zone) -> ZoneState:
+    """Return a controller whose groups serve and whose spares are loaded."""
+    controller = await _async_formed(zone)
+    servers = zone.engines.servers.values()
+    await zone.async_run(controller, lambda: all(fake.last_model for fake in servers))
+    return controller
+
+
+def _group_of(controller: ZoneState, model: str) -> Group:
+    return next(group for group in controller.open_groups() if group.model == model)
+
+
+async def test_domain_forms_one_group_of_each_model() -> None:
+    """Both models serve, and the servers left over are prepared as spares."""
+    zone = _zone()
+    controller = await _async_formed_with_spares(zone)
     models = sorted(group.model for group in controller.open_groups())
     assert models == ["large", "small"]
-    await zone.async_run(
-        controller,
-        lambda: all(fake.last_model for fake in zone.engines.servers.values()),
-    )
     await zone.async_stop()
     assert zone.engines.violations == []
 
@@ -32,17 +47,9 @@
 async def test_lost_member_is_replaced_by_a_prepared_spare() -> None:
     """A group that lost a member closes, and its servers serve again at once."""
     zone = _zone()
-    zone.list_servers()
-    controller = zone.create()
-    await zone.async_run(
-        controller,
-        lambda: (
-            len(controller.open_groups()) == 2
-            and all(fake.last_model for fake in zone.engines.servers.values())
-        ),
-    )
+    controller = await _async_formed_with_spares(zone)
     zone.traffic = True
-    large = next(group for group in controller.open_groups() if group.model == "large")
+    large = _group_of(controller, "large")
     lost = large.members[1]
     zone.engines.servers[lost].reachable = False
     suspect(controller, large.head)
@@ -60,17 +67,9 @@
 async def test_members_of_an_unreachable_head_leave_before_they_join() -> None:
     """An unreachable head may still serve, so its members must leave first."""
     zone = _zone()
-    zone.list_servers()
-    controller = zone.create()
-    await zone.async_run(
-        controller,
-        lambda: (
-            len(controller.open_groups()) == 2
-            and all(fake.last_model for fake in zone.engines.servers.values())
-        ),
-    )
+    controller = await _async_formed_with_spares(zone)
     zone.traffic = True
-    large = next(group for group in controller.open_groups() if group.model == "large")
+    large = _group_of(controller, "large")
     zone.engines.servers[large.head].reachable = False
     zone.list_servers(large.head)
     await zone.async_run(
@@ -97,9 +96,7 @@
 async def test_new_owner_keeps_whole_groups() -> None:
     """A change of owner must not interrupt groups that serve."""
     zone = _zone(5)
-    zone.list_servers()
-    first = zone.create()
-    await zone.async_run(first, lambda: len(first.open_groups()) == 2)
+    await _async_formed(zone)
     await zone.async_stop()
     before = zone.engines.open_groups()
     zone.list_servers()
@@ -114,11 +111,9 @@
 async def test_new_owner_waits_for_lapsed_entries() -> None:
     """Entries that lapsed with the store return; their group must not be closed."""
     zone = _zone(5)
-    zone.list_servers()
-    first = zone.create()
-    await zone.async_run(first, lambda: len(first.open_groups()) == 2)
+    first = await _async_formed(zone)
     await zone.async_stop()
-    large = next(group for group in first.open_groups() if group.model == "large")
+    large = _group_of(first, "large")
     zone.list_servers(large.members[2])
     zone.traffic = True
     second = zone.create(term=2)
@@ -134,11 +129,9 @@
 async def test_new_owner_frees_members_whose_head_is_unknown() -> None:
     """The head's entry may be missing although it serves (TWO on trouble-1)."""
     zone = _zone(5)
-    zone.list_servers()
-    first = zone.create()
-    await zone.async_run(first, lambda: len(first.open_groups()) == 2)
+    first = await _async_formed(zone)
     await zone.async_stop()
-    large = next(group for group in first.open_groups() if group.model == "large")
+    large = _group_of(first, "large")
     zone.engines.servers["s9"] = type(zone.engines.servers["s0"])(server("s9"))
     zone.list_servers(large.head)
     zone.traffic = True
@@ -156,10 +149,8 @@
 async def test_stale_entry_does_not_free_a_member() -> None:
     """An entry that was written before a join must not undo what was reported."""
     zone = _zone(5)
-    zone.list_servers()
-    controller = zone.create()
-    await zone.async_run(controller, lambda: len(controller.open_groups()) == 2)
-    large = next(group for group in controller.open_groups() if group.model == "large")
+    controller = await _async_formed(zone)
+    large = _group_of(controller, "large")
     member = large.members[1]
     stale = replace(zone.view.servers[member], membership=None)
     now_s = asyncio.get_running_loop().time()
@@ -173,9 +164,7 @@
     """An order without an answer may have been carried out."""
     zone = _zone(5)
     zone.engines.lost_answers = 3
-    zone.list_servers()
-    controller = zone.create()
-    await zone.async_run(controller, lambda: len(controller.open_groups()) == 2)
+    controller = await _async_formed(zone)
     await zone.async_stop()
     opened = zone.engines.open_groups()
     assert set(opened) == {group.name for group in controller.open_groups()}
@@ -185,11 +174,9 @@
 async def test_group_of_a_leaving_member_is_closed_after_its_streams() -> None:
     """A member that leaves takes its group with it, but streams may end first."""
     zone = _zone(5)
-    zone.list_servers()
-    controller = zone.create()
-    await zone.async_run(controller, lambda: len(controller.open_groups()) == 2)
+    controller = await _async_formed(zone)
     zone.traffic = True
-    large = next(group for group in controller.open_groups() if group.model == "large")
+    large = _group_of(controller, "large")
     fake = zone.engines.servers[large.members[1]]
     fake.entry = replace(fake.entry, leaving=True)
     zone.list_servers()
