--- a/gooseberryhall/cli/output.py
+++ b/gooseberryhall/cli/output.py
@@ -168,6 +168,10 @@
         *table_lines([_log_row(line) for line in chain.lines]),
         "decisions and events that explain it (clocks of nodes may differ):",
         *table_lines([_log_row(line) for line in chain.causes] or [["(none)"]]),
+        *(
+            f"other requests that failed at {server} at that time: {count}"
+            for server, count in chain.other_failures.items()
+        ),
     ]
 
 
@@ -178,6 +182,7 @@
         "outcome": chain.outcome,
         "lines": [line.model_dump(mode="json") for line in chain.lines],
         "causes": [line.model_dump(mode="json") for line in chain.causes],
+        "other_failures": chain.other_failures,
     }
 
 
--- a/gooseberryhall/cli/request_chain.py
+++ b/gooseberryhall/cli/request_chain.py
@@ -25,6 +25,7 @@
     LogEvent.GROUP_DISSOLVED,
     LogEvent.GROUP_FAILED,
     LogEvent.GROUP_OPEN,
+    LogEvent.SPARE_PREPARED,
     LogEvent.ZONE_OWNED,
 }
 _OF_NODE = {
@@ -48,6 +49,9 @@
     # Decisions about the servers and groups that it reached, events of its node, and
     # for a refusal without a server the capacity at that time.
     causes: tuple[LogLine, ...]
+    # Failed sends of other requests at that time, by the servers that it reached:
+    # they tell a failing server from a failing request.
+    other_failures: dict[str, int]
 
 
 def find_chain(lines: Sequence[LogLine], request: str) -> RequestChain | None:
@@ -74,7 +78,25 @@
         causes += [line for line in nearby if line.event in _OF_CAPACITY]
         causes += _last_summaries(lines, own[-1])
     ordered = sorted({id(line): line for line in causes}.values(), key=lambda x: x.time)
-    return RequestChain(request, _outcome(own), tuple(own), tuple(ordered))
+    return RequestChain(
+        request,
+        _outcome(own),
+        tuple(own),
+        tuple(ordered),
+        _count_other_failures(nearby, request, servers),
+    )
+
+
+def _count_other_failures(
+    nearby: Iterable[LogLine], request: str, servers: set[str]
+) -> dict[str, int]:
+    counts = dict.fromkeys(sorted(servers), 0)
+    for line in nearby:
+        server = line.get("server")
+        failed = line.event == LogEvent.SEND_FAILED
+        if failed and server in counts and line.get("request") != request:
+            counts[server] += 1
+    return counts
 
 
 def _between(lines: Iterable[LogLine], own: Sequence[LogLine]) -> list[LogLine]:
--- a/tests/cli/test_request_chain.py
+++ b/tests/cli/test_request_chain.py
@@ -68,6 +68,7 @@
         for line in found.data["causes"]
     ]
     assert causes == [("server does not answer", "s2"), ("member lost", "g1")]
+    assert found.data["other_failures"] == {"s1": 0}
 
 
 def test_refusal_shows_the_capacity_at_that_time(run: Run, tmp_path: Path) -> None:
@@ -107,6 +108,29 @@
     assert "the request may have run on s9" in found.out
 
 
+def test_failing_server_is_told_from_a_failing_request(
+    run: Run, tmp_path: Path
+) -> None:
+    """A slow server of a plain service leaves no other trace than its requests."""
+    failed, refused = LogEvent.SEND_FAILED, LogEvent.REQUEST_REFUSED
+    late = "no answer in time"
+    logs = _write(
+        tmp_path,
+        n1=[
+            _line(9, "n1", failed, late, request="r1", server="s1"),
+            _line(9, "n1", refused, late, request="r1", status=504, ran_on=["s1"]),
+            _line(9.1, "n1", failed, late, request="r2", server="s1"),
+            _line(9.2, "n1", failed, late, request="r3", server="s2"),
+        ],
+        n2=[
+            _line(8, "n2", failed, late, request="r4", server="s1"),
+            _line(20, "n2", failed, late, request="r5", server="s1"),
+        ],
+    )
+    found = run("explain", "request", "r1", "--logs", logs)
+    assert "other requests that failed at s1 at that time: 2" in found.out
+
+
 def test_events_of_the_request_s_own_node(run: Run, tmp_path: Path) -> None:
     """A stop explains a stream without an end, and only on the node that had it."""
     stopping = LogEvent.PROGRAM_STOPPING
