Let the soak check that streams of slow groups are not cut

The soak had no group that is slow and whole, so it did not find the streams that were cut at such groups. After the faults of each seed all groups pause for 1 s while every node has streams, also of a route with one attempt.

--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -36,8 +36,15 @@
 
     CHAT = "chat"
     COMMAND = "command"
+    # A chat whose route allows one attempt.
+    ONCE = "once"
     READ = "read"
 
+    @property
+    def is_stream(self) -> bool:
+        """Return whether a group answers with a stream of events."""
+        return self in {Kind.CHAT, Kind.ONCE}
+
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
@@ -58,13 +65,13 @@
             "x-deadline-milliseconds": str(round(ROUTE_TIMEOUT_S * MS_PER_S)),
             "connection": "close",
         }
-        if self.kind is Kind.CHAT:
+        if self.kind.is_stream:
             headers["x-model"] = MODEL
         return encode_message(f"{method} {self.path} HTTP/1.1", headers)
 
     def expected_body(self) -> bytes:
         """Return the whole answer of any server."""
-        if self.kind is Kind.CHAT:
+        if self.kind.is_stream:
             events = (
                 f"id: {number}\ndata: {self.path} {number}\n\n"
                 for number in range(1, STREAM_EVENTS + 1)
--- a/standins/soak/const.py
+++ b/standins/soak/const.py
@@ -31,6 +31,8 @@
 EVENT_S: Final = 0.03
 PLAIN_WORK_S: Final = (0.01, 0.08)
 ROUTE_TIMEOUT_S: Final = 3.0
+# Pause of a slow group between two events; well below STALL_S and the timeout.
+SLOW_GROUP_S: Final = 1.0
 CALLER_PERIOD_S: Final = 0.12
 
 # Promised limits, from the platform's pages.
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -24,6 +24,7 @@
     CONFIG = "an accepted configuration is in force everywhere"
     IN_TIME = "a request has its final answer at its route's timeout"
     PLANNED_STOP = "a planned stop cuts off no request"
+    SLOW_GROUP = "a stream whose group is slow is not cut"
     RECOVERY = "all nodes serve again after the faults"
 
 
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -7,12 +7,20 @@
 from pathlib import Path
 
 from .callers import Callers, Kind
-from .const import FAULTS_S, RECOVERY_LIMIT_S, START_LIMIT_S
+from .const import (
+    FAULTS_S,
+    MODEL_SERVICE,
+    RECOVERY_LIMIT_S,
+    SLOW_GROUP_S,
+    START_LIMIT_S,
+)
 from .faults import Fault, async_inject, plan_faults
 from .records import Promise, Records, Violation
 from .world import World
 
 POLL_S = 0.1
+# Time for streams to begin.
+FIRST_EVENTS_S = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,11 +59,29 @@
         calling.cancel()
         with suppress(asyncio.CancelledError):
             await calling
+        await async_check_slow_groups(world, callers)
         world.records.check_not_run()
         outcomes = dict(world.records.outcomes)
         return SoakResult(seed, faults, world.records.violations, outcomes)
 
 
+async def async_check_slow_groups(world: World, callers: Callers) -> None:
+    """Let all groups pause during streams; the streams go on afterwards."""
+    calls = [
+        asyncio.create_task(callers.async_call(node, kind))
+        for node in world.nodes
+        for kind in Kind
+        if kind.is_stream
+    ]
+    await asyncio.sleep(FIRST_EVENTS_S)
+    for server in world.live_servers(MODEL_SERVICE):
+        server.slow_until_s = world.records.now_s() + SLOW_GROUP_S
+    outcomes = await asyncio.gather(*calls)
+    calm = world.records.is_calm("soak", for_s=SLOW_GROUP_S)
+    if calm and any(outcome.startswith("cut") for outcome in outcomes):
+        world.records.violate(Promise.SLOW_GROUP, f"{outcomes}")
+
+
 async def async_wait_serving(world: World, callers: Callers, limit_s: float) -> bool:
     """Wait until every node serves every kind of request."""
     deadline_s = world.records.now_s() + limit_s
--- a/standins/soak/server.py
+++ b/standins/soak/server.py
@@ -77,6 +77,8 @@
     orders: int = 0
     # Part of the orders that get no answer.
     lost_answers: float = 0.0
+    # Until then the head sends no events, though its group is whole.
+    slow_until_s: float = 0.0
     running: set[asyncio.Task[None]] = field(default_factory=set)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -246,7 +248,8 @@
             "transfer-encoding: chunked\r\n\r\n".encode()
         )
         for number in range(first, STREAM_EVENTS + 1):
-            await asyncio.sleep(EVENT_S)
+            slow_s = self.slow_until_s - self.records.now_s()
+            await asyncio.sleep(max(EVENT_S, slow_s))
             await self._async_wait_whole(membership)
             event = f"id: {number}\ndata: {message.path} {number}\n\n"
             writer.write(encode_chunk(event.encode()))
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -237,18 +237,19 @@
         timeout_ms = ROUTE_TIMEOUT_S * MS_PER_S
         shared = {"host": HOST_NAME, "timeout_ms": timeout_ms, "attempts": 2}
         plain = {**shared, "service": PLAIN_SERVICE, "target_latency_ms": 300}
+        stream = {
+            **shared,
+            "kind": "streaming",
+            "service": MODEL_SERVICE,
+            "target_latency_ms": 300,
+        }
+        chat = {"name": "chat", "prefix": "/chat/", "stream_resumption": True}
+        once = {"name": "once", "prefix": "/once/", "attempts": 1}
         routes: list[dict[str, Any]] = [
             {**plain, "name": "read", "prefix": "/read/", "kind": "safe"},
             {**plain, "name": "command", "prefix": "/command/", "kind": "unsafe"},
-            {
-                **shared,
-                "name": "chat",
-                "prefix": "/chat/",
-                "kind": "streaming",
-                "stream_resumption": True,
-                "service": MODEL_SERVICE,
-                "target_latency_ms": 300,
-            },
+            {**stream, **chat},
+            {**stream, **once},
         ]
         for prefix in self.added:
             name = prefix.strip("/")
--- a/tests/standins/soak/test_promises.py
+++ b/tests/standins/soak/test_promises.py
@@ -23,7 +23,7 @@
 from standins.soak.faults import INJECTORS, Fault, plan_faults
 from standins.soak.http import Message
 from standins.soak.records import Promise, Records
-from standins.soak.run import async_wait_serving
+from standins.soak.run import async_check_slow_groups, async_wait_serving
 from standins.soak.server import Membership, Server
 from standins.soak.world import SoakNode, World, read_run_delay_s
 
@@ -228,6 +228,20 @@
         assert await async_wait_serving(world, callers, 0.3) is expected
 
 
+@pytest.mark.parametrize(
+    ("outcome", "expected"), [("200", []), ("cut: reset", [Promise.SLOW_GROUP])]
+)
+async def test_stream_that_is_cut_for_a_slow_group_is_found(
+    records: Records, outcome: str, expected: list[Promise]
+) -> None:
+    """Guards against nodes that take a slow group for a broken one (LOST)."""
+    async with AsyncExitStack() as stack:
+        world = World(Path(), records, stack)
+        world.nodes = [cast("SoakNode", FakeNode())]
+        await async_check_slow_groups(world, cast("Callers", FakeCallers(outcome)))
+    assert _promises(records) == expected
+
+
 def test_time_without_a_processor_is_read() -> None:
     """Guards against a judge that never sees that the machine is too busy."""
     assert read_run_delay_s(os.getpid()) > 0
