--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -19,7 +19,8 @@
 from .loads import count_loads, free_load_slots
 from .members import async_examine, retry_dead
 from .models import BackendServer, EngineProfile, Group, MemberState
-from .planner import ZoneFacts, plan_zone
+from .planner import plan_zone
+from .plans import ZoneFacts
 from .staging import describe_server, prepare_spare, start_staging
 from .view import LAPSED_ENTRY_GRACE_S
 from .zone import Key, KnownGroup, Phase, ZoneState
--- a/gooseberryhall/fleet/lifecycle.py
+++ b/gooseberryhall/fleet/lifecycle.py
@@ -9,7 +9,7 @@
 from .members import async_join
 from .models import EngineProfile, Group, MemberState, Model
 from .orders import ACCEPTED, OrderOutcome
-from .planner import GroupPlan
+from .plans import GroupPlan
 from .zone import KnownGroup, Phase, ZoneState
 
 
--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -16,7 +16,7 @@
 from .exceptions import FormationError
 from .models import BackendServer, Group, Model
 from .orders import ACCEPTED, OrderOutcome
-from .planner import REJOIN_S
+from .plans import REJOIN_S
 from .zone import KnownGroup, ZoneState
 
 
--- a/gooseberryhall/fleet/planner.py
+++ b/gooseberryhall/fleet/planner.py
@@ -1,14 +1,23 @@
-"""Decides which groups are formed and what spare servers prepare.
+"""Decides which groups are formed and dissolved.
 
 Pure functions over the facts of one zone.
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 from typing import Final
 
-from .models import EngineProfile, Group, Model
+from .models import Group, Model
+from .plans import (
+    REJOIN_S,
+    SEVERAL_DOMAINS,
+    FreeServer,
+    GroupPlan,
+    ZoneFacts,
+    ZonePlan,
+    model_weight,
+)
+from .spares import plan_spares
 
 # Servers of a domain that stay out of groups when the first ones are formed, so
 # that a group that loses a member is whole again without a load of weights.
@@ -16,80 +25,6 @@
 # Groups by which a model may be ahead of its share of the servers before free servers
 # wait for the model that is behind.
 MAX_LEAD: Final = 2
-MIN_SHARE: Final = 0.01
-# Domain of a group whose members are in several domains.
-SEVERAL_DOMAINS: Final = ""
-# Time of a join if the server's last group had the same model.
-REJOIN_S: Final = 0.2
-
-
-@dataclass(frozen=True, slots=True)
-class FreeServer:
-    """A server that is in no serving or forming group."""
-
-    server_id: str
-    domain: str
-    # Model of its last group since its start.
-    last_model: str | None
-    staged: frozenset[str]
-    # Model that it loads now as a spare.
-    preparing: str | None = None
-
-    def join_s(self, model: Model) -> float:
-        """Return how long a join for the model takes."""
-        if self.last_model == model.name:
-            return REJOIN_S
-        if model.name in self.staged:
-            return model.warmup_s
-        return model.load_s
-
-
-@dataclass(frozen=True, slots=True)
-class ZoneFacts:
-    """What the planner knows of one zone."""
-
-    zone: str
-    profile: EngineProfile
-    free: Sequence[FreeServer]
-    # Groups of the zone that serve or are being formed, with their domain.
-    groups: Sequence[tuple[Group, str]]
-    # Groups of other zones that serve, by zone and model.
-    elsewhere: Mapping[str, Mapping[str, int]]
-    # Whether callers' requests have begun; before, loads are short.
-    traffic_seen: bool
-    # Servers of the zone's groups.
-    members: Sequence[FreeServer] = ()
-    # Domains where a group is being dissolved, so that more servers are free soon.
-    unsettled: frozenset[str] = frozenset()
-    # Loads that may start now; None before traffic begins or for no limit.
-    load_slots: int | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class GroupPlan:
-    """A group to form; the first member becomes its head."""
-
-    model: str
-    members: tuple[str, ...]
-    join_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class SparePlan:
-    """A free server that loads a model, so that it can join later at once."""
-
-    server_id: str
-    model: str
-
-
-@dataclass(slots=True)
-class ZonePlan:
-    """Orders to carry out now."""
-
-    groups: list[GroupPlan] = field(default_factory=list)
-    # Groups to dissolve because another model needs their servers more.
-    dissolved: list[Group] = field(default_factory=list)
-    spares: list[SparePlan] = field(default_factory=list)
 
 
 def plan_zone(facts: ZoneFacts) -> ZonePlan:
@@ -115,7 +50,7 @@
         for member in group.members:
             del free[member]
     fill = _fill(facts, counts)
-    plan.spares = _plan_spares(facts, list(free.values()), placed, fill)
+    plan.spares = plan_spares(facts, list(free.values()), placed, fill)
     if facts.traffic_seen and not plan.groups:
         idle = list(free.values())
         plan.dissolved = _plan_regroup(facts, idle) or _plan_exchange(
@@ -139,19 +74,14 @@
     return []
 
 
-def _weight(model: Model) -> float:
-    """Return the servers of a group over the model's share of all servers."""
-    return model.size / max(model.share, MIN_SHARE)
-
-
 def _lead_limit(facts: ZoneFacts) -> float:
-    return MAX_LEAD * max(_weight(model) for model in facts.profile.models)
+    return MAX_LEAD * max(model_weight(model) for model in facts.profile.models)
 
 
 def _fill(facts: ZoneFacts, counts: Counter[str]) -> dict[str, float]:
     """Return how much of its share of the servers each model has, unscaled."""
     return {
-        model.name: counts[model.name] * _weight(model)
+        model.name: counts[model.name] * model_weight(model)
         for model in facts.profile.models
     }
 
@@ -196,26 +126,6 @@
     return []
 
 
-def plan_staging(
-    profile: EngineProfile, servers: Iterable[FreeServer]
-) -> list[SparePlan]:
-    """Return the models to put on the hosts of servers that have a model loaded.
-
-    A server rejoins a group of its last model at once. With another model on its
-    host it can also join that model's groups after a short warm-up, so that servers
-    left over by one model are not stranded.
-    """
-    plans = []
-    for server in servers:
-        if server.last_model is None or server.staged - {server.last_model}:
-            continue
-        others = [model for model in profile.models if model.name != server.last_model]
-        if others:
-            largest = max(others, key=lambda model: (model.size, model.name))
-            plans.append(SparePlan(server.server_id, largest.name))
-    return plans
-
-
 def _next_group(
     facts: ZoneFacts,
     free: list[FreeServer],
@@ -252,7 +162,7 @@
     Weights differ a little between models, so the limit is rounded to groups.
     """
     limit = min(fill.values(), default=0.0) + _lead_limit(facts)
-    return fill[model.name] + _weight(model) / 2 >= limit
+    return fill[model.name] + model_weight(model) / 2 >= limit
 
 
 def _not_needed_by(
@@ -309,7 +219,7 @@
     turn = min(
         facts.profile.models,
         key=lambda other: (
-            placed[domain, other.name] * _weight(other),
+            placed[domain, other.name] * model_weight(other),
             -other.size,
             other.name,
         ),
@@ -345,75 +255,3 @@
     plan = GroupPlan(model.name, tuple(server.server_id for server in members), join_s)
     rank = (join_s, placed[domain, model.name] - len(servers), domain)
     return rank, plan
-
-
-def _plan_spares(
-    facts: ZoneFacts,
-    free: Iterable[FreeServer],
-    placed: Counter[tuple[str, str]],
-    fill: dict[str, float],
-) -> list[SparePlan]:
-    """Give free servers without weights the models that their domains lack most.
-
-    The loads of most use go first, and only as many start as the weight store serves
-    without delay, so that later ones follow what is lacking then.
-    """
-    servers = list(free)
-    plans: list[SparePlan] = []
-    slots = len(servers)
-    if facts.traffic_seen and facts.load_slots is not None:
-        slots = facts.load_slots
-    prepared: Counter[tuple[str, str]] = Counter()
-    for server in servers:
-        loaded = server.preparing or server.last_model
-        if loaded is not None:
-            prepared[server.domain, loaded] += 1
-    waiting = [
-        server
-        for server in servers
-        if server.preparing is None
-        and server.last_model is None
-        and (facts.traffic_seen or _has_all_models(facts, server, placed))
-    ]
-    while waiting:
-        ranked = [
-            (_rank_load(server, model, prepared, placed, fill), server, model)
-            for server in waiting
-            for model in facts.profile.models
-            if slots > 0 or model.name in server.staged
-        ]
-        if not ranked:
-            break
-        _, server, model = min(
-            ranked, key=lambda item: (item[0], item[1].server_id, item[2].name)
-        )
-        waiting.remove(server)
-        slots -= model.name not in server.staged
-        prepared[server.domain, model.name] += 1
-        plans.append(SparePlan(server.server_id, model.name))
-    return plans
-
-
-def _has_all_models(
-    facts: ZoneFacts, server: FreeServer, placed: Counter[tuple[str, str]]
-) -> bool:
-    """Return whether the server's domain has a group of each model."""
-    return all(placed[server.domain, model.name] for model in facts.profile.models)
-
-
-def _rank_load(
-    server: FreeServer,
-    model: Model,
-    prepared: Counter[tuple[str, str]],
-    placed: Counter[tuple[str, str]],
-    fill: Mapping[str, float],
-) -> tuple[bool, bool, int, int]:
-    """Return how little use a load is: the lowest rank goes first."""
-    ready = prepared[server.domain, model.name]
-    missing = model.size - ready % model.size
-    # Servers of a group that lost a member wait for just this one.
-    spares = ready - placed[server.domain, model.name]
-    completes = spares > 0 and missing == 1
-    staged = model.name in server.staged
-    ahead = fill[model.name] - min(fill.values()) > _weight(model)
-    return (ahead, not completes, spares - staged, missing)
--- a/gooseberryhall/fleet/staging.py
+++ b/gooseberryhall/fleet/staging.py
@@ -14,7 +14,8 @@
 from .members import async_join
 from .models import BackendServer, EngineProfile, Group, MemberState, Model
 from .orders import OrderOutcome
-from .planner import FreeServer, SparePlan, plan_staging
+from .plans import FreeServer, SparePlan
+from .spares import plan_staging
 from .zone import ZoneState
 
 
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -13,7 +13,7 @@
 from .exceptions import FormationError
 from .models import BackendServer, EngineProfile, Group, MemberState
 from .orders import Engines
-from .planner import SEVERAL_DOMAINS
+from .plans import SEVERAL_DOMAINS
 from .view import FleetView
 
 _LOGGER = logging.getLogger(__name__)
--- a/tests/fleet/test_planner.py
+++ b/tests/fleet/test_planner.py
@@ -1,203 +1,101 @@
 """Tests of the planner's choices."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gooseberryhall.fleet.models import EngineProfile, Group, Model
-from gooseberryhall.fleet.planner import (
-    SEVERAL_DOMAINS,
-    FreeServer,
-    ZoneFacts,
-    plan_staging,
-    plan_zone,
-)
-
-LARGE = Model("large", 4, 1.0, 0.57, 16.0, 1.6)
-SMALL = Model("small", 3, 0.6, 0.43, 12.0, 1.1)
-PROFILE = EngineProfile(13, (LARGE, SMALL), 0.3, 6)
-NOTHING: frozenset[str] = frozenset()
-
-
-def _free(
-    name: str, domain: str = "d", last: str | None = None, staged: str | None = None
-) -> FreeServer:
-    on_host = frozenset({staged}) if staged else NOTHING
-    return FreeServer(name, domain, last, on_host)
+from gooseberryhall.fleet.models import Group
+from gooseberryhall.fleet.planner import plan_zone
+from gooseberryhall.fleet.plans import SEVERAL_DOMAINS, FreeServer
 
-
-def _facts(
-    free: Sequence[FreeServer],
-    *,
-    groups: Sequence[tuple[Group, str]] = (),
-    traffic: bool = True,
-    elsewhere: Mapping[str, Mapping[str, int]] | None = None,
-    members: Sequence[FreeServer] = (),
-    load_slots: int | None = None,
-) -> ZoneFacts:
-    return ZoneFacts(
-        "z",
-        PROFILE,
-        free,
-        groups,
-        elsewhere or {},
-        traffic,
-        members,
-        load_slots=load_slots,
-    )
+from .facts import LARGE, NOTHING, PROFILE, SMALL, free_server, zone_facts
 
 
 def test_first_servers_of_a_domain_wait_for_the_large_model() -> None:
     """Servers register one by one; the small model must not take the first ones."""
-    assert plan_zone(_facts([_free(f"s{n}") for n in range(3)], traffic=False)) == (
-        plan_zone(_facts([], traffic=False))
+    assert plan_zone(
+        zone_facts([free_server(f"s{n}") for n in range(3)], traffic=False)
+    ) == (plan_zone(zone_facts([], traffic=False)))
+    plan = plan_zone(
+        zone_facts([free_server(f"s{n}") for n in range(4)], traffic=False)
     )
-    plan = plan_zone(_facts([_free(f"s{n}") for n in range(4)], traffic=False))
     assert [group.model for group in plan.groups] == ["large"]
 
 
 def test_domain_of_nine_serves_both_models_and_keeps_a_spare_of_each() -> None:
     """Two spares make both models whole again without a load."""
-    plan = plan_zone(_facts([_free(f"s{n}") for n in range(9)], traffic=False))
+    plan = plan_zone(
+        zone_facts([free_server(f"s{n}") for n in range(9)], traffic=False)
+    )
     assert [group.model for group in plan.groups] == ["large", "small"]
     assert sorted(spare.model for spare in plan.spares) == ["large", "small"]
 
 
 def test_group_is_not_formed_of_servers_that_must_load() -> None:
     """Three ready servers must not wait 16 s for one without weights."""
-    ready = [_free(f"s{n}", last="large") for n in range(3)]
-    plan = plan_zone(_facts([*ready, _free("new")]))
+    ready = [free_server(f"s{n}", last="large") for n in range(3)]
+    plan = plan_zone(zone_facts([*ready, free_server("new")]))
     assert plan.groups == []
     assert [(spare.server_id, spare.model) for spare in plan.spares] == [
         ("new", "large")
     ]
 
 
-def test_load_that_completes_a_group_goes_first() -> None:
-    """Many servers loaded at once, so that none was ready for 20 s (inc-b5dd).
-
-    Three ready servers of a domain waited for one of twelve loads.
-    """
-    new = [_free(f"a{n}", "d0") for n in range(4)]
-    ready = [_free(f"s{n}", "d1", last="large") for n in range(3)]
-    facts = _facts([*new, *ready, _free("last", "d1")], load_slots=1)
-    assert [(spare.server_id, spare.model) for spare in plan_zone(facts).spares] == [
-        ("last", "large")
-    ]
-
-
-def test_no_more_loads_start_than_the_weight_store_serves() -> None:
-    """Each load beyond its limit makes all loads slower."""
-    new = [_free(f"s{n}") for n in range(9)]
-    for slots in (0, 2, 5):
-        assert len(plan_zone(_facts(new, load_slots=slots)).spares) == slots
-    assert len(plan_zone(_facts(new)).spares) == 9
-
-
-def test_warm_up_of_a_staged_model_needs_no_load() -> None:
-    """A host keeps its weights when its server starts again."""
-    servers = [_free("new"), _free("restarted", staged="small")]
-    (spare,) = plan_zone(_facts(servers, load_slots=0)).spares
-    assert (spare.server_id, spare.model) == ("restarted", "small")
-
-
-def test_limit_of_loads_does_not_hold_before_traffic() -> None:
-    """Loads are short then, and they do not slow each other."""
-    servers = [_free(f"s{n}") for n in range(9)]
-    plan = plan_zone(_facts(servers, traffic=False, load_slots=0))
-    assert len(plan.spares) == 2
-
-
-def test_new_server_loads_the_model_that_is_behind() -> None:
-    """The large model had three groups and the small one six (incident inc-0fc6)."""
-    elsewhere = {"y": {"small": 6, "large": 3}}
-    ready = [_free(f"s{n}", last="small") for n in range(2)]
-    plan = plan_zone(_facts([*ready, _free("new")], elsewhere=elsewhere))
-    assert [(spare.server_id, spare.model) for spare in plan.spares] == [
-        ("new", "large")
-    ]
-
-
 def test_server_that_loads_for_another_model_is_not_taken() -> None:
     """A join to a group would be undone by the load that is under way."""
     loading = FreeServer("s2", "d", None, NOTHING, preparing="small")
-    ready = [_free(f"s{n}", last="small") for n in range(2)]
-    assert plan_zone(_facts([*ready, loading])).groups == []
+    ready = [free_server(f"s{n}", last="small") for n in range(2)]
+    assert plan_zone(zone_facts([*ready, loading])).groups == []
 
 
 def test_servers_with_the_model_are_preferred() -> None:
     """A join takes 0.2 s for a server whose last group had the model."""
     servers = [
-        _free("staged", staged="small"),
-        *(_free(f"s{n}", last="small") for n in range(3)),
+        free_server("staged", staged="small"),
+        *(free_server(f"s{n}", last="small") for n in range(3)),
     ]
-    (group,) = plan_zone(_facts(servers)).groups
+    (group,) = plan_zone(zone_facts(servers)).groups
     assert "staged" not in group.members
 
 
 def test_group_spans_domains_only_if_the_zone_has_none() -> None:
     """A slow group is better than none (trouble-1, tks-aeration: none for 14 s)."""
-    servers = [_free(f"s{n}", f"d{n % 2}", last="large") for n in range(6)]
-    (group,) = plan_zone(_facts(servers)).groups
+    servers = [free_server(f"s{n}", f"d{n % 2}", last="large") for n in range(6)]
+    (group,) = plan_zone(zone_facts(servers)).groups
     assert group.model == "large"
     existing = [(Group("g", 1, "large", ("a", "b", "c", "d")), "d9")]
-    assert plan_zone(_facts(servers, groups=existing)).groups == []
-    assert plan_zone(_facts(servers, traffic=False)).groups == []
+    assert plan_zone(zone_facts(servers, groups=existing)).groups == []
+    assert plan_zone(zone_facts(servers, traffic=False)).groups == []
 
 
 def test_group_of_several_domains_ends_when_one_domain_can_form_it() -> None:
     """A free server that was loaded completes a fast group of the same members."""
     group = Group("g", 1, "large", ("a", "b", "c", "d"))
-    members = [_free(name, "d0", last="large") for name in "abc"]
-    members.append(_free("d", "d1", last="large"))
+    members = [free_server(name, "d0", last="large") for name in "abc"]
+    members.append(free_server("d", "d1", last="large"))
     for new, expected in (("d0", [group]), ("d1", [])):
-        facts = _facts(
-            [_free("e", new, last="large")],
+        facts = zone_facts(
+            [free_server("e", new, last="large")],
             groups=[(group, SEVERAL_DOMAINS)],
             members=members,
         )
         assert plan_zone(facts).dissolved == expected
 
 
-def test_hosts_get_the_model_that_their_servers_do_not_run() -> None:
-    """Servers left over by one model must be able to complete a group of the other.
-
-    Three servers of the large model and one of the small were stranded in each domain
-    after two losses (scale-1, cuotas-unidas).
-    """
-    servers = [
-        _free("a", last="large", staged="large"),
-        _free("b", last="small", staged="small"),
-        _free("c", last="large", staged="small"),
-        _free("d"),
-    ]
-    plans = plan_staging(PROFILE, servers)
-    assert [(plan.server_id, plan.model) for plan in plans] == [
-        ("a", "small"),
-        ("b", "large"),
-    ]
-    mixed = [_free(f"s{n}", last="large") for n in range(3)]
-    (group,) = plan_zone(
-        _facts([*mixed, _free("b", last="small", staged="large")])
-    ).groups
-    assert group.model == "large"
-
-
 def test_free_servers_wait_for_the_model_with_few_groups() -> None:
     """The small model must not use up the servers that the large one needs.
 
     It had six groups and the large model one (scale-1, cuotas-unidas, a trial).
     """
-    servers = [_free(f"s{n}", last="small", staged="large") for n in range(3)]
+    servers = [free_server(f"s{n}", last="small", staged="large") for n in range(3)]
     elsewhere = {"y": {"small": 4, "large": 2}}
-    assert plan_zone(_facts(servers, elsewhere=elsewhere)).groups == []
-    useless = [_free(f"s{n}", last="small", staged="small") for n in range(3)]
-    assert len(plan_zone(_facts(useless, elsewhere=elsewhere)).groups) == 1
+    assert plan_zone(zone_facts(servers, elsewhere=elsewhere)).groups == []
+    useless = [free_server(f"s{n}", last="small", staged="small") for n in range(3)]
+    assert len(plan_zone(zone_facts(useless, elsewhere=elsewhere)).groups) == 1
     elsewhere = {"y": {"small": 3, "large": 2}}
-    assert len(plan_zone(_facts(servers, elsewhere=elsewhere)).groups) == 1
+    assert len(plan_zone(zone_facts(servers, elsewhere=elsewhere)).groups) == 1
 
 
 def test_groups_follow_the_share_of_the_servers() -> None:
@@ -209,8 +107,8 @@
     profile = replace(
         PROFILE, models=(replace(LARGE, size=16, share=0.5), replace(SMALL, share=0.5))
     )
-    servers = [_free(f"s{n:02}") for n in range(37)]
-    facts = replace(_facts(servers, traffic=False), profile=profile)
+    servers = [free_server(f"s{n:02}") for n in range(37)]
+    facts = replace(zone_facts(servers, traffic=False), profile=profile)
     counts = Counter(group.model for group in plan_zone(facts).groups)
     assert counts == {"large": 1, "small": 6}
 
@@ -218,11 +116,11 @@
 def test_one_zone_gives_up_a_group_for_the_model_with_few() -> None:
     """All zones see the same imbalance; only one of them may act on it."""
     group = Group("g", 1, "small", ("a", "b", "c"))
-    members = [_free(name, last="small", staged="large") for name in "abc"]
-    free = [_free("d", last="large")]
+    members = [free_server(name, last="small", staged="large") for name in "abc"]
+    free = [free_server("d", last="large")]
     groups = [(group, "d"), (Group("h", 2, "small", ("e",)), "d")]
     for other_zone, expected in ((3, []), (1, [group])):
-        facts = _facts(
+        facts = zone_facts(
             free,
             groups=groups,
             elsewhere={"y": {"small": other_zone}},
@@ -247,10 +145,10 @@
 ) -> None:
     """No server may belong to two groups, and groups have the model's size."""
     servers = [
-        _free(f"s{number}", domain, last, staged)
+        free_server(f"s{number}", domain, last, staged)
         for number, (domain, last, staged) in enumerate(drawn)
     ]
-    plan = plan_zone(_facts(servers, traffic=traffic))
+    plan = plan_zone(zone_facts(servers, traffic=traffic))
     domains = {server.server_id: server.domain for server in servers}
     used = Counter(member for group in plan.groups for member in group.members)
     used.update(spare.server_id for spare in plan.spares)
