--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -26,9 +26,9 @@
 
 
 async def test_loads_of_all_zones_are_counted() -> None:
-    """Owners of three zones had 12 loads under way where the store serves 6 (inc-b5dd).
+    """Owners of three zones allowed 12 loads where the store serves 6 (inc-b5dd).
 
-    Each of them took twice as long, and no group could be formed for 10 s.
+    Loads took up to twice as long, and hardly a group was formed for 10 s.
     """
     ready = Membership("g", 8, 0, MemberState.READY)
     warming = server(
--- a/tests/fleet/test_spares.py
+++ b/tests/fleet/test_spares.py
@@ -9,7 +9,7 @@
 def test_load_that_completes_a_group_goes_first() -> None:
     """Many servers loaded at once, so that none was ready for 20 s (inc-b5dd).
 
-    Three ready servers of a domain waited for one of twelve loads.
+    Three ready servers of a domain waited 19 s for a fourth.
     """
     new = [free_server(f"a{n}", "d0") for n in range(4)]
     ready = [free_server(f"s{n}", "d1", last="large") for n in range(3)]
