--- a/tests/control/common.py
+++ b/tests/control/common.py
@@ -34,6 +34,8 @@
 STOP_LIMIT_S = 5.0
 POLL_S = 0.05
 PORT_RANGE = (10_000, 19_999)
+# Ports that were given out; two programs of one node must not get the same one.
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
@@ -44,8 +46,11 @@
     """
     while True:
         port = random.randint(*PORT_RANGE)
+        if port in _given_ports:
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(("127.0.0.1", port))
+            _given_ports.add(port)
             return port
 
 
