Wake up once for timers that are due together

Cause: tick, stall check and gossip of a node have periods of 0.05 and 0.15 s that drift apart, and each wake-up created a task for asyncio.wait_for.

Change: subscribers that are due within 5 ms are called together; the service waits for a future that a timer handle completes.

--- a/gooseberryhall/core/timer.py
+++ b/gooseberryhall/core/timer.py
@@ -14,6 +14,12 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# Subscribers that are due within this time are called together, because each wake-up of
+# the process costs more than a callback that is a little early.
+_COALESCE_S = 0.005
+# Share of its period by which a callback may be early.
+_COALESCE_SHARE = 0.1
+
 
 @dataclass(slots=True)
 class _Subscription:
@@ -33,7 +39,7 @@
         self._clock = clock
         self._sequence = itertools.count()
         self._queue: list[tuple[float, int, _Subscription]] = []
-        self._changed = asyncio.Event()
+        self._wake_up: asyncio.Future[None] | None = None
 
     def async_subscribe(
         self, period_s: float, callback: Callable[[], None], *, jitter: float = 0.0
@@ -45,7 +51,7 @@
         """
         subscription = _Subscription(period_s, jitter, callback)
         self._push(subscription)
-        self._changed.set()
+        self._wake()
 
         def unsubscribe() -> None:
             subscription.active = False
@@ -64,8 +70,13 @@
         heapq.heappush(self._queue, (due_s, next(self._sequence), subscription))
 
     def _run_due(self) -> None:
-        while self._queue and self._queue[0][0] <= self._clock():
-            _, _, subscription = heapq.heappop(self._queue)
+        started_s = self._clock()
+        while self._queue:
+            due_s, _, subscription = self._queue[0]
+            early_s = min(_COALESCE_S, subscription.period_s * _COALESCE_SHARE)
+            if due_s - early_s > started_s:
+                return
+            heapq.heappop(self._queue)
             if not subscription.active:
                 continue
             # A failing subscriber must not stop the others.
@@ -82,9 +93,20 @@
             self._push(subscription)
 
     async def _async_wait(self) -> None:
-        self._changed.clear()
-        timeout = self._queue[0][0] - self._clock() if self._queue else None
+        """Wait until the next subscriber is due or the queue changes."""
+        loop = asyncio.get_running_loop()
+        self._wake_up = loop.create_future()
+        handle = None
+        if self._queue:
+            delay_s = max(0.0, self._queue[0][0] - self._clock())
+            handle = loop.call_later(delay_s, self._wake)
         try:
-            await asyncio.wait_for(self._changed.wait(), timeout)
-        except TimeoutError:
-            return
+            await self._wake_up
+        finally:
+            self._wake_up = None
+            if handle is not None:
+                handle.cancel()
+
+    def _wake(self) -> None:
+        if self._wake_up is not None and not self._wake_up.done():
+            self._wake_up.set_result(None)
