Replace owners of large zones in time and tell other zones less

The node with the lowest name, mostly the owner, contends first, so a zone whose owner stopped was without one for 19 s, and the traffic of a node that was gone counted as load for as long. - Only six listed nodes got a datagram in a period, so after a restart of all nodes the last one heard of its owner after 5 s. - Each owner told all 195 nodes its groups in each period of 0.15 s. - When one owner stopped, all nodes read all server records: 585 calls, 140 MB. - A new owner could announce a zone without groups before its first tick.

Change: nodes contend by rank, 0.3 s apart; the owner names the next three nodes as its successors; only owners of other zones may adopt a zone. Nodes and owners of different zones exchange datagrams every third period if there are many, unless requests are in flight between them; changes of groups are sent to all at once, one datagram for the changes of a tick. Only the first three nodes of a zone read the records at once; the others wait as long as the limit for leaving servers allows.

--- a/gooseberryhall/fleet/const.py
+++ b/gooseberryhall/fleet/const.py
@@ -34,6 +34,10 @@
 OWNERSHIP_PERIOD_S: Final = 0.2
 # Nodes that start at the same time discover each other before they contend for zones.
 STARTUP_GRACE_S: Final = 0.45
+# Time between the contention of one node of a zone and the next. It exceeds the read
+# and the write of the lease and the first announcement of the new owner.
+CONTENTION_STEP_S: Final = 0.3
+MAX_CONTENTION_RANK: Final = 8
 # Nodes of other zones contend only after this delay: if a zone has no live nodes, it is
 # more often cut off together with its servers than without running machines.
 OTHER_ZONE_DELAY_S: Final = 8.0
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -10,6 +10,8 @@
 from ..fleet.models import BackendServer, ServedGroup
 from ..transport.pool import Address
 
+_SUCCESSORS_INDEX = 5
+
 
 class GossipError(InvalidInputError):
     """A datagram is not a valid gossip message."""
@@ -35,6 +37,8 @@
     servers: tuple[BackendServer, ...] = ()
     # Traffic from all nodes, by server.
     traffic: dict[str, ServerTraffic] = field(default_factory=dict)
+    # Live nodes of the zone that contend first, in this order, if the owner stops.
+    successors: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +147,7 @@
         ],
         [_encode_server(server) for server in announcement.servers],
         _encode_traffic(announcement.traffic),
+        list(announcement.successors),
     ]
 
 
@@ -159,6 +164,10 @@
         ),
         servers=tuple(_decode_server(server, zone) for server in values[3]),
         traffic=_decode_traffic(values[4]),
+        # Nodes of an earlier version do not send this field.
+        successors=tuple(_require_text(name) for name in values[5])
+        if len(values) > _SUCCESSORS_INDEX
+        else (),
     )
 
 
--- a/gooseberryhall/gossip/peers.py
+++ b/gooseberryhall/gossip/peers.py
@@ -1,6 +1,7 @@
 """Peers of a node and their last messages."""
 
 import itertools
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from ..transport.pool import Address
@@ -8,11 +9,15 @@
     ANNOUNCEMENT_TTL_S,
     DOWN_PEER_PERIOD_S,
     GOSSIP_PERIOD_S,
+    INTERVALS_UNTIL_DOWN,
+    MAX_REMOTE_PERIODS,
     MS_PER_S,
     PEER_DOWN_S,
     PEER_REMOVAL_S,
     PEERS_PER_PERIOD,
-    ROUNDS_UNTIL_DOWN,
+    PEERS_PER_PERIOD_WITH_OWNERS,
+    REMOTE_PEERS_PER_PERIOD,
+    SUCCESSORS,
 )
 from .messages import Gossip, ServerTraffic, ZoneAnnouncement
 
@@ -21,6 +26,9 @@
 class Peer:
     """Another node of the system."""
 
+    name: str
+    # Zone of the node; empty if it was listed without one.
+    zone: str
     address: Address
     received_s: float
     sent_s: float = 0.0
@@ -63,26 +71,32 @@
     """Peers by node name and the last announcement of each zone."""
 
     node_name: str
+    zone: str
+    # Zones that have an owner while all is well.
+    zones: tuple[str, ...]
     peers: dict[str, Peer] = field(default_factory=dict)
     announcements: dict[str, ReceivedAnnouncement] = field(default_factory=dict)
+    # Time of the last datagram of any peer; None if there was none.
+    last_received_s: float | None = None
 
-    def add(self, name: str, address: Address, now_s: float) -> None:
+    def add(self, name: str, zone: str, address: Address, now_s: float) -> None:
         """Add a peer that is listed in the store."""
         if name == self.node_name:
             return
         peer = self.peers.get(name)
         if peer is None:
-            self.peers[name] = Peer(address, now_s - PEER_DOWN_S)
-        elif not self._is_up(peer, now_s):
+            self.peers[name] = Peer(name, zone, address, now_s - PEER_DOWN_S)
+        elif now_s - peer.received_s >= self._down_s(self.remote_interval_s()):
             peer.address = address
 
     def receive(self, gossip: Gossip, host: str, now_s: float) -> bool:
         """Apply a message; return False if it is outdated or from this node."""
         if gossip.node == self.node_name:
             return False
+        address = Address(host, gossip.port)
         peer = self.peers.get(gossip.node)
         if peer is None:
-            peer = Peer(Address(host, gossip.port), now_s)
+            peer = Peer(gossip.node, gossip.zone, address, now_s)
             self.peers[gossip.node] = peer
         message = peer.message
         if (
@@ -92,8 +106,10 @@
         ):
             return False
         peer.message = gossip
+        peer.zone = gossip.zone
         peer.received_s = now_s
-        peer.address = Address(host, gossip.port)
+        peer.address = address
+        self.last_received_s = now_s
         if gossip.announcement is not None:
             received = ReceivedAnnouncement(
                 gossip.node, gossip.announcement, now_s, gossip.store_lost
@@ -101,45 +117,106 @@
             self._apply_announcement(received)
         return True
 
-    def due_peers(self, now_s: float, *, owner: bool) -> list[Peer]:
-        """Return the peers that get a datagram in this period.
+    def due_peers(
+        self, messages: Collection[Gossip], now_s: float, *, urgent: bool = False
+    ) -> list[Peer]:
+        """Return the peers that get the messages of this node now.
 
-        Owners of zones receive from every node in each period, and send to every node.
-        Other peers take turns.
+        A node and an owner exchange datagrams in each period if the node is in the
+        owner's zone or has requests in flight there, else at a longer interval. An
+        urgent message goes to all of them at once. Other peers take turns.
         """
-        owners = {
-            received.node
-            for received in self.announcements.values()
-            if received.is_fresh(now_s)
+        owned = {
+            message.announcement.zone: _server_ids(message.announcement)
+            for message in messages
+            if message.announcement is not None
         }
+        traffic = {server for message in messages for server in message.traffic}
+        near_owners = self._near_owners(traffic, now_s)
+        owners = self.live_owners(now_s)
+        interval_s = self.remote_interval_s()
+        live_since_s = now_s - self._down_s(interval_s)
         found = []
         others = []
         for name, peer in list(self.peers.items()):
             if now_s - peer.received_s > PEER_REMOVAL_S:
                 del self.peers[name]
-            elif name in owners or (owner and self._is_up(peer, now_s)):
+                continue
+            is_live = peer.received_s > live_since_s
+            if name not in owners and not (owned and is_live):
+                if is_live or now_s - peer.sent_s >= DOWN_PEER_PERIOD_S:
+                    others.append(peer)
+                continue
+            is_near = name in near_owners or _is_near(peer, owned)
+            # Half a period allows for timers that fire early.
+            waited_s = now_s - peer.sent_s + GOSSIP_PERIOD_S / 2
+            if urgent or is_near or waited_s >= interval_s:
                 found.append(peer)
-            elif self._is_up(peer, now_s) or now_s - peer.sent_s >= DOWN_PEER_PERIOD_S:
-                others.append(peer)
+        if owned:
+            # The nodes do not know a new owner before its first announcement.
+            return found + others
+        has_owners = all(self.fresh_announcement(zone, now_s) for zone in self.zones)
+        count = PEERS_PER_PERIOD_WITH_OWNERS if has_owners else PEERS_PER_PERIOD
         others.sort(key=lambda peer: peer.sent_s)
-        found.extend(itertools.islice(others, PEERS_PER_PERIOD))
+        found.extend(itertools.islice(others, count))
         return found
 
-    def live_messages(self, now_s: float) -> list[Gossip]:
-        """Return the last messages of the peers that are up."""
-        return [
-            peer.message
-            for peer in self.peers.values()
-            if peer.message is not None and self._is_up(peer, now_s)
-        ]
+    def remote_interval_s(self) -> float:
+        """Return the time between two datagrams of a node and another zone's owner."""
+        remote = sum(1 for peer in self.peers.values() if peer.zone != self.zone)
+        periods = min(max(1.0, remote / REMOTE_PEERS_PER_PERIOD), MAX_REMOTE_PERIODS)
+        return periods * GOSSIP_PERIOD_S
+
+    def is_isolated(self, now_s: float) -> bool:
+        """Return whether there are peers but none sent a datagram recently."""
+        if not self.peers:
+            return False
+        return self.last_received_s is None or (
+            now_s - self.last_received_s >= PEER_DOWN_S
+        )
+
+    def successors(self, zone: str, now_s: float) -> tuple[str, ...]:
+        """Return the nodes that should contend first if this owner of a zone stops."""
+        names = sorted(
+            peer.name
+            for peer, message in self._live_peers(now_s)
+            if peer.zone == zone and not message.store_lost
+        )
+        return tuple(names[:SUCCESSORS])
+
+    def contention_rank(self, zone: str, now_s: float) -> int:
+        """Return how many nodes of this node's zone contend before this node.
+
+        The successors that the last owner named go first, then all known nodes by
+        name. An owner that fell silent is left out, because owners send to all nodes of
+        their zone in each period.
+        """
+        last = self.announcements.get(zone)
+        successors = last.announcement.successors if last else ()
+        silent = last.node if last and not last.is_fresh(now_s) else None
+        names = {peer.name for peer in self.peers.values() if peer.zone == zone}
+        names.add(self.node_name)
+        others = sorted(names.difference(successors))
+        order = [name for name in (*successors, *others) if name != silent]
+        return order.index(self.node_name) if self.node_name in order else 0
+
+    def has_live_node(self, zone: str, now_s: float) -> bool:
+        """Return whether a node of a zone was heard; only owners hear all nodes."""
+        return any(peer.zone == zone for peer, _ in self._live_peers(now_s))
+
+    def live_owners(self, now_s: float) -> set[str]:
+        """Return the names of the nodes that own a zone."""
+        return {
+            received.node
+            for received in self.announcements.values()
+            if received.is_fresh(now_s)
+        }
 
     def traffic(self, now_s: float) -> dict[str, "PeerTraffic"]:
-        """Return the total traffic of the peers that are up, by server."""
+        """Return the total traffic of the live peers, by server."""
         total: dict[str, PeerTraffic] = {}
-        for peer in self.peers.values():
-            if peer.message is None or not self._is_up(peer, now_s):
-                continue
-            for server_id, item in peer.message.traffic.items():
+        for peer, message in self._live_peers(now_s):
+            for server_id, item in message.traffic.items():
                 total.setdefault(server_id, PeerTraffic()).add(item, peer.received_s)
         return total
 
@@ -166,8 +243,44 @@
             return
         self.announcements[zone] = received
 
-    def _is_up(self, peer: Peer, now_s: float) -> bool:
-        """Return whether the peer sent a datagram within the last few rounds."""
-        periods = ROUNDS_UNTIL_DOWN * len(self.peers) / PEERS_PER_PERIOD
-        down_s = max(PEER_DOWN_S, periods * GOSSIP_PERIOD_S)
-        return now_s - peer.received_s < down_s
+    def _near_owners(self, traffic: Collection[str], now_s: float) -> set[str]:
+        """Return the owners of this node's zone and of zones with its requests."""
+        return {
+            received.node
+            for zone, received in self.announcements.items()
+            if received.is_fresh(now_s)
+            if zone == self.zone
+            or not _server_ids(received.announcement).isdisjoint(traffic)
+        }
+
+    def _live_peers(self, now_s: float) -> list[tuple[Peer, Gossip]]:
+        """Return the peers that sent a datagram within the last few intervals.
+
+        The intervals are those to an owner, so a node that owns no zone may find most
+        of its peers silent.
+        """
+        live_since_s = now_s - self._down_s(self.remote_interval_s())
+        return [
+            (peer, peer.message)
+            for peer in self.peers.values()
+            if peer.message is not None and peer.received_s > live_since_s
+        ]
+
+    def _down_s(self, remote_interval_s: float) -> float:
+        return max(PEER_DOWN_S, INTERVALS_UNTIL_DOWN * remote_interval_s)
+
+
+def _server_ids(announcement: ZoneAnnouncement) -> set[str]:
+    """Return the ids of all servers that take requests in a zone."""
+    ids = {group.leader.server_id for group in announcement.groups}
+    ids.update(server.server_id for server in announcement.servers)
+    return ids
+
+
+def _is_near(peer: Peer, owned: Mapping[str, set[str]]) -> bool:
+    """Return whether a peer is in an owned zone or has requests in flight there."""
+    if peer.zone in owned:
+        return True
+    if peer.message is None or not peer.message.traffic:
+        return False
+    return any(not ids.isdisjoint(peer.message.traffic) for ids in owned.values())
--- a/gooseberryhall/gossip/service.py
+++ b/gooseberryhall/gossip/service.py
@@ -53,14 +53,13 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore unreachable peers; they are detected by the age of their datagrams."""
 
-    def send(self) -> None:
+    def send(self, *, urgent: bool = False) -> None:
         """Send the current messages to each peer that is due."""
         if self._transport is None:
             return
         now_s = self._loop.time()
         messages = self._create_messages()
-        owner = any(message.announcement is not None for message in messages)
-        due = self._peers.due_peers(now_s, owner=owner)
+        due = self._peers.due_peers(messages, now_s, urgent=urgent)
         for message in messages:
             data = encode(message)
             if len(data) > MAX_DATAGRAM_BYTES:
--- a/gooseberryhall/node/const.py
+++ b/gooseberryhall/node/const.py
@@ -7,6 +7,15 @@
 # determines the number of calls.
 OWNER_WATCH_PAUSE_S: Final = 0.15
 WATCH_PAUSE_S: Final = 0.25
+# Time in which a leaving server is noticed by a node that reads the records as soon as
+# a zone lacks an owner. If requests may reach such a server for longer, the nodes use
+# these shares of the rest to wait for a new owner and for a longer pause between two
+# watches, because the reads of all nodes of a large deployment are many.
+LEAVING_SERVER_DELAY_S: Final = 2.0
+OWNER_WAIT_SHARE: Final = 0.6
+WATCH_PAUSE_SHARE: Final = 0.4
+# Number of nodes of a zone without an owner that read the records at once, to contend.
+RECORD_READERS: Final = 3
 # Maximum delays between two calls that the store does not answer: if requests or groups
 # wait for the response, and if they do not.
 MAX_RETRY_DELAY_S: Final = 0.6
@@ -20,7 +29,6 @@
 # because the peer may have received it a moment earlier.
 PEER_VERSION_GRACE_S: Final = 0.4
 CONFIGURATION_RETRY_DELAY_S: Final = 0.5
-DEMAND_POLL_S: Final = 0.05
 # If more than this share of the records disappears at once, they lapsed during a store
 # outage.
 LAPSED_SHARE: Final = 0.3
--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -43,6 +43,17 @@
     max_retry_delay_s: Callable[[], float]
 
 
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """A node of the system as it registered itself in the store."""
+
+    node: str
+    # Zone of the node; empty if an earlier version registered it.
+    zone: str
+    # Address for datagrams.
+    address: Address
+
+
 class Directory(Protocol):
     """Access to the configuration, servers and nodes in the store."""
 
@@ -55,11 +66,11 @@
     async def async_follow_servers(self, listener: ServerListener) -> None:
         """Notify the listener of changes of server records until cancelled."""
 
-    async def async_register(self, node: str, address: Address) -> None:
-        """Store this node's address. Raises `UnavailableError`."""
+    async def async_register(self, record: NodeRecord) -> None:
+        """Store the record of this node. Raises `UnavailableError`."""
 
-    async def async_list_nodes(self) -> dict[str, Address]:
-        """Return the addresses of all nodes. Raises `UnavailableError`."""
+    async def async_list_nodes(self) -> list[NodeRecord]:
+        """Return the records of all nodes. Raises `UnavailableError`."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -43,7 +43,7 @@
         """Create a node that is not started."""
         self.settings = settings
         self.tasks = TaskSet()
-        self.peers = Peers(settings.node)
+        self.peers = Peers(settings.node, settings.zone, settings.zones)
         self.table = RoutingTable()
         self._leases = adapter.leases
         self._engines = adapter.engines
@@ -52,6 +52,8 @@
         self._sequence = 0
         self._loop = asyncio.get_running_loop()
         self._was_ready = False
+        # Whether groups changed since the last announcement.
+        self._announcement_requested = False
         # Traffic in the last messages to the peers.
         self._reported_traffic: dict[str, ServerTraffic] = {}
         # Leaders of stalled groups, and the time until which peers are notified.
@@ -61,16 +63,17 @@
             self.tasks.create,
             lambda: self.is_owner or not self.peers.announcements,
         )
+        self.owner = self._create_owner()
         self.servers = ServerFollower(
             adapter.directory,
             self.tasks.create,
             self.peers,
-            settings.zones,
+            settings,
             is_owner=lambda: self.is_owner,
+            without_owner_s=self.owner.without_owner_s,
             has_servers=lambda: bool(self.table.servers),
         )
         self.gateway = self._create_gateway(adapter.header_names)
-        self.owner = self._create_owner()
 
     @property
     def ready(self) -> bool:
@@ -104,10 +107,14 @@
 
     def tick(self) -> None:
         """Update the routing table and reconcile the owned zones."""
+        self.servers.update_demand()
         self.servers.remove_lapsed()
         self._update_table()
         for zone in list(self.owner.zones.values()):
             reconcile(zone)
+        if self._announcement_requested:
+            self._announcement_requested = False
+            self.gossip.send(urgent=True)
         if self.ready != self._was_ready:
             self._was_ready = self.ready
             log_event(
@@ -156,6 +163,7 @@
             traffic=lambda server_id: total_traffic(
                 self.gateway.backends, server_id, self._loop.time()
             ),
+            successors=self.peers.successors(zone, self._loop.time()),
         )
 
     def _announce_unowned_zone(self, zone: str) -> ZoneAnnouncement:
@@ -169,6 +177,13 @@
             traffic=lambda _: ServerTraffic(0),
         )
 
+    def _request_announcement(self) -> None:
+        """Send an announcement at the next tick.
+
+        One datagram to each node is enough if several groups change together.
+        """
+        self._announcement_requested = True
+
     def check_stalls(self) -> None:
         """Move requests away from stalled groups."""
         self.gateway.backends.check_stalls(self.table.leaders(), self._loop.time())
@@ -224,7 +239,7 @@
         log_event(_LOGGER, LogEvent.GROUP_SILENT, "group is silent", server=leader)
         self._stalled_leaders[leader] = self._loop.time() + UNRESPONSIVE_BACKOFF_S
         self._probe_group(leader)
-        self.gossip.send()
+        self.gossip.send(urgent=True)
 
     def _probe_group(self, leader: str) -> None:
         for zone in self.owner.zones.values():
@@ -280,7 +295,7 @@
             profile=lambda: self.configuration.profile,
             other_zone_groups=lambda: count_groups(self.table.groups, name),
             traffic_seen=lambda: self.gateway.traffic_seen,
-            on_change=self.gossip.send,
+            on_change=self._request_announcement,
             on_superseded=lambda: self.owner.verify_lease(name),
             create_task=run_in_zone,
             zone_count=len(self.settings.zones),
--- a/gooseberryhall/node/owner.py
+++ b/gooseberryhall/node/owner.py
@@ -8,9 +8,10 @@
 
 from ..core.tasks import CreateTask
 from ..exceptions import UnavailableError
+from ..fleet.controller import reconcile
 from ..fleet.exceptions import LeaseConflictError
 from ..fleet.orders import LeaseStore
-from ..fleet.ownership import NodeName, OwnershipFacts, should_acquire_lease
+from ..fleet.ownership import OwnershipFacts, should_acquire_lease
 from ..fleet.zone import ZoneState
 from ..gossip.peers import Peers, ReceivedAnnouncement
 from ..telemetry.catalogue import LogEvent
@@ -62,6 +63,12 @@
             return
         self.zones[name] = zone
         log_event(_LOGGER, LogEvent.ZONE_OWNED, "acquired zone", zone=name, term=term)
+        # The first announcement must list the groups that the earlier owner left.
+        reconcile(zone)
+
+    def without_owner_s(self, name: str, now_s: float) -> float:
+        """Return the time since a zone last had a live owner with the store."""
+        return now_s - self._owner_seen_s.get(name, self.started_s)
 
     def verify_lease(self, name: str) -> None:
         """Check in the store that this node still holds the lease of a zone."""
@@ -77,21 +84,26 @@
         if name in self._pending or not self.can_own():
             return
         facts = OwnershipFacts(
-            node=NodeName(self.settings.node, self.settings.zone),
-            live_peers=[
-                NodeName(gossip.node, gossip.zone)
-                for gossip in self.peers.live_messages(now_s)
-                if not gossip.store_lost
-            ],
-            has_peers=bool(self.peers.peers),
-            zone=name,
-            without_owner_s=now_s - self._owner_seen_s.get(name, self.started_s),
+            is_local=name == self.settings.zone,
+            rank=self.peers.contention_rank(name, now_s),
+            is_isolated=self.peers.is_isolated(now_s),
+            may_adopt=self._may_adopt(name, now_s),
+            without_owner_s=self.without_owner_s(name, now_s),
             uptime_s=now_s - self.started_s,
         )
         if should_acquire_lease(facts):
             self._pending.add(name)
             self.create_task(self._async_acquire(name))
 
+    def _may_adopt(self, name: str, now_s: float) -> bool:
+        """Return whether this node is the first owner that may own another zone too."""
+        owners = self.peers.live_owners(now_s) if self.zones else set()
+        return (
+            bool(self.zones)
+            and self.settings.node == min({*owners, self.settings.node})
+            and not self.peers.has_live_node(name, now_s)
+        )
+
     async def _async_acquire(self, name: str) -> None:
         try:
             stored = await self.leases.async_read_lease(name)
--- a/gooseberryhall/node/registration.py
+++ b/gooseberryhall/node/registration.py
@@ -10,7 +10,7 @@
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from ..transport.pool import Address
-from .directory import Directory
+from .directory import Directory, NodeRecord
 from .settings import NodeSettings
 
 _LOGGER = logging.getLogger(__name__)
@@ -34,7 +34,9 @@
     address = Address(settings.host, settings.internal_port)
     while True:
         try:
-            await directory.async_register(settings.node, address)
+            await directory.async_register(
+                NodeRecord(settings.node, settings.zone, address)
+            )
             break
         except GooseberryhallError as exc:
             log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="nodes")
@@ -54,6 +56,6 @@
         log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="nodes")
         return False
     now_s = asyncio.get_running_loop().time()
-    for name, address in nodes.items():
-        peers.add(name, address, now_s)
+    for record in nodes:
+        peers.add(record.node, record.zone, record.address, now_s)
     return True
--- a/gooseberryhall/node/servers.py
+++ b/gooseberryhall/node/servers.py
@@ -13,13 +13,17 @@
 from ..telemetry.logs import log_event
 from .const import (
     BACKGROUND_MAX_RETRY_DELAY_S,
-    DEMAND_POLL_S,
     LAPSED_SHARE,
+    LEAVING_SERVER_DELAY_S,
     MAX_RETRY_DELAY_S,
+    OWNER_WAIT_SHARE,
     OWNER_WATCH_PAUSE_S,
+    RECORD_READERS,
     WATCH_PAUSE_S,
+    WATCH_PAUSE_SHARE,
 )
 from .directory import Directory, ServerListener
+from .settings import NodeSettings
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -31,9 +35,11 @@
     directory: Directory
     create_task: CreateTask
     peers: Peers
-    zones: tuple[str, ...]
+    settings: NodeSettings
     # Whether this node owns a zone.
     is_owner: Callable[[], bool]
+    # Time since a zone, by name, last had an owner with access to the store.
+    without_owner_s: Callable[[str, float], float]
     # Whether requests can be sent to any server.
     has_servers: Callable[[], bool]
     view: FleetView = field(default_factory=FleetView)
@@ -42,6 +48,7 @@
     following: bool = False
     # Whether the last call to the store failed.
     store_lost: bool = False
+    _needed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def start(self) -> None:
         """Start to follow the store."""
@@ -95,29 +102,59 @@
             self.view.remove_server(server_id)
             _log_server(server_id, "server record was removed")
 
+    def update_demand(self) -> None:
+        """Start or stop to follow the records, depending on the owners of the zones."""
+        if self._is_needed():
+            self._needed.set()
+            return
+        self._needed.clear()
+
     async def _async_wait_needed(self) -> bool:
-        waited = False
-        while not self._is_needed():
-            waited = True
-            self.following = False
-            # Only the configuration is followed now.
-            self.store_lost = False
-            await asyncio.sleep(DEMAND_POLL_S)
-        return waited
+        if self._is_needed():
+            return False
+        self._needed.clear()
+        self.following = False
+        # Only the configuration is followed now.
+        self.store_lost = False
+        await self._needed.wait()
+        return True
 
     def _is_needed(self) -> bool:
         if self.is_owner():
             return True
         now_s = _now_s()
-        announcements = [
-            self.peers.fresh_announcement(zone, now_s) for zone in self.zones
-        ]
-        return any(
-            received is None or received.store_lost for received in announcements
+        return any(self._is_needed_for(zone, now_s) for zone in self.settings.zones)
+
+    def _is_needed_for(self, zone: str, now_s: float) -> bool:
+        """Return whether a zone lacks an owner and this node cannot wait for a new one.
+
+        The nodes that contend first need the records for it. The others soon get an
+        announcement of the new owner; if not, they read the records themselves, before
+        requests reach a leaving server too late.
+        """
+        received = self.peers.fresh_announcement(zone, now_s)
+        if received is not None and not received.store_lost:
+            return False
+        if zone == self.settings.zone and self._is_contender(zone, now_s):
+            return True
+        spare_s = self._spare_s() * OWNER_WAIT_SHARE
+        return self.without_owner_s(zone, now_s) >= spare_s
+
+    def _is_contender(self, zone: str, now_s: float) -> bool:
+        # Without peers the node has not yet learned which nodes go first.
+        return (
+            bool(self.peers.peers)
+            and self.peers.contention_rank(zone, now_s) < RECORD_READERS
         )
 
+    def _spare_s(self) -> float:
+        """Return how much later than at once a leaving server may be noticed."""
+        return max(0.0, self.settings.leaving_limit_s - LEAVING_SERVER_DELAY_S)
+
     def _pause_s(self) -> float:
-        return OWNER_WATCH_PAUSE_S if self.is_owner() else WATCH_PAUSE_S
+        if self.is_owner():
+            return OWNER_WATCH_PAUSE_S
+        return WATCH_PAUSE_S + self._spare_s() * WATCH_PAUSE_SHARE
 
     def _max_retry_delay_s(self) -> float:
         # Owners need the records first; other nodes receive announcements from them.
--- a/gooseberryhall/node/settings.py
+++ b/gooseberryhall/node/settings.py
@@ -24,6 +24,8 @@
     store: Address
     # Time between SIGTERM and SIGKILL.
     stop_grace_s: float
+    # Time after which a server that announced that it leaves must get no requests.
+    leaving_limit_s: float
     # Retries of a service that all nodes together may send in a window: a share of its
     # requests, plus a constant number.
     retry_ratio: float
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -49,6 +49,7 @@
     *,
     grouped_service: str | None,
     traffic: Callable[[str], ServerTraffic],
+    successors: tuple[str, ...] = (),
 ) -> ZoneAnnouncement:
     """Return an announcement of a zone's open groups and plain servers.
 
@@ -73,6 +74,7 @@
         tuple(served),
         tuple(plain),
         {key: item for key, item in all_traffic.items() if item.in_flight},
+        successors,
     )
 
 
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -8,10 +8,9 @@
 from typing import Final
 
 from ..fleet.models import BackendServer, Configuration
-from ..node.directory import ConfigurationListener, ServerListener
+from ..node.directory import ConfigurationListener, NodeRecord, ServerListener
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
-from ..transport.pool import Address
 from .configuration import decode_configuration
 from .exceptions import HistoryLostError, RowFormatError, StoreError
 from .leases import async_read_nodes, async_register_node
@@ -96,12 +95,12 @@
         )
         await self._async_follow(table_listener)
 
-    async def async_register(self, node: str, address: Address) -> None:
-        """Store this node's address. Raises `StoreError`."""
-        await async_register_node(self._store, node, address)
+    async def async_register(self, record: NodeRecord) -> None:
+        """Store the record of this node. Raises `StoreError`."""
+        await async_register_node(self._store, record)
 
-    async def async_list_nodes(self) -> dict[str, Address]:
-        """Return the addresses of all nodes. Raises `StoreError`."""
+    async def async_list_nodes(self) -> list[NodeRecord]:
+        """Return the records of all nodes. Raises `StoreError`."""
         return await async_read_nodes(self._store)
 
     async def _async_follow(self, listener: "_TableListener") -> None:
--- a/gooseberryhall/platform/leases.py
+++ b/gooseberryhall/platform/leases.py
@@ -6,6 +6,7 @@
 
 from ..fleet.exceptions import LeaseConflictError
 from ..fleet.orders import Lease
+from ..node.directory import NodeRecord
 from ..transport.pool import Address
 from .exceptions import StoreConflictError, StoreUnavailableError
 from .store import Store
@@ -22,6 +23,7 @@
 class _NodeRow(msgspec.Struct):
     host: str
     port: int
+    zone: str = ""
 
 
 class RowLeaseStore:
@@ -60,12 +62,13 @@
         return Lease(zone, owner, term, new)
 
 
-async def async_register_node(store: Store, node: str, address: Address) -> None:
-    """Write this node's address, replacing that of an earlier incarnation.
+async def async_register_node(store: Store, record: NodeRecord) -> None:
+    """Write the record of a node, replacing that of an earlier incarnation.
 
     Raises `StoreError`.
     """
-    value = msgspec.json.encode(_NodeRow(address.host, address.port))
+    node, address = record.node, record.address
+    value = msgspec.json.encode(_NodeRow(address.host, address.port, record.zone))
     try:
         await store.async_write(NODE_TABLE, node, value, 0)
     except StoreConflictError:
@@ -74,9 +77,9 @@
         await store.async_write(NODE_TABLE, node, value, version)
 
 
-async def async_read_nodes(store: Store) -> dict[str, Address]:
-    """Return the addresses of all nodes; skip malformed rows. Raises `StoreError`."""
-    found = {}
+async def async_read_nodes(store: Store) -> list[NodeRecord]:
+    """Return the records of all nodes; skip malformed rows. Raises `StoreError`."""
+    found = []
     for row in (await store.async_read(NODE_TABLE)).rows:
         if row.value is None:
             continue
@@ -84,5 +87,5 @@
             node = msgspec.json.decode(row.value, type=_NodeRow)
         except msgspec.MsgspecError:
             continue
-        found[row.key] = Address(node.host, node.port)
+        found.append(NodeRecord(row.key, node.zone, Address(node.host, node.port)))
     return found
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -26,6 +26,8 @@
 class _Bounds(msgspec.Struct):
     # Time between SIGTERM and SIGKILL.
     grace_period_s: float = 8.0
+    # Time after which a server that announced that it leaves must get no requests.
+    drain_timeout_ms: float = 2000.0
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     retry_budget_slack: float = 130.0
@@ -76,6 +78,7 @@
         internal_port=raw.internal_port_range[0],
         store=parse_address(raw.platform.address),
         stop_grace_s=bounds.grace_period_s,
+        leaving_limit_s=bounds.drain_timeout_ms / MS_PER_S,
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_s=bounds.budget_window_s,
         retry_slack=bounds.retry_budget_slack,
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -1,12 +1,20 @@
 """Tests of datagrams and the state of peers."""
 
+from collections import Counter
+from dataclasses import replace
+
 import cbor2
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from gooseberryhall.fleet.models import BackendServer, ServedGroup
-from gooseberryhall.gossip.const import PEER_DOWN_S, PEERS_PER_PERIOD
+from gooseberryhall.gossip.const import (
+    GOSSIP_PERIOD_S,
+    MAX_REMOTE_PERIODS,
+    PEER_DOWN_S,
+    PEERS_PER_PERIOD_WITH_OWNERS,
+)
 from gooseberryhall.gossip.messages import (
     Gossip,
     GossipError,
@@ -25,6 +33,30 @@
     return Gossip(node, "z", 7, sequence, 7000, **changes)  # type: ignore[arg-type]
 
 
+def _peers(*zones: str) -> Peers:
+    """Return the peers of node n1 in the first zone."""
+    names = zones or ("z",)
+    return Peers("n1", names[0], names)
+
+
+def _receive(
+    peers: Peers, node: str, now_s: float, zone: str = "z", **changes: object
+) -> None:
+    """Receive a message of a node, later than all earlier ones."""
+    gossip = Gossip(node, zone, 7, int(now_s * 1000) + 1, 7000, **changes)  # type: ignore[arg-type]
+    assert peers.receive(gossip, "127.0.0.1", now_s)
+
+
+def _due_names(
+    peers: Peers, now_s: float, *messages: Gossip, urgent: bool = False
+) -> set[str]:
+    """Return the names of the due peers and mark them as sent to."""
+    due = peers.due_peers(messages or (_gossip("n1"),), now_s, urgent=urgent)
+    for peer in due:
+        peer.sent_s = now_s
+    return {peer.name for peer in due}
+
+
 def test_message_is_unchanged_after_encoding_and_decoding() -> None:
     """Guards against fields that are lost or changed in a datagram."""
     gossip = _gossip(
@@ -38,6 +70,7 @@
             (ServedGroup("m", LEADER, leaving=True),),
             (LEADER,),
             {"s1": ServerTraffic(4, 120)},
+            ("n3", "n4"),
         ),
         crashes={"ab": ["s9"]},
     )
@@ -59,7 +92,7 @@
 
 def test_late_datagram_does_not_replace_a_newer_one() -> None:
     """Guards against a late datagram that replaces newer state of a peer."""
-    peers = Peers("n1")
+    peers = _peers()
     assert peers.receive(
         _gossip(sequence=2, traffic={"s": ServerTraffic(1, 100)}), "127.0.0.1", 5.0
     )
@@ -71,7 +104,7 @@
 
 def test_messages_of_a_restarted_peer_are_accepted() -> None:
     """Guards against ignoring a restarted peer, whose sequence starts again."""
-    peers = Peers("n1")
+    peers = _peers()
     peers.receive(_gossip(sequence=50), "127.0.0.1", 0.0)
     restarted = Gossip("n2", "z", 8, 1, 7000)
     assert peers.receive(restarted, "127.0.0.1", 0.1)
@@ -79,7 +112,7 @@
 
 def test_down_peer_counts_neither_as_load_nor_as_owner() -> None:
     """Guards against a peer that is down or cut off and still counts as owner."""
-    peers = Peers("n1")
+    peers = _peers()
     announcement = ZoneAnnouncement("z", 3)
     peers.receive(
         _gossip(traffic={"s": ServerTraffic(1, 100)}, announcement=announcement),
@@ -95,7 +128,7 @@
 
 def test_announcement_with_the_latest_term_is_used() -> None:
     """Guards against groups of an earlier owner that does not know its successor."""
-    peers = Peers("n1")
+    peers = _peers()
     for node, term in (("n2", 4), ("n3", 3)):
         peers.receive(
             _gossip(node, announcement=ZoneAnnouncement("z", term)), "127.0.0.1", 0.0
@@ -110,26 +143,147 @@
 
     With 90 nodes this takes most of a core.
     """
-    peers = Peers("n1")
-    peers.receive(
-        _gossip("owner", announcement=ZoneAnnouncement("z", 1)), "127.0.0.1", 0.0
-    )
+    peers = _peers()
+    _receive(peers, "owner", 0.0, announcement=ZoneAnnouncement("z", 1))
     for number in range(90):
-        peers.receive(_gossip(f"p{number}"), "127.0.0.1", 0.0)
-    due = peers.due_peers(0.5, owner=False)
-    assert len(due) == 1 + PEERS_PER_PERIOD
-    assert any(peer.message and peer.message.node == "owner" for peer in due)
-    assert len(peers.due_peers(0.5, owner=True)) == 91
+        _receive(peers, f"p{number}", 0.0)
+    due = _due_names(peers, 0.5)
+    assert len(due) == 1 + PEERS_PER_PERIOD_WITH_OWNERS
+    assert "owner" in due
+    owned = _gossip("n1", announcement=ZoneAnnouncement("z", 1))
+    assert len(peers.due_peers([owned], 0.5)) == 91
 
 
 def test_all_peers_get_datagrams_in_turn() -> None:
     """Guards against a peer that gets no datagrams and so seems to be cut off."""
-    peers = Peers("n1")
+    peers = _peers()
     for number in range(20):
-        peers.receive(_gossip(f"p{number}"), "127.0.0.1", 0.0)
+        _receive(peers, f"p{number}", 0.0)
     notified = set()
     for period in range(5):
-        for peer in peers.due_peers(0.1 * period, owner=False):
-            peer.sent_s = 0.1 * period + 0.01
-            notified.add(peer.message.node if peer.message else "")
+        notified |= _due_names(peers, 0.1 * period + 0.01)
     assert len(notified) == 20
+
+
+def _large_deployment() -> Peers:
+    """Return peers of 5 zones with 39 nodes each, the first of which is the owner."""
+    zones = tuple("zabcd")
+    peers = _peers(*zones)
+    for zone in zones:
+        for number in range(39):
+            announcement = None
+            if number == 0:
+                leader = replace(LEADER, server_id=f"s-{zone}", zone=zone)
+                groups = (ServedGroup("m", leader),)
+                announcement = ZoneAnnouncement(zone, 1, groups)
+            name = f"n-{zone}{number:02}"
+            _receive(peers, name, 10.0, zone, announcement=announcement)
+    return peers
+
+
+def test_owner_of_a_large_deployment_sends_less_to_other_zones() -> None:
+    """Guards against announcements to all nodes of all zones in each period.
+
+    With 195 nodes the announcements were most of the bytes between zones (0.43 GB in
+    50 s on quiet-1 of tks-aeration-large).
+    """
+    peers = _large_deployment()
+    owned = _gossip("n1", announcement=ZoneAnnouncement("z", 2))
+    sent: Counter[str] = Counter()
+    for period in range(12):
+        now_s = 10.1 + period * GOSSIP_PERIOD_S
+        sent.update(_due_names(peers, now_s, owned))
+    assert sent["n-z05"] == 12
+    remote = [count for name, count in sent.items() if not name.startswith("n-z")]
+    assert len(remote) == 4 * 39
+    assert max(remote) == 12 / MAX_REMOTE_PERIODS
+
+
+def test_urgent_message_goes_to_all_nodes_at_once() -> None:
+    """Guards against requests to a dissolved group until the next announcement."""
+    peers = _large_deployment()
+    owned = _gossip("n1", announcement=ZoneAnnouncement("z", 2))
+    assert len(_due_names(peers, 10.1, owned)) == 5 * 39
+    assert len(_due_names(peers, 10.15, owned, urgent=True)) == 5 * 39
+
+
+def test_node_with_requests_in_a_zone_hears_its_owner_in_each_period() -> None:
+    """Guards against streams that seem stalled because their progress is told late."""
+    peers = _large_deployment()
+    busy = _gossip("n1", traffic={"s-b": ServerTraffic(1)})
+    owners: Counter[str] = Counter()
+    for period in range(6):
+        now_s = 10.1 + period * GOSSIP_PERIOD_S
+        owners.update(_due_names(peers, now_s, busy) & {"n-z00", "n-b00", "n-c00"})
+    assert owners == {"n-z00": 6, "n-b00": 6, "n-c00": 6 / MAX_REMOTE_PERIODS}
+
+    leader = replace(LEADER, server_id="s-z")
+    announcement = ZoneAnnouncement("z", 2, (ServedGroup("m", leader),))
+    _receive(peers, "n-c07", 10.9, "c", traffic={"s-z": ServerTraffic(1)})
+    owned = _gossip("n1", announcement=announcement)
+    _due_names(peers, 11.0, owned)
+    assert "n-c07" in _due_names(peers, 11.0 + GOSSIP_PERIOD_S, owned)
+    assert "n-c08" not in _due_names(peers, 11.0 + 2 * GOSSIP_PERIOD_S, owned)
+
+
+def test_traffic_of_a_down_node_is_forgotten_soon() -> None:
+    """Guards against groups that seem full of requests of nodes that are gone.
+
+    With 195 nodes the traffic of a node that was down counted for 19 s.
+    """
+    peers = _large_deployment()
+    _receive(peers, "n-c07", 10.5, "c", traffic={"s-z": ServerTraffic(9)})
+    assert peers.traffic(11.0)["s-z"].in_flight == 9
+    assert "s-z" not in peers.traffic(12.5)
+
+
+def test_new_owner_announces_its_zone_to_all_listed_nodes() -> None:
+    """Guards against nodes without groups after all nodes were restarted.
+
+    Only six listed nodes got a datagram in a period, so with 195 nodes the last one
+    learned of its owner after 5 s.
+    """
+    peers = _peers("z", "y")
+    for number in range(194):
+        zone = "zy"[number % 2]
+        peers.add(f"p{number}", zone, Address("127.0.0.1", 7), 10.0)
+    owned = _gossip("n1", announcement=ZoneAnnouncement("z", 2))
+    assert len(_due_names(peers, 10.1, owned)) == 194
+
+
+def test_silent_owner_does_not_contend_before_its_successors() -> None:
+    """Guards against a zone without owner while its last owner seems to be live.
+
+    With 195 nodes a node that stopped counted as live for 19 s, and the node with the
+    lowest name, mostly the owner, was waited for.
+    """
+    peers = _peers()
+    for name in ("n0", "n2", "n3"):
+        _receive(peers, name, 0.0)
+    announcement = ZoneAnnouncement("z", 4, successors=("n2", "n1"))
+    _receive(peers, "n0", 1.0, announcement=announcement)
+    assert peers.contention_rank("z", 2.5) == 1
+    _receive(peers, "n0", 3.0, announcement=ZoneAnnouncement("z", 4))
+    assert peers.contention_rank("z", 4.5) == 0
+
+
+def test_owner_names_live_nodes_of_its_zone_as_successors() -> None:
+    """Guards against successors that are down, elsewhere or without the store."""
+    peers = _peers("z", "y")
+    _receive(peers, "n2", 0.0)
+    _receive(peers, "n3", 5.0, store_lost=True)
+    _receive(peers, "n4", 5.0, "y")
+    for name in ("n8", "n6", "n7", "n5"):
+        _receive(peers, name, 5.0)
+    assert peers.successors("z", 5.1) == ("n5", "n6", "n7")
+
+
+def test_node_without_datagrams_is_isolated() -> None:
+    """Guards against a node that is cut off and contends for zones at once."""
+    peers = _peers()
+    assert not peers.is_isolated(0.0)
+    peers.add("n2", "z", Address("127.0.0.1", 7), 0.0)
+    assert peers.is_isolated(0.1)
+    _receive(peers, "n2", 1.0)
+    assert not peers.is_isolated(1.5)
+    assert peers.is_isolated(1.1 + PEER_DOWN_S)
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -11,14 +11,18 @@
     BackendServer,
     Configuration,
     EngineProfile,
+    Membership,
+    MemberState,
     Model,
     ServedGroup,
     Service,
 )
 from gooseberryhall.fleet.orders import Lease
 from gooseberryhall.gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
+from gooseberryhall.node.const import RECORD_READERS
 from gooseberryhall.node.directory import (
     ConfigurationListener,
+    NodeRecord,
     PlatformAdapter,
     ServerListener,
 )
@@ -44,6 +48,7 @@
     1,
     ADDRESS,
     8,
+    2.0,
     0.2,
     10,
     130,
@@ -70,12 +75,12 @@
         """Store the listener."""
         self.listener = listener
 
-    async def async_register(self, node: str, address: Address) -> None:
+    async def async_register(self, record: NodeRecord) -> None:
         """Do nothing."""
 
-    async def async_list_nodes(self) -> dict[str, Address]:
+    async def async_list_nodes(self) -> list[NodeRecord]:
         """Return no peers."""
-        return {}
+        return []
 
 
 @dataclass(slots=True)
@@ -99,7 +104,7 @@
 class FakeGossip:
     """Gossip service that sends nothing."""
 
-    def send(self) -> None:
+    def send(self, *, urgent: bool = False) -> None:
         """Do nothing."""
 
 
@@ -145,6 +150,19 @@
     await node.tasks.async_cancel()
 
 
+OPEN_GROUP = [
+    server(
+        name,
+        staged=frozenset({"m"}),
+        last_model="m",
+        membership=Membership("z-1", 1, rank, state),
+    )
+    for rank, (name, state) in enumerate(
+        [("h1", MemberState.OPEN), ("h2", MemberState.READY)]
+    )
+]
+
+
 def _announcement(term: int, *leaders: str) -> ZoneAnnouncement:
     groups = tuple(ServedGroup("m", server(leader)) for leader in leaders)
     traffic = {leader: ServerTraffic(3) for leader in leaders}
@@ -312,3 +330,65 @@
     assert len(started.node.servers.view.servers) == 6
     started.directory.listener.on_removed(["s5"])
     assert len(started.node.servers.view.servers) == 5
+
+
+async def test_first_announcement_of_a_new_owner_lists_the_open_groups(
+    started: StartedNode,
+) -> None:
+    """Guards against an announcement without groups right after a take-over.
+
+    All nodes would have no group to send requests to until the next announcement.
+    """
+    started.list_servers(OPEN_GROUP)
+    started.node.owner.become_owner("z", 2)
+    (gossip,) = started.node.create_messages()
+    assert gossip.announcement is not None
+    assert [group.leader.server_id for group in gossip.announcement.groups] == ["h1"]
+
+
+async def test_nodes_that_contend_late_wait_for_a_new_owner(
+    started: StartedNode,
+) -> None:
+    """Guards against reads of all records by all nodes when one owner stops.
+
+    With 195 nodes and 1,100 servers that is 585 calls and 140 MB at once, and four
+    calls a second of each node afterwards.
+    """
+    node, listener = started.node, started.directory.listener
+    assert listener is not None
+    node.servers.settings = replace(SETTINGS, leaving_limit_s=4.0)
+    for number in range(RECORD_READERS):
+        started.receive(f"m{number}")
+    started.receive("n9", announcement=_announcement(1, "h1"))
+    silent_s = 2.0
+    received = node.peers.announcements["z"]
+    node.peers.announcements["z"] = replace(
+        received, received_s=received.received_s - silent_s
+    )
+    node.owner._owner_seen_s["z"] = asyncio.get_running_loop().time()
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(listener.async_wait_needed(), 0.1)
+    node.owner._owner_seen_s["z"] -= 2.0
+    node.servers.update_demand()
+    await asyncio.wait_for(listener.async_wait_needed(), 0.1)
+
+
+async def test_first_successors_of_a_silent_owner_read_the_records(
+    started: StartedNode,
+) -> None:
+    """Guards against a zone without owner because nobody reads its records."""
+    node, listener = started.node, started.directory.listener
+    assert listener is not None
+    node.servers.settings = replace(SETTINGS, leaving_limit_s=4.0)
+    for number in range(9):
+        started.receive(f"m{number}")
+    announcement = replace(_announcement(1, "h1"), successors=("m3", "n1"))
+    started.receive("n9", announcement=announcement)
+    waiting = asyncio.create_task(listener.async_wait_needed())  # type: ignore[arg-type]
+    await asyncio.sleep(0.01)
+    assert not waiting.done()
+    received = node.peers.announcements["z"]
+    node.peers.announcements["z"] = replace(received, received_s=0.0)
+    node.owner._owner_seen_s["z"] = asyncio.get_running_loop().time()
+    node.servers.update_demand()
+    assert await asyncio.wait_for(waiting, 0.1)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,11 @@
 
 from gooseberryhall.fleet.exceptions import LeaseConflictError
 from gooseberryhall.fleet.models import BackendServer, Configuration
-from gooseberryhall.node.directory import ConfigurationListener, ServerListener
+from gooseberryhall.node.directory import (
+    ConfigurationListener,
+    NodeRecord,
+    ServerListener,
+)
 from gooseberryhall.platform.directory import StoreDirectory
 from gooseberryhall.platform.exceptions import (
     HistoryLostError,
@@ -105,11 +109,20 @@
     """Guards against a row of a later version that hides the other nodes."""
     async with async_store() as (stand_in, store):
         directory = StoreDirectory(store)
-        await directory.async_register("n1", Address("10.0.0.1", 7000))
-        await directory.async_register("n1", Address("10.0.0.2", 7000))
+        await directory.async_register(NodeRecord("n1", "z", Address("10.0.0.1", 7000)))
+        record = NodeRecord("n1", "z", Address("10.0.0.2", 7000))
+        await directory.async_register(record)
         stand_in.put("nodes", "n2", b"\xff")
         nodes = await async_read_nodes(store)
-    assert nodes == {"n1": Address("10.0.0.2", 7000)}
+    assert nodes == [record]
+
+
+async def test_node_rows_without_a_zone_are_read() -> None:
+    """Guards against nodes of an earlier version that are not found as peers."""
+    async with async_store() as (stand_in, store):
+        stand_in.put("nodes", "n1", b'{"host":"10.0.0.1","port":7000}')
+        nodes = await async_read_nodes(store)
+    assert nodes == [NodeRecord("n1", "", Address("10.0.0.1", 7000))]
 
 
 async def _async_until(condition: Callable[[], bool]) -> None:
