Send requests to groups of the own zone while these have room

Cause: groups were sampled from all zones, with a small penalty for others, so with five zones four of five requests crossed zones. Streams and the gossip that goes with them were billed, and with 90 groups hardly any connection was used again.

Change: two groups of the own zone are sampled first; one that is loaded below 0.6 of its slots gets the request. Otherwise all zones take part, so a burst in one zone still spreads.

--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -12,6 +12,8 @@
 MAX_STALL_BACKOFF_S: Final = 6.0
 # Number of groups sampled at random for a request; the least loaded one gets it.
 GROUP_CHOICES: Final = 2
+# Load, as a share of the slots, up to which groups of the caller's zone go first.
+LOCAL_GROUP_LOAD: Final = 0.6
 # Requests that a group accepts beyond its slots.
 MAX_QUEUED_PER_GROUP: Final = 4
 # Share of the latency objective for which a request waits for a free group.
--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -7,6 +7,7 @@
 from .const import (
     CROSS_ZONE_LOAD_PENALTY,
     GROUP_CHOICES,
+    LOCAL_GROUP_LOAD,
     MAX_PLAIN_LOAD,
     MAX_QUEUED_PER_GROUP,
 )
@@ -40,10 +41,11 @@
 ) -> Candidate | None:
     """Return the group for a request, or None if all are full or suspected.
 
-    The least loaded of `GROUP_CHOICES` groups sampled at random is chosen. Reported
-    load is delayed, so many nodes that all chose the least loaded group would overload
-    it. A group accepts only `MAX_QUEUED_PER_GROUP` requests beyond its slots, because
-    more would delay the first tokens of all requests.
+    A group accepts only `MAX_QUEUED_PER_GROUP` requests beyond its slots, because more
+    would delay the first tokens of all requests. Groups of the caller's zone are used
+    while they have room: traffic between zones is billed, and the load of a zone's own
+    groups is known best. A burst, or the loss of many groups in one zone, spreads to
+    all zones.
     """
     usable = [
         candidate
@@ -52,9 +54,24 @@
         and candidate.in_flight < candidate.slots + MAX_QUEUED_PER_GROUP
     ]
     preferred = [candidate for candidate in usable if not candidate.leaving] or usable
-    if not preferred:
+    local = [candidate for candidate in preferred if candidate.same_zone]
+    chosen = _sample_least_loaded(local, rng)
+    if chosen is not None and _load(chosen) < LOCAL_GROUP_LOAD:
+        return chosen
+    return _sample_least_loaded(preferred, rng)
+
+
+def _sample_least_loaded(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Candidate | None:
+    """Return the least loaded of `GROUP_CHOICES` candidates sampled at random.
+
+    Reported load is delayed, so many nodes that all chose the least loaded group would
+    overload it.
+    """
+    if not candidates:
         return None
-    sampled = rng.sample(preferred, min(GROUP_CHOICES, len(preferred)))
+    sampled = rng.sample(candidates, min(GROUP_CHOICES, len(candidates)))
     return min(sampled, key=_load)
 
 
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -96,6 +96,25 @@
     assert busiest == 0
 
 
+def test_groups_of_the_own_zone_are_used_while_they_have_room() -> None:
+    """Guards against streams that cross zones though the own zone has room.
+
+    Four of five requests crossed zones on tks-aeration-large.
+    """
+    local = [_group(f"a{number}", 5) for number in range(3)]
+    remote = [_group(f"b{number}", 0, same_zone=False) for number in range(12)]
+    chosen = [choose_group([*local, *remote], RNG) for _ in range(100)]
+    assert all(group is not None and group.same_zone for group in chosen)
+
+
+def test_requests_spread_to_other_zones_when_the_own_zone_is_busy() -> None:
+    """Guards against a burst in one zone that waits while other zones are idle."""
+    local = [_group(f"a{number}", 12) for number in range(3)]
+    remote = [_group(f"b{number}", 1, same_zone=False) for number in range(12)]
+    chosen = [choose_group([*local, *remote], RNG) for _ in range(100)]
+    assert sum(1 for group in chosen if group and not group.same_zone) > 90
+
+
 def test_retry_budget_is_limited_and_recovers() -> None:
     """Guards against retries that multiply the load of an unavailable service."""
     budget = RetryBudget(ratio=0.2, slack=2, window_s=10)
