Build routes once an announcement and watch records less often

Cause: each node built the routes to all groups 20 times a second, and the owner searched the records of all zones for groups of its own.

Change: a node keeps its routes until an announcement changes; an owner looks at the records of its zone only; where requests may reach a leaving server for longer than 2 s, a tenth of the rest goes to the pause between two reads. The watch of the configuration is as long as the store allows, since owners tell new versions.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -68,7 +68,7 @@
     """Adopt the groups that an earlier owner left."""
     incomplete_since_s: dict[GroupKey, float] = {}
     zone.reserved = set()
-    for group, states in zone.view.groups():
+    for group, states in zone.view.groups(zone.name):
         key = (group.name, group.epoch)
         leader = zone.view.servers[group.leader]
         if leader.zone != zone.name or leader.service != zone.service:
--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -155,14 +155,18 @@
             and all(state in _SERVING for state in states)
         ]
 
-    def groups(self) -> list[tuple[Group, tuple[MemberState, ...]]]:
-        """Return the groups that servers report, with the states of their members.
+    def groups(
+        self, zone: str | None = None
+    ) -> list[tuple[Group, tuple[MemberState, ...]]]:
+        """Return the groups that servers of a zone, or of all zones, report.
 
-        Members that no server reports are missing from the tuples; a group whose
-        leader is missing is omitted.
+        Each group comes with the states of its members. Members that no server reports
+        are missing from the tuples; a group whose leader is missing is omitted.
         """
         members: dict[tuple[str, int], list[BackendServer]] = {}
         for server in self.servers.values():
+            if zone is not None and server.zone != zone:
+                continue
             if server.membership is not None:
                 key = (server.membership.group, server.membership.epoch)
                 members.setdefault(key, []).append(server)
--- a/gooseberryhall/node/const.py
+++ b/gooseberryhall/node/const.py
@@ -9,11 +9,12 @@
 WATCH_PAUSE_S: Final = 0.25
 # Time in which a leaving server is noticed by a node that reads the records as soon as
 # a zone lacks an owner. If requests may reach such a server for longer, the nodes use
-# these shares of the rest to wait for a new owner and for a longer pause between two
+# these shares of the rest to wait for a new owner and for longer pauses between two
 # watches, because the reads of all nodes of a large deployment are many.
 LEAVING_SERVER_DELAY_S: Final = 2.0
 OWNER_WAIT_SHARE: Final = 0.6
 WATCH_PAUSE_SHARE: Final = 0.4
+OWNER_PAUSE_SHARE: Final = 0.1
 # Number of nodes of a zone without an owner that read the records at once, to contend.
 RECORD_READERS: Final = 3
 # Maximum delays between two calls that the store does not answer: if requests or groups
@@ -24,7 +25,7 @@
 # so that they notice a stalled connection; they notify the other nodes by the version
 # in their datagrams.
 OWNER_CONFIGURATION_WATCH_WAIT_S: Final = 1.5
-CONFIGURATION_WATCH_WAIT_S: Final = 20.0
+CONFIGURATION_WATCH_WAIT_S: Final = 30.0
 # Time for which a node waits for its own watch after a peer sent a newer version,
 # because the peer may have received it a moment earlier.
 PEER_VERSION_GRACE_S: Final = 0.4
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -52,6 +52,8 @@
         self._sequence = 0
         self._loop = asyncio.get_running_loop()
         self._was_ready = False
+        # Times of the announcements from which the routing table was built.
+        self._announced_s: list[float] | None = None
         # Whether groups changed since the last announcement.
         self._announcement_requested = False
         # Traffic in the last messages to the peers.
@@ -131,6 +133,10 @@
         records are used, and without the store the last announcement.
         """
         now_s = self._loop.time()
+        announced_s = self._announcement_times_s(now_s)
+        if announced_s is not None and announced_s == self._announced_s:
+            return
+        self._announced_s = announced_s
         table = RoutingTable()
         traffic = self.peers.traffic(now_s) if self.is_owner else {}
         for zone in self.settings.zones:
@@ -152,6 +158,22 @@
         self.table = table
         apply_peer_traffic(self.gateway.backends, traffic)
 
+    def _announcement_times_s(self, now_s: float) -> list[float] | None:
+        """Return when the announcements of all zones were received.
+
+        None if the routing table depends on more than these, because this node is an
+        owner or a zone has no owner that follows the store.
+        """
+        if self.is_owner:
+            return None
+        found = []
+        for zone in self.settings.zones:
+            received = self.peers.fresh_announcement(zone, now_s)
+            if received is None or received.store_lost:
+                return None
+            found.append(received.received_s)
+        return found
+
     def _announce_owned_zone(self, zone: str) -> ZoneAnnouncement:
         state = self.owner.zones[zone]
         return create_announcement(
--- a/gooseberryhall/node/servers.py
+++ b/gooseberryhall/node/servers.py
@@ -16,6 +16,7 @@
     LAPSED_SHARE,
     LEAVING_SERVER_DELAY_S,
     MAX_RETRY_DELAY_S,
+    OWNER_PAUSE_SHARE,
     OWNER_WAIT_SHARE,
     OWNER_WATCH_PAUSE_S,
     RECORD_READERS,
@@ -153,7 +154,7 @@
 
     def _pause_s(self) -> float:
         if self.is_owner():
-            return OWNER_WATCH_PAUSE_S
+            return OWNER_WATCH_PAUSE_S + self._spare_s() * OWNER_PAUSE_SHARE
         return WATCH_PAUSE_S + self._spare_s() * WATCH_PAUSE_SHARE
 
     def _max_retry_delay_s(self) -> float:
--- a/tests/node/test_delays.py
+++ b/tests/node/test_delays.py
@@ -6,6 +6,7 @@
 from gooseberryhall.gossip.const import ANNOUNCEMENT_TTL_S, GOSSIP_PERIOD_S
 from gooseberryhall.node.const import (
     LEAVING_SERVER_DELAY_S,
+    OWNER_PAUSE_SHARE,
     OWNER_WAIT_SHARE,
     OWNER_WATCH_PAUSE_S,
     WATCH_PAUSE_S,
@@ -49,6 +50,8 @@
 
     An owner whose connection stalled notifies its peers, which then read the records.
     """
-    detection_s = OWNER_WATCH_PAUSE_S + SERVER_WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S
-    wait_s = TICK_PERIOD_S + _spare_s(limit_s) * OWNER_WAIT_SHARE
+    spare_s = _spare_s(limit_s)
+    pause_s = OWNER_WATCH_PAUSE_S + spare_s * OWNER_PAUSE_SHARE
+    detection_s = pause_s + SERVER_WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S
+    wait_s = TICK_PERIOD_S + spare_s * OWNER_WAIT_SHARE
     assert detection_s + GOSSIP_PERIOD_S + wait_s + MARGIN_S < limit_s
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -182,6 +182,34 @@
     assert started.node.ready
 
 
+async def test_routes_are_built_once_for_each_announcement(
+    started: StartedNode,
+) -> None:
+    """Guards against building the same routes in each tick on all nodes."""
+    started.receive(announcement=_announcement(2, "h1"))
+    started.node.tick()
+    table = started.node.table
+    started.node.tick()
+    assert started.node.table is table
+    started.receive(announcement=_announcement(2, "h2"))
+    started.node.tick()
+    assert started.node.table.leaders() == {"h2"}
+
+
+async def test_routes_of_an_announcement_that_expires_are_used_last(
+    started: StartedNode,
+) -> None:
+    """Guards against routes that are kept as they are when their owner falls silent."""
+    started.receive(announcement=_announcement(2, "h1"))
+    started.node.tick()
+    received = started.node.peers.announcements["z"]
+    started.node.peers.announcements["z"] = replace(
+        received, received_s=received.received_s - 5
+    )
+    started.node.tick()
+    assert started.node.table.groups[0].leaving
+
+
 async def test_local_requests_are_not_counted_twice(started: StartedNode) -> None:
     """Guards against counting local traffic twice; the owner's figure includes it."""
     started.node._reported_traffic = {"h1": ServerTraffic(2)}
