End connections whose server sends bytes that are no answer

Cause: the parser keeps a header until it is complete and keeps all headers, so a head, an interim response, a chunk extension, a trailer or a late copy of an answer without end grew in memory until the deadline; an event without end did too. Each byte of such an event counted as progress, so a stream that drips bytes never stalled. What a fast server sent for a slow caller was buffered without limit.

Change: 64 KiB without body data of the expected response, or 1 MiB without the end of an event, end the connection with MalformedResponseError; only whole events are progress; above 256 KiB that are not passed on the server is not read.

--- a/gooseberryhall/gateway/events.py
+++ b/gooseberryhall/gateway/events.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+from ..transport.exceptions import MalformedResponseError
+from .const import MAX_EVENT_BYTES
+
 _END = b"\n\n"
 _ID = b"id:"
 
@@ -17,15 +20,18 @@
     _partial: bytes = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return those of complete events."""
+        """Add received bytes and return those of complete events.
+
+        Raises `MalformedResponseError` if an event exceeds `MAX_EVENT_BYTES`.
+        """
         data = self._partial + data
         end = data.rfind(_END)
-        if end < 0:
-            self._partial = data
-            return b""
-        end += len(_END)
+        end = end + len(_END) if end >= 0 else 0
         complete, self._partial = data[:end], data[end:]
-        self._record_ids(complete)
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise MalformedResponseError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        if complete:
+            self._record_ids(complete)
         return complete
 
     def discard_partial(self) -> None:
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -31,6 +31,8 @@
     server: BackendServer
     exchange: Exchange
     conn: ClientConnection
+    # Records that the server sent something that is useful to the caller.
+    record_progress: Callable[[], None]
 
 
 @asynccontextmanager
@@ -55,7 +57,7 @@
     exchange = Exchange(
         expected_id=ctx.request_id,
         is_head_method=ctx.request.method == b"HEAD",
-        on_progress=record_progress,
+        on_head=record_progress,
     )
     attempt = Attempt(exchange, can_fail_over or ctx.is_retryable)
     key = state.backends.start_attempt(server.server_id, attempt, loop.time())
@@ -68,7 +70,7 @@
         conn = await state.pool.async_send_request(
             server.address, data, exchange, new_connection=not ctx.route.idempotent
         )
-        yield SentRequest(server, exchange, conn)
+        yield SentRequest(server, exchange, conn, record_progress)
     except ConnectFailedError:
         state.backends.mark_unreachable(server.server_id, loop.time())
         raise
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -201,6 +201,7 @@
         events = relay.splitter.feed(chunk)
         if not events:
             continue
+        sent.record_progress()
         if server_id not in ctx.ran_on:
             ctx.ran_on.append(server_id)
         if not relay.started:
--- a/gooseberryhall/transport/client.py
+++ b/gooseberryhall/transport/client.py
@@ -5,7 +5,11 @@
 
 import httptools
 
-from .const import DEFAULT_IDLE_TIMEOUT_S, IDLE_TIMEOUT_SHARE
+from .const import (
+    DEFAULT_IDLE_TIMEOUT_S,
+    IDLE_TIMEOUT_SHARE,
+    MAX_RESPONSE_OVERHEAD_BYTES,
+)
 from .exceptions import ConnectionBrokenError, MalformedResponseError
 from .exchange import Exchange, Headers, ResponseHead
 
@@ -31,6 +35,8 @@
         self._close_after_response = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since_s = 0.0
+        # Bytes received since the last body data of the expected response.
+        self._overhead_bytes = 0
         self.closed = False
 
     def can_reuse(self, now_s: float) -> bool:
@@ -44,7 +50,9 @@
     def start(self, exchange: Exchange, data: bytes) -> None:
         """Send a request and pass its response to `exchange`."""
         self._exchange = exchange
+        self._overhead_bytes = 0
         exchange.close = self.close
+        exchange.set_reading = self._set_reading
         if self.closed or self._transport is None:
             exchange.fail(ConnectionBrokenError("connection is closed"))
             return
@@ -66,10 +74,15 @@
             # Data that arrives without a request cannot belong to a response.
             self.close()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._fail(MalformedResponseError(f"malformed response: {exc}"))
+            return
+        if self._exchange and self._overhead_bytes > MAX_RESPONSE_OVERHEAD_BYTES:
+            limit = MAX_RESPONSE_OVERHEAD_BYTES
+            self._fail(MalformedResponseError(f"no body data in {limit} bytes"))
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
@@ -127,6 +140,7 @@
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the exchange."""
         if self._exchange is not None and not self._skip_response:
+            self._overhead_bytes = 0
             self._exchange.receive_chunk(data)
 
     def on_message_complete(self) -> None:
@@ -147,6 +161,7 @@
     def _complete_exchange(self) -> None:
         exchange = self._exchange
         self._exchange = None
+        self._set_reading(True)
         self._idle_since_s = asyncio.get_running_loop().time()
         unsent_bytes = self._transport.get_write_buffer_size() if self._transport else 0
         # If the response completes before the request was sent, the server would parse
@@ -156,6 +171,15 @@
         if exchange is not None:
             exchange.finish()
 
+    def _set_reading(self, enabled: bool) -> None:
+        """Read from the server, or leave further data in the buffers of the sockets."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if enabled:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
     def _fail(self, error: MalformedResponseError) -> None:
         if self._exchange is not None:
             self._exchange.fail(error)
--- a/gooseberryhall/transport/const.py
+++ b/gooseberryhall/transport/const.py
@@ -11,6 +11,12 @@
 # request is sent while the server closes the connection.
 IDLE_TIMEOUT_SHARE: Final = 0.5
 MAX_IDLE_PER_ADDRESS: Final = 16
+# Bytes that a server may send without any body data of the expected response: heads,
+# interim responses, chunk sizes, trailers and responses to earlier requests. A server
+# in trouble may send such bytes without end.
+MAX_RESPONSE_OVERHEAD_BYTES: Final = 64 * 1024
+# Received body data that is not yet passed on, after which no more is read.
+MAX_BUFFERED_BYTES: Final = 256 * 1024
 MAX_RESPONSE_BYTES: Final = 32 * 1024 * 1024
 WRITE_HIGH_WATER_BYTES: Final = 256 * 1024
 
--- a/gooseberryhall/transport/exchange.py
+++ b/gooseberryhall/transport/exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from .const import MAX_BUFFERED_BYTES
 from .exceptions import TransportError
 
 Headers = list[tuple[bytes, bytes]]
@@ -25,7 +26,7 @@
         return None
 
 
-def _do_nothing() -> None:
+def _do_nothing(*_: object) -> None:
     """Do nothing; the default callback of an exchange."""
 
 
@@ -34,30 +35,36 @@
     """A request in flight.
 
     `expected_id` is the request id that the response must echo. Responses with another
-    id belong to an earlier request and are skipped. `on_progress` is called for each
-    received part of the response, `close` closes the connection.
+    id belong to an earlier request and are skipped. `on_head` is called when the head
+    was received, `close` closes the connection and `set_reading` pauses and resumes it.
     """
 
     expected_id: bytes | None = None
     is_head_method: bool = False
-    on_progress: Callable[[], None] = _do_nothing
+    on_head: Callable[[], None] = _do_nothing
     close: Callable[[], None] = _do_nothing
+    set_reading: Callable[[bool], None] = _do_nothing
     head: ResponseHead | None = None
     complete: bool = False
     error: TransportError | None = None
     _chunks: deque[bytes] = field(default_factory=deque)
+    _buffered_bytes: int = 0
+    _paused: bool = False
     _waiter: asyncio.Future[None] | None = None
 
     def receive_head(self, head: ResponseHead) -> None:
         """Store the received status and headers."""
         self.head = head
-        self.on_progress()
+        self.on_head()
         self._wake()
 
     def receive_chunk(self, data: bytes) -> None:
         """Buffer a received part of the body."""
         self._chunks.append(data)
-        self.on_progress()
+        self._buffered_bytes += len(data)
+        if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._paused:
+            self._paused = True
+            self.set_reading(False)
         self._wake()
 
     def finish(self) -> None:
@@ -96,10 +103,12 @@
             if self.error is not None:
                 raise self.error
             await self._async_wait()
-        if len(self._chunks) == 1:
-            return self._chunks.popleft()
         data = b"".join(self._chunks)
         self._chunks.clear()
+        self._buffered_bytes = 0
+        if self._paused and not self.complete:
+            self._paused = False
+            self.set_reading(True)
         return data
 
     async def async_read_body(self, max_bytes: int) -> bytes:
--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -5,12 +5,14 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from gooseberryhall.fleet.models import ServedGroup
 from gooseberryhall.gateway.const import GROUP_STALL_TIMEOUT_S
 from tests.gateway.common import (
     Gateway,
     ReceivedRequest,
     ScriptedServer,
     async_gateway,
+    async_until,
     chunk,
     encode_response,
     event,
@@ -213,3 +215,57 @@
                 break
     assert response.startswith(b"HTTP/1.1 503")
     assert sum(1 for leader in leaders if leader.requests) == 3
+
+
+async def _async_drip(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Send one event, then a byte now and then that completes no event."""
+    writer.write(stream_head(request, "drip"))
+    writer.write(chunk(event(1)))
+    while True:
+        await asyncio.sleep(0.05)
+        writer.write(chunk(b"x"))
+
+
+async def test_stream_that_drips_bytes_counts_as_stalled() -> None:
+    """Guards against a stalled stream that never ends, as each byte seemed progress."""
+    drip = ScriptedServer("drip", _async_drip)
+    whole = ScriptedServer("whole", _async_whole)
+    routes = (stream_route(timeout_s=5.0),)
+    async with async_gateway(routes, leaders=(drip, whole)) as gateway:
+        gateway.groups[:] = [gateway.groups[0]]
+        request = asyncio.create_task(gateway.async_request())
+        await async_until(lambda: bool(drip.requests))
+        gateway.groups.append(ServedGroup("large", gateway.servers["whole"]))
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        while not request.done() and loop.time() < started_s + 3:
+            await asyncio.sleep(0.05)
+            gateway.state.backends.check_stalls({"drip", "whole"}, loop.time())
+        response = await request
+    assert b"piece 5" in response
+    assert response.endswith(b"0\r\n\r\n")
+
+
+async def _async_endless_event(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send one event that never ends."""
+    writer.write(stream_head(request, "endless"))
+    while True:
+        writer.write(chunk(b"x" * 65536))
+        await writer.drain()
+
+
+async def test_event_without_end_moves_the_stream_to_another_group() -> None:
+    """Guards against memory that grows with an event until the deadline."""
+    endless = ScriptedServer("endless", _async_endless_event)
+    whole = ScriptedServer("whole", _async_whole)
+    routes = (stream_route(timeout_s=5.0),)
+    async with async_gateway(routes, leaders=(endless, whole)) as gateway:
+        gateway.groups[:] = [gateway.groups[0]]
+        request = asyncio.create_task(gateway.async_request())
+        await async_until(lambda: bool(endless.requests))
+        gateway.groups.append(ServedGroup("large", gateway.servers["whole"]))
+        response = await request
+    assert b"piece 5" in response
+    assert response.endswith(b"0\r\n\r\n")
