Send each order on a connection of its own

Cause: orders and their answers carry no id. A server that sends a second copy of an answer while the next order is on its way on the same connection made that order count as done; a group was then taken for left whose leader still served.

Change: orders use new connections, as commands do; reports may reuse them.

--- a/gooseberryhall/platform/orders.py
+++ b/gooseberryhall/platform/orders.py
@@ -94,8 +94,14 @@
         data = encode_request(b"POST", b"/v1/order", headers, content)
         self.orders += 1
         try:
+            # Orders and their answers carry no id. On a reused connection, a second
+            # copy of an earlier answer would be taken for the answer to this order.
             response = await async_call(
-                self._pool, server.address, data, timeout_s=ORDER_TIMEOUT_S
+                self._pool,
+                server.address,
+                data,
+                timeout_s=ORDER_TIMEOUT_S,
+                new_connection=True,
             )
         except TransportError:
             self._pool.close_idle(server.address)
