Refuse requests whose head or framing never ends

Cause: the parser keeps a header or a chunk extension until it is complete, so a caller could fill the memory of a node until the timeout of the head, 3 s.

Change: bytes without body data or the end of a request are counted; above the limit of the configuration plus one read the request is refused with 431.

--- a/gooseberryhall/gateway/caller.py
+++ b/gooseberryhall/gateway/caller.py
@@ -10,6 +10,7 @@
 from ..fleet.models import Limits
 from ..transport.const import HOP_BY_HOP_HEADERS, WRITE_HIGH_WATER_BYTES
 from ..transport.exchange import Headers, ResponseHead
+from .const import MAX_READ_BYTES
 from .models import CallerRequest, GatewayResponse
 
 _REASON_PHRASES = {
@@ -56,6 +57,8 @@
         self._keep_alive = True
         self._responding = False
         self._reading = False
+        # Bytes received since the last body data or the end of a request.
+        self._unparsed_bytes = 0
         self.closing = False
         self._reset_message()
 
@@ -103,6 +106,7 @@
         if not self._reading and not self._requests:
             self._reading = True
             self._start_timer(self._limits().header_timeout_s)
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -110,6 +114,10 @@
         except httptools.HttpParserError as exc:
             if not self.closing:
                 self._reject(GatewayResponse(400, f"malformed request: {exc}"))
+        # The parser keeps a header until it is complete.
+        limit = self._limits().max_header_bytes + MAX_READ_BYTES
+        if self._unparsed_bytes > limit and not self.closing:
+            self._reject(GatewayResponse(431, "request headers are too large"))
 
     def on_message_begin(self) -> None:
         """Reset the state of the parsed request."""
@@ -135,12 +143,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
+        self._unparsed_bytes = 0
         self._body += data
         if len(self._body) > self._limits().max_body_bytes:
             self._reject(GatewayResponse(413, "request body is too large"))
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
+        self._unparsed_bytes = 0
         self._reading = False
         if self.closing:
             return
