Let requests wait on a node that has just started

Change: a request waits up to 0.8 s, and a quarter of its time at most, for the first configuration and servers of a node; such a node reads the records after 0.25 s if no owner has told it any.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -5,7 +5,12 @@
 from ..fleet.models import Configuration, Team
 from ..telemetry.catalogue import LogEvent
 from .caller import CallerConnection
-from .const import DEFAULT_DEADLINE_S
+from .const import (
+    DEFAULT_DEADLINE_S,
+    STARTUP_POLL_S,
+    STARTUP_WAIT_S,
+    STARTUP_WAIT_SHARE,
+)
 from .context import RequestContext, choose_service
 from .crashes import request_fingerprint
 from .models import CallerRequest, GatewayResponse
@@ -24,6 +29,7 @@
 ) -> None:
     """Handle one request from a caller and write its response."""
     state.traffic_seen = True
+    await _async_wait_until_started(state, request)
     cfg = state.configuration()
     routed = route_request(state, cfg, request)
     request_id = request.get(state.header_names.request_id)
@@ -55,6 +61,27 @@
     conn.respond(response, request_id, state.header_names.request_id)
 
 
+def startup_wait_s(timeout_s: float) -> float:
+    """Return how long a request may wait for a node that has just started.
+
+    After a restart of all nodes each of them knows its servers within a fraction of a
+    second. A refusal would bring all callers back at the same time, a second later.
+    """
+    return min(STARTUP_WAIT_S, timeout_s * STARTUP_WAIT_SHARE)
+
+
+async def _async_wait_until_started(
+    state: GatewayState, request: CallerRequest
+) -> None:
+    """Wait until this node knows the configuration and servers, for a short time."""
+    loop = asyncio.get_running_loop()
+    wait_s = startup_wait_s(_caller_timeout_s(state, request))
+    while loop.time() < request.received_s + wait_s:
+        if state.configuration() is not None and state.servers():
+            return
+        await asyncio.sleep(STARTUP_POLL_S)
+
+
 def route_request(
     state: GatewayState, cfg: Configuration | None, request: CallerRequest
 ) -> RequestContext | GatewayResponse:
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -18,6 +18,11 @@
 MAX_QUEUED_PER_GROUP: Final = 4
 # Share of the latency objective for which a request waits for a free group.
 GROUP_WAIT_SHARE: Final = 0.125
+# Time that a request waits on a node that has just started and does not know any server
+# yet, and the share of the time until its deadline that this may take at most.
+STARTUP_WAIT_S: Final = 0.8
+STARTUP_WAIT_SHARE: Final = 0.25
+STARTUP_POLL_S: Final = 0.01
 # Added to the load, as a share of the slots, of servers in other zones.
 CROSS_ZONE_LOAD_PENALTY: Final = 0.1
 # Rejections by servers after which a request is refused.
--- a/gooseberryhall/node/const.py
+++ b/gooseberryhall/node/const.py
@@ -15,6 +15,8 @@
 OWNER_WAIT_SHARE: Final = 0.6
 WATCH_PAUSE_SHARE: Final = 0.4
 OWNER_PAUSE_SHARE: Final = 0.1
+# Time that a node without any group or server waits for the first announcements.
+STARTUP_OWNER_WAIT_S: Final = 0.25
 # Number of nodes of a zone without an owner that read the records at once, to contend.
 RECORD_READERS: Final = 3
 # Maximum delays between two calls that the store does not answer: if requests or groups
--- a/gooseberryhall/node/servers.py
+++ b/gooseberryhall/node/servers.py
@@ -20,6 +20,7 @@
     OWNER_WAIT_SHARE,
     OWNER_WATCH_PAUSE_S,
     RECORD_READERS,
+    STARTUP_OWNER_WAIT_S,
     WATCH_PAUSE_S,
     WATCH_PAUSE_SHARE,
 )
@@ -138,8 +139,11 @@
             return False
         if zone == self.settings.zone and self._is_contender(zone, now_s):
             return True
-        spare_s = self._spare_s() * OWNER_WAIT_SHARE
-        return self.without_owner_s(zone, now_s) >= spare_s
+        wait_s = self._spare_s() * OWNER_WAIT_SHARE
+        if not self.has_servers():
+            # Callers wait for the first groups; a live owner makes itself known sooner.
+            wait_s = min(wait_s, STARTUP_OWNER_WAIT_S)
+        return self.without_owner_s(zone, now_s) >= wait_s
 
     def _is_contender(self, zone: str, now_s: float) -> bool:
         # Without peers the node has not yet learned which nodes go first.
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -258,3 +258,36 @@
         response = await gateway.async_request(method="POST", body="x")
     assert response.startswith(b"HTTP/1.1 200")
     assert unreachable.requests == []
+
+
+async def test_request_waits_for_a_node_that_has_just_started() -> None:
+    """Guards against refusals by all nodes right after all of them were restarted.
+
+    Half of the requests in the first two seconds were refused by nodes that knew their
+    groups 0.1 to 0.3 s later (trouble-1 of tks-aeration-large).
+    """
+    server = ScriptedServer("a", _async_ok)
+    async with async_gateway((route(),), (server,)) as gateway:
+        servers = dict(gateway.servers)
+        gateway.servers.clear()
+        request = asyncio.create_task(gateway.async_request())
+        await asyncio.sleep(0.1)
+        assert not request.done()
+        gateway.servers.update(servers)
+        response = await request
+    assert response.startswith(b"HTTP/1.1 200")
+
+
+async def test_request_is_refused_if_no_server_is_found_in_time() -> None:
+    """Guards against requests that wait for their deadline on a node without servers.
+
+    Such a request has not run, and its caller is told so.
+    """
+    async with async_gateway((route(),)) as gateway:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        response = await gateway.async_request("x-deadline: 1000\r\n")
+        waited_s = loop.time() - started_s
+    assert response.startswith(b"HTTP/1.1 503")
+    assert b"retry-after" in response.lower()
+    assert waited_s < 0.5
