Hold back the orders of tasks after a pause of the owner

Cause: an owner that was paused for more than 0.7 s plans nothing for 0.4 s, until it has read whether a peer owns the zone now.

Change: GuardedEngines holds back orders, not reports, for the same time.

--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -7,6 +7,7 @@
 from ..core.tasks import TaskSet
 from ..fleet.const import UNRESPONSIVE_BACKOFF_S
 from ..fleet.controller import probe_group, reconcile
+from ..fleet.guard import GuardedEngines
 from ..fleet.zone import ZoneState
 from ..gateway.backends import Backends
 from ..gateway.budget import RetryBudget
@@ -310,12 +311,12 @@
         service = self.configuration.engine_service
         if service is None:
             return None
-        return ZoneState(
+        zone = ZoneState(
             name=name,
             service=service.name,
             term=term,
             view=self.servers.view,
-            engines=self._engines,
+            engines=GuardedEngines(self._engines, lambda: zone.last_reconcile_s),
             profile=lambda: self.configuration.profile,
             other_zone_groups=lambda: count_groups(self.table.groups, name),
             traffic_seen=lambda: self.gateway.traffic_seen,
@@ -324,3 +325,4 @@
             create_task=run_in_zone,
             zone_count=len(self.settings.zones),
         )
+        return zone
