--- a/gooseberryhall/node/listeners.py
+++ b/gooseberryhall/node/listeners.py
@@ -27,10 +27,6 @@
     server: asyncio.Server
     connections: set[CallerConnection] = field(default_factory=set)
 
-    def busy(self) -> bool:
-        """Return whether a request is in progress."""
-        return any(conn.busy for conn in self.connections)
-
     def close_idle(self) -> None:
         """Close idle connections now and the others after their current request."""
         for conn in list(self.connections):
--- a/gooseberryhall/platform/orders.py
+++ b/gooseberryhall/platform/orders.py
@@ -30,8 +30,6 @@
     def __init__(self, pool: ConnectionPool) -> None:
         """Create a client that uses a connection pool."""
         self._pool = pool
-        self.orders = 0
-        self.reports = 0
 
     async def async_join(
         self, server: BackendServer, group: Group, fencing_token: int
@@ -73,7 +71,6 @@
         """Return the state that a server reports, or None if it does not answer."""
         headers = _headers(server)
         data = encode_request(b"GET", b"/v1/report", headers, b"")
-        self.reports += 1
         try:
             response = await async_call(
                 self._pool, server.address, data, timeout_s=REPORT_TIMEOUT_S
@@ -92,7 +89,6 @@
         headers.append((b"Content-Type", b"application/json"))
         content = msgspec.json.encode({**body, "fencing_token": fencing_token})
         data = encode_request(b"POST", b"/v1/order", headers, content)
-        self.orders += 1
         try:
             # Orders and their answers carry no id. On a reused connection, a second
             # copy of an earlier answer would be taken for the answer to this order.
--- a/gooseberryhall/platform/store.py
+++ b/gooseberryhall/platform/store.py
@@ -70,7 +70,6 @@
         """Create a client for the store at an address."""
         self._pool = pool
         self._address = address
-        self.calls = 0
 
     async def async_read(self, table: str) -> RowSet:
         """Return all rows of a table. Raises `StoreError`."""
@@ -152,7 +151,6 @@
         if body:
             headers.append((b"Content-Type", b"application/json"))
         data = encode_request(method, target, headers, body)
-        self.calls += 1
         try:
             return await async_call(
                 self._pool, self._address, data, timeout_s=timeout_s
--- a/gooseberryhall/transport/pool.py
+++ b/gooseberryhall/transport/pool.py
@@ -35,7 +35,6 @@
     """Opens connections and keeps idle connections for reuse."""
 
     id_header: bytes
-    opened_count: int = 0
     _idle: defaultdict[Address, list[ClientConnection]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -106,7 +105,6 @@
         self, address: Address, timeout_s: float
     ) -> ClientConnection:
         loop = asyncio.get_running_loop()
-        self.opened_count += 1
         try:
             async with asyncio.timeout(timeout_s):
                 _, conn = await loop.create_connection(
