--- a/gooseberryhall/gossip/peers.py
+++ b/gooseberryhall/gossip/peers.py
@@ -1,99 +1,23 @@
-"""Peers of a node and their last messages."""
+"""Peers of a node and the announcements of zones."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 from dataclasses import dataclass, field
-from enum import Enum, auto
 
 from ..transport.pool import Address
 from .const import (
-    ANNOUNCEMENT_TTL_S,
-    DOWN_PEER_PERIOD_S,
     GOSSIP_PERIOD_S,
     INTERVALS_UNTIL_DOWN,
     MAX_REMOTE_PERIODS,
-    MS_PER_S,
     PEER_DOWN_S,
     PEER_REMOVAL_S,
     PEERS_PER_PERIOD,
     PEERS_PER_PERIOD_WITH_OWNERS,
     REMOTE_PEERS_PER_PERIOD,
     SUCCESSORS,
-    UNHEARD_NODE_PERIOD_S,
 )
-from .messages import Gossip, ServerTraffic, ZoneAnnouncement
-
-
-@dataclass(slots=True)
-class Peer:
-    """Another node of the system."""
-
-    name: str
-    # Zone of the node; empty if it was listed without one.
-    zone: str
-    address: Address
-    received_s: float
-    sent_s: float = 0.0
-    message: Gossip | None = None
-
-
-@dataclass(slots=True)
-class PeerTraffic:
-    """Traffic of peers to a server."""
-
-    in_flight: int = 0
-    # Time of the last progress on the clock of this process; 0 if there was none.
-    progress_s: float = 0.0
-
-    def add(self, item: ServerTraffic, received_s: float) -> None:
-        """Add the traffic that one peer reported at `received_s`."""
-        self.in_flight += item.in_flight
-        if item.progress_age_ms is not None:
-            at_s = received_s - item.progress_age_ms / MS_PER_S
-            self.progress_s = max(self.progress_s, at_s)
-
-
-@dataclass(frozen=True, slots=True)
-class ReceivedAnnouncement:
-    """The last announcement of a zone."""
-
-    node: str
-    announcement: ZoneAnnouncement
-    received_s: float
-    # Whether the owner cannot follow the store, so that it may miss leaving servers.
-    store_lost: bool = False
-
-    def is_fresh(self, now_s: float) -> bool:
-        """Return whether the announcement is younger than `ANNOUNCEMENT_TTL_S`."""
-        return now_s - self.received_s < ANNOUNCEMENT_TTL_S
-
-
-class _Turn(Enum):
-    """Order in which peers get the datagrams of one period."""
-
-    FIRST = auto()
-    SECOND = auto()
-    # A few of them in each period.
-    OTHER = auto()
-    # Not in this period.
-    NONE = auto()
-
-
-@dataclass(frozen=True, slots=True)
-class _Round:
-    """What decides which peers get a datagram now."""
-
-    now_s: float
-    urgent: bool
-    # Time between datagrams of nodes and owners of different zones.
-    interval_s: float
-    # Peers that were heard later than this are live.
-    live_since_s: float
-    # Ids of the servers of the zones that this node owns.
-    owned: Mapping[str, set[str]]
-    owners: set[str]
-    near_owners: set[str]
-    # Zone of this node if it has no live owner.
-    ownerless_zone: str | None
+from .messages import Gossip, ZoneAnnouncement
+from .models import Peer, PeerTraffic, ReceivedAnnouncement
+from .turns import Period, Turn, choose_turn, server_ids
 
 
 @dataclass(slots=True)
@@ -158,15 +82,15 @@
         a zone without owner all hear of each other soon, as one of them may have become
         the owner before it knew the others.
         """
-        round_ = self._create_round(messages, now_s, urgent=urgent)
-        peers: dict[_Turn, list[Peer]] = {turn: [] for turn in _Turn}
+        period = self._create_round(messages, now_s, urgent=urgent)
+        peers: dict[Turn, list[Peer]] = {turn: [] for turn in Turn}
         for name, peer in list(self.peers.items()):
             if now_s - peer.received_s > PEER_REMOVAL_S:
                 del self.peers[name]
                 continue
-            peers[_choose_turn(peer, round_)].append(peer)
-        others = peers[_Turn.OTHER]
-        if not round_.owned:
+            peers[choose_turn(peer, period)].append(peer)
+        others = peers[Turn.OTHER]
+        if not period.owned:
             has_owners = all(
                 self.fresh_announcement(zone, now_s) for zone in self.zones
             )
@@ -174,20 +98,20 @@
             others = sorted(others, key=lambda peer: peer.sent_s)[:count]
         # The nodes do not know a new owner before its first announcement, so an owner
         # sends to all others.
-        return peers[_Turn.FIRST] + peers[_Turn.SECOND] + others
+        return peers[Turn.FIRST] + peers[Turn.SECOND] + others
 
     def _create_round(
         self, messages: Collection[Gossip], now_s: float, *, urgent: bool
-    ) -> "_Round":
+    ) -> Period:
         interval_s = self.remote_interval_s()
         traffic = {server for message in messages for server in message.traffic}
-        return _Round(
+        return Period(
             now_s=now_s,
             urgent=urgent,
             interval_s=interval_s,
             live_since_s=now_s - self._down_s(interval_s),
             owned={
-                message.announcement.zone: _server_ids(message.announcement)
+                message.announcement.zone: server_ids(message.announcement)
                 for message in messages
                 if message.announcement is not None
             },
@@ -295,7 +219,7 @@
             for zone, received in self.announcements.items()
             if received.is_fresh(now_s)
             if zone == self.zone
-            or not _server_ids(received.announcement).isdisjoint(traffic)
+            or not server_ids(received.announcement).isdisjoint(traffic)
         }
 
     def _live_peers(self, now_s: float) -> list[tuple[Peer, Gossip]]:
@@ -313,37 +237,3 @@
 
     def _down_s(self, remote_interval_s: float) -> float:
         return max(PEER_DOWN_S, INTERVALS_UNTIL_DOWN * remote_interval_s)
-
-
-def _server_ids(announcement: ZoneAnnouncement) -> set[str]:
-    """Return the ids of all servers that take requests in a zone."""
-    ids = {group.leader.server_id for group in announcement.groups}
-    ids.update(server.server_id for server in announcement.servers)
-    return ids
-
-
-def _choose_turn(peer: Peer, round_: _Round) -> _Turn:
-    """Return when a peer gets the datagrams of this period."""
-    waited_s = round_.now_s - peer.sent_s
-    is_live = peer.received_s > round_.live_since_s
-    if peer.name in round_.owners or (round_.owned and is_live):
-        if peer.name in round_.near_owners or _is_near(peer, round_.owned):
-            return _Turn.FIRST
-        # Half a period allows for timers that fire early.
-        is_due = waited_s + GOSSIP_PERIOD_S / 2 >= round_.interval_s
-        return _Turn.SECOND if round_.urgent or is_due else _Turn.NONE
-    if peer.zone in round_.owned:
-        is_due = waited_s >= UNHEARD_NODE_PERIOD_S
-        return _Turn.FIRST if is_due else _Turn.NONE
-    if waited_s >= DOWN_PEER_PERIOD_S:
-        return _Turn.FIRST if peer.zone == round_.ownerless_zone else _Turn.OTHER
-    return _Turn.OTHER if is_live else _Turn.NONE
-
-
-def _is_near(peer: Peer, owned: Mapping[str, set[str]]) -> bool:
-    """Return whether a peer is in an owned zone or has requests in flight there."""
-    if peer.zone in owned:
-        return True
-    if peer.message is None or not peer.message.traffic:
-        return False
-    return any(not ids.isdisjoint(peer.message.traffic) for ids in owned.values())
--- a/gooseberryhall/gossip/service.py
+++ b/gooseberryhall/gossip/service.py
@@ -9,7 +9,8 @@
 from ..telemetry.logs import log_event
 from .const import BATCH_DATAGRAMS, BATCH_PAUSE_S, MAX_DATAGRAM_BYTES
 from .messages import Gossip, GossipError, decode, encode
-from .peers import Peer, Peers
+from .models import Peer
+from .peers import Peers
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/gooseberryhall/node/owner.py
+++ b/gooseberryhall/node/owner.py
@@ -14,7 +14,8 @@
 from ..fleet.orders import Lease, LeaseStore
 from ..fleet.ownership import OwnershipFacts, should_acquire_lease
 from ..fleet.zone import ZoneState
-from ..gossip.peers import Peers, ReceivedAnnouncement
+from ..gossip.models import ReceivedAnnouncement
+from ..gossip.peers import Peers
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from .settings import NodeSettings
--- a/gooseberryhall/node/traffic.py
+++ b/gooseberryhall/node/traffic.py
@@ -3,7 +3,7 @@
 from ..gateway.backends import Backends
 from ..gossip.const import MAX_PROGRESS_AGE_S, MS_PER_S
 from ..gossip.messages import ServerTraffic
-from ..gossip.peers import PeerTraffic, ReceivedAnnouncement
+from ..gossip.models import PeerTraffic, ReceivedAnnouncement
 
 
 def total_traffic(backends: Backends, server_id: str, now_s: float) -> ServerTraffic:
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -26,7 +26,8 @@
     decode,
     encode,
 )
-from gooseberryhall.gossip.peers import Peers, PeerTraffic
+from gooseberryhall.gossip.models import PeerTraffic
+from gooseberryhall.gossip.peers import Peers
 from gooseberryhall.gossip.service import GossipService
 from gooseberryhall.transport.pool import Address
 
