Keep an owner that hears nobody from adopting other zones

The rule of before, own zone only, applied to nodes without peers and had moved behind the adoption.

Result: tests/fleet/test_ownership.py, hears_nobody, with a node that may adopt.

--- a/gooseberryhall/fleet/ownership.py
+++ b/gooseberryhall/fleet/ownership.py
@@ -39,9 +39,9 @@
     """
     if facts.uptime_s < STARTUP_GRACE_S:
         return False
+    if facts.is_isolated:
+        return facts.is_local and facts.without_owner_s >= ISOLATED_NODE_DELAY_S
     if not facts.is_local:
         return facts.may_adopt and facts.without_owner_s >= OTHER_ZONE_DELAY_S
-    if facts.is_isolated:
-        return facts.without_owner_s >= ISOLATED_NODE_DELAY_S
     rank = min(facts.rank, MAX_CONTENTION_RANK)
     return facts.without_owner_s >= rank * CONTENTION_STEP_S
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -42,9 +42,10 @@
 # in a message, so that the loss of a group with many streams fits into a datagram.
 CRASH_GOSSIP_S: Final = 3.0
 MAX_GOSSIPED_CRASHES: Final = 8
-# Most bytes that one read of a caller's connection returns; they may hold the end of a
-# head and the begin of the next request.
+# Maximum number of bytes that one read of a caller's connection returns. They may hold
+# the end of one request and the start of the next.
 MAX_READ_BYTES: Final = 256 * 1024
+# Maximum size of one event of a stream.
 MAX_EVENT_BYTES: Final = 1024 * 1024
 # Remaining time below which a request is not sent.
 MIN_REMAINING_S: Final = 0.02
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -66,6 +66,5 @@
     assert should_acquire_lease(replace(isolated, without_owner_s=late_s))
     # A node in a zone that was cut off acquired the other zones too (inc-0fc6).
     late_s = OTHER_ZONE_DELAY_S + 0.1
-    assert not should_acquire_lease(
-        replace(REMOTE, is_isolated=True, without_owner_s=late_s)
-    )
+    adopter = replace(REMOTE, is_isolated=True, may_adopt=True)
+    assert not should_acquire_lease(replace(adopter, without_owner_s=late_s))
