--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -66,11 +66,8 @@
     async def async_follow_servers(self, listener: ServerListener) -> None:
         """Notify the listener of changes of server records until cancelled."""
 
-    async def async_register(self, record: NodeRecord) -> list[NodeRecord]:
-        """Store the record of this node; return those of all nodes.
-
-        Raises `UnavailableError`.
-        """
+    async def async_register(self, record: NodeRecord) -> None:
+        """Store the record of this node. Raises `UnavailableError`."""
 
     async def async_list_nodes(self) -> list[NodeRecord]:
         """Return the records of all nodes. Raises `UnavailableError`."""
--- a/gooseberryhall/node/registration.py
+++ b/gooseberryhall/node/registration.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from ..exceptions import GooseberryhallError
 from ..gossip.peers import Peers
@@ -16,7 +16,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 REGISTRATION_RETRY_S = 0.5
-PEER_READS = 2
+PEER_READS = 3
 PEER_READ_PERIOD_S = 0.7
 
 
@@ -32,22 +32,21 @@
     was received.
     """
     address = Address(settings.host, settings.internal_port)
-    own = NodeRecord(settings.node, settings.zone, address)
     while True:
         try:
-            nodes = await directory.async_register(own)
+            await directory.async_register(
+                NodeRecord(settings.node, settings.zone, address)
+            )
             break
         except GooseberryhallError as exc:
             log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="nodes")
             await asyncio.sleep(REGISTRATION_RETRY_S * random.uniform(0.5, 1.5))
-    _add_peers(peers, nodes)
-    on_peers()
     for _ in range(PEER_READS):
+        if await _async_read_peers(directory, peers):
+            on_peers()
         await asyncio.sleep(PEER_READ_PERIOD_S * random.uniform(1.0, 1.5))
         if len(peers.announcements) == len(settings.zones):
             return
-        if await _async_read_peers(directory, peers):
-            on_peers()
 
 
 async def _async_read_peers(directory: Directory, peers: Peers) -> bool:
@@ -56,11 +55,7 @@
     except GooseberryhallError as exc:
         log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="nodes")
         return False
-    _add_peers(peers, nodes)
-    return True
-
-
-def _add_peers(peers: Peers, nodes: Iterable[NodeRecord]) -> None:
     now_s = asyncio.get_running_loop().time()
     for record in nodes:
         peers.add(record.node, record.zone, record.address, now_s)
+    return True
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -95,9 +95,9 @@
         )
         await self._async_follow(table_listener)
 
-    async def async_register(self, record: NodeRecord) -> list[NodeRecord]:
-        """Store the record of this node; return all. Raises `StoreError`."""
-        return await async_register_node(self._store, record)
+    async def async_register(self, record: NodeRecord) -> None:
+        """Store the record of this node. Raises `StoreError`."""
+        await async_register_node(self._store, record)
 
     async def async_list_nodes(self) -> list[NodeRecord]:
         """Return the records of all nodes. Raises `StoreError`."""
--- a/gooseberryhall/platform/leases.py
+++ b/gooseberryhall/platform/leases.py
@@ -1,6 +1,5 @@
 """Leases and node addresses as rows of the platform's store."""
 
-from collections.abc import Iterable
 from typing import Final
 
 import msgspec
@@ -10,7 +9,7 @@
 from ..node.directory import NodeRecord
 from ..transport.pool import Address
 from .exceptions import StoreConflictError, StoreUnavailableError
-from .store import Row, Store
+from .store import Store
 
 LEASE_TABLE: Final = "leases"
 NODE_TABLE: Final = "nodes"
@@ -73,30 +72,25 @@
         return Lease(zone, owner, term, new)
 
 
-async def async_register_node(store: Store, record: NodeRecord) -> list[NodeRecord]:
-    """Store the record of a node and return those of all nodes. Raises `StoreError`.
+async def async_register_node(store: Store, record: NodeRecord) -> None:
+    """Write the record of a node, replacing that of an earlier incarnation.
 
-    A node that starts again mostly finds its record as it left it, so after a restart
-    of all nodes each of them makes one call.
+    Raises `StoreError`.
     """
-    address = record.address
+    node, address = record.node, record.address
     value = msgspec.json.encode(_NodeRow(address.host, address.port, record.zone))
-    rows = (await store.async_read(NODE_TABLE)).rows
-    own = next((row for row in rows if row.key == record.node), None)
-    if own is None or own.value != value:
-        version = own.version if own else 0
-        await store.async_write(NODE_TABLE, record.node, value, version)
-    return _decode_nodes(rows)
+    try:
+        await store.async_write(NODE_TABLE, node, value, 0)
+    except StoreConflictError:
+        rows = (await store.async_read(NODE_TABLE)).rows
+        version = next((row.version for row in rows if row.key == node), 0)
+        await store.async_write(NODE_TABLE, node, value, version)
 
 
 async def async_read_nodes(store: Store) -> list[NodeRecord]:
     """Return the records of all nodes; skip malformed rows. Raises `StoreError`."""
-    return _decode_nodes((await store.async_read(NODE_TABLE)).rows)
-
-
-def _decode_nodes(rows: Iterable[Row]) -> list[NodeRecord]:
     found = []
-    for row in rows:
+    for row in (await store.async_read(NODE_TABLE)).rows:
         if row.value is None:
             continue
         try:
