--- a/gooseberryhall/fleet/orders.py
+++ b/gooseberryhall/fleet/orders.py
@@ -1,6 +1,6 @@
 """Interfaces for orders to model servers and for leases of zones."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
@@ -89,8 +89,6 @@
     term: int
     # Version of the stored row; 0 if it is absent.
     version: int
-    # Time since the acquisition when it was read; None if the store does not tell.
-    age_s: float | None = field(default=None, compare=False)
 
 
 class LeaseStore(Protocol):
--- a/gooseberryhall/node/const.py
+++ b/gooseberryhall/node/const.py
@@ -16,8 +16,7 @@
 WATCH_PAUSE_SHARE: Final = 0.4
 OWNER_PAUSE_SHARE: Final = 0.1
 # Time that a node without any group or server waits for the first announcements.
-# It is shorter than the read of the records of a large deployment by a small VM.
-STARTUP_OWNER_WAIT_S: Final = 0.5
+STARTUP_OWNER_WAIT_S: Final = 0.25
 # Number of nodes of a zone without an owner that read the records at once, to contend.
 RECORD_READERS: Final = 3
 # Time in which the store answers a watch, beyond the pause before it. The watch waits
--- a/gooseberryhall/node/owner.py
+++ b/gooseberryhall/node/owner.py
@@ -113,8 +113,7 @@
             stored = await self.leases.async_read_lease(name)
             if stored is not None and self._is_unheard_owner(stored):
                 now_s = asyncio.get_running_loop().time()
-                wait_s = FIRST_ANNOUNCEMENT_S - (stored.age_s or 0.0)
-                self._owner_seen_s[name] = now_s + wait_s
+                self._owner_seen_s[name] = now_s + FIRST_ANNOUNCEMENT_S
                 return
             lease = await self.leases.async_acquire_lease(
                 name, self.settings.node, stored
@@ -136,9 +135,7 @@
         last = self.peers.last_announcement(stored.zone)
         known = max(last.term if last else 0, self._stored_terms.get(stored.zone, 0))
         self._stored_terms[stored.zone] = stored.term
-        is_recent = stored.age_s is None or stored.age_s < FIRST_ANNOUNCEMENT_S
-        is_own = stored.owner == self.settings.node
-        return not is_own and is_recent and stored.term > known
+        return stored.owner != self.settings.node and stored.term > known
 
     async def _async_verify_lease(self, name: str) -> None:
         try:
--- a/gooseberryhall/platform/leases.py
+++ b/gooseberryhall/platform/leases.py
@@ -13,14 +13,11 @@
 
 LEASE_TABLE: Final = "leases"
 NODE_TABLE: Final = "nodes"
-MS_PER_S: Final = 1000
 
 
 class _LeaseRow(msgspec.Struct):
     owner: str
     term: int
-    # Time of the acquisition on the steady clock of the store; 0 if unknown.
-    acquired_ms: int = 0
 
 
 class _NodeRow(msgspec.Struct):
@@ -35,24 +32,17 @@
     def __init__(self, store: Store) -> None:
         """Create a lease store that uses a store client."""
         self._store = store
-        # Clock of the store at the last read, a moment before each acquisition.
-        self._time_ms = 0
 
     async def async_read_lease(self, zone: str) -> Lease | None:
         """Return the stored lease, or None. Raises `StoreUnavailableError`."""
-        rows = await self._store.async_read(LEASE_TABLE)
-        self._time_ms = rows.time_ms
-        for row in rows.rows:
+        for row in (await self._store.async_read(LEASE_TABLE)).rows:
             if row.key != zone or row.value is None:
                 continue
             try:
                 stored = msgspec.json.decode(row.value, type=_LeaseRow)
             except msgspec.MsgspecError as exc:
                 raise StoreUnavailableError(f"malformed lease: {exc}") from exc
-            age_s = None
-            if rows.time_ms and stored.acquired_ms:
-                age_s = (rows.time_ms - stored.acquired_ms) / MS_PER_S
-            return Lease(zone, stored.owner, stored.term, row.version, age_s)
+            return Lease(zone, stored.owner, stored.term, row.version)
         return None
 
     async def async_acquire_lease(
@@ -63,7 +53,7 @@
         Raises `LeaseConflictError` or `StoreUnavailableError`.
         """
         term = previous.term + 1 if previous else 1
-        value = msgspec.json.encode(_LeaseRow(owner, term, self._time_ms))
+        value = msgspec.json.encode(_LeaseRow(owner, term))
         version = previous.version if previous else 0
         try:
             new = await self._store.async_write(LEASE_TABLE, zone, value, version)
--- a/gooseberryhall/platform/store.py
+++ b/gooseberryhall/platform/store.py
@@ -43,8 +43,6 @@
 
     rows: tuple[Row, ...]
     version: int
-    # Steady clock of the store; 0 if it did not tell.
-    time_ms: int = 0
 
 
 class _Row(msgspec.Struct):
@@ -59,7 +57,6 @@
     rows: list[_Row]
     row_version: int
     has_more: bool = False
-    current_time_ms: int = 0
 
 
 class _Version(msgspec.Struct):
@@ -84,7 +81,7 @@
             version = version or page.row_version
             rows.extend(_decode_rows(page.rows))
             if not page.has_more or not page.rows:
-                return RowSet(tuple(rows), version, page.current_time_ms)
+                return RowSet(tuple(rows), version)
             # The smallest key after the last one of this page.
             start = page.rows[-1].key + "\0"
 
