--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -227,17 +227,18 @@
         """Return the current messages to peers: one, or one for each owned zone.
 
         An owner tells crashes in a message of their own, because an announcement of
-        many groups leaves no room for them in a datagram.
+        many groups leaves no room for them in a datagram. It comes first: of two
+        datagrams that overtake each other, peers ignore the earlier one.
         """
         now_s = self._loop.time()
         self._reported_traffic = local_traffic(self.gateway.backends, now_s)
         crashes = self.gateway.crashes.suspects(now_s)
-        messages = [
-            self._create_message(self._announce_owned_zone(zone), {})
-            for zone in self.owner.zones
-        ]
-        if crashes or not messages:
+        messages = []
+        if crashes or not self.is_owner:
             messages.append(self._create_message(None, crashes))
+        for zone in self.owner.zones:
+            announcement = self._announce_owned_zone(zone)
+            messages.append(self._create_message(announcement, {}))
         return messages
 
     def _create_message(
