--- a/gooseberryhall/config/const.py
+++ b/gooseberryhall/config/const.py
@@ -16,8 +16,8 @@
 # Changes of 25 days at the target rate of 4,000 a day.
 MAX_RETAINED_CHANGES: Final = 100_000
 
-# Links accept frames up to 256 KiB, and the CBOR of an edit is at most as large as its
-# JSON, which is measured.
+# Limit of the JSON of an edit. Links accept frames up to 256 KiB, and the CBOR of an
+# edit is at most as large as its JSON.
 MAX_EDIT_BYTES: Final = 192 * 1024
 MAX_OPERATIONS: Final = 2_000
 # Limit of a message with several items. A single item may be larger, up to the size of
--- a/gooseberryhall/routing/const.py
+++ b/gooseberryhall/routing/const.py
@@ -6,7 +6,7 @@
 # mean load of the candidates, plus one request, so that idle groups count.
 AFFINITY_LOAD_FACTOR: Final = 1.25
 
-# Blocks are measured in bytes of the prompt, because the entry program has no
+# A block is a number of bytes of the prompt, because the entry program has no
 # tokenizer; 256 bytes are about 64 tokens.
 BLOCK_BYTES: Final = 256
 MAX_BLOCKS: Final = 64
