--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -20,7 +20,7 @@
     assert started.node.ready
 
 
-async def test_routes_are_built_once_for_eachcreate_announcement(
+async def test_routes_are_built_once_for_each_announcement(
     started: StartedNode,
 ) -> None:
     """Guards against building the same routes in each tick on all nodes."""
--- a/tests/node/test_owner.py
+++ b/tests/node/test_owner.py
@@ -131,7 +131,7 @@
     assert gossip.store_lost
 
 
-async def test_owner_tells_crashes_beside_itscreate_announcement(
+async def test_owner_tells_crashes_beside_its_announcement(
     started: StartedNode,
 ) -> None:
     """Guards against announcements that exceed a datagram.
