Log the prompt parts of broken requests and the servers that they crashed

The logs could not tell whether requests that crash servers share a prompt part, nor what a refusal was decided on.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -15,6 +15,7 @@
 from .crashes import request_fingerprint
 from .models import CallerRequest, GatewayResponse
 from .plain import async_forward_plain
+from .prompt import shared_prompt_parts
 from .refusals import crashing_request_response
 from .sending import log_request
 from .state import GatewayState
@@ -57,6 +58,7 @@
         retry_after_s=response.retry_after_s,
         sends=routed.sends,
         ran_on=routed.ran_on,
+        crashed=state.crashes.crashed_servers(routed.fingerprint),
     )
     conn.respond(response, request_id, state.header_names.request_id)
 
@@ -110,6 +112,7 @@
         fingerprint=request_fingerprint(
             team_name, request.method, request.target, request.body
         ),
+        prompt_parts=shared_prompt_parts(request.get(state.header_names.prompt_parts)),
         deadline_s=request.received_s
         + min(_caller_timeout_s(state, request), route.timeout_s),
     )
--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -25,6 +25,8 @@
     team: Team | None
     model: str | None
     fingerprint: str
+    # Ids of the prompt parts that other requests may share, in order.
+    prompt_parts: tuple[str, ...]
     # Event loop time of the deadline set by the caller or by the route's timeout.
     deadline_s: float
     # Servers that ran the request or may have run it.
--- a/gooseberryhall/gateway/crashes.py
+++ b/gooseberryhall/gateway/crashes.py
@@ -37,6 +37,10 @@
         """Remove a request that a server completed."""
         self._crashes.pop(key, None)
 
+    def crashed_servers(self, key: str) -> list[str]:
+        """Return the ids of the servers that crashed while they ran the request."""
+        return sorted(self._crashes.get(key, ()))
+
     def is_blocked(self, key: str, now_s: float) -> bool:
         """Return whether the request has crashed too many servers."""
         servers = self._crashes.get(key)
--- a/gooseberryhall/gateway/header_names.py
+++ b/gooseberryhall/gateway/header_names.py
@@ -24,6 +24,8 @@
     team: bytes
     priority: bytes
     model: bytes
+    # Parts of the prompt with their number of tokens.
+    prompt_parts: bytes
     last_event_id: bytes
     # Scheme of an Authorization header with an API key, including the trailing space.
     key_scheme: bytes
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -100,7 +100,13 @@
         state.crashes.record_crash(
             ctx.fingerprint, server_id, asyncio.get_running_loop().time()
         )
-        log_request(LogEvent.SEND_FAILED, str(exc), ctx, server=server_id)
+        log_request(
+            LogEvent.SEND_FAILED,
+            str(exc),
+            ctx,
+            server=server_id,
+            crashed=state.crashes.crashed_servers(ctx.fingerprint),
+        )
         return outcome_unknown_response("the server broke off")
     return _classify(state, ctx, server_id, (head, body))
 
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -153,6 +153,8 @@
             server=server_id,
             events=relay.splitter.event_count,
             after_s=round(loop.time() - sent_s, 3),
+            parts=ctx.prompt_parts,
+            crashed=state.crashes.crashed_servers(ctx.fingerprint),
         )
         state.metrics.retries.inc({"cause": "broken"})
         return _Outcome.BROKEN
--- a/gooseberryhall/platform/headers.py
+++ b/gooseberryhall/platform/headers.py
@@ -13,6 +13,7 @@
     team=b"x-tenant",
     priority=b"x-request-priority",
     model=b"x-model",
+    prompt_parts=b"x-prompt-prefix",
     last_event_id=b"last-event-id",
     key_scheme=b"Token ",
 )
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -35,6 +35,7 @@
     team=b"x-team",
     priority=b"x-priority",
     model=b"x-model",
+    prompt_parts=b"x-prompt",
     last_event_id=b"last-event-id",
     key_scheme=b"Key ",
 )
