Refuse prompts with a part that crashes servers

Cause: crashes were counted by a digest of the whole request, so a request with another body began anew, and only when a request arrived was it asked whether it had crashed servers, so its own retries crashed up to six.

Change: the tracker counts crashes by the request and by each shared part of its prompt. The trait with the most crashes explains those of the requests that were merely in flight; parts that were answered are harmless; a cause is what the requests with it have in common, so that sound requests with some of the parts are still served. Nodes tell each other crashes with their parts and harmless traits, and repeat the evidence of causes, so that a restarted node learns them. Requests are checked again before each retry; one that may have run is answered with 502.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -40,7 +40,7 @@
         return
     now_s = asyncio.get_running_loop().time()
     state.budget(routed.service).record_request(now_s)
-    if state.crashes.is_blocked(routed.fingerprint, now_s):
+    if state.crashes.is_blocked(routed.traits):
         response: GatewayResponse | None = crashing_request_response()
     elif _is_served_by_groups(cfg, routed):
         response = await async_forward_stream(state, routed, conn)
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -35,13 +35,29 @@
 UNREACHABLE_BACKOFF_S: Final = 1.0
 # Share of the deployment's retry slack that all nodes use together.
 RETRY_SLACK_SHARE: Final = 0.8
-# A request that crashed this many servers is refused.
+# Requests are refused if they, or a part of their prompt, crashed this many servers.
 MAX_CRASHED_SERVERS: Final = 3
-CRASH_RETENTION_S: Final = 60.0
+CRASH_RETENTION_S: Final = 600.0
+# A stream that began longer ago is not the cause of a crash, as servers crash when they
+# begin to answer.
+CRASH_ONSET_S: Final = 1.0
+# Crashes of one server within this time are the same one; a restart takes longer.
+SAME_CRASH_S: Final = 2.0
+# Time for which a complete answer shows that a part of a prompt is harmless. Popular
+# parts are in flight at most crashes.
+ANSWER_TRUST_S: Final = 60.0
+MAX_SUSPECTS: Final = 256
+MAX_ANSWERED_TRAITS: Final = 4096
 # A crash is included in gossip messages for this long, with at most this many requests
 # in a message, so that the loss of a group with many streams fits into a datagram.
 CRASH_GOSSIP_S: Final = 3.0
 MAX_GOSSIPED_CRASHES: Final = 8
+MAX_GOSSIPED_ANSWERS: Final = 16
+# Share of the messages that repeat the requests from which causes are derived, so that
+# a node that has just started knows them within about a second.
+CAUSE_GOSSIP_SHARE: Final = 0.2
+# Prompt parts of a request that are taken into account.
+MAX_PROMPT_PARTS: Final = 16
 # Maximum number of bytes that one read of a caller's connection returns. They may hold
 # the end of one request and the start of the next.
 MAX_READ_BYTES: Final = 256 * 1024
--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -35,6 +35,13 @@
     excluded_servers: set[str] = field(default_factory=set)
     rejections: int = 0
     sends: int = 0
+    # Sends that broke off, so that the request may have run.
+    breaks: int = 0
+
+    @property
+    def traits(self) -> frozenset[str]:
+        """Return what identifies the request and the shared parts of its prompt."""
+        return frozenset((self.fingerprint, *self.prompt_parts))
 
     def is_retryable(self) -> bool:
         """Return whether the request may be run by another server."""
--- /dev/null
+++ b/gooseberryhall/gateway/crash_causes.py
@@ -0,0 +1,68 @@
+"""Finds what requests have in common that crash servers. Pure functions."""
+
+from collections import defaultdict
+from collections.abc import Collection
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash of a server, at a time of the event loop."""
+
+    server_id: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """A request that was in flight at a server when it crashed.
+
+    `traits` identify the request and the parts of its prompt, without those that are
+    known to be harmless.
+    """
+
+    crash: Crash
+    traits: frozenset[str]
+
+
+def crashes_by_trait(evidence: Collection[Evidence]) -> dict[str, set[Crash]]:
+    """Return the crashes at which each trait was in flight."""
+    crashes: dict[str, set[Crash]] = defaultdict(set)
+    for item in evidence:
+        for trait in item.traits:
+            crashes[trait].add(item.crash)
+    return crashes
+
+
+def find_causes(
+    evidence: Collection[Evidence], min_crashes: int
+) -> list[frozenset[str]]:
+    """Return the combinations of traits that crash servers.
+
+    The trait with the most crashes is a cause if it has `min_crashes` of them. Its
+    crashes are then explained and no longer count against the requests that were only
+    in flight at the same servers. A cause includes all traits that the requests with
+    it have in common, so that a request that has only some of them is still served: it
+    either proves them harmless or shows which one crashes servers.
+    """
+    unexplained = crashes_by_trait(evidence)
+    common: dict[str, frozenset[str]] = {}
+    for item in evidence:
+        for trait in item.traits:
+            common[trait] = common.get(trait, item.traits) & item.traits
+    causes = []
+    while unexplained:
+        trait = max(
+            unexplained,
+            key=lambda name: (len(unexplained[name]), len(common[name]), name),
+        )
+        explained = unexplained[trait]
+        if len(explained) < min_crashes:
+            break
+        causes.append(common[trait])
+        unexplained = {
+            name: rest
+            for name, crashes in unexplained.items()
+            if (rest := crashes - explained)
+        }
+    return causes
--- a/gooseberryhall/gateway/crashes.py
+++ b/gooseberryhall/gateway/crashes.py
@@ -1,14 +1,22 @@
 """Detects requests that crash the servers that run them."""
 
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from .const import (
+    ANSWER_TRUST_S,
     CRASH_GOSSIP_S,
     CRASH_RETENTION_S,
+    MAX_ANSWERED_TRAITS,
     MAX_CRASHED_SERVERS,
+    MAX_GOSSIPED_ANSWERS,
     MAX_GOSSIPED_CRASHES,
+    MAX_SUSPECTS,
+    SAME_CRASH_S,
 )
+from .crash_causes import Crash, Evidence, crashes_by_trait, find_causes
+from .models import CrashReport
 
 _DIGEST_BYTES = 12
 
@@ -22,56 +30,201 @@
     return digest.hexdigest()
 
 
+@dataclass(slots=True)
+class _Suspect:
+    """A request that was in flight at crashes."""
+
+    parts: tuple[str, ...]
+    crashes: set[Crash] = field(default_factory=set)
+
+    def last_crash_s(self) -> float:
+        """Return the time of the last crash."""
+        return max(crash.at_s for crash in self.crashes)
+
+
 @dataclass(slots=True)
 class CrashTracker:
-    """Servers that crashed while they ran a request, by the request's fingerprint."""
+    """Requests that were in flight at crashes, and the causes derived from them.
+
+    A trait is the fingerprint of a request or the id of a part of its prompt.
+    """
 
-    # Time of the crash by fingerprint and server id.
-    _crashes: dict[str, dict[str, float]] = field(default_factory=dict)
+    _suspects: dict[str, _Suspect] = field(default_factory=dict)
+    # Known crashes by server id, in the order in which they were recorded.
+    _crashes: dict[str, list[Crash]] = field(default_factory=dict)
+    # Time of the last complete answer to a request with a trait, oldest first.
+    _answered_s: dict[str, float] = field(default_factory=dict)
+    # Combinations of traits that crash servers; None if they must be derived again.
+    _causes: list[frozenset[str]] | None = None
 
-    def record_crash(self, key: str, server_id: str, now_s: float) -> None:
-        """Record that a server's connection broke while it ran the request."""
-        self._crashes.setdefault(key, {})[server_id] = now_s
+    def record_crash(
+        self, key: str, server_id: str, now_s: float, parts: tuple[str, ...] = ()
+    ) -> None:
+        """Record that a server's connection broke while it ran a request.
 
-    def record_success(self, key: str) -> None:
-        """Remove a request that a server completed."""
-        self._crashes.pop(key, None)
+        `key` is the fingerprint of the request, `parts` the shared parts of its prompt.
+        """
+        self._add(key, parts, self._find_crash(server_id, now_s))
+
+    def record_success(self, traits: Collection[str], now_s: float) -> None:
+        """Record that a server completed a request with these traits."""
+        for trait in traits:
+            self._record_answer(trait, now_s)
+
+    def is_blocked(self, traits: frozenset[str]) -> bool:
+        """Return whether requests with these traits crash servers."""
+        return any(cause <= traits for cause in self.causes())
+
+    def causes(self) -> list[frozenset[str]]:
+        """Return the combinations of traits that crash servers."""
+        if self._causes is None:
+            self._causes = find_causes(self._evidence(), MAX_CRASHED_SERVERS)
+        return self._causes
 
     def crashed_servers(self, key: str) -> list[str]:
         """Return the ids of the servers that crashed while they ran the request."""
-        return sorted(self._crashes.get(key, ()))
-
-    def is_blocked(self, key: str, now_s: float) -> bool:
-        """Return whether the request has crashed too many servers."""
-        servers = self._crashes.get(key)
-        if not servers:
-            return False
-        recent = [
-            time_s for time_s in servers.values() if now_s - time_s < CRASH_RETENTION_S
-        ]
-        return len(recent) >= MAX_CRASHED_SERVERS
-
-    def suspects(self, now_s: float) -> dict[str, list[str]]:
-        """Return the most recent crashes for gossip: server ids by fingerprint."""
-        recent = {
-            key: max(servers.values())
-            for key, servers in self._crashes.items()
-            if servers and now_s - max(servers.values()) < CRASH_GOSSIP_S
-        }
-        latest = sorted(recent, key=lambda key: recent[key], reverse=True)
-        return {
-            key: sorted(self._crashes[key]) for key in latest[:MAX_GOSSIPED_CRASHES]
+        suspect = self._suspects.get(key)
+        return sorted({crash.server_id for crash in suspect.crashes}) if suspect else []
+
+    def reports(self, now_s: float, *, with_causes: bool) -> tuple[CrashReport, ...]:
+        """Return the most suspect requests for gossip.
+
+        Those of the last seconds are included, and with `with_causes` also those from
+        which the causes are derived, so that nodes that have just started know them.
+        """
+        causes = self.causes() if with_causes else []
+        chosen = {
+            key: suspect
+            for key, suspect in self._suspects.items()
+            if now_s - suspect.last_crash_s() < CRASH_GOSSIP_S
+            or any(cause <= {key, *suspect.parts} for cause in causes)
         }
+        counts = crashes_by_trait(self._evidence()) if chosen else {}
+        ranked = sorted(
+            chosen,
+            key=lambda key: (
+                max(len(counts.get(name, ())) for name in (key, *chosen[key].parts)),
+                len(chosen[key].crashes),
+                chosen[key].last_crash_s(),
+            ),
+            reverse=True,
+        )
+        return tuple(
+            CrashReport(
+                fingerprint=key,
+                parts=chosen[key].parts,
+                crash_ages_s={
+                    crash.server_id: int(now_s - crash.at_s)
+                    for crash in sorted(chosen[key].crashes, key=_crash_time_s)
+                },
+            )
+            for key in ranked[:MAX_GOSSIPED_CRASHES]
+        )
 
-    def merge(self, reported: dict[str, list[str]], now_s: float) -> None:
-        """Add the crashes reported by another node."""
-        for key, servers in reported.items():
-            crash_times_s = self._crashes.setdefault(key, {})
-            for server_id in servers:
-                crash_times_s.setdefault(server_id, now_s)
+    def harmless_traits(self, now_s: float) -> dict[str, int]:
+        """Return traits of recent suspects that are harmless, for gossip.
+
+        The values are the seconds since the last complete answer.
+        """
+        found: dict[str, int] = {}
+        for key, suspect in self._suspects.items():
+            if now_s - suspect.last_crash_s() >= CRASH_GOSSIP_S:
+                continue
+            for trait in (key, *suspect.parts):
+                answered_s = self._answered_s.get(trait)
+                if answered_s is not None and now_s - answered_s < ANSWER_TRUST_S:
+                    found[trait] = int(now_s - answered_s)
+        return dict(list(found.items())[-MAX_GOSSIPED_ANSWERS:])
+
+    def merge(
+        self,
+        reports: Collection[CrashReport],
+        harmless: Mapping[str, int],
+        now_s: float,
+    ) -> None:
+        """Add what another node reported."""
+        for trait, age_s in harmless.items():
+            self._record_answer(trait, now_s - age_s)
+        for report in reports:
+            for server_id, age_s in report.crash_ages_s.items():
+                if age_s < CRASH_RETENTION_S:
+                    crash = self._find_crash(server_id, now_s - age_s)
+                    self._add(report.fingerprint, report.parts, crash)
 
     def remove_expired(self, now_s: float) -> None:
-        """Remove requests whose crashes are all older than `CRASH_RETENTION_S`."""
-        for key, servers in list(self._crashes.items()):
-            if all(now_s - time_s > CRASH_RETENTION_S for time_s in servers.values()):
-                del self._crashes[key]
+        """Remove crashes that are older than `CRASH_RETENTION_S`."""
+        oldest_s = now_s - CRASH_RETENTION_S
+        for server_id, crashes in list(self._crashes.items()):
+            kept = [crash for crash in crashes if crash.at_s > oldest_s]
+            if len(kept) == len(crashes):
+                continue
+            self._causes = None
+            self._crashes[server_id] = kept
+            if not kept:
+                del self._crashes[server_id]
+        for key, suspect in list(self._suspects.items()):
+            suspect.crashes = {
+                crash for crash in suspect.crashes if crash.at_s > oldest_s
+            }
+            if not suspect.crashes:
+                del self._suspects[key]
+
+    def _add(self, key: str, parts: tuple[str, ...], crash: Crash) -> None:
+        suspect = self._suspects.setdefault(key, _Suspect(parts))
+        if crash in suspect.crashes:
+            return
+        suspect.crashes.add(crash)
+        self._causes = None
+        if len(self._suspects) > MAX_SUSPECTS:
+            oldest = min(
+                self._suspects, key=lambda name: self._suspects[name].last_crash_s()
+            )
+            del self._suspects[oldest]
+
+    def _find_crash(self, server_id: str, at_s: float) -> Crash:
+        """Return the known crash of a server at about this time, or a new one.
+
+        Nodes report the same crash at slightly different times. A server that started
+        again with its old id may crash once more.
+        """
+        crashes = self._crashes.setdefault(server_id, [])
+        for crash in crashes:
+            if abs(crash.at_s - at_s) < SAME_CRASH_S:
+                return crash
+        crashes.append(Crash(server_id, at_s))
+        return crashes[-1]
+
+    def _record_answer(self, trait: str, at_s: float) -> None:
+        previous_s = self._answered_s.pop(trait, at_s)
+        self._answered_s[trait] = max(previous_s, at_s)
+        if len(self._answered_s) > MAX_ANSWERED_TRAITS:
+            del self._answered_s[next(iter(self._answered_s))]
+        if self._suspects and self._is_suspect(trait):
+            self._causes = None
+
+    def _is_suspect(self, trait: str) -> bool:
+        return trait in self._suspects or any(
+            trait in suspect.parts for suspect in self._suspects.values()
+        )
+
+    def _evidence(self) -> list[Evidence]:
+        """Return the evidence without traits that were harmless before or since."""
+        found = []
+        for key, suspect in self._suspects.items():
+            for crash in suspect.crashes:
+                traits = frozenset(
+                    trait
+                    for trait in (key, *suspect.parts)
+                    if not self._is_harmless(trait, crash)
+                )
+                if traits:
+                    found.append(Evidence(crash, traits))
+        return found
+
+    def _is_harmless(self, trait: str, crash: Crash) -> bool:
+        answered_s = self._answered_s.get(trait)
+        return answered_s is not None and crash.at_s < answered_s + ANSWER_TRUST_S
+
+
+def _crash_time_s(crash: Crash) -> float:
+    return crash.at_s
--- a/gooseberryhall/gateway/models.py
+++ b/gooseberryhall/gateway/models.py
@@ -30,6 +30,17 @@
         return self.target.partition(b"?")[0]
 
 
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A request that was in flight at crashes, as nodes report it to each other."""
+
+    fingerprint: str
+    # Ids of the parts of its prompt that other requests may share.
+    parts: tuple[str, ...]
+    # Seconds since the crash, by server id.
+    crash_ages_s: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayResponse:
     """A response that the gateway generates instead of a server.
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -24,6 +24,7 @@
     is_server_failure,
     is_success,
     log_request,
+    record_crash,
 )
 from .state import GatewayState
 
@@ -59,6 +60,8 @@
         return None
     if ctx.ran_on and not ctx.is_retryable():
         return None
+    if ctx.sends and state.crashes.is_blocked(ctx.traits):
+        return None
     chosen = choose_server(state.server_candidates(ctx, now_s), state.rng)
     if chosen is None or (
         ctx.sends and not state.budget(ctx.service).try_acquire(now_s)
@@ -97,9 +100,7 @@
         return timeout_response()
     except TransportError as exc:
         state.backends.record_result(server_id, failed=True)
-        state.crashes.record_crash(
-            ctx.fingerprint, server_id, asyncio.get_running_loop().time()
-        )
+        record_crash(state, ctx, server_id)
         log_request(
             LogEvent.SEND_FAILED,
             str(exc),
@@ -129,7 +130,7 @@
     state.backends.record_result(server_id, failed=is_server_failure(head))
     if head.status < 300 and not is_success(state, head):  # noqa: PLR2004
         return outcome_unknown_response("the server's answer is not signed")
-    state.crashes.record_success(ctx.fingerprint)
+    state.crashes.record_success(ctx.traits, asyncio.get_running_loop().time())
     return response
 
 
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -3,6 +3,7 @@
 import random
 
 from .const import (
+    CRASH_RETENTION_S,
     RETRY_AFTER_BUSY_S,
     RETRY_AFTER_JITTER,
     RETRY_AFTER_NO_GROUP_S,
@@ -28,8 +29,11 @@
 
 
 def crashing_request_response() -> GatewayResponse:
-    """Return a refusal for a request that crashed several servers."""
-    return GatewayResponse(503, "request crashed servers before", None)
+    """Return a refusal for a request that crashes servers.
+
+    It is refused for as long as the crashes are known.
+    """
+    return GatewayResponse(503, "request crashed servers before", CRASH_RETENTION_S)
 
 
 def outcome_unknown_response(reason: str) -> GatewayResponse:
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -101,6 +101,22 @@
     return head.status >= _HTTP_SERVER_ERROR
 
 
+def record_crash(state: GatewayState, ctx: RequestContext, server_id: str) -> None:
+    """Record that a server broke off while it ran the request; log a new cause."""
+    known = state.crashes.causes()
+    now_s = asyncio.get_running_loop().time()
+    state.crashes.record_crash(ctx.fingerprint, server_id, now_s, ctx.prompt_parts)
+    for cause in state.crashes.causes():
+        if cause not in known and cause <= ctx.traits:
+            log_request(
+                LogEvent.CRASH_CAUSE_FOUND,
+                "requests like this one crash servers and are refused",
+                ctx,
+                server=server_id,
+                cause=sorted(cause),
+            )
+
+
 def log_request(
     event: LogEvent, message: str, ctx: RequestContext, **fields: Any
 ) -> None:
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -13,7 +13,7 @@
 )
 from ..transport.exchange import ResponseHead
 from .caller import CallerConnection
-from .const import GROUP_WAIT_SHARE, MAX_REJECTIONS, MIN_REMAINING_S
+from .const import CRASH_ONSET_S, GROUP_WAIT_SHARE, MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .events import EventSplitter
 from .models import GatewayResponse
@@ -24,7 +24,14 @@
     outcome_unknown_response,
     timeout_response,
 )
-from .sending import SentRequest, async_send, is_rejection, is_success, log_request
+from .sending import (
+    SentRequest,
+    async_send,
+    is_rejection,
+    is_success,
+    log_request,
+    record_crash,
+)
 from .state import GatewayState
 
 _GROUP_POLL_PERIOD_S = 0.01
@@ -48,6 +55,8 @@
 
     splitter: EventSplitter = field(default_factory=EventSplitter)
     started: bool = False
+    # Time of the first event of the current attempt.
+    answering_since_s: float | None = None
 
 
 async def async_forward_stream(
@@ -66,6 +75,8 @@
         server = await _async_choose_group(state, ctx)
         if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
             break
+        if ctx.breaks and state.crashes.is_blocked(ctx.traits):
+            break
         if ctx.sends and not state.budget(ctx.service).try_acquire(loop.time()):
             log_request(LogEvent.RETRY_BUDGET_EMPTY, "retry budget is exhausted", ctx)
             break
@@ -88,6 +99,8 @@
         return timeout_response()
     if ctx.ran_on and not ctx.route.idempotent:
         return outcome_unknown_response("the group broke off")
+    if ctx.breaks and state.crashes.is_blocked(ctx.traits):
+        return outcome_unknown_response("request crashed servers")
     if state.group_candidates(ctx, asyncio.get_running_loop().time()):
         return busy_response(state.rng)
     return no_group_response(state.rng)
@@ -121,6 +134,7 @@
     ctx.excluded_servers.add(server_id)
     resume_after = relay.splitter.last_event_id if relay.started else None
     sent_s = loop.time()
+    relay.answering_since_s = None
     try:
         async with (
             asyncio.timeout_at(ctx.deadline_s),
@@ -144,8 +158,9 @@
         relay.splitter.discard_partial()
         if server_id not in ctx.ran_on and not ctx.route.idempotent:
             ctx.ran_on.append(server_id)
-        if isinstance(exc, ConnectionBrokenError):
-            state.crashes.record_crash(ctx.fingerprint, server_id, loop.time())
+        ctx.breaks += 1
+        if isinstance(exc, ConnectionBrokenError) and _may_be_cause(relay):
+            record_crash(state, ctx, server_id)
         log_request(
             LogEvent.SEND_FAILED,
             str(exc),
@@ -160,6 +175,14 @@
         return _Outcome.BROKEN
 
 
+def _may_be_cause(relay: _RelayedResponse) -> bool:
+    """Return whether the request may have crashed the server that broke off."""
+    if relay.answering_since_s is None:
+        return True
+    now_s = asyncio.get_running_loop().time()
+    return now_s - relay.answering_since_s < CRASH_ONSET_S
+
+
 def _can_fail_over(
     state: GatewayState, ctx: RequestContext, relay: _RelayedResponse
 ) -> bool:
@@ -204,6 +227,8 @@
         if not events:
             continue
         sent.record_progress()
+        if relay.answering_since_s is None:
+            relay.answering_since_s = asyncio.get_running_loop().time()
         if server_id not in ctx.ran_on:
             ctx.ran_on.append(server_id)
         if not relay.started:
@@ -217,7 +242,7 @@
     if not relay.started:
         conn.begin_response(head, length=None)
     conn.end_response()
-    state.crashes.record_success(ctx.fingerprint)
+    state.crashes.record_success(ctx.traits, asyncio.get_running_loop().time())
     return _Outcome.COMPLETE
 
 
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -8,6 +8,7 @@
 
 from ..exceptions import InvalidInputError
 from ..fleet.models import BackendServer, ServedGroup
+from ..gateway.models import CrashReport
 from ..transport.pool import Address
 
 
@@ -61,8 +62,11 @@
     stalled_leaders: tuple[str, ...] = ()
     # Set if the node owns a zone; a datagram holds the announcement of one zone.
     announcement: ZoneAnnouncement | None = None
-    # Servers lost by requests that may crash them, by fingerprint.
-    crashes: dict[str, list[str]] = field(default_factory=dict)
+    # Requests that were in flight when servers crashed.
+    crashes: tuple[CrashReport, ...] = ()
+    # Traits of such requests that are harmless, and the seconds since the last
+    # complete answer to a request with them.
+    harmless: dict[str, int] = field(default_factory=dict)
 
 
 def encode(gossip: Gossip) -> bytes:
@@ -82,7 +86,12 @@
             None
             if gossip.announcement is None
             else _encode_announcement(gossip.announcement),
-            gossip.crashes,
+            {item.fingerprint: list(item.crash_ages_s) for item in gossip.crashes},
+            {
+                item.fingerprint: [item.parts, list(item.crash_ages_s.values())]
+                for item in gossip.crashes
+            },
+            gossip.harmless,
         ]
     )
 
@@ -105,9 +114,12 @@
             announcement=_decode_announcement(values[10])
             if values[10] is not None
             else None,
-            crashes={
-                _require_text(key): [_require_text(server) for server in servers]
-                for key, servers in values[11].items()
+            # Nodes of an earlier version do not send the fields after the servers.
+            crashes=_decode_crashes(values[11], values[12] if values[12:] else {}),
+            harmless={
+                _require_text(trait): int(age_s)
+                for fields in values[13:14]
+                for trait, age_s in fields.items()
             },
         )
     except (
@@ -137,6 +149,27 @@
     }
 
 
+def _decode_crashes(servers: Any, details: Any) -> tuple[CrashReport, ...]:
+    """Decode crash reports.
+
+    The details of a request are its prompt parts and the age of each crash in seconds.
+    """
+    reports = []
+    for key, server_ids in servers.items():
+        parts, ages_s = details.get(key, ((), (0,) * len(server_ids)))
+        reports.append(
+            CrashReport(
+                fingerprint=_require_text(key),
+                parts=tuple(_require_text(part) for part in parts),
+                crash_ages_s={
+                    _require_text(server_id): int(age_s)
+                    for server_id, age_s in zip(server_ids, ages_s, strict=True)
+                },
+            )
+        )
+    return tuple(reports)
+
+
 def _encode_announcement(announcement: ZoneAnnouncement) -> list[Any]:
     return [
         announcement.zone,
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -11,7 +11,7 @@
 from ..fleet.zone import ZoneState
 from ..gateway.backends import Backends
 from ..gateway.budget import RetryBudget
-from ..gateway.const import RETRY_SLACK_SHARE
+from ..gateway.const import CAUSE_GOSSIP_SHARE, RETRY_SLACK_SHARE
 from ..gateway.header_names import HeaderNames
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
@@ -232,18 +232,18 @@
         """
         now_s = self._loop.time()
         self._reported_traffic = local_traffic(self.gateway.backends, now_s)
-        crashes = self.gateway.crashes.suspects(now_s)
+        with_causes = self.gateway.rng.random() < CAUSE_GOSSIP_SHARE
+        crashes = self.gateway.crashes.reports(now_s, with_causes=with_causes)
         messages = []
         if crashes or not self.is_owner:
-            messages.append(self._create_message(None, crashes))
+            message = self._create_message(None)
+            harmless = self.gateway.crashes.harmless_traits(now_s)
+            messages.append(replace(message, crashes=crashes, harmless=harmless))
         for zone in self.owner.zones:
-            announcement = self._announce_owned_zone(zone)
-            messages.append(self._create_message(announcement, {}))
+            messages.append(self._create_message(self._announce_owned_zone(zone)))
         return messages
 
-    def _create_message(
-        self, announcement: ZoneAnnouncement | None, crashes: dict[str, list[str]]
-    ) -> Gossip:
+    def _create_message(self, announcement: ZoneAnnouncement | None) -> Gossip:
         self._sequence += 1
         return Gossip(
             node=self.settings.node,
@@ -257,14 +257,13 @@
             traffic=self._reported_traffic,
             stalled_leaders=tuple(self._stalled_leaders),
             announcement=announcement,
-            crashes=crashes,
         )
 
     def receive_gossip(self, gossip: Gossip) -> None:
         """Apply a message of a peer."""
         if gossip.traffic_seen:
             self.gateway.traffic_seen = True
-        self.gateway.crashes.merge(gossip.crashes, self._loop.time())
+        self.gateway.crashes.merge(gossip.crashes, gossip.harmless, self._loop.time())
         for leader in gossip.stalled_leaders:
             self._probe_group(leader)
         self.configuration.fetch_version(gossip.config_version)
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -44,6 +44,18 @@
     return sum(_has_bad_part(req) for leader in leaders for req in leader.requests)
 
 
+def _remove_crashed(gateway: Gateway, leaders: tuple[ScriptedServer, ...]) -> None:
+    """Remove the groups whose leaders crashed, as their zone's owner does."""
+    crashed = {
+        leader.server_id
+        for leader in leaders
+        if any(_has_bad_part(req) for req in leader.requests)
+    }
+    gateway.groups[:] = [
+        group for group in gateway.groups if group.leader.server_id not in crashed
+    ]
+
+
 async def _async_ask(gateway: Gateway, parts: str, number: int) -> bytes:
     """Send a request whose last prompt part and body are its own."""
     return await gateway.async_request(
@@ -61,6 +73,7 @@
     async with async_gateway((stream_route(),), leaders=leaders) as gateway:
         for number in range(12):
             last = await _async_ask(gateway, f"shared:40,{_BAD_PART}:20", number)
+            _remove_crashed(gateway, leaders)
             sound = await _async_ask(gateway, "shared:40", 100 + number)
             assert sound.startswith(b"HTTP/1.1 200"), number
     assert last.startswith(b"HTTP/1.1 503")
