Abort requests that wait at a server once they are known to crash it

Change: a node that finds a cause tells all peers at once and aborts the requests with it that are not answered yet. Traits that were in flight at the same crashes are all causes.

--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -23,6 +23,10 @@
     exchange: Exchange
     # Returns whether another server can complete the request.
     can_fail_over: Callable[[], bool]
+    # Fingerprint of the request and ids of the shared parts of its prompt.
+    traits: frozenset[str] = frozenset()
+    # Returns whether the request may be aborted if such requests crash servers.
+    can_abandon: Callable[[], bool] = lambda: False
 
 
 @dataclass(slots=True)
@@ -138,6 +142,15 @@
             stalled.append(server_id)
         return stalled
 
+    def abort_crashing(self, is_blocked: Callable[[frozenset[str]], bool]) -> None:
+        """Abort requests that would crash their servers, before they are answered."""
+        for health in self._health.values():
+            for attempt in list(health.in_flight.values()):
+                if is_blocked(attempt.traits) and attempt.can_abandon():
+                    attempt.exchange.abort(
+                        ExchangeAbortedError("requests like this one crash servers")
+                    )
+
     def remove_unused(self, server_ids: set[str]) -> None:
         """Remove servers that are not in `server_ids` and have no requests."""
         for server_id in list(self._health):
--- a/gooseberryhall/gateway/crash_causes.py
+++ b/gooseberryhall/gateway/crash_causes.py
@@ -41,25 +41,34 @@
 
     The trait with the most crashes is a cause if it has `min_crashes` of them. Its
     crashes are then explained and no longer count against the requests that were only
-    in flight at the same servers. A cause includes all traits that the requests with
-    it have in common, so that a request that has only some of them is still served: it
-    either proves them harmless or shows which one crashes servers.
+    in flight at the same servers. Traits that were in flight at exactly the same
+    crashes cannot be told apart and are all causes. A cause includes all traits that
+    the requests with it have in common, so that a request that has only some of them is
+    still served: it either proves them harmless or shows which one crashes servers.
     """
     unexplained = crashes_by_trait(evidence)
     common: dict[str, frozenset[str]] = {}
     for item in evidence:
         for trait in item.traits:
             common[trait] = common.get(trait, item.traits) & item.traits
-    causes = []
+    causes: list[frozenset[str]] = []
     while unexplained:
-        trait = max(
-            unexplained,
-            key=lambda name: (len(unexplained[name]), len(common[name]), name),
-        )
-        explained = unexplained[trait]
+        explained = max(
+            unexplained.items(),
+            key=lambda item: (len(item[1]), len(common[item[0]]), item[0]),
+        )[1]
         if len(explained) < min_crashes:
             break
-        causes.append(common[trait])
+        found = {
+            common[name]
+            for name, crashes in unexplained.items()
+            if crashes == explained
+        }
+        # Of two causes of which one includes the other, the smaller one would also
+        # refuse the requests that have only some of the traits.
+        causes.extend(
+            cause for cause in found if not any(cause < other for other in found)
+        )
         unexplained = {
             name: rest
             for name, crashes in unexplained.items()
--- a/gooseberryhall/gateway/crashes.py
+++ b/gooseberryhall/gateway/crashes.py
@@ -42,6 +42,15 @@
         return max(crash.at_s for crash in self.crashes)
 
 
+@dataclass(frozen=True, slots=True)
+class _Abandoned:
+    """A request that was aborted before its server answered."""
+
+    key: str
+    parts: tuple[str, ...]
+    at_s: float
+
+
 @dataclass(slots=True)
 class CrashTracker:
     """Requests that were in flight at crashes, and the causes derived from them.
@@ -52,6 +61,8 @@
     _suspects: dict[str, _Suspect] = field(default_factory=dict)
     # Known crashes by server id, in the order in which they were recorded.
     _crashes: dict[str, list[Crash]] = field(default_factory=dict)
+    # Requests that this node aborted because of a cause, by server id.
+    _abandoned: dict[str, list[_Abandoned]] = field(default_factory=dict)
     # Time of the last complete answer to a request with a trait, oldest first.
     _answered_s: dict[str, float] = field(default_factory=dict)
     # Combinations of traits that crash servers; None if they must be derived again.
@@ -66,6 +77,19 @@
         """
         self._add(key, parts, self._find_crash(server_id, now_s))
 
+    def record_abandoned(
+        self, key: str, server_id: str, now_s: float, parts: tuple[str, ...]
+    ) -> None:
+        """Record that a request with a known cause was aborted at a server.
+
+        It may already have begun to run. If the server crashes now, the other requests
+        in flight there must not be blamed.
+        """
+        item = _Abandoned(key, parts, now_s)
+        self._abandoned.setdefault(server_id, []).append(item)
+        for crash in self._crashes.get(server_id, ()):
+            self._blame_abandoned(crash)
+
     def record_success(self, traits: Collection[str], now_s: float) -> None:
         """Record that a server completed a request with these traits."""
         for trait in traits:
@@ -86,6 +110,17 @@
         suspect = self._suspects.get(key)
         return sorted({crash.server_id for crash in suspect.crashes}) if suspect else []
 
+    def servers_crashed_by(self, cause: frozenset[str]) -> list[str]:
+        """Return the ids of the servers that crashed under requests with a cause."""
+        return sorted(
+            {
+                crash.server_id
+                for key, suspect in self._suspects.items()
+                if cause <= {key, *suspect.parts}
+                for crash in suspect.crashes
+            }
+        )
+
     def reports(self, now_s: float, *, with_causes: bool) -> tuple[CrashReport, ...]:
         """Return the most suspect requests for gossip.
 
@@ -153,6 +188,9 @@
 
     def remove_expired(self, now_s: float) -> None:
         """Remove crashes that are older than `CRASH_RETENTION_S`."""
+        for server_id, items in list(self._abandoned.items()):
+            if all(now_s - item.at_s > SAME_CRASH_S for item in items):
+                del self._abandoned[server_id]
         oldest_s = now_s - CRASH_RETENTION_S
         for server_id, crashes in list(self._crashes.items()):
             kept = [crash for crash in crashes if crash.at_s > oldest_s]
@@ -191,8 +229,15 @@
         for crash in crashes:
             if abs(crash.at_s - at_s) < SAME_CRASH_S:
                 return crash
-        crashes.append(Crash(server_id, at_s))
-        return crashes[-1]
+        crash = Crash(server_id, at_s)
+        crashes.append(crash)
+        self._blame_abandoned(crash)
+        return crash
+
+    def _blame_abandoned(self, crash: Crash) -> None:
+        for item in self._abandoned.get(crash.server_id, ()):
+            if abs(crash.at_s - item.at_s) < SAME_CRASH_S:
+                self._add(item.key, item.parts, crash)
 
     def _record_answer(self, trait: str, at_s: float) -> None:
         previous_s = self._answered_s.pop(trait, at_s)
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -43,11 +43,13 @@
     *,
     last_event_id: bytes | None = None,
     can_fail_over: Callable[[], bool] | None = None,
+    can_abandon: Callable[[], bool] = lambda: False,
 ) -> AsyncIterator[SentRequest]:
     """Send the request; an exchange that is incomplete on exit is cancelled.
 
     `can_fail_over` returns whether another server can complete the request if this one
-    stalls. Raises `ConnectFailedError` if nothing was sent.
+    stalls, `can_abandon` whether it may be aborted because requests like it crash
+    servers. Raises `ConnectFailedError` if nothing was sent.
     """
     loop = asyncio.get_running_loop()
 
@@ -59,7 +61,9 @@
         is_head_method=ctx.request.method == b"HEAD",
         on_head=record_progress,
     )
-    attempt = Attempt(exchange, can_fail_over or ctx.is_retryable)
+    attempt = Attempt(
+        exchange, can_fail_over or ctx.is_retryable, ctx.traits, can_abandon
+    )
     key = state.backends.start_attempt(server.server_id, attempt, loop.time())
     conn: ClientConnection | None = None
     try:
@@ -102,19 +106,10 @@
 
 
 def record_crash(state: GatewayState, ctx: RequestContext, server_id: str) -> None:
-    """Record that a server broke off while it ran the request; log a new cause."""
-    known = state.crashes.causes()
+    """Record that a server broke off while it ran the request."""
     now_s = asyncio.get_running_loop().time()
     state.crashes.record_crash(ctx.fingerprint, server_id, now_s, ctx.prompt_parts)
-    for cause in state.crashes.causes():
-        if cause not in known and cause <= ctx.traits:
-            log_request(
-                LogEvent.CRASH_CAUSE_FOUND,
-                "requests like this one crash servers and are refused",
-                ctx,
-                server=server_id,
-                cause=sorted(cause),
-            )
+    state.on_crash()
 
 
 def log_request(
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -29,6 +29,8 @@
     servers: Callable[[], dict[str, BackendServer]]
     groups: Callable[[], list[ServedGroup]]
     create_budget: Callable[[], RetryBudget]
+    # Called after a crash was recorded.
+    on_crash: Callable[[], None] = lambda: None
     crashes: CrashTracker = field(default_factory=CrashTracker)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     rng: random.Random = field(default_factory=random.Random)
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -144,6 +144,7 @@
                 server,
                 last_event_id=resume_after,
                 can_fail_over=lambda: _can_fail_over(state, ctx, relay),
+                can_abandon=lambda: relay.answering_since_s is None,
             ) as sent,
         ):
             return await _async_relay(state, ctx, conn, relay, sent)
@@ -161,6 +162,10 @@
         ctx.breaks += 1
         if isinstance(exc, ConnectionBrokenError) and _may_be_cause(relay):
             record_crash(state, ctx, server_id)
+        elif state.crashes.is_blocked(ctx.traits):
+            state.crashes.record_abandoned(
+                ctx.fingerprint, server_id, loop.time(), ctx.prompt_parts
+            )
         log_request(
             LogEvent.SEND_FAILED,
             str(exc),
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -59,6 +59,7 @@
         self._announcement_requested = False
         # Traffic in the last messages to the peers.
         self._reported_traffic: dict[str, ServerTraffic] = {}
+        self._crash_causes: list[frozenset[str]] = []
         # Leaders of stalled groups, and the time until which peers are notified.
         self._stalled_leaders: dict[str, float] = {}
         self.configuration = ConfigurationFollower(
@@ -264,10 +265,31 @@
         if gossip.traffic_seen:
             self.gateway.traffic_seen = True
         self.gateway.crashes.merge(gossip.crashes, gossip.harmless, self._loop.time())
+        self._apply_crash_causes()
         for leader in gossip.stalled_leaders:
             self._probe_group(leader)
         self.configuration.fetch_version(gossip.config_version)
 
+    def _apply_crash_causes(self) -> None:
+        """Stop requests that crash servers and tell peers when a cause is found.
+
+        Requests that wait at a server would crash it when it begins to answer them.
+        """
+        crashes = self.gateway.crashes
+        known, self._crash_causes = self._crash_causes, crashes.causes()
+        found = [cause for cause in self._crash_causes if cause not in known]
+        for cause in found:
+            log_event(
+                _LOGGER,
+                LogEvent.CRASH_CAUSE_FOUND,
+                "requests with these traits crash servers and are refused",
+                cause=sorted(cause),
+                crashed=crashes.servers_crashed_by(cause),
+            )
+        if found:
+            self.gateway.backends.abort_crashing(crashes.is_blocked)
+            self.gossip.send(urgent=True)
+
     def _on_stall(self, leader: str) -> None:
         self.gateway.metrics.stalls.inc({})
         log_event(_LOGGER, LogEvent.GROUP_SILENT, "group is silent", server=leader)
@@ -290,6 +312,7 @@
             servers=lambda: self.table.servers,
             groups=lambda: self.table.groups,
             create_budget=self._create_budget,
+            on_crash=self._apply_crash_causes,
         )
 
     def _create_owner(self) -> ZoneOwner:
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -89,6 +89,32 @@
     assert _causes(*items, ("d", "q4 bad")) == ["bad"]
 
 
+def test_request_at_the_same_crashes_as_the_cause_does_not_hide_it() -> None:
+    """Guards against a cause that goes on because another request was blamed.
+
+    A stream that moves on together with the crashing request breaks off each time.
+    """
+    items = [
+        (server, traits) for server in ("a", "b", "c") for traits in ("q1 bad", "q2 z")
+    ]
+    assert sorted(_causes(*items)) == ["bad q1", "q2 z"]
+
+
+def test_aborted_request_explains_a_crash_that_it_no_longer_sees() -> None:
+    """Guards against blaming the others in flight, so that the cause is forgotten.
+
+    A request that is aborted as its server begins to answer still crashes it.
+    """
+    tracker = CrashTracker()
+    _crash(tracker, "q1", "bad", "a", "b", "c")
+    _crash(tracker, "q2", "bad", "a")
+    _crash(tracker, "q3", "other", "a", "b")
+    tracker.record_abandoned("q4", "d", 3.0, ("bad",))
+    tracker.record_crash("q3", "d", 3.1, ("other",))
+    assert _is_blocked(tracker, "q5 bad")
+    assert not _is_blocked(tracker, "q3 other")
+
+
 def test_part_that_was_answered_is_harmless() -> None:
     """Guards against refusing a popular part after the loss of many servers at once."""
     tracker = CrashTracker()
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -8,6 +8,7 @@
     ReceivedRequest,
     ScriptedServer,
     async_gateway,
+    async_until,
     chunk,
     event,
     stream_head,
@@ -92,3 +93,38 @@
         response = await _async_ask(gateway, f"{_BAD_PART}:20", 1)
     assert _count_crashes(leaders) == MAX_CRASHED_SERVERS
     assert response.startswith(b"HTTP/1.1 502")
+
+
+async def test_waiting_request_leaves_its_server_when_the_cause_is_found() -> None:
+    """Guards against crashes by requests that were sent before the cause was known.
+
+    They wait at servers, which crash when they begin to answer them. The answer of a
+    sound request that waits there, too, is not disturbed.
+    """
+    release = asyncio.Event()
+
+    async def _async_wait(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await release.wait()
+        await _async_crash_on_bad_part(request, writer)
+
+    slow = ScriptedServer("slow", _async_wait)
+    async with async_gateway(
+        (stream_route(timeout_s=5.0),), leaders=(slow,)
+    ) as gateway:
+        crashes = gateway.state.crashes
+        gateway.state.on_crash = lambda: gateway.state.backends.abort_crashing(
+            crashes.is_blocked
+        )
+        waiting = asyncio.create_task(_async_ask(gateway, f"{_BAD_PART}:20", 1))
+        sound = asyncio.create_task(_async_ask(gateway, "shared:40", 2))
+        await async_until(lambda: len(slow.requests) == 2)
+        for number in range(MAX_CRASHED_SERVERS):
+            crashes.record_crash(f"q{number}", f"s{number}", 0.0, (_BAD_PART,))
+        gateway.state.on_crash()
+        response = await asyncio.wait_for(waiting, 1)
+        release.set()
+        sound_response = await sound
+    assert response.startswith(b"HTTP/1.1 502")
+    assert sound_response.startswith(b"HTTP/1.1 200")
