Do not believe a response without id on a reused connection

Operators of similar systems saw a faulty server write an earlier refusal once more on a kept connection. Callers were told "not run" for requests that the server was running.

Here copies with the id of another request were skipped, and commands use new connections, but a copy without an id was taken for the answer to an idempotent request. It now fails the exchange, whose outcome is unknown.

--- a/gooseberryhall/transport/client.py
+++ b/gooseberryhall/transport/client.py
@@ -33,6 +33,8 @@
         self._skip_response = False
         self._read_until_close = False
         self._close_after_response = False
+        # Whether a response was completed, so that another copy of it may arrive.
+        self._is_reused = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since_s = 0.0
         # Bytes received since the last body data of the expected response.
@@ -118,7 +120,8 @@
         """Pass the response head to the exchange.
 
         Interim responses are skipped, and so are responses that echo the id of another
-        request.
+        request. One without an id on a reused connection may be a copy of an earlier
+        response, for example of a refusal, and fails the exchange.
         """
         exchange = self._exchange
         status = self._parser.get_status_code()
@@ -131,6 +134,9 @@
             self._skip_response = True
             self._close_after_response = True
             return
+        if exchange.expected_id and not echoed and self._is_reused:
+            self._fail(MalformedResponseError("response without the request's id"))
+            return
         self._apply_framing(head)
         exchange.receive_head(head)
         if exchange.is_head_method:
@@ -161,6 +167,7 @@
     def _complete_exchange(self) -> None:
         exchange = self._exchange
         self._exchange = None
+        self._is_reused = True
         self._set_reading(True)
         self._idle_since_s = asyncio.get_running_loop().time()
         unsent_bytes = self._transport.get_write_buffer_size() if self._transport else 0
