Check that a stream holds events with increasing ids

Operators of similar systems saw the next server of a broken stream answer with an error, whose text callers found in the middle of their stream.

Here failures, refusals and unsigned answers of the next server did not enter a begun stream, but a signed 200 with other text in place of events did, and so did the events of a group that starts anew.

--- a/tests/gateway/test_faulty_answers.py
+++ b/tests/gateway/test_faulty_answers.py
@@ -1,20 +1,77 @@
 """Tests of servers whose answers are repeated, cut short or not what was asked for."""
 
 import asyncio
+import random
+import socket
+import struct
+from collections.abc import Sequence
+from typing import Any
 
 import pytest
 
 from tests.gateway.common import (
     ReceivedRequest,
+    Script,
     ScriptedServer,
     async_gateway,
+    chunk,
     encode_response,
+    event,
     route,
+    stream_head,
+    stream_route,
 )
 
+_LAST_CHUNK = b"0\r\n\r\n"
+_ERROR_TEXT = b"out of memory"
+_UNSIGNED = ""
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _REFUSAL = b"HTTP/1.1 503 X\r\nx-not-run: 1\r\ncontent-length: 4\r\n\r\nfull"
 
 
+async def _async_whole(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Send the events from the one after the last that the caller has, up to 3."""
+    writer.write(stream_head(request, "whole"))
+    for number in range(int(request.headers.get("last-event-id", 0)) + 1, 4):
+        writer.write(chunk(event(number)))
+    writer.write(chunk(b""))
+
+
+async def _async_break(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Break off after the first event."""
+    writer.write(stream_head(request, "broken") + chunk(event(1)))
+    await writer.drain()
+    writer.transport.abort()
+
+
+def _unframed_head(request: ReceivedRequest) -> bytes:
+    """Return a head with neither a length nor chunks."""
+    request_id = request.headers["x-id"]
+    return f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-signature: s\r\n\r\n".encode()
+
+
+class _InOrder(random.Random):
+    """Samples the first groups, so that a request reaches groups in a known order."""
+
+    def sample(self, population: Sequence[Any], k: int, **_: Any) -> list[Any]:  # type: ignore[override]
+        """Return the first `k` items."""
+        return list(population)[:k]
+
+
+async def _async_ask_stream(*scripts: Script, attempts: int = 2) -> bytes:
+    """Send a request that the groups of these scripts get in this order."""
+    leaders = tuple(
+        ScriptedServer(f"h{number}", script) for number, script in enumerate(scripts)
+    )
+    routes = (stream_route(attempts=attempts),)
+    async with async_gateway(routes, leaders=leaders) as gateway:
+        gateway.state.backends.peer_load = {
+            leader.server_id: number for number, leader in enumerate(leaders)
+        }
+        gateway.state.rng = _InOrder()
+        return await gateway.async_request("x-model: large\r\n")
+
+
 @pytest.mark.parametrize("with_id", [False, True])
 async def test_repeated_refusal_on_a_kept_connection_is_not_believed(
     with_id: bool,
@@ -60,3 +117,130 @@
         for _ in range(2):
             await gateway.async_request(method="POST", body="x")
     assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    ("status", "extra"),
+    [
+        pytest.param(500, "x-signature: s\r\n", id="failure"),
+        pytest.param(503, _UNSIGNED, id="no promise that it was not run"),
+        pytest.param(503, "x-not-run: 1\r\n", id="refusal"),
+        pytest.param(200, _UNSIGNED, id="success without signature"),
+        pytest.param(200, "x-signature: s\r\n", id="text in place of events"),
+    ],
+)
+@pytest.mark.parametrize("third", [False, True])
+async def test_error_of_the_next_server_does_not_enter_a_begun_stream(
+    status: int, extra: str, third: bool
+) -> None:
+    """Guards against an error's text within a stream, or a stream that looks whole.
+
+    A stream has begun and breaks off, and the group that should go on with it fails.
+    """
+
+    async def async_fail(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        body = b"HTTP/1.1 500 X\n\n" + _ERROR_TEXT + b"\n\n"
+        writer.write(encode_response(request, body, status=status, extra=extra))
+
+    scripts: tuple[Script, ...] = (_async_break, async_fail)
+    if third:
+        scripts = (*scripts, _async_whole)
+    response = await _async_ask_stream(*scripts, attempts=4)
+    assert response.startswith(b"HTTP/1.1 200")
+    assert _ERROR_TEXT not in response
+    assert response.count(b"HTTP/1.1") == 1
+    assert response.endswith(_LAST_CHUNK) == third
+    if third:
+        assert b"piece 3" in response
+
+
+async def test_resumed_stream_does_not_repeat_events() -> None:
+    """Guards against events that come twice from a group that starts anew."""
+
+    async def async_start_anew(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(stream_head(request, "anew"))
+        for number in (1, 2, 3):
+            writer.write(chunk(event(number)))
+        writer.write(chunk(b""))
+
+    response = await _async_ask_stream(
+        _async_break, async_start_anew, _async_whole, attempts=4
+    )
+    assert response.count(b"piece 1\n") == 1
+    assert response.count(b"piece 3\n") == 1
+    assert response.endswith(_LAST_CHUNK)
+
+
+def _cut_heads() -> list[bytes]:
+    """Return the beginnings of a head that ends at, or within, one of its lines."""
+    lines = [b"HTTP/1.1 200 OK", b"x-id: 17", b"x-signature: s", b"content-length: 9"]
+    whole = b"\r\n".join(lines) + b"\r\n"
+    return [whole[:size] for size in (5, 15, 17, 30, 44, 55, len(whole))]
+
+
+@pytest.mark.parametrize("head", _cut_heads())
+@pytest.mark.parametrize("kept", [False, True])
+async def test_answer_that_ends_within_its_head_is_no_success(
+    head: bytes, kept: bool
+) -> None:
+    """Guards against a 200 with an empty or short body that looks whole."""
+    answered = 0
+
+    async def async_cut(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        nonlocal answered
+        answered += 1
+        if kept and answered == 1:
+            writer.write(encode_response(request))
+            return
+        writer.write(head)
+        await writer.drain()
+        writer.close()
+
+    server = ScriptedServer("s1", async_cut)
+    async with async_gateway((route(attempts=1),), (server,)) as gateway:
+        if kept:
+            await gateway.async_request()
+        response = await gateway.async_request()
+    assert response.startswith(b"HTTP/1.1 502")
+    response = await _async_ask_stream(async_cut)
+    assert not response.startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize(
+    ("end", "reset", "whole"),
+    [
+        pytest.param(event(2), False, True, id="whole"),
+        pytest.param(event(2)[:9], False, False, id="within an event"),
+        pytest.param(b"", True, False, id="reset"),
+    ],
+)
+async def test_stream_that_ends_with_its_connection(
+    end: bytes, reset: bool, whole: bool
+) -> None:
+    """Guards against taking a broken stream for a whole one, and the reverse.
+
+    A stream with neither a length nor chunks ends with its connection. It was broken
+    off if it ends within an event or by a reset.
+    """
+
+    async def async_unframed(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(_unframed_head(request) + event(1) + end)
+        await writer.drain()
+        if reset:
+            # The gateway reads the event before the reset discards it.
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        writer.close()
+
+    alone = await _async_ask_stream(async_unframed)
+    assert alone.endswith(_LAST_CHUNK) == whole
+    resumed = await _async_ask_stream(async_unframed, _async_whole)
+    assert resumed.count(b"piece 2\n") == 1
+    assert resumed.endswith(_LAST_CHUNK)
