Do not take a head without length for a whole answer with no body

Operators of similar systems saw a server stop in the middle of its answer's head and close. Callers got a 200 with an empty or short body.

Here an answer that ended within its head was never relayed, in the node and in the entry program. A complete head with neither a length nor chunks whose connection closed at once was: as a 200 with an empty body, or an empty stream. A success of this kind now counts as broken off.

--- a/gooseberryhall/adapters/service.py
+++ b/gooseberryhall/adapters/service.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import aiohttp
 from yarl import URL
@@ -32,6 +33,8 @@
         HEADER_REQUEST_ID.lower(),
     )
 )
+_FRAMING_HEADERS = frozenset(("Content-Length", "Transfer-Encoding"))
+_SUCCESS_STATUSES = range(200, 300)
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
@@ -117,9 +120,18 @@
         if len(body) > MAX_RESPONSE_BYTES:
             response.close()
             raise ExchangeBrokenError("the service sent an oversize answer")
+    if not body and _may_miss_body(response):
+        raise ExchangeBrokenError("the connection closed before the body")
     headers = tuple(
         (name, value)
         for name, value in response.headers.items()
         if name.lower() not in _HEADERS_NOT_FORWARDED
     )
     return ServiceResponse(response.status, headers, bytes(body))
+
+
+def _may_miss_body(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a success may have been cut between its head and its body."""
+    is_framed = not response.headers.keys().isdisjoint(_FRAMING_HEADERS)
+    has_body = response.method != "HEAD" and response.status != HTTPStatus.NO_CONTENT
+    return has_body and response.status in _SUCCESS_STATUSES and not is_framed
--- a/gooseberryhall/transport/client.py
+++ b/gooseberryhall/transport/client.py
@@ -15,6 +15,7 @@
 
 _FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset({204, 304})
+_SUCCESS_STATUSES = range(200, 300)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -32,6 +33,7 @@
         self._headers: Headers = []
         self._skip_response = False
         self._read_until_close = False
+        self._body_received = False
         self._close_after_response = False
         # Whether a response was completed, so that another copy of it may arrive.
         self._is_reused = False
@@ -92,10 +94,17 @@
             self._read_until_close
             and self._exchange is not None
             and not self._skip_response
+            and not self._may_miss_body()
         ):
             self._complete_exchange()
         return False
 
+    def _may_miss_body(self) -> bool:
+        """Return whether a success may have been cut between its head and its body."""
+        return not self._body_received and (
+            self._parser.get_status_code() in _SUCCESS_STATUSES
+        )
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
         self.closed = True
@@ -147,6 +156,7 @@
         """Pass a part of the body to the exchange."""
         if self._exchange is not None and not self._skip_response:
             self._overhead_bytes = 0
+            self._body_received = True
             self._exchange.receive_chunk(data)
 
     def on_message_complete(self) -> None:
@@ -159,6 +169,7 @@
 
     def _apply_framing(self, head: ResponseHead) -> None:
         framed = head.get(b"content-length") or head.get(b"transfer-encoding")
+        self._body_received = False
         self._read_until_close = not framed and head.status not in _BODILESS_STATUSES
         if self._read_until_close or not self._parser.should_keep_alive():
             self._close_after_response = True
--- a/tests/gateway/test_faulty_answers.py
+++ b/tests/gateway/test_faulty_answers.py
@@ -210,6 +210,30 @@
     assert not response.startswith(b"HTTP/1.1 200")
 
 
+async def test_answer_without_length_and_body_is_no_success() -> None:
+    """Guards against a 200 with an empty body from a server that broke off.
+
+    A head with neither a length nor chunks does not tell that a body is missing.
+    """
+
+    async def async_only_head(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(_unframed_head(request))
+        await writer.drain()
+        writer.close()
+
+    server = ScriptedServer("s1", async_only_head)
+    async with async_gateway((route(attempts=1),), (server,)) as gateway:
+        response = await gateway.async_request()
+    assert response.startswith(b"HTTP/1.1 502")
+    response = await _async_ask_stream(async_only_head)
+    assert not response.startswith(b"HTTP/1.1 200")
+    response = await _async_ask_stream(async_only_head, _async_whole)
+    assert response.startswith(b"HTTP/1.1 200")
+    assert b"piece 3" in response
+
+
 @pytest.mark.parametrize(
     ("end", "reset", "whole"),
     [
