Check for a cause before each send, also while a connection is opened

A request that waited for a group, or whose connection was being opened when the cause of crashes was found, was still sent; so was one that was aborted because its group stalled. Its exchange had failed, but the connection wrote the request all the same. The test of the connection failed before. Refusals of this kind are counted in a metric and their log line names the prompt parts.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -41,7 +41,7 @@
     now_s = asyncio.get_running_loop().time()
     state.budget(routed.service).record_request(now_s)
     if state.crashes.is_blocked(routed.traits):
-        response: GatewayResponse | None = crashing_request_response()
+        response: GatewayResponse | None = crashing_request_response(may_have_run=False)
     elif _is_served_by_groups(cfg, routed):
         response = await async_forward_stream(state, routed, conn)
     else:
@@ -50,6 +50,8 @@
     state.metrics.requests.inc({"route": routed.route.name, "outcome": outcome})
     if response is None:
         return
+    if state.crashes.is_blocked(routed.traits):
+        state.metrics.crash_refusals.inc({"route": routed.route.name})
     log_request(
         LogEvent.REQUEST_REFUSED,
         response.reason,
@@ -58,6 +60,7 @@
         retry_after_s=response.retry_after_s,
         sends=routed.sends,
         ran_on=routed.ran_on,
+        parts=routed.prompt_parts,
         crashed=state.crashes.crashed_servers(routed.fingerprint),
     )
     conn.respond(response, request_id, state.header_names.request_id)
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -15,6 +15,7 @@
     requests: Counter = field(init=False)
     retries: Counter = field(init=False)
     stalls: Counter = field(init=False)
+    crash_refusals: Counter = field(init=False)
     latency: Histogram = field(init=False)
 
     def __post_init__(self) -> None:
@@ -34,6 +35,11 @@
             "Groups found silent.",
             registry=self.registry,
         )
+        self.crash_refusals = Counter(
+            "gooseberryhall_crash_refusals_total",
+            "Requests refused because requests like them crash servers, by route.",
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "gooseberryhall_first_answer_seconds",
             "Time to the first part of an answer.",
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -28,11 +28,13 @@
     )
 
 
-def crashing_request_response() -> GatewayResponse:
+def crashing_request_response(*, may_have_run: bool) -> GatewayResponse:
     """Return a refusal for a request that crashes servers.
 
     It is refused for as long as the crashes are known.
     """
+    if may_have_run:
+        return outcome_unknown_response("request crashed servers")
     return GatewayResponse(503, "request crashed servers before", CRASH_RETENTION_S)
 
 
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -20,6 +20,7 @@
 from .placement import choose_group
 from .refusals import (
     busy_response,
+    crashing_request_response,
     no_group_response,
     outcome_unknown_response,
     timeout_response,
@@ -75,7 +76,7 @@
         server = await _async_choose_group(state, ctx)
         if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
             break
-        if ctx.breaks and state.crashes.is_blocked(ctx.traits):
+        if state.crashes.is_blocked(ctx.traits):
             break
         if ctx.sends and not state.budget(ctx.service).try_acquire(loop.time()):
             log_request(LogEvent.RETRY_BUDGET_EMPTY, "retry budget is exhausted", ctx)
@@ -99,8 +100,8 @@
         return timeout_response()
     if ctx.ran_on and not ctx.route.idempotent:
         return outcome_unknown_response("the group broke off")
-    if ctx.breaks and state.crashes.is_blocked(ctx.traits):
-        return outcome_unknown_response("request crashed servers")
+    if state.crashes.is_blocked(ctx.traits):
+        return crashing_request_response(may_have_run=ctx.breaks > 0)
     if state.group_candidates(ctx, asyncio.get_running_loop().time()):
         return busy_response(state.rng)
     return no_group_response(state.rng)
--- a/gooseberryhall/transport/client.py
+++ b/gooseberryhall/transport/client.py
@@ -52,7 +52,12 @@
         )
 
     def start(self, exchange: Exchange, data: bytes) -> None:
-        """Send a request and pass its response to `exchange`."""
+        """Send a request and pass its response to `exchange`.
+
+        Nothing is sent if the exchange was aborted while the connection was opened.
+        """
+        if exchange.error is not None:
+            return
         self._exchange = exchange
         self._overhead_bytes = 0
         exchange.close = self.close
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -28,9 +28,11 @@
         super().__init__()
         self.aborted = False
         self.reading = True
+        self.sent = False
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
-        """Discard the request."""
+        """Record that a request was sent."""
+        self.sent = True
 
     def abort(self) -> None:
         """Record that the connection was aborted."""
@@ -138,3 +140,14 @@
     conn.data_received(HEAD + b"content-length: %d\r\n\r\n" % len(body) + body)
     assert exchange.complete
     assert transport.reading
+
+
+def test_request_that_was_aborted_before_its_connection_opened_is_not_sent() -> None:
+    """Guards against sending a request that was aborted because it crashes servers."""
+    conn = ClientConnection(id_header=b"x-id")
+    transport = FakeTransport()
+    conn.connection_made(transport)
+    exchange = Exchange(expected_id=b"17")
+    exchange.abort(MalformedResponseError("aborted"))
+    conn.start(exchange, b"GET / HTTP/1.1\r\n\r\n")
+    assert not transport.sent
