Send prompts that crash servers at the end of each soak

The soak checks that at most eight servers crash (five, and three requests on their way) and that half of the sound ones are served.

--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -16,6 +16,7 @@
     MODEL,
     RESPONSE_SLACK_S,
     ROUTE_TIMEOUT_S,
+    SHARED_PART,
     STREAM_EVENTS,
 )
 from .environment import Environment, SoakNode
@@ -60,6 +61,8 @@
     node: SoakNode
     kind: RequestKind
     path: str
+    # Prompt parts that the request shares with others.
+    parts: tuple[str, ...] = (SHARED_PART,)
 
     def encode(self) -> bytes:
         """Return the request in its HTTP form."""
@@ -73,6 +76,8 @@
         }
         if self.kind.is_stream:
             headers["x-model"] = MODEL
+            parts = (*self.parts, f"own-{self.attempt_id}")
+            headers["x-prompt-prefix"] = ",".join(f"{part}:20" for part in parts)
         return encode_message(f"{method} {self.path} HTTP/1.1", headers)
 
     def expected_body(self) -> bytes:
@@ -103,12 +108,17 @@
                 await asyncio.sleep(random.uniform(0.5, 1.5) * CALLER_PERIOD_S)
 
     async def async_call(
-        self, node: SoakNode, kind: RequestKind, prefix: str | None = None
+        self,
+        node: SoakNode,
+        kind: RequestKind,
+        prefix: str | None = None,
+        *,
+        parts: tuple[str, ...] = (SHARED_PART,),
     ) -> str:
         """Send one request; return its status, or the reason for having none."""
         number = next(self._ids)
         path = f"{prefix or f'/{kind}/'}{number}"
-        attempt = Attempt(f"a{number}", node, kind, path)
+        attempt = Attempt(f"a{number}", node, kind, path, parts)
         self.env.records.node_by_attempt[attempt.attempt_id] = node.name
         # Only requests that were sent while the program was running are checked.
         was_running = node.process.is_running
--- a/standins/soak/const.py
+++ b/standins/soak/const.py
@@ -33,6 +33,14 @@
 ROUTE_TIMEOUT_S: Final = 3.0
 # Pause of a slow group between two events; well below STALL_S and the timeout.
 SLOW_GROUP_S: Final = 1.0
+# Prompt parts that requests share; one of them crashes servers that answer.
+SHARED_PART: Final = "5a"
+CRASHING_PART: Final = "bad"
+CRASHING_REQUESTS: Final = 10
+CRASHING_REQUEST_PERIOD_S: Final = 0.4
+# The cause is known after five crashes; three more requests may be on their way.
+MAX_PROMPT_CRASHES: Final = 8
+MIN_SOUND_SHARE: Final = 0.5
 CALLER_PERIOD_S: Final = 0.12
 
 # Limits that the platform's documentation promises.
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -25,6 +25,8 @@
     IN_TIME = "a request has its final answer at its route's timeout"
     PLANNED_STOP = "a planned stop cuts off no request"
     SLOW_GROUP = "a stream whose group is slow is not cut"
+    PROMPT_CRASHES = "a prompt part that crashes servers is refused after a few crashes"
+    SOUND_PROMPTS = "sound requests are served beside those that crash servers"
     RECOVERY = "all nodes serve again after the faults"
 
 
@@ -50,6 +52,8 @@
     node_by_attempt: dict[str, str] = field(default_factory=dict)
     not_run: dict[str, int] = field(default_factory=dict)
     outcomes: Counter[str] = field(default_factory=Counter)
+    # Servers that crashed as they began to answer a prompt.
+    prompt_crashes: int = 0
     violations: list[Violation] = field(default_factory=list)
     # Time until which each part is, or last was, disturbed.
     disturbed_until_s: dict[str, float] = field(default_factory=dict)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -2,17 +2,25 @@
 
 import asyncio
 import random
+from collections import Counter
 from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass
 from pathlib import Path
 
 from .callers import Callers, RequestKind
 from .const import (
+    CRASHING_PART,
+    CRASHING_REQUEST_PERIOD_S,
+    CRASHING_REQUESTS,
     FAULTS_S,
+    MAX_PROMPT_CRASHES,
+    MIN_SOUND_SHARE,
     MODEL_SERVICE,
     RECOVERY_LIMIT_S,
+    SHARED_PART,
     SLOW_GROUP_S,
     START_LIMIT_S,
+    ZONES,
 )
 from .environment import Environment
 from .faults import Fault, async_inject, plan_faults
@@ -60,6 +68,7 @@
         with suppress(asyncio.CancelledError):
             await callers_task
         await async_check_slow_groups(env, callers)
+        await async_check_crashing_prompts(env, callers)
         env.records.check_not_run()
         outcomes = dict(env.records.outcomes)
         return SoakResult(seed, faults, env.records.violations, outcomes)
@@ -82,6 +91,34 @@
         env.records.record_violation(Promise.SLOW_GROUP, f"{outcomes}")
 
 
+async def async_check_crashing_prompts(env: Environment, callers: Callers) -> None:
+    """Send requests that crash servers, and sound ones beside them, to all nodes."""
+    bad: list[asyncio.Task[str]] = []
+    sound: list[asyncio.Task[str]] = []
+    for number in range(CRASHING_REQUESTS):
+        crashes = env.records.prompt_crashes
+        node = env.nodes[number % len(env.nodes)]
+        call = callers.async_call(
+            node, RequestKind.CHAT, parts=(SHARED_PART, CRASHING_PART)
+        )
+        bad.append(asyncio.create_task(call))
+        sound.extend(
+            asyncio.create_task(callers.async_call(node, RequestKind.CHAT))
+            for node in env.nodes
+        )
+        await asyncio.sleep(CRASHING_REQUEST_PERIOD_S)
+        for _ in range(env.records.prompt_crashes - crashes):
+            await env.async_add_server(MODEL_SERVICE, random.choice(ZONES))
+    await asyncio.gather(*bad)
+    outcomes = Counter(await asyncio.gather(*sound))
+    crashes = env.records.prompt_crashes
+    if crashes > MAX_PROMPT_CRASHES:
+        env.records.record_violation(Promise.PROMPT_CRASHES, f"{crashes} crashes")
+    undisturbed = env.records.is_undisturbed("soak")
+    if undisturbed and outcomes["200"] < MIN_SOUND_SHARE * outcomes.total():
+        env.records.record_violation(Promise.SOUND_PROMPTS, f"{outcomes}")
+
+
 async def async_wait_serving(
     env: Environment, callers: Callers, limit_s: float
 ) -> bool:
--- a/standins/soak/server.py
+++ b/standins/soak/server.py
@@ -10,6 +10,7 @@
 from ..proxy import FaultProxy
 from .const import (
     ARRIVAL_SLACK_S,
+    CRASHING_PART,
     DRAIN_LIMIT_S,
     EVENT_INTERVAL_S,
     FORMATION_S,
@@ -81,6 +82,7 @@
     slow_until_s: float = 0.0
     running_streams: set[asyncio.Task[None]] = field(default_factory=set)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    stopping: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
         """Listen on a port behind a proxy."""
@@ -253,6 +255,9 @@
             "content-type: text/event-stream\r\n"
             "transfer-encoding: chunked\r\n\r\n".encode()
         )
+        if f"{CRASHING_PART}:" in message.headers.get("x-prompt-prefix", ""):
+            self.records.prompt_crashes += 1
+            self.stopping = asyncio.create_task(self.async_stop())
         for number in range(first_number, STREAM_EVENTS + 1):
             slow_s = self.slow_until_s - self.records.now_s()
             await asyncio.sleep(max(EVENT_INTERVAL_S, slow_s))
--- a/tests/standins/soak/test_promises.py
+++ b/tests/standins/soak/test_promises.py
@@ -24,7 +24,11 @@
 from standins.soak.faults import INJECTORS, Fault, plan_faults
 from standins.soak.http import Message
 from standins.soak.records import Promise, Records
-from standins.soak.run import async_check_slow_groups, async_wait_serving
+from standins.soak.run import (
+    async_check_crashing_prompts,
+    async_check_slow_groups,
+    async_wait_serving,
+)
 from standins.soak.server import Membership, Server
 
 HEADERS = {"x-attempt-id": "a1", "x-tenant": TEAM}
@@ -193,7 +197,7 @@
         """Set the outcome."""
         self.outcome = outcome
 
-    async def async_call(self, *_: Any) -> str:
+    async def async_call(self, *_: Any, **__: Any) -> str:
         """Return the outcome."""
         return self.outcome
 
@@ -242,6 +246,26 @@
     assert _promises(records) == expected
 
 
+@pytest.mark.parametrize(
+    ("crashes", "outcome", "expected"),
+    [
+        (8, "200", []),
+        (9, "200", [Promise.PROMPT_CRASHES]),
+        (3, "503", [Promise.SOUND_PROMPTS]),
+    ],
+)
+async def test_prompts_that_crash_servers_are_found(
+    records: Records, crashes: int, outcome: str, expected: list[Promise]
+) -> None:
+    """Guards against missed series of crashes, and missed refusals beside them."""
+    records.prompt_crashes = crashes
+    async with AsyncExitStack() as stack:
+        env = Environment(Path(), records, stack)
+        env.nodes = [cast("SoakNode", FakeNode())]
+        await async_check_crashing_prompts(env, cast("Callers", FakeCallers(outcome)))
+    assert _promises(records) == expected
+
+
 def test_time_without_processor_is_measured() -> None:
     """Guards against time checks that never notice that the machine is too busy."""
     assert read_run_delay_s(os.getpid()) > 0
