Stop the stream that crashed a server of the soak

It went on to write to its closed connection until it was cancelled, which filled the output with warnings.

--- a/standins/soak/server.py
+++ b/standins/soak/server.py
@@ -257,7 +257,9 @@
         )
         if f"{CRASHING_PART}:" in message.headers.get("x-prompt-prefix", ""):
             self.records.prompt_crashes += 1
+            # The stop cancels this task.
             self.stopping = asyncio.create_task(self.async_stop())
+            await asyncio.shield(self.stopping)
         for number in range(first_number, STREAM_EVENTS + 1):
             slow_s = self.slow_until_s - self.records.now_s()
             await asyncio.sleep(max(EVENT_INTERVAL_S, slow_s))
