Derive the causes of crashes only if they may have changed

Each stream that breaks off is recorded and then checked. With 256 requests that were in flight at crashes, deriving the causes took 2.7 ms and a message to peers 3 ms, so that the loss of a zone, or the reports of all nodes to an owner, would keep a small VM busy for seconds. Requests of a cause are no longer displaced by many others that were in flight; that test failed before.

--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -46,7 +46,9 @@
 # Time for which a complete answer shows that a part of a prompt is harmless. Popular
 # parts are in flight at most crashes.
 ANSWER_TRUST_S: Final = 60.0
-MAX_SUSPECTS: Final = 256
+# Requests that were in flight at crashes, and how many are kept if there are more.
+MAX_SUSPECTS: Final = 320
+KEPT_SUSPECTS: Final = 256
 MAX_ANSWERED_TRAITS: Final = 4096
 # A crash is included in gossip messages for this long, with at most this many requests
 # in a message, so that the loss of a group with many streams fits into a datagram.
--- a/gooseberryhall/gateway/crash_causes.py
+++ b/gooseberryhall/gateway/crash_causes.py
@@ -25,15 +25,6 @@
     traits: frozenset[str]
 
 
-def crashes_by_trait(evidence: Collection[Evidence]) -> dict[str, set[Crash]]:
-    """Return the crashes at which each trait was in flight."""
-    crashes: dict[str, set[Crash]] = defaultdict(set)
-    for item in evidence:
-        for trait in item.traits:
-            crashes[trait].add(item.crash)
-    return crashes
-
-
 def find_causes(
     evidence: Collection[Evidence], min_crashes: int
 ) -> list[frozenset[str]]:
@@ -46,10 +37,11 @@
     the requests with it have in common, so that a request that has only some of them is
     still served: it either proves them harmless or shows which one crashes servers.
     """
-    unexplained = crashes_by_trait(evidence)
+    unexplained: dict[str, set[Crash]] = defaultdict(set)
     common: dict[str, frozenset[str]] = {}
     for item in evidence:
         for trait in item.traits:
+            unexplained[trait].add(item.crash)
             common[trait] = common.get(trait, item.traits) & item.traits
     causes: list[frozenset[str]] = []
     while unexplained:
--- a/gooseberryhall/gateway/crashes.py
+++ b/gooseberryhall/gateway/crashes.py
@@ -8,6 +8,7 @@
     ANSWER_TRUST_S,
     CRASH_GOSSIP_S,
     CRASH_RETENTION_S,
+    KEPT_SUSPECTS,
     MAX_ANSWERED_TRAITS,
     MAX_CRASHED_SERVERS,
     MAX_GOSSIPED_ANSWERS,
@@ -15,7 +16,7 @@
     MAX_SUSPECTS,
     SAME_CRASH_S,
 )
-from .crash_causes import Crash, Evidence, crashes_by_trait, find_causes
+from .crash_causes import Crash, Evidence, find_causes
 from .models import CrashReport
 
 _DIGEST_BYTES = 12
@@ -34,12 +35,20 @@
 class _Suspect:
     """A request that was in flight at crashes."""
 
-    parts: tuple[str, ...]
+    # Fingerprint of the request and ids of the shared parts of its prompt.
+    traits: tuple[str, ...]
     crashes: set[Crash] = field(default_factory=set)
+    last_crash_s: float = 0.0
+
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return the ids of the shared parts of its prompt."""
+        return self.traits[1:]
 
-    def last_crash_s(self) -> float:
-        """Return the time of the last crash."""
-        return max(crash.at_s for crash in self.crashes)
+    def add(self, crash: Crash) -> None:
+        """Add a crash."""
+        self.crashes.add(crash)
+        self.last_crash_s = max(self.last_crash_s, crash.at_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +70,8 @@
     _suspects: dict[str, _Suspect] = field(default_factory=dict)
     # Known crashes by server id, in the order in which they were recorded.
     _crashes: dict[str, list[Crash]] = field(default_factory=dict)
+    # Crashes by trait of the suspects, also of harmless traits.
+    _by_trait: dict[str, set[Crash]] = field(default_factory=dict)
     # Requests that this node aborted because of a cause, by server id.
     _abandoned: dict[str, list[_Abandoned]] = field(default_factory=dict)
     # Time of the last complete answer to a request with a trait, oldest first.
@@ -115,8 +126,8 @@
         return sorted(
             {
                 crash.server_id
-                for key, suspect in self._suspects.items()
-                if cause <= {key, *suspect.parts}
+                for suspect in self._suspects.values()
+                if cause.issubset(suspect.traits)
                 for crash in suspect.crashes
             }
         )
@@ -131,16 +142,15 @@
         chosen = {
             key: suspect
             for key, suspect in self._suspects.items()
-            if now_s - suspect.last_crash_s() < CRASH_GOSSIP_S
-            or any(cause <= {key, *suspect.parts} for cause in causes)
+            if now_s - suspect.last_crash_s < CRASH_GOSSIP_S
+            or any(cause.issubset(suspect.traits) for cause in causes)
         }
-        counts = crashes_by_trait(self._evidence()) if chosen else {}
         ranked = sorted(
             chosen,
             key=lambda key: (
-                max(len(counts.get(name, ())) for name in (key, *chosen[key].parts)),
+                self._crash_count(chosen[key]),
                 len(chosen[key].crashes),
-                chosen[key].last_crash_s(),
+                chosen[key].last_crash_s,
             ),
             reverse=True,
         )
@@ -162,10 +172,10 @@
         The values are the seconds since the last complete answer.
         """
         found: dict[str, int] = {}
-        for key, suspect in self._suspects.items():
-            if now_s - suspect.last_crash_s() >= CRASH_GOSSIP_S:
+        for suspect in self._suspects.values():
+            if now_s - suspect.last_crash_s >= CRASH_GOSSIP_S:
                 continue
-            for trait in (key, *suspect.parts):
+            for trait in suspect.traits:
                 answered_s = self._answered_s.get(trait)
                 if answered_s is not None and now_s - answered_s < ANSWER_TRUST_S:
                     found[trait] = int(now_s - answered_s)
@@ -192,32 +202,68 @@
             if all(now_s - item.at_s > SAME_CRASH_S for item in items):
                 del self._abandoned[server_id]
         oldest_s = now_s - CRASH_RETENTION_S
+        expired = {
+            crash
+            for crashes in self._crashes.values()
+            for crash in crashes
+            if crash.at_s <= oldest_s
+        }
+        if expired:
+            self._remove_crashes(expired)
+
+    def _remove_crashes(self, expired: set[Crash]) -> None:
+        self._causes = None
         for server_id, crashes in list(self._crashes.items()):
-            kept = [crash for crash in crashes if crash.at_s > oldest_s]
-            if len(kept) == len(crashes):
-                continue
-            self._causes = None
-            self._crashes[server_id] = kept
-            if not kept:
+            self._crashes[server_id] = [
+                crash for crash in crashes if crash not in expired
+            ]
+            if not self._crashes[server_id]:
                 del self._crashes[server_id]
-        for key, suspect in list(self._suspects.items()):
-            suspect.crashes = {
-                crash for crash in suspect.crashes if crash.at_s > oldest_s
-            }
-            if not suspect.crashes:
-                del self._suspects[key]
+        for suspect in self._suspects.values():
+            suspect.crashes -= expired
+        self._keep_suspects(
+            {key: suspect for key, suspect in self._suspects.items() if suspect.crashes}
+        )
+
+    def _remove_least_suspect(self) -> None:
+        """Remove requests that were merely in flight; those of causes are kept."""
+        ranked = sorted(
+            self._suspects.items(),
+            key=lambda item: (
+                self._crash_count(item[1]) >= MAX_CRASHED_SERVERS,
+                item[1].last_crash_s,
+            ),
+        )
+        self._keep_suspects(dict(ranked[-KEPT_SUSPECTS:]))
+
+    def _keep_suspects(self, suspects: dict[str, _Suspect]) -> None:
+        self._suspects = suspects
+        self._by_trait = {}
+        for suspect in suspects.values():
+            for trait in suspect.traits:
+                self._by_trait.setdefault(trait, set()).update(suspect.crashes)
 
     def _add(self, key: str, parts: tuple[str, ...], crash: Crash) -> None:
-        suspect = self._suspects.setdefault(key, _Suspect(parts))
+        suspect = self._suspects.setdefault(key, _Suspect((key, *parts)))
         if crash in suspect.crashes:
             return
-        suspect.crashes.add(crash)
-        self._causes = None
+        suspect.add(crash)
+        for trait in suspect.traits:
+            self._by_trait.setdefault(trait, set()).add(crash)
+        # Deriving the causes takes milliseconds, too much for each of the many streams
+        # that break off together. Fewer crashes of a trait than this change nothing.
+        if self._crash_count(suspect) >= MAX_CRASHED_SERVERS:
+            self._causes = None
         if len(self._suspects) > MAX_SUSPECTS:
-            oldest = min(
-                self._suspects, key=lambda name: self._suspects[name].last_crash_s()
-            )
-            del self._suspects[oldest]
+            self._remove_least_suspect()
+
+    def _crash_count(self, suspect: _Suspect) -> int:
+        """Return the most crashes of a trait of the request that is not harmless."""
+        last = Crash("", suspect.last_crash_s)
+        return max(
+            0 if self._is_harmless(trait, last) else len(self._by_trait.get(trait, ()))
+            for trait in suspect.traits
+        )
 
     def _find_crash(self, server_id: str, at_s: float) -> Crash:
         """Return the known crash of a server at about this time, or a new one.
@@ -244,22 +290,17 @@
         self._answered_s[trait] = max(previous_s, at_s)
         if len(self._answered_s) > MAX_ANSWERED_TRAITS:
             del self._answered_s[next(iter(self._answered_s))]
-        if self._suspects and self._is_suspect(trait):
+        if any(trait in cause for cause in self._causes or ()):
             self._causes = None
 
-    def _is_suspect(self, trait: str) -> bool:
-        return trait in self._suspects or any(
-            trait in suspect.parts for suspect in self._suspects.values()
-        )
-
     def _evidence(self) -> list[Evidence]:
         """Return the evidence without traits that were harmless before or since."""
         found = []
-        for key, suspect in self._suspects.items():
+        for suspect in self._suspects.values():
             for crash in suspect.crashes:
                 traits = frozenset(
                     trait
-                    for trait in (key, *suspect.parts)
+                    for trait in suspect.traits
                     if not self._is_harmless(trait, crash)
                 )
                 if traits:
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -1,13 +1,17 @@
 """Tests of finding the cause of crashes."""
 
+from typing import Any
+
 import pytest
 
+from gooseberryhall.gateway import crashes
 from gooseberryhall.gateway.const import (
     ANSWER_TRUST_S,
     CRASH_RETENTION_S,
     MAX_CRASHED_SERVERS,
     MAX_GOSSIPED_CRASHES,
     MAX_PROMPT_PARTS,
+    MAX_SUSPECTS,
 )
 from gooseberryhall.gateway.crash_causes import Crash, Evidence, find_causes
 from gooseberryhall.gateway.crashes import CrashTracker, request_fingerprint
@@ -168,6 +172,45 @@
     assert {report.fingerprint for report in reports[:2]} == {"q1", "q2"}
 
 
+def test_many_requests_in_flight_at_crashes_do_not_displace_a_cause() -> None:
+    """Guards against a cause that is forgotten when many other servers are lost."""
+    tracker = CrashTracker()
+    _crash(tracker, "q1", "bad", "a", "b", "c")
+    _crash(tracker, "q2", "bad", "d")
+    for number in range(2 * MAX_SUSPECTS):
+        tracker.record_crash(f"p{number}", f"s{number}", 9.0, (f"part{number}",))
+    assert tracker.causes() == [frozenset({"bad"})]
+    assert len(tracker.crashed_servers("q1")) == MAX_CRASHED_SERVERS
+
+
+def test_causes_are_derived_only_if_they_may_have_changed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a busy node when many streams break off at once.
+
+    Deriving the causes takes milliseconds, and each of these streams is checked.
+    """
+    derived = 0
+
+    def derive(*args: Any) -> list[frozenset[str]]:
+        nonlocal derived
+        derived += 1
+        return find_causes(*args)
+
+    monkeypatch.setattr(crashes, "find_causes", derive)
+    tracker = CrashTracker()
+    tracker.record_success(["popular"], 0.0)
+    for number in range(100):
+        traits = frozenset({f"q{number}", "popular"})
+        tracker.record_crash(f"q{number}", f"s{number % 9}", 1.0, ("popular",))
+        assert not tracker.is_blocked(traits)
+        tracker.record_success(traits, 2.0)
+    assert derived == 1
+    _crash(tracker, "r1", "bad", "a", "b", "c")
+    assert _is_blocked(tracker, "r1 bad")
+    assert derived == 2
+
+
 def test_reports_of_one_crash_by_several_nodes_count_once() -> None:
     """Guards against a cause that is found after one crash.
 
