--- a/gooseberryhall/gateway/crashes.py
+++ b/gooseberryhall/gateway/crashes.py
@@ -55,7 +55,7 @@
 class _Abandoned:
     """A request that was aborted before its server answered."""
 
-    key: str
+    fingerprint: str
     parts: tuple[str, ...]
     at_s: float
 
@@ -67,6 +67,7 @@
     A trait is the fingerprint of a request or the id of a part of its prompt.
     """
 
+    # By fingerprint.
     _suspects: dict[str, _Suspect] = field(default_factory=dict)
     # Known crashes by server id, in the order in which they were recorded.
     _crashes: dict[str, list[Crash]] = field(default_factory=dict)
@@ -80,23 +81,27 @@
     _causes: list[frozenset[str]] | None = None
 
     def record_crash(
-        self, key: str, server_id: str, now_s: float, parts: tuple[str, ...] = ()
+        self,
+        fingerprint: str,
+        server_id: str,
+        now_s: float,
+        parts: tuple[str, ...] = (),
     ) -> None:
         """Record that a server's connection broke while it ran a request.
 
-        `key` is the fingerprint of the request, `parts` the shared parts of its prompt.
+        `parts` are the ids of the shared parts of its prompt.
         """
-        self._add(key, parts, self._find_crash(server_id, now_s))
+        self._add(fingerprint, parts, self._find_crash(server_id, now_s))
 
     def record_abandoned(
-        self, key: str, server_id: str, now_s: float, parts: tuple[str, ...]
+        self, fingerprint: str, server_id: str, now_s: float, parts: tuple[str, ...]
     ) -> None:
         """Record that a request with a known cause was aborted at a server.
 
         It may already have begun to run. If the server crashes now, the other requests
         in flight there must not be blamed.
         """
-        item = _Abandoned(key, parts, now_s)
+        item = _Abandoned(fingerprint, parts, now_s)
         self._abandoned.setdefault(server_id, []).append(item)
         for crash in self._crashes.get(server_id, ()):
             self._blame_abandoned(crash)
@@ -116,9 +121,9 @@
             self._causes = find_causes(self._evidence(), MAX_CRASHED_SERVERS)
         return self._causes
 
-    def crashed_servers(self, key: str) -> list[str]:
+    def crashed_servers(self, fingerprint: str) -> list[str]:
         """Return the ids of the servers that crashed while they ran the request."""
-        suspect = self._suspects.get(key)
+        suspect = self._suspects.get(fingerprint)
         return sorted({crash.server_id for crash in suspect.crashes}) if suspect else []
 
     def servers_crashed_by(self, cause: frozenset[str]) -> list[str]:
@@ -243,8 +248,10 @@
             for trait in suspect.traits:
                 self._by_trait.setdefault(trait, set()).update(suspect.crashes)
 
-    def _add(self, key: str, parts: tuple[str, ...], crash: Crash) -> None:
-        suspect = self._suspects.setdefault(key, _Suspect((key, *parts)))
+    def _add(self, fingerprint: str, parts: tuple[str, ...], crash: Crash) -> None:
+        suspect = self._suspects.setdefault(
+            fingerprint, _Suspect((fingerprint, *parts))
+        )
         if crash in suspect.crashes:
             return
         suspect.add(crash)
@@ -259,9 +266,10 @@
 
     def _crash_count(self, suspect: _Suspect) -> int:
         """Return the most crashes of a trait of the request that is not harmless."""
-        last = Crash("", suspect.last_crash_s)
         return max(
-            0 if self._is_harmless(trait, last) else len(self._by_trait.get(trait, ()))
+            0
+            if self._is_harmless(trait, suspect.last_crash_s)
+            else len(self._by_trait.get(trait, ()))
             for trait in suspect.traits
         )
 
@@ -283,7 +291,7 @@
     def _blame_abandoned(self, crash: Crash) -> None:
         for item in self._abandoned.get(crash.server_id, ()):
             if abs(crash.at_s - item.at_s) < SAME_CRASH_S:
-                self._add(item.key, item.parts, crash)
+                self._add(item.fingerprint, item.parts, crash)
 
     def _record_answer(self, trait: str, at_s: float) -> None:
         previous_s = self._answered_s.pop(trait, at_s)
@@ -301,15 +309,16 @@
                 traits = frozenset(
                     trait
                     for trait in suspect.traits
-                    if not self._is_harmless(trait, crash)
+                    if not self._is_harmless(trait, crash.at_s)
                 )
                 if traits:
                     found.append(Evidence(crash, traits))
         return found
 
-    def _is_harmless(self, trait: str, crash: Crash) -> bool:
+    def _is_harmless(self, trait: str, crashed_s: float) -> bool:
+        """Return whether an answer shows that a trait did not cause a crash."""
         answered_s = self._answered_s.get(trait)
-        return answered_s is not None and crash.at_s < answered_s + ANSWER_TRUST_S
+        return answered_s is not None and crashed_s < answered_s + ANSWER_TRUST_S
 
 
 def _crash_time_s(crash: Crash) -> float:
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -59,6 +59,7 @@
         self._announcement_requested = False
         # Traffic in the last messages to the peers.
         self._reported_traffic: dict[str, ServerTraffic] = {}
+        # Traits of the requests that crash servers, as last derived.
         self._crash_causes: list[frozenset[str]] = []
         # Leaders of stalled groups, and the time until which peers are notified.
         self._stalled_leaders: dict[str, float] = {}
