--- a/tests/requests/test_suspects.py
+++ b/tests/requests/test_suspects.py
@@ -53,11 +53,13 @@
                 self.reports.append(effect)
         return effects
 
-    def arrive(self, fingerprint: str) -> str:
+    def arrive(self, fingerprint: str, blocks: tuple[str, ...] = ()) -> str:
         """Dispatch the arrival of a request and return its id."""
         self.number += 1
         request_id = f"r{self.number}"
-        request = ModelRequest(request_id, "agronomy", 1, 5, SPEC.name, fingerprint)
+        request = ModelRequest(
+            request_id, "agronomy", 1, 5, SPEC.name, fingerprint, blocks=blocks
+        )
         self.send(RequestArrived(request))
         return request_id
 
@@ -118,6 +120,20 @@
     assert len(node.reports) == 2
 
 
+def test_different_requests_with_a_crashing_prefix_are_refused() -> None:
+    """Guards against servers that crash one after the other.
+
+    No two of the requests are alike, but all have a block of the prompt in common. The
+    block before it is sound.
+    """
+    node = create_node("a", "b", "c", "d")
+    for number in range(2):
+        request_id = node.arrive(f"crashing {number}", ("sound", "bad"))
+        node.crash(node.groups[request_id])
+    assert node.arrive("sound", ("sound",)) in node.groups
+    assert node.arrive("crashing again", ("sound", "bad")) not in node.groups
+
+
 def test_failed_probes_after_a_crash_do_not_clear_it() -> None:
     """Each failed probe has a new date; it must not count as a response."""
     node = create_node("a", "b")
