Remember answers to prompt parts, not to all requests

The tracker kept the fingerprint of each answered request for a minute's trust. At some 40 requests a second on a node these displaced the parts that were answered before, and old crashes counted against a rare part again. The new test fails if all fingerprints are kept.

--- a/gooseberryhall/gateway/crashes.py
+++ b/gooseberryhall/gateway/crashes.py
@@ -107,10 +107,17 @@
         for crash in self._crashes.get(server_id, ()):
             self._blame_abandoned(crash)
 
-    def record_success(self, traits: Collection[str], now_s: float) -> None:
-        """Record that a server completed a request with these traits."""
-        for trait in traits:
-            self._record_answer(trait, now_s)
+    def record_success(
+        self, fingerprint: str, now_s: float, parts: tuple[str, ...] = ()
+    ) -> None:
+        """Record that a server completed a request.
+
+        Most fingerprints are not seen again, so only those of suspects are kept.
+        """
+        for part in parts:
+            self._record_answer(part, now_s)
+        if fingerprint in self._suspects:
+            self._record_answer(fingerprint, now_s)
 
     def is_blocked(self, traits: frozenset[str]) -> bool:
         """Return whether requests with these traits crash servers."""
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -25,6 +25,7 @@
     is_success,
     log_request,
     record_crash,
+    record_success,
 )
 from .state import GatewayState
 
@@ -130,7 +131,7 @@
     state.backends.record_result(server_id, failed=is_server_failure(head))
     if head.status < 300 and not is_success(state, head):  # noqa: PLR2004
         return outcome_unknown_response("the server's answer is not signed")
-    state.crashes.record_success(ctx.traits, asyncio.get_running_loop().time())
+    record_success(state, ctx)
     return response
 
 
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -112,6 +112,12 @@
     state.on_crash()
 
 
+def record_success(state: GatewayState, ctx: RequestContext) -> None:
+    """Record that a server completed the request, so that it is harmless."""
+    now_s = asyncio.get_running_loop().time()
+    state.crashes.record_success(ctx.fingerprint, now_s, ctx.prompt_parts)
+
+
 def log_request(
     event: LogEvent, message: str, ctx: RequestContext, **fields: Any
 ) -> None:
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -32,6 +32,7 @@
     is_success,
     log_request,
     record_crash,
+    record_success,
 )
 from .state import GatewayState
 
@@ -248,7 +249,7 @@
     if not relay.started:
         conn.begin_response(head, length=None)
     conn.end_response()
-    state.crashes.record_success(ctx.traits, asyncio.get_running_loop().time())
+    record_success(state, ctx)
     return _Outcome.COMPLETE
 
 
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -8,6 +8,7 @@
 from gooseberryhall.gateway.const import (
     ANSWER_TRUST_S,
     CRASH_RETENTION_S,
+    MAX_ANSWERED_TRAITS,
     MAX_CRASHED_SERVERS,
     MAX_GOSSIPED_CRASHES,
     MAX_PROMPT_PARTS,
@@ -50,7 +51,7 @@
     for number in range(MAX_CRASHED_SERVERS):
         tracker.record_crash(key, f"s{number}", 0.0)
     assert _is_blocked(tracker, key)
-    tracker.record_success([key], 1.0)
+    tracker.record_success(key, 1.0)
     assert not _is_blocked(tracker, key)
 
 
@@ -122,7 +123,7 @@
 def test_part_that_was_answered_is_harmless() -> None:
     """Guards against refusing a popular part after the loss of many servers at once."""
     tracker = CrashTracker()
-    tracker.record_success(["q0", "popular"], 0.0)
+    tracker.record_success("q0", 0.0, ("popular",))
     for number in range(8):
         tracker.record_crash(f"q{number}", f"s{number}", 5.0, ("popular",))
     assert tracker.causes() == []
@@ -132,10 +133,25 @@
     assert tracker.causes() == [frozenset({"popular"})]
 
 
+def test_rare_part_stays_harmless_while_many_requests_are_answered() -> None:
+    """Guards against old crashes that count again when an answer is forgotten.
+
+    The fingerprints of all requests displaced the parts that were answered before.
+    """
+    tracker = CrashTracker()
+    tracker.record_success("q0", 0.0, ("rare",))
+    for number in range(3):
+        tracker.record_crash(f"q{number}", f"s{number}", 1.0, ("rare",))
+    for number in range(MAX_ANSWERED_TRAITS):
+        tracker.record_success(f"p{number}", 2.0, ("popular",))
+    tracker.record_crash("q4", "s4", 3.0, ("rare",))
+    assert not _is_blocked(tracker, "q5 rare")
+
+
 def test_answer_known_to_another_node_shows_that_a_part_is_harmless() -> None:
     """Guards against a rare part that is refused on nodes that did not serve it."""
     here, there = CrashTracker(), CrashTracker()
-    there.record_success(["q0", "rare"], 0.0)
+    there.record_success("q0", 0.0, ("rare",))
     for number in range(3):
         here.record_crash(f"q{number}", f"s{number}", 1.0, ("rare",))
     assert _is_blocked(here, "q9 rare")
@@ -199,12 +215,12 @@
 
     monkeypatch.setattr(crashes, "find_causes", derive)
     tracker = CrashTracker()
-    tracker.record_success(["popular"], 0.0)
+    tracker.record_success("q", 0.0, ("popular",))
     for number in range(100):
         traits = frozenset({f"q{number}", "popular"})
         tracker.record_crash(f"q{number}", f"s{number % 9}", 1.0, ("popular",))
         assert not tracker.is_blocked(traits)
-        tracker.record_success(traits, 2.0)
+        tracker.record_success(f"q{number}", 2.0, ("popular",))
     assert derived == 1
     _crash(tracker, "r1", "bad", "a", "b", "c")
     assert _is_blocked(tracker, "r1 bad")
