--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,85 +1,102 @@
-"""An entry whose address is no address appears in the list of servers.
+"""An entry that cannot be read appears in the list of servers; then servers drain.
 
-The rule CONFIG is broken if, of the requests that are unanswered at the timeout of
-their route, eight or more and over half have no answer half a second later.
+The rule DRAIN holds if no request reaches a server later than `drain_timeout_ms` after
+the store accepted its report that it drains.
 """
 
 import asyncio
-import json
 import sys
-from collections import Counter
 from pathlib import Path
 
-from common.deployment import PLAIN_SERVICE, Client, Deployment, has_trouble, run_case
+from common.deployment import (
+    ZONES,
+    Attempt,
+    Client,
+    Deployment,
+    has_trouble,
+    run_case,
+)
+from common.record import count
+from common.servers import Server
 
 STEADY_S = 3.0
-TROUBLE_S = 15.0
-CLIENTS_PER_NODE = 4
+# Longer than the stability window.
+AFTER_ENTRY_S = 4.0
+DRAIN_LIMIT_S = 2.0
+# A draining server goes on serving for its drain time and a little longer.
+EXIT_AFTER_S = 6.0
+AFTER_EXIT_S = 4.0
 PAUSE_S = 0.1
-ROUTE_TIMEOUT_S = 1.5
-ANSWER_SLACK_S = 0.5
-# Clients wait longer than the route's timeout.
-DEADLINE_MS = 4000
-MIN_REQUESTS = 8
-# The name of a host, here one of 64 digits, where an address is due.
-ENTRY = {
-    "service": PLAIN_SERVICE,
-    "address": "9c41d07be2a35f68" * 4 + ":8310",
-    "zone": "lima-a",
-    "version": "1",
-    "slots": 6,
-    "state": "ready",
-    "cold_remaining_ms": 0,
-    "sequence": 1,
-}
+# Bytes of another writer: neither whole JSON nor an entry.
+UNREADABLE = b'{"service":"cobranza","labels":' + b"[" * 4000
 
 
 async def case(deployment: Deployment) -> bool:
     """Return whether the rule held."""
     loops = [
-        asyncio.create_task(_send_requests(deployment, Client(node), path, method))
+        asyncio.create_task(_send_requests(deployment, Client(node)))
         for node in deployment.nodes
-        for path, method in [("/read/balance", "GET"), ("/post/charge", "POST")]
-        for _ in range(CLIENTS_PER_NODE // 2)
     ]
     await asyncio.sleep(STEADY_S)
     if has_trouble():
-        value = json.dumps(ENTRY).encode()
-        deployment.store.put("servers", "i-of-another-writer", value)
-        deployment.record.write("entry_without_address", value=value.decode())
-    await asyncio.sleep(TROUBLE_S)
+        deployment.store.put("servers", "i-of-another-writer", UNREADABLE)
+        deployment.record.write("unreadable_entry", bytes=len(UNREADABLE))
+    await asyncio.sleep(AFTER_ENTRY_S)
+    drained = await _replace_plain_servers(deployment)
+    await asyncio.sleep(DRAIN_LIMIT_S)
+    replaced_s = deployment.record.now_s()
+    await asyncio.sleep(AFTER_EXIT_S)
     for loop in loops:
         loop.cancel()
-    return _check(deployment)
+    return _check(deployment, drained, replaced_s)
 
 
-async def _send_requests(
-    deployment: Deployment, client: Client, path: str, method: str
-) -> None:
+async def _send_requests(deployment: Deployment, client: Client) -> None:
     while True:
-        await deployment.request(client, path, method=method, deadline_ms=DEADLINE_MS)
+        await deployment.request(client, "/read/balance")
         await asyncio.sleep(PAUSE_S)
 
 
-def _check(deployment: Deployment) -> bool:
-    ended = [attempt for attempt in deployment.attempts if attempt.outcome]
-    waited = [(attempt.ended_s - attempt.sent_s, attempt.outcome) for attempt in ended]
-    unanswered = [item for item in waited if item[0] > ROUTE_TIMEOUT_S]
-    late = [item for item in unanswered if item[0] > ROUTE_TIMEOUT_S + ANSWER_SLACK_S]
-    run_ids = {run.attempt_id for run in deployment.runs}
-    never_run = sum(
-        attempt.outcome == "no answer" and attempt.attempt_id not in run_ids
-        for attempt in ended
-    )
+async def _replace_plain_servers(deployment: Deployment) -> dict[str, float]:
+    """Start new servers, drain the old ones; return when each report was accepted."""
+    old = [server for server in deployment.servers if type(server) is Server]
+    for number, zone in enumerate(ZONES * (len(old) // len(ZONES))):
+        await deployment.add_server(f"i-{zone}-new-{number}", zone)
+    await asyncio.sleep(1.0)
+    drained = {server.server_id: await server.drain() for server in old}
+    await asyncio.sleep(EXIT_AFTER_S)
+    for server in old:
+        server.stop()
+        deployment.servers.remove(server)
+    return drained
+
+
+def _check(
+    deployment: Deployment, drained: dict[str, float], replaced_s: float
+) -> bool:
+    late = [
+        run
+        for run in deployment.runs
+        if run.server_id in drained
+        and run.at_s > drained[run.server_id] + DRAIN_LIMIT_S
+    ]
+    latest_s = max((run.at_s - drained[run.server_id] for run in late), default=0.0)
+
+    def is_late(attempt: Attempt) -> bool:
+        return attempt.sent_s >= replaced_s
+
+    def is_served(attempt: Attempt) -> bool:
+        return is_late(attempt) and attempt.outcome == "200"
+
     summary = (
-        f"of {len(ended)} requests {len(unanswered)} were unanswered at the route's "
-        f"timeout, {len(late)} of them half a second later; {never_run} requests were "
-        f"never answered and never run; outcomes {dict(Counter(o for _, o in waited))}"
-        "\n"
+        f"{len(late)} requests reached a server more than {DRAIN_LIMIT_S} s after it "
+        f"reported that it drains, the last one {latest_s:.1f} s after; once the old "
+        f"servers had exited {count(deployment.attempts, is_served)} of "
+        f"{count(deployment.attempts, is_late)} requests were served\n"
     )
-    deployment.record.write("result", summary=summary.strip())
+    deployment.record.write("result", late=len(late), summary=summary.strip())
     sys.stdout.write(summary)
-    return len(late) < MIN_REQUESTS or 2 * len(late) <= len(unanswered)
+    return not late
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,155 +1,86 @@
-"""A server in trouble sends bodies without end; nodes run out of memory.
+"""An entry whose address is no address appears in the list of servers.
 
-The platform's part is played here: a process whose memory exceeds `memory_mb` is killed
-and started again. The rule LOST holds if no node closes more than three kept
-connections without an answer after it passed their request on to a sound server.
+The rule CONFIG is broken if, of the requests that are unanswered at the timeout of
+their route, eight or more and over half have no answer half a second later.
 """
 
 import asyncio
+import json
 import sys
 from collections import Counter
-from dataclasses import dataclass
 from pathlib import Path
 
-from common.deployment import Client, Deployment, has_trouble, run_case
-from common.http import Message
-from common.nodes import Node
-from common.servers import Server
+from common.deployment import PLAIN_SERVICE, Client, Deployment, has_trouble, run_case
 
 STEADY_S = 3.0
-TROUBLE_S = 30.0
-CLIENTS_PER_NODE = 140
+TROUBLE_S = 15.0
+CLIENTS_PER_NODE = 4
 PAUSE_S = 0.1
-# Clients wait this long after a refusal, longer than any `Retry-After`.
-REFUSED_PAUSE_S = 1.0
-ROUTE_TIMEOUT_MS = 5000
-# The route's timeout, and some time until the last answer has arrived.
-WAIT_S = 6.0
-MEMORY_LIMIT_MB = 300
-MEMORY_PERIOD_S = 0.05
-RESTART_S = 0.5
-# Share of its requests that the server fails.
-FAILED_SHARE = 0.4
-# The link of each of the two nodes has 1,000 Mbit/s.
-LINK_BYTES_PER_S = 2 * 125_000_000
-PART = bytes(256 * 1024)
-LOST_LIMIT = 3
-
-
-@dataclass(slots=True)
-class TroubledServer(Server):
-    """A server that answers some requests with a body without length and end."""
-
-    in_trouble: bool = False
-    _requests: int = 0
-    _link_free_s: float = 0.0
-
-    async def answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
-        """Answer a request, or send bytes until the caller closes."""
-        self._requests += 1
-        failed = int(self._requests * FAILED_SHARE)
-        if not self.in_trouble or failed == int((self._requests - 1) * FAILED_SHARE):
-            await Server.answer(self, request, writer)
-            return
-        attempt_id = request.headers.get("x-attempt-id", "")
-        self.record.write("endless_body", server=self.server_id, attempt=attempt_id)
-        head = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt_id}\r\n\r\n"
-        writer.write(head.encode())
-        while True:
-            await self._wait_for_link(len(PART))
-            writer.write(PART)
-            await writer.drain()
-
-    async def _wait_for_link(self, size: int) -> None:
-        now_s = self.record.now_s()
-        self._link_free_s = max(now_s, self._link_free_s) + size / LINK_BYTES_PER_S
-        await asyncio.sleep(self._link_free_s - now_s)
+ROUTE_TIMEOUT_S = 1.5
+ANSWER_SLACK_S = 0.5
+# Clients wait longer than the route's timeout.
+DEADLINE_MS = 4000
+MIN_REQUESTS = 8
+# The name of a host, here one of 64 digits, where an address is due.
+ENTRY = {
+    "service": PLAIN_SERVICE,
+    "address": "9c41d07be2a35f68" * 4 + ":8310",
+    "zone": "lima-a",
+    "version": "1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+}
 
 
 async def case(deployment: Deployment) -> bool:
     """Return whether the rule held."""
-    troubled = await deployment.add_server("i-troubled", "lima-a", TroubledServer)
-    await asyncio.sleep(1.0)
-    peak_mb: Counter[str] = Counter()
-    kills: Counter[str] = Counter()
-    tasks = [
-        asyncio.create_task(_limit_memory(deployment, node, peak_mb, kills))
-        for node in deployment.nodes
-    ]
-    tasks += [
-        asyncio.create_task(_send_requests(deployment, Client(node)))
+    loops = [
+        asyncio.create_task(_send_requests(deployment, Client(node), path, method))
         for node in deployment.nodes
-        for _ in range(CLIENTS_PER_NODE)
+        for path, method in [("/read/balance", "GET"), ("/post/charge", "POST")]
+        for _ in range(CLIENTS_PER_NODE // 2)
     ]
     await asyncio.sleep(STEADY_S)
     if has_trouble():
-        troubled.in_trouble = True
-        deployment.record.write("trouble_begins", server=troubled.server_id)
+        value = json.dumps(ENTRY).encode()
+        deployment.store.put("servers", "i-of-another-writer", value)
+        deployment.record.write("entry_without_address", value=value.decode())
     await asyncio.sleep(TROUBLE_S)
-    for task in tasks:
-        task.cancel()
-    return _check(deployment, peak_mb, kills)
+    for loop in loops:
+        loop.cancel()
+    return _check(deployment)
 
 
-async def _send_requests(deployment: Deployment, client: Client) -> None:
-    while True:
-        attempt = await deployment.request(
-            client,
-            "/post/charge",
-            method="POST",
-            deadline_ms=ROUTE_TIMEOUT_MS,
-            wait_s=WAIT_S,
-        )
-        is_refused = attempt.outcome in {"429", "503"}
-        await asyncio.sleep(REFUSED_PAUSE_S if is_refused else PAUSE_S)
-
-
-async def _limit_memory(
-    deployment: Deployment, node: Node, peak_mb: Counter[str], kills: Counter[str]
+async def _send_requests(
+    deployment: Deployment, client: Client, path: str, method: str
 ) -> None:
-    """Kill a process that exceeds its memory, and start it again."""
     while True:
-        await asyncio.sleep(MEMORY_PERIOD_S)
-        used_mb = round(node.memory_mb())
-        peak_mb[node.name] = max(peak_mb[node.name], used_mb)
-        if used_mb > MEMORY_LIMIT_MB:
-            deployment.record.write("memory_exceeded", node=node.name, mb=used_mb)
-            kills[node.name] += 1
-            node.kill()
-            await asyncio.sleep(RESTART_S)
-            node.start()
-
-
-def _check(deployment: Deployment, peak_mb: Counter[str], kills: Counter[str]) -> bool:
-    ran_on = {run.attempt_id: run.server_id for run in deployment.runs}
-    lost: Counter[str] = Counter()
-    for attempt in deployment.attempts:
-        server_id = ran_on.get(attempt.attempt_id, "i-troubled")
-        is_cut = attempt.outcome in {"closed", "reset"}
-        if is_cut and attempt.is_kept and server_id != "i-troubled":
-            lost[attempt.node] += 1
-            deployment.record.write(
-                "lost", attempt=attempt.attempt_id, server=server_id
-            )
-    outcomes = Counter(attempt.outcome for attempt in deployment.attempts)
+        await deployment.request(client, path, method=method, deadline_ms=DEADLINE_MS)
+        await asyncio.sleep(PAUSE_S)
+
+
+def _check(deployment: Deployment) -> bool:
+    ended = [attempt for attempt in deployment.attempts if attempt.outcome]
+    waited = [(attempt.ended_s - attempt.sent_s, attempt.outcome) for attempt in ended]
+    unanswered = [item for item in waited if item[0] > ROUTE_TIMEOUT_S]
+    late = [item for item in unanswered if item[0] > ROUTE_TIMEOUT_S + ANSWER_SLACK_S]
+    run_ids = {run.attempt_id for run in deployment.runs}
+    never_run = sum(
+        attempt.outcome == "no answer" and attempt.attempt_id not in run_ids
+        for attempt in ended
+    )
     summary = (
-        f"kept connections that were closed without an answer while a sound server ran "
-        f"their request, by node: {dict(lost)}; kills for memory over "
-        f"{MEMORY_LIMIT_MB} MB: {dict(kills)}; most memory in MB: {dict(peak_mb)}; "
-        f"outcomes {dict(outcomes)}\n"
+        f"of {len(ended)} requests {len(unanswered)} were unanswered at the route's "
+        f"timeout, {len(late)} of them half a second later; {never_run} requests were "
+        f"never answered and never run; outcomes {dict(Counter(o for _, o in waited))}"
+        "\n"
     )
     deployment.record.write("result", summary=summary.strip())
     sys.stdout.write(summary)
-    return max(lost.values(), default=0) <= LOST_LIMIT
+    return len(late) < MIN_REQUESTS or 2 * len(late) <= len(unanswered)
 
 
 if __name__ == "__main__":
-    run_case(
-        Path(__file__).parent,
-        case,
-        route_timeout_ms=ROUTE_TIMEOUT_MS,
-        nodes_per_zone=1,
-        plain_servers_per_zone=3,
-        slots=16,
-        work_s=0.45,
-    )
+    run_case(Path(__file__).parent, case)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -19,7 +19,6 @@
 from .store import Store
 
 ZONES = ["lima-a", "lima-b"]
-MODEL_SERVERS_PER_ZONE = 4
 MODEL = "m0"
 PLAIN_SERVICE = "cobranza"
 MODEL_SERVICE = "asistente"
@@ -47,6 +46,7 @@
     ended_s: float = 0.0
     # Whether the connection had been used for a request before.
     is_kept: bool = False
+    body: bytes = b""
 
 
 @dataclass(slots=True)
@@ -63,6 +63,12 @@
     route_timeout_ms: int = 1500
     nodes_per_zone: int = 2
     plain_servers_per_zone: int = 2
+    model_servers_per_zone: int = 4
+    group_size: int = 2
+    # Share of the streams that go to the plain service, in percent.
+    plain_stream_percent: int = 0
+    plain_server_type: type[Server] = Server
+    model_server_type: type[ModelServer] = ModelServer
     # Slots of a plain server and the time that a request takes there.
     slots: int = 6
     work_s: float = 0.06
@@ -74,9 +80,11 @@
         self.store.put("op", "config", json.dumps(self._configuration()).encode())
         for zone in ZONES:
             for number in range(self.plain_servers_per_zone):
-                await self.add_server(f"i-{zone}-plain-{number}", zone)
-            for number in range(MODEL_SERVERS_PER_ZONE):
-                await self._add_model_server(f"i-{zone}-model-{number}", zone)
+                await self.add_server(
+                    f"i-{zone}-plain-{number}", zone, self.plain_server_type
+                )
+            for number in range(self.model_servers_per_zone):
+                await self.add_model_server(f"i-{zone}-model-{number}", zone)
         self.nodes = create_nodes(
             self.directory, ZONES, self.nodes_per_zone, self.store.port, self.record
         )
@@ -127,8 +135,9 @@
         self.servers.append(server)
         return server
 
-    async def _add_model_server(self, server_id: str, zone: str) -> None:
-        server = ModelServer(
+    async def add_model_server(self, server_id: str, zone: str) -> ModelServer:
+        """Start a model server."""
+        server = self.model_server_type(
             server_id,
             MODEL_SERVICE,
             zone,
@@ -139,6 +148,7 @@
         )
         await server.start()
         self.servers.append(server)
+        return server
 
     def stop(self) -> None:
         """End all processes and servers."""
@@ -149,6 +159,10 @@
             server.stop()
         self.store.stop()
 
+    def next_part(self) -> str:
+        """Return the id of a prompt part that no other request has."""
+        return f"{next(self._ids):08x}"
+
     async def request(
         self,
         client: "Client",
@@ -156,6 +170,7 @@
         *,
         method: str = "GET",
         body: bytes = b"",
+        more_headers: dict[str, str] | None = None,
         deadline_ms: int = 1500,
         wait_s: float = 4.0,
     ) -> Attempt:
@@ -170,9 +185,11 @@
             "X-Attempt-Id": attempt.attempt_id,
             "X-Deadline-Milliseconds": str(deadline_ms),
             "Authorization": f"Token {KEY}",
+            **(more_headers or {}),
         }
         data = encode_message(f"{method} {path} HTTP/1.1", headers, body)
         attempt.outcome = await client.exchange(data, wait_s)
+        attempt.body = client.body
         attempt.ended_s = self.record.now_s()
         self.record.write(
             "request",
@@ -197,10 +214,22 @@
         read = {"name": "r-read", "prefix": "/read/", "kind": "safe", "attempts": 2}
         post = {"name": "r-post", "prefix": "/post/", "kind": "unsafe", "attempts": 1}
         chat = {"name": "r-chat", "prefix": "/chat/", "kind": "streaming"}
-        stream = {"service": MODEL_SERVICE, "attempts": 2, "stream_resumption": True}
+        stream = {"attempts": 2, "stream_resumption": True, "session_affinity": True}
+        target: dict[str, Any] = {"service": MODEL_SERVICE}
+        if self.plain_stream_percent:
+            weights = {
+                MODEL_SERVICE: 100 - self.plain_stream_percent,
+                PLAIN_SERVICE: self.plain_stream_percent,
+            }
+            target = {
+                "traffic_split": [
+                    {"service": name, "weight": weight}
+                    for name, weight in weights.items()
+                ]
+            }
         model = {
             "name": MODEL,
-            "size": 2,
+            "size": self.group_size,
             "share": 1.0,
             "pace": 1.0,
             "load_time_s": 1.0,
@@ -218,7 +247,7 @@
             "routes": [
                 {**plain, **read},
                 {**plain, **post},
-                {**shared, **chat, **stream},
+                {**shared, **chat, **stream, **target},
             ],
             "services": [
                 {
@@ -244,10 +273,13 @@
 
     node: Node
     writer: asyncio.StreamWriter | None = None
+    # Body of the last complete response.
+    body: bytes = b""
     _reader: asyncio.StreamReader | None = None
 
     async def exchange(self, data: bytes, wait_s: float) -> str:
         """Send a request and return the outcome."""
+        self.body = b""
         try:
             if self.writer is None:
                 async with asyncio.timeout(1.0):
@@ -269,6 +301,7 @@
         except OSError:
             self.close()
             return "reset"
+        self.body = message.body
         if message.headers.get("connection", "").lower() == "close":
             self.close()
         return str(message.status)
--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -15,6 +15,8 @@
 REJOIN_S = 0.2
 LOAD_S = 1.0
 FORMATION_S = 0.3
+STREAM_EVENTS = 6
+EVENT_INTERVAL_S = 0.02
 
 
 @dataclass(slots=True)
@@ -176,9 +178,17 @@
         return encode_message(f"HTTP/1.1 {status} X", headers, body)
 
 
+def stream_events(attempt_id: str) -> list[bytes]:
+    """Return the events that answer a request on a streaming route."""
+    return [
+        f"id: {number}\ndata: {attempt_id} piece {number}\n\n".encode()
+        for number in range(1, STREAM_EVENTS + 1)
+    ]
+
+
 @dataclass(slots=True)
 class ModelServer(Server):
-    """A model server that takes orders to form groups; it serves no requests."""
+    """A model server that takes orders to form groups; the head of one serves."""
 
     domain: str = "d1"
     orders: int = 0
@@ -219,9 +229,29 @@
             status = self._order(json.loads(request.body))
             self.write_entry()
             writer.write(self.response(request, status, b"{}"))
+        elif request.target != "/health" and not self._is_open_head():
+            writer.write(self.response(request, 421, b""))
         else:
             await Server.answer(self, request, writer)
 
+    def _is_open_head(self) -> bool:
+        group = self.group
+        return group is not None and not group["rank"] and group["state"] == "open"
+
+    async def run(self, request: Message, writer: asyncio.StreamWriter) -> None:
+        """Send the events of a stream in chunks."""
+        attempt_id = request.headers.get("x-attempt-id", "")
+        head = (
+            f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt_id}\r\n"
+            f"X-Response-Seal: seal.{attempt_id}\r\n"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        writer.write(head.encode())
+        for event in stream_events(attempt_id):
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        writer.write(b"0\r\n\r\n")
+
     def _order(self, order: dict[str, Any]) -> int:
         self.record.write("order", server=self.server_id, **order)
         fence = order.get("fencing_token", 0)
@@ -233,7 +263,7 @@
             self._start(self._stage(order["model"]))
             return 202
         if operation == "join":
-            return self._join(order)
+            return self.join(order)
         group = self.group
         key = (order["group"], order["epoch"])
         if group is None or (group["name"], group["epoch"]) != key:
@@ -248,7 +278,8 @@
         self._start(self._open(group))
         return 202
 
-    def _join(self, order: dict[str, Any]) -> int:
+    def join(self, order: dict[str, Any]) -> int:
+        """Apply an order to join a group; return the status."""
         members = order["members"]
         group = self.group
         if group is not None and (group["name"], group["epoch"]) == (
