review: show that a broken stream of a plain service looks complete

Cause: a streaming route that is split to a service without engines takes the way of plain requests, which doesn't check that a stream ends with a whole event. Change: case 1 of the review.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,34 +1,61 @@
-"""An entry that cannot be read appears in the list of servers; then servers drain.
+"""Plain servers break off streams that have neither a length nor chunks.
 
-The rule DRAIN holds if no request reaches a server later than `drain_timeout_ms` after
-the store accepted its report that it drains.
+The rule MIXED holds if no client gets a success whose body is not the whole body of the
+server.
 """
 
 import asyncio
 import sys
+from collections import Counter
+from dataclasses import dataclass
 from pathlib import Path
 
-from common.deployment import (
-    ZONES,
-    Attempt,
-    Client,
-    Deployment,
-    has_trouble,
-    run_case,
-)
-from common.record import count
-from common.servers import Server
+from common.deployment import MODEL, Client, Deployment, has_trouble, run_case
+from common.http import BrokenMessageError, Message
+from common.servers import EVENT_INTERVAL_S, Server, stream_events
 
 STEADY_S = 3.0
-# Longer than the stability window.
-AFTER_ENTRY_S = 4.0
-DRAIN_LIMIT_S = 2.0
-# A draining server goes on serving for its drain time and a little longer.
-EXIT_AFTER_S = 6.0
-AFTER_EXIT_S = 4.0
-PAUSE_S = 0.1
-# Bytes of another writer: neither whole JSON nor an entry.
-UNREADABLE = b'{"service":"cobranza","labels":' + b"[" * 4000
+TROUBLE_S = 5.0
+AFTER_TROUBLE_S = 1.0
+CLIENTS_PER_NODE = 12
+PAUSE_S = 0.02
+DEADLINE_MS = 5000
+# One of 20 answers is broken off, a share of 0.05, by half of the servers.
+BROKEN_PERIOD = 20
+# Share of the streams on the plain service, as in the example of a configuration.
+PLAIN_PERCENT = 10
+
+
+@dataclass(slots=True)
+class StreamServer(Server):
+    """A plain server whose streams end with their connection."""
+
+    in_trouble: bool = False
+    _streams: int = 0
+
+    async def run(self, request: Message, writer: asyncio.StreamWriter) -> None:
+        """Send the events of a stream; in trouble, stop inside one now and then."""
+        attempt_id = request.headers.get("x-attempt-id", "")
+        head = (
+            f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt_id}\r\n"
+            f"X-Response-Seal: seal.{attempt_id}\r\n"
+            "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+        )
+        writer.write(head.encode())
+        events = stream_events(attempt_id)
+        if self._breaks_off():
+            events = [*events[:2], events[2][: len(events[2]) // 2]]
+            self.record.write("broken_off", server=self.server_id, attempt=attempt_id)
+        for event in events:
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            writer.write(event)
+        raise BrokenMessageError("the stream ends with its connection")
+
+    def _breaks_off(self) -> bool:
+        if not self.in_trouble:
+            return False
+        self._streams += 1
+        return self._streams % BROKEN_PERIOD == 1
 
 
 async def case(deployment: Deployment) -> bool:
@@ -36,68 +63,66 @@
     loops = [
         asyncio.create_task(_send_requests(deployment, Client(node)))
         for node in deployment.nodes
+        for _ in range(CLIENTS_PER_NODE)
     ]
     await asyncio.sleep(STEADY_S)
-    if has_trouble():
-        deployment.store.put("servers", "i-of-another-writer", UNREADABLE)
-        deployment.record.write("unreadable_entry", bytes=len(UNREADABLE))
-    await asyncio.sleep(AFTER_ENTRY_S)
-    drained = await _replace_plain_servers(deployment)
-    await asyncio.sleep(DRAIN_LIMIT_S)
-    replaced_s = deployment.record.now_s()
-    await asyncio.sleep(AFTER_EXIT_S)
+    servers = [item for item in deployment.servers if isinstance(item, StreamServer)]
+    for server in servers[::2]:
+        server.in_trouble = has_trouble()
+        deployment.record.write(
+            "trouble", server=server.server_id, on=server.in_trouble
+        )
+    await asyncio.sleep(TROUBLE_S)
+    for server in servers:
+        server.in_trouble = False
+    await asyncio.sleep(AFTER_TROUBLE_S)
     for loop in loops:
         loop.cancel()
-    return _check(deployment, drained, replaced_s)
+    return _check(deployment)
 
 
 async def _send_requests(deployment: Deployment, client: Client) -> None:
     while True:
-        await deployment.request(client, "/read/balance")
-        await asyncio.sleep(PAUSE_S)
-
-
-async def _replace_plain_servers(deployment: Deployment) -> dict[str, float]:
-    """Start new servers, drain the old ones; return when each report was accepted."""
-    old = [server for server in deployment.servers if type(server) is Server]
-    for number, zone in enumerate(ZONES * (len(old) // len(ZONES))):
-        await deployment.add_server(f"i-{zone}-new-{number}", zone)
-    await asyncio.sleep(1.0)
-    drained = {server.server_id: await server.drain() for server in old}
-    await asyncio.sleep(EXIT_AFTER_S)
-    for server in old:
-        server.stop()
-        deployment.servers.remove(server)
-    return drained
-
-
-def _check(
-    deployment: Deployment, drained: dict[str, float], replaced_s: float
-) -> bool:
-    late = [
-        run
-        for run in deployment.runs
-        if run.server_id in drained
-        and run.at_s > drained[run.server_id] + DRAIN_LIMIT_S
-    ]
-    latest_s = max((run.at_s - drained[run.server_id] for run in late), default=0.0)
-
-    def is_late(attempt: Attempt) -> bool:
-        return attempt.sent_s >= replaced_s
-
-    def is_served(attempt: Attempt) -> bool:
-        return is_late(attempt) and attempt.outcome == "200"
-
+        attempt = await deployment.request(
+            client,
+            "/chat/arrears",
+            method="POST",
+            deadline_ms=DEADLINE_MS,
+            wait_s=DEADLINE_MS / 1000,
+            more_headers={
+                "X-Model": MODEL,
+                "X-Token-Count": "100,40",
+                "X-Prompt-Prefix": f"5c1e07a2:80,{deployment.next_part()}:20",
+            },
+        )
+        await asyncio.sleep(1.0 if attempt.outcome == "503" else PAUSE_S)
+
+
+def _check(deployment: Deployment) -> bool:
+    cut = []
+    for attempt in deployment.attempts:
+        whole = b"".join(stream_events(attempt.attempt_id))
+        if attempt.outcome == "200" and attempt.body != whole:
+            cut.append(attempt)
+            deployment.record.write(
+                "rule_broken", attempt=attempt.attempt_id, body=attempt.body
+            )
+    outcomes = Counter(attempt.outcome for attempt in deployment.attempts)
     summary = (
-        f"{len(late)} requests reached a server more than {DRAIN_LIMIT_S} s after it "
-        f"reported that it drains, the last one {latest_s:.1f} s after; once the old "
-        f"servers had exited {count(deployment.attempts, is_served)} of "
-        f"{count(deployment.attempts, is_late)} requests were served\n"
+        f"{len(cut)} successes had a body that was not the server's whole body; the "
+        f"last one ended with {cut[-1].body[-24:] if cut else b''!r}; "
+        f"outcomes {dict(outcomes)}\n"
     )
-    deployment.record.write("result", late=len(late), summary=summary.strip())
+    deployment.record.write("result", summary=summary.strip())
     sys.stdout.write(summary)
-    return not late
+    return not cut
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, case)
+    run_case(
+        Path(__file__).parent,
+        case,
+        route_timeout_ms=DEADLINE_MS,
+        plain_stream_percent=PLAIN_PERCENT,
+        plain_server_type=StreamServer,
+    )
