review: show that late orders revive a dissolved group

Cause: the owner never looks again at a group that it has dissolved, though a late join and a late open revive it.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,49 +1,62 @@
-"""The head of a group sheds an order to leave; then its group is dissolved.
+"""A server carries out two orders late, after it has left their group.
 
 The rule TWO holds if no server takes a join of another group while the head of its own
 group is open.
 """
 
 import asyncio
+import json
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
-from common.deployment import Deployment, SetupError, has_trouble, run_case
+from common.deployment import ZONES, Deployment, SetupError, has_trouble, run_case
 from common.http import Message
 from common.servers import ModelServer, Server
 
-STEADY_S = 4.0
-# The new server has loaded its model by then.
-NEW_SERVER_S = 4.0
-DRAIN_LIMIT_S = 2.0
-AFTER_DRAIN_S = 12.0
+STEADY_S = 2.0
+DRAIN_S = 3.0
+# The late orders have been carried out by then.
+LATE_UNTIL_S = 16.0
+AFTER_NEW_SERVER_S = 10.0
+# The first order to join and the first one to open get no answer and are carried out
+# this much later, after newer orders.
+LATE_S = {"join": 11.0, "open": 11.5}
 ACCEPTED = 202
-# The server in trouble sheds the first two of each five orders, a share of 0.4.
-ORDERS_PER_CYCLE = 5
-SHED_PER_CYCLE = 2
+# The server that is first in the order of ids leads the first group of its zone.
+LATE_SERVER = f"i-{ZONES[0]}-model-0"
 
 
 @dataclass(slots=True)
-class CheckedServer(ModelServer):
-    """A model server that checks the rule and may shed a part of its orders."""
+class LateServer(ModelServer):
+    """A model server that checks the rule and may carry out orders late."""
 
-    in_trouble: bool = False
-    _orders_seen: int = 0
+    _is_late: dict[str, bool] = field(default_factory=dict)
 
     async def answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
-        """Answer a request, or shed it."""
-        if request.target == "/v1/order" and self.in_trouble:
-            self._orders_seen += 1
-            if (self._orders_seen - 1) % ORDERS_PER_CYCLE < SHED_PER_CYCLE:
-                self.record.write(
-                    "order_shed", server=self.server_id, body=request.body.decode()
+        """Answer a request, or close the connection and act on the order later."""
+        SERVERS[self.server_id] = self
+        if request.target == "/v1/order":
+            order = json.loads(request.body)
+            operation = order["operation"]
+            in_trouble = has_trouble() and self.server_id == LATE_SERVER
+            if in_trouble and operation in LATE_S and operation not in self._is_late:
+                self._is_late[operation] = True
+                self.record.write("no_answer", server=self.server_id, **order)
+                asyncio.get_running_loop().call_later(
+                    LATE_S[operation], self._carry_out, order
                 )
-                shed = {"X-Not-Executed": "1"}
-                writer.write(self.response(request, 503, b"", shed))
+                # The caller waits in vain.
+                await asyncio.sleep(LATE_S[operation])
                 return
         await ModelServer.answer(self, request, writer)
 
+    def _carry_out(self, order: dict[str, object]) -> None:
+        self.record.write("carried_out_late", server=self.server_id)
+        status = self.apply_order(order)
+        self.record.write("late_order", server=self.server_id, status=status)
+        self.write_entry()
+
     def join(self, order: dict[str, object]) -> int:
         """Apply an order to join, and note a break of the rule."""
         group = self.group
@@ -64,46 +77,41 @@
         return status
 
 
-SERVERS: dict[str, CheckedServer] = {}
+SERVERS: dict[str, LateServer] = {}
 BREAKS: list[str] = []
 
 
 async def case(deployment: Deployment) -> bool:
     """Return whether the rule held."""
     await asyncio.sleep(STEADY_S)
-    for server in deployment.servers:
-        if isinstance(server, CheckedServer):
-            SERVERS[server.server_id] = server
-    head, member = _find_group()
-    deployment.record.write("group", head=head.server_id, member=member.server_id)
-    head.in_trouble = has_trouble()
-    new = await deployment.add_model_server(f"i-{member.zone}-new", member.zone)
-    SERVERS[new.server_id] = new
-    await asyncio.sleep(NEW_SERVER_S)
+    member = _find_member()
     await member.drain()
-    await asyncio.sleep(DRAIN_LIMIT_S + 1.0)
+    await asyncio.sleep(DRAIN_S)
     member.stop()
     deployment.servers.remove(member)
-    await asyncio.sleep(AFTER_DRAIN_S)
+    await asyncio.sleep(max(0.0, LATE_UNTIL_S - deployment.record.now_s()))
+    # Servers are added, so that one more group can be formed.
+    for number in range(2):
+        await deployment.add_model_server(f"i-{member.zone}-new-{number}", member.zone)
+    await asyncio.sleep(AFTER_NEW_SERVER_S)
     summary = f"{len(BREAKS)} breaks of the rule: {BREAKS}\n"
     deployment.record.write("result", summary=summary.strip())
     sys.stdout.write(summary)
     return not BREAKS
 
 
-def _find_group() -> tuple[CheckedServer, Server]:
-    for server in SERVERS.values():
-        group = server.group
-        if group is not None and group["rank"] == 0 and group["state"] == "open":
-            return server, SERVERS[group["members"][-1]]
-    raise SetupError("no group is open")
+def _find_member() -> Server:
+    """Return the other member of the group that the late server leads."""
+    group = SERVERS[LATE_SERVER].group
+    if group is None or group["rank"] or group["state"] != "open":
+        raise SetupError(f"{LATE_SERVER} does not lead an open group")
+    return SERVERS[group["members"][1]]
 
 
 if __name__ == "__main__":
     run_case(
         Path(__file__).parent,
         case,
-        model_servers_per_zone=9,
-        group_size=3,
-        model_server_type=CheckedServer,
+        model_servers_per_zone=8,
+        model_server_type=LateServer,
     )
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import shutil
+import signal
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable, Iterator
@@ -72,6 +73,7 @@
     # Slots of a plain server and the time that a request takes there.
     slots: int = 6
     work_s: float = 0.06
+    _clients: set["Client"] = field(default_factory=set)
     _ids: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
     async def start(self) -> None:
@@ -152,6 +154,8 @@
 
     def stop(self) -> None:
         """End all processes and servers."""
+        for client in self._clients:
+            client.close()
         for node in self.nodes:
             node.kill()
             node.log.close()
@@ -179,6 +183,7 @@
             f"a{next(self._ids)}", client.node.name, path, self.record.now_s()
         )
         self.attempts.append(attempt)
+        self._clients.add(client)
         attempt.is_kept = client.writer is not None
         headers = {
             "Host": HOST,
@@ -267,7 +272,7 @@
         }
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Client:
     """A client with one kept connection to a node."""
 
@@ -332,7 +337,7 @@
     code = NOT_RUN
     try:
         code = asyncio.run(_run(Deployment(directory, record, **fields), case))
-    except (SetupError, OSError) as exc:
+    except (SetupError, OSError, asyncio.CancelledError, KeyboardInterrupt) as exc:
         record.write("not_run", reason=repr(exc))
         sys.stdout.write(f"could not run: {exc!r}\n")
     finally:
@@ -347,6 +352,11 @@
 async def _run(
     deployment: Deployment, case: Callable[[Deployment], Awaitable[bool]]
 ) -> int:
+    task = asyncio.current_task()
+    if task is not None:
+        # The processes are also ended if the script is stopped.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         await deployment.start()
         return HELD if await case(deployment) else BROKEN
--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -226,7 +226,7 @@
             report = {**self._state(), "busy": False, "sequence": self.orders}
             writer.write(self.response(request, 200, json.dumps(report).encode()))
         elif request.target == "/v1/order":
-            status = self._order(json.loads(request.body))
+            status = self.apply_order(json.loads(request.body))
             self.write_entry()
             writer.write(self.response(request, status, b"{}"))
         elif request.target != "/health" and not self._is_open_head():
@@ -252,7 +252,8 @@
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
         writer.write(b"0\r\n\r\n")
 
-    def _order(self, order: dict[str, Any]) -> int:
+    def apply_order(self, order: dict[str, Any]) -> int:
+        """Apply an order; return the status."""
         self.record.write("order", server=self.server_id, **order)
         fence = order.get("fencing_token", 0)
         if fence < self.fence:
