--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,9 +18,10 @@
 DRAIN_S = 3.0
 # The late orders have been carried out by then.
 LATE_UNTIL_S = 16.0
-AFTER_NEW_SERVER_S = 10.0
-# The first order to join and the first one to open get no answer and are carried out
-# this much later, after newer orders.
+BETWEEN_SERVERS_S = 4.0
+# Until then the first order to join each group and the first one to open it
+# get no answer and are carried out later, after newer orders.
+TROUBLE_UNTIL_S = 5.0
 LATE_S = {"join": 11.0, "open": 11.5}
 ACCEPTED = 202
 # The server that is first in the order of ids leads the first group of its zone.
@@ -31,7 +32,8 @@
 class LateServer(ModelServer):
     """A model server that checks the rule and may carry out orders late."""
 
-    _is_late: dict[str, bool] = field(default_factory=dict)
+    # Operations and groups of the orders that were not answered.
+    _unanswered: set[tuple[str, str]] = field(default_factory=set)
 
     async def answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
         """Answer a request, or close the connection and act on the order later."""
@@ -39,9 +41,13 @@
         if request.target == "/v1/order":
             order = json.loads(request.body)
             operation = order["operation"]
-            in_trouble = has_trouble() and self.server_id == LATE_SERVER
-            if in_trouble and operation in LATE_S and operation not in self._is_late:
-                self._is_late[operation] = True
+            key = (operation, order.get("group", ""))
+            if (
+                self._in_trouble()
+                and operation in LATE_S
+                and (key not in self._unanswered)
+            ):
+                self._unanswered.add(key)
                 self.record.write("no_answer", server=self.server_id, **order)
                 asyncio.get_running_loop().call_later(
                     LATE_S[operation], self._carry_out, order
@@ -51,6 +57,10 @@
                 return
         await ModelServer.answer(self, request, writer)
 
+    def _in_trouble(self) -> bool:
+        is_time = self.record.now_s() < TROUBLE_UNTIL_S
+        return has_trouble() and is_time and self.server_id == LATE_SERVER
+
     def _carry_out(self, order: dict[str, object]) -> None:
         self.record.write("carried_out_late", server=self.server_id)
         status = self.apply_order(order)
@@ -90,10 +100,10 @@
     member.stop()
     deployment.servers.remove(member)
     await asyncio.sleep(max(0.0, LATE_UNTIL_S - deployment.record.now_s()))
-    # Servers are added, so that one more group can be formed.
-    for number in range(2):
+    # Servers are added, so that more groups can be formed.
+    for number in range(4):
         await deployment.add_model_server(f"i-{member.zone}-new-{number}", member.zone)
-    await asyncio.sleep(AFTER_NEW_SERVER_S)
+        await asyncio.sleep(BETWEEN_SERVERS_S)
     summary = f"{len(BREAKS)} breaks of the rule: {BREAKS}\n"
     deployment.record.write("result", summary=summary.strip())
     sys.stdout.write(summary)
