review: name the record's path in each case

Cause: the path was built in the shared code, where a reader of a case doesn't see it. Change: each case passes the path of record.txt.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -120,7 +120,7 @@
 
 if __name__ == "__main__":
     run_case(
-        Path(__file__).parent,
+        Path(__file__).with_name("record.txt"),
         case,
         route_timeout_ms=DEADLINE_MS,
         plain_stream_percent=PLAIN_PERCENT,
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -100,4 +100,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, case)
+    run_case(Path(__file__).with_name("record.txt"), case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -83,4 +83,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, case)
+    run_case(Path(__file__).with_name("record.txt"), case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -120,7 +120,7 @@
 
 if __name__ == "__main__":
     run_case(
-        Path(__file__).parent,
+        Path(__file__).with_name("record.txt"),
         case,
         model_servers_per_zone=8,
         model_server_type=LateServer,
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -324,15 +324,15 @@
 
 
 def run_case(
-    folder: Path,
+    record_path: Path,
     case: Callable[[Deployment], Awaitable[bool]],
     **fields: Any,
 ) -> None:
-    """Run a case, write `record.txt`, and exit with its result.
+    """Run a case, write its record, and exit with its result.
 
     `case` returns whether the rule held. Raises `SystemExit`.
     """
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     directory = Path(tempfile.mkdtemp(prefix="review-"))
     code = NOT_RUN
     try:
