Relay streams of plain services event by event

Cause: the way of a request was chosen by its service; only the way for groups checks that a stream ends with a whole event. Change: streaming routes use async_forward_stream for every service; the choice of the server is all that differs. A broken stream goes on at another plain server, or is cut. Why it works: the end of the connection no longer ends the answer; an incomplete event fails the attempt, however the answer is framed.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -42,7 +42,7 @@
     state.budget(routed.service).record_request(now_s)
     if state.crashes.is_blocked(routed.traits):
         response: GatewayResponse | None = crashing_request_response(may_have_run=False)
-    elif _is_served_by_groups(cfg, routed):
+    elif routed.route.streaming or state.is_grouped(routed.service):
         response = await async_forward_stream(state, routed, conn)
     else:
         response = await async_forward_plain(state, routed, conn)
@@ -136,8 +136,3 @@
     if value is None or not value.isdigit():
         return DEFAULT_DEADLINE_S
     return int(value) / _MS_PER_S
-
-
-def _is_served_by_groups(cfg: Configuration | None, ctx: RequestContext) -> bool:
-    service = cfg.services.get(ctx.service) if cfg else None
-    return service is not None and service.engine is not None
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -8,7 +8,7 @@
 from ..transport.exceptions import ConnectFailedError, TransportError
 from ..transport.exchange import ResponseHead
 from .caller import CallerConnection
-from .const import FIRST_ATTEMPT_SHARE, MAX_REJECTIONS, MIN_REMAINING_S
+from .const import MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .models import GatewayResponse
 from .placement import choose_server
@@ -20,6 +20,7 @@
 )
 from .sending import (
     async_send,
+    attempt_deadline_s,
     is_rejection,
     is_server_failure,
     is_success,
@@ -83,7 +84,7 @@
     ctx.excluded_servers.add(server_id)
     try:
         async with (
-            asyncio.timeout_at(_attempt_deadline_s(ctx)),
+            asyncio.timeout_at(attempt_deadline_s(ctx)),
             async_send(state, ctx, server) as sent,
         ):
             ctx.ran_on.append(server_id)
@@ -135,17 +136,6 @@
     return response
 
 
-def _attempt_deadline_s(ctx: RequestContext) -> float:
-    """Return the deadline of this attempt.
-
-    An idempotent request reserves time for another attempt.
-    """
-    now_s = asyncio.get_running_loop().time()
-    if not ctx.is_retryable() or len(ctx.ran_on) + 1 >= ctx.route.attempts:
-        return ctx.deadline_s
-    return now_s + (ctx.deadline_s - now_s) * FIRST_ATTEMPT_SHARE
-
-
 def _write_response(conn: CallerConnection, response: ServerResponse) -> None:
     head, body = response
     conn.begin_response(head, length=len(body))
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -14,6 +14,7 @@
 from ..transport.exceptions import ConnectFailedError
 from ..transport.exchange import Exchange, ResponseHead
 from .backends import Attempt
+from .const import FIRST_ATTEMPT_SHARE
 from .context import RequestContext
 from .state import GatewayState
 
@@ -84,6 +85,17 @@
             state.pool.release(server.address, conn)
 
 
+def attempt_deadline_s(ctx: RequestContext) -> float:
+    """Return the deadline of this attempt.
+
+    An idempotent request reserves time for another attempt.
+    """
+    now_s = asyncio.get_running_loop().time()
+    if not ctx.is_retryable() or len(ctx.ran_on) + 1 >= ctx.route.attempts:
+        return ctx.deadline_s
+    return now_s + (ctx.deadline_s - now_s) * FIRST_ATTEMPT_SHARE
+
+
 def is_rejection(state: GatewayState, head: ResponseHead) -> bool:
     """Return whether the server rejected the request without running it."""
     return (
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -12,7 +12,7 @@
 from .crashes import CrashTracker
 from .header_names import HeaderNames
 from .metrics import GatewayMetrics
-from .placement import Candidate
+from .placement import Candidate, choose_group, choose_server
 
 
 @dataclass(slots=True)
@@ -43,6 +43,23 @@
             self.budgets[service] = self.create_budget()
         return self.budgets[service]
 
+    def is_grouped(self, service: str) -> bool:
+        """Return whether the servers of a service form groups."""
+        cfg = self.configuration()
+        service_cfg = cfg.services.get(service) if cfg else None
+        return service_cfg is not None and service_cfg.engine is not None
+
+    def candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
+        """Return the groups or plain servers to which the request may be sent."""
+        if self.is_grouped(ctx.service):
+            return self.group_candidates(ctx, now_s)
+        return self.server_candidates(ctx, now_s)
+
+    def choose_candidate(self, ctx: RequestContext, now_s: float) -> Candidate | None:
+        """Choose a group or a plain server; None if none may take the request now."""
+        choose = choose_group if self.is_grouped(ctx.service) else choose_server
+        return choose(self.candidates(ctx, now_s), self.rng)
+
     def group_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups to which the request may be sent."""
         slots = self._group_slots(ctx.service)
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -1,4 +1,4 @@
-"""Forwards requests to groups and relays their event streams."""
+"""Forwards requests to groups or plain servers and relays their event streams."""
 
 import asyncio
 from dataclasses import dataclass, field
@@ -17,7 +17,6 @@
 from .context import RequestContext
 from .events import EventSplitter
 from .models import GatewayResponse
-from .placement import choose_group
 from .refusals import (
     busy_response,
     crashing_request_response,
@@ -28,6 +27,7 @@
 from .sending import (
     SentRequest,
     async_send,
+    attempt_deadline_s,
     is_rejection,
     is_success,
     log_request,
@@ -36,7 +36,7 @@
 )
 from .state import GatewayState
 
-_GROUP_POLL_PERIOD_S = 0.01
+_SERVER_POLL_PERIOD_S = 0.01
 _HTTP_REDIRECTION = 300
 
 
@@ -59,14 +59,24 @@
     started: bool = False
     # Time of the first event of the current attempt.
     answering_since_s: float | None = None
+    # Timeout of the current attempt; extended by its first event.
+    timeout: asyncio.Timeout | None = None
+
+    def record_events(self, deadline_s: float) -> None:
+        """Record that events arrived, which gives the attempt until the deadline."""
+        if self.answering_since_s is not None:
+            return
+        self.answering_since_s = asyncio.get_running_loop().time()
+        if self.timeout is not None:
+            self.timeout.reschedule(deadline_s)
 
 
 async def async_forward_stream(
     state: GatewayState, ctx: RequestContext, conn: CallerConnection
 ) -> GatewayResponse | None:
-    """Relay a group's stream; return a generated response if none was started.
+    """Relay a server's stream; return a generated response if none was started.
 
-    A broken stream is resumed at another group within the same response if the route
+    A broken stream is resumed at another server within the same response if the route
     allows it; otherwise the caller's connection is aborted.
     """
     loop = asyncio.get_running_loop()
@@ -74,7 +84,7 @@
     relay.splitter.last_event_id = ctx.request.get(state.header_names.last_event_id)
     outcome = _Outcome.NOT_SENT
     while ctx.rejections < MAX_REJECTIONS:
-        server = await _async_choose_group(state, ctx)
+        server = await _async_choose_server(state, ctx)
         if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
             break
         if state.crashes.is_blocked(ctx.traits):
@@ -100,28 +110,28 @@
     if outcome is _Outcome.TIMED_OUT:
         return timeout_response()
     if ctx.ran_on and not ctx.route.idempotent:
-        return outcome_unknown_response("the group broke off")
+        return outcome_unknown_response("the server broke off")
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=ctx.breaks > 0)
-    if state.group_candidates(ctx, asyncio.get_running_loop().time()):
+    if state.candidates(ctx, asyncio.get_running_loop().time()):
         return busy_response(state.rng)
     return no_group_response(state.rng)
 
 
-async def _async_choose_group(
+async def _async_choose_server(
     state: GatewayState, ctx: RequestContext
 ) -> BackendServer | None:
-    """Choose a group; wait for a free one during a share of the latency objective."""
+    """Choose a server; wait for a free one during a share of the latency objective."""
     loop = asyncio.get_running_loop()
     wait_until_s = loop.time() + ctx.route.latency_objective_s * GROUP_WAIT_SHARE
     while True:
         now_s = loop.time()
-        chosen = choose_group(state.group_candidates(ctx, now_s), state.rng)
+        chosen = state.choose_candidate(ctx, now_s)
         if chosen is not None:
             return state.servers().get(chosen.server_id)
         if now_s >= min(wait_until_s, ctx.deadline_s):
             return None
-        await asyncio.sleep(_GROUP_POLL_PERIOD_S)
+        await asyncio.sleep(_SERVER_POLL_PERIOD_S)
 
 
 async def _async_attempt(
@@ -139,7 +149,7 @@
     relay.answering_since_s = None
     try:
         async with (
-            asyncio.timeout_at(ctx.deadline_s),
+            asyncio.timeout_at(_first_event_deadline_s(state, ctx, relay)) as timeout,
             async_send(
                 state,
                 ctx,
@@ -149,6 +159,7 @@
                 can_abandon=lambda: relay.answering_since_s is None,
             ) as sent,
         ):
+            relay.timeout = timeout
             return await _async_relay(state, ctx, conn, relay, sent)
     except ConnectFailedError as exc:
         ctx.rejections += 1
@@ -156,9 +167,15 @@
         return _Outcome.NOT_SENT
     except TimeoutError:
         log_request(LogEvent.SEND_FAILED, "no answer in time", ctx, server=server_id)
+        state.backends.record_result(server_id, failed=True)
+        if server_id not in ctx.ran_on:
+            ctx.ran_on.append(server_id)
+        if ctx.deadline_s - loop.time() > MIN_REMAINING_S and ctx.is_retryable():
+            return _Outcome.BROKEN
         return _Outcome.TIMED_OUT
     except TransportError as exc:
         relay.splitter.discard_partial()
+        state.backends.record_result(server_id, failed=True)
         if server_id not in ctx.ran_on and not ctx.route.idempotent:
             ctx.ran_on.append(server_id)
         ctx.breaks += 1
@@ -182,6 +199,19 @@
         return _Outcome.BROKEN
 
 
+def _first_event_deadline_s(
+    state: GatewayState, ctx: RequestContext, relay: _RelayedResponse
+) -> float:
+    """Return until when the first event of this attempt must have arrived.
+
+    Groups that send nothing are noticed by `Backends.check_stalls`. A plain server that
+    sends nothing must leave time for another attempt.
+    """
+    if state.is_grouped(ctx.service) or relay.started:
+        return ctx.deadline_s
+    return attempt_deadline_s(ctx)
+
+
 def _may_be_cause(relay: _RelayedResponse) -> bool:
     """Return whether the request may have crashed the server that broke off."""
     if relay.answering_since_s is None:
@@ -205,7 +235,7 @@
     now_s = asyncio.get_running_loop().time()
     if not state.budget(ctx.service).has_capacity(now_s):
         return False
-    return choose_group(state.group_candidates(ctx, now_s), state.rng) is not None
+    return state.choose_candidate(ctx, now_s) is not None
 
 
 async def _async_relay(
@@ -234,8 +264,7 @@
         if not events:
             continue
         sent.record_progress()
-        if relay.answering_since_s is None:
-            relay.answering_since_s = asyncio.get_running_loop().time()
+        relay.record_events(ctx.deadline_s)
         if server_id not in ctx.ran_on:
             ctx.ran_on.append(server_id)
         if not relay.started:
@@ -249,6 +278,7 @@
     if not relay.started:
         conn.begin_response(head, length=None)
     conn.end_response()
+    state.backends.record_result(server_id, failed=False)
     record_success(state, ctx)
     return _Outcome.COMPLETE
 
