Refuse entries that the decoder cannot follow, and keep following

Cause: for deeply nested data the decoder raises RecursionError, which the decoder of records did not expect; it ended the task that follows the table. Evidence: every node logged GH1005 with that error at the entry, and no GH1804 afterwards; a node alone shows the same. Change: decode_json turns everything that cannot be decoded into a RowFormatError, for all tables, reports, answers and settings. A follower that fails for any other reason logs GH1805 and reads its table again. The same for datagrams and for answers that the entry program decodes. Why it works: an unreadable entry is refused like any other malformed one, and no error ends the only task that reads a table.

--- a/gooseberryhall/adapters/engine_stream.py
+++ b/gooseberryhall/adapters/engine_stream.py
@@ -162,7 +162,7 @@
             raise StreamBrokenError("the engine failed the stream")
         try:
             received_id = json.loads(data)["id"]
-        except (ValueError, KeyError, TypeError) as exc:
+        except (ValueError, KeyError, TypeError, RecursionError) as exc:
             raise SequenceError("a chunk has no request id") from exc
         if received_id != self._request_id:
             raise SequenceError("a chunk has the id of another request")
@@ -277,7 +277,14 @@
         if isinstance(error, str):
             return EngineRefusedError(response.status, error, "")
         code, message = str(error["code"]), str(error.get("message", ""))
-    except (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError):
+    except (
+        aiohttp.ClientError,
+        OSError,
+        ValueError,
+        KeyError,
+        TypeError,
+        RecursionError,
+    ):
         code, message = "unknown", "the engine gave no reason"
     return EngineRefusedError(response.status, code, message)
 
@@ -308,6 +315,8 @@
             body = await response.json()
     except (aiohttp.ClientError, TimeoutError, OSError) as exc:
         raise EngineUnavailableError(str(exc) or type(exc).__name__) from exc
+    except (ValueError, RecursionError) as exc:
+        raise MalformedResponseError("cache events are not JSON") from exc
     try:
         return tuple(_cache_event(item) for item in body["events"])
     except (KeyError, TypeError, ValueError) as exc:
--- a/gooseberryhall/adapters/table.py
+++ b/gooseberryhall/adapters/table.py
@@ -168,6 +168,8 @@
                 body = await response.json()
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise TableUnavailableError(str(exc) or type(exc).__name__) from exc
+        except (ValueError, RecursionError) as exc:
+            raise MalformedResponseError("table answer is not JSON") from exc
         if not isinstance(body, dict):
             raise MalformedResponseError("table answer is not an object")
         return response.status, body
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -124,6 +124,8 @@
         )
     except (
         cbor2.CBORDecodeError,
+        RecursionError,
+        OverflowError,
         ValueError,
         TypeError,
         IndexError,
--- a/gooseberryhall/platform/configuration.py
+++ b/gooseberryhall/platform/configuration.py
@@ -14,7 +14,7 @@
     Target,
     Team,
 )
-from .exceptions import RowFormatError
+from .decoding import decode_json
 from .settings import MS_PER_S
 
 _Positive = Annotated[int, msgspec.Meta(ge=1)]
@@ -86,10 +86,7 @@
 
 def decode_configuration(data: bytes) -> Configuration:
     """Decode the row of the configuration. Raises `RowFormatError`."""
-    try:
-        raw = msgspec.json.decode(data, type=_Configuration)
-    except msgspec.MsgspecError as exc:
-        raise RowFormatError(f"configuration: {exc}") from exc
+    raw = decode_json(data, _Configuration, "configuration")
     teams = raw.tenants or []
     return Configuration(
         version=raw.version,
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -118,8 +118,11 @@
                 await asyncio.sleep(listener.pause_s())
             except HistoryLostError:
                 version = None
-            except StoreError as exc:
-                if not failures:
+            except Exception as exc:  # noqa: BLE001
+                # Nothing else reads this table, so no error may end the task.
+                if not isinstance(exc, StoreError):
+                    _log_fault(listener.table)
+                elif not failures:
                     _log(LogEvent.STORE_LOST, str(exc), listener.table)
                 failures += 1
                 version = None
@@ -189,5 +192,16 @@
         return None
 
 
+def _log_fault(table: str) -> None:
+    log_event(
+        _LOGGER,
+        LogEvent.FOLLOWER_FAILED,
+        "changes of a table could not be applied; reading it again",
+        level=logging.ERROR,
+        table=table,
+        exc_info=True,
+    )
+
+
 def _log(event: LogEvent, message: str, table: str) -> None:
     log_event(_LOGGER, event, message, table=table)
--- a/gooseberryhall/platform/exceptions.py
+++ b/gooseberryhall/platform/exceptions.py
@@ -24,4 +24,4 @@
 
 
 class RowFormatError(InvalidInputError):
-    """The value of a row does not have the format of its table."""
+    """A row, response, report or file does not have the expected format."""
--- a/gooseberryhall/platform/leases.py
+++ b/gooseberryhall/platform/leases.py
@@ -1,5 +1,6 @@
 """Leases and node addresses as rows of the platform's store."""
 
+import logging
 from typing import Final
 
 import msgspec
@@ -7,10 +8,15 @@
 from ..fleet.exceptions import LeaseConflictError
 from ..fleet.orders import Lease
 from ..node.directory import NodeRecord
+from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
 from ..transport.pool import Address
-from .exceptions import StoreConflictError, StoreUnavailableError
+from .decoding import decode_json
+from .exceptions import RowFormatError, StoreConflictError, StoreUnavailableError
 from .store import Store
 
+_LOGGER = logging.getLogger(__name__)
+
 LEASE_TABLE: Final = "leases"
 NODE_TABLE: Final = "nodes"
 
@@ -39,9 +45,9 @@
             if row.key != zone or row.value is None:
                 continue
             try:
-                stored = msgspec.json.decode(row.value, type=_LeaseRow)
-            except msgspec.MsgspecError as exc:
-                raise StoreUnavailableError(f"malformed lease: {exc}") from exc
+                stored = decode_json(row.value, _LeaseRow, f"lease of {zone}")
+            except RowFormatError as exc:
+                raise StoreUnavailableError(str(exc)) from exc
             return Lease(zone, stored.owner, stored.term, row.version)
         return None
 
@@ -84,8 +90,9 @@
         if row.value is None:
             continue
         try:
-            node = msgspec.json.decode(row.value, type=_NodeRow)
-        except msgspec.MsgspecError:
+            node = decode_json(row.value, _NodeRow, f"node {row.key}")
+        except RowFormatError as exc:
+            log_event(_LOGGER, LogEvent.ROW_REFUSED, str(exc), level=logging.WARNING)
             continue
         found.append(NodeRecord(row.key, node.zone, Address(node.host, node.port)))
     return found
--- a/gooseberryhall/platform/servers.py
+++ b/gooseberryhall/platform/servers.py
@@ -7,6 +7,7 @@
 
 from ..fleet.models import BackendServer, Membership, MemberState
 from ..transport.pool import parse_address
+from .decoding import decode_json
 from .exceptions import RowFormatError
 
 _Natural = Annotated[int, msgspec.Meta(ge=0)]
@@ -62,10 +63,10 @@
 
 def decode_server_record(server_id: str, data: bytes) -> BackendServer:
     """Decode a server record. Raises `RowFormatError`."""
+    raw = decode_json(data, _ServerRecord, f"server {server_id}")
     try:
-        raw = msgspec.json.decode(data, type=_ServerRecord)
         address = parse_address(raw.address)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except ValueError as exc:
         raise RowFormatError(f"server {server_id}: {exc}") from exc
     return BackendServer(
         server_id=server_id,
@@ -85,10 +86,7 @@
 
 def decode_report(data: bytes) -> ServerReport:
     """Decode a direct report. Raises `RowFormatError`."""
-    try:
-        raw = msgspec.json.decode(data, type=_Report)
-    except msgspec.MsgspecError as exc:
-        raise RowFormatError(f"report: {exc}") from exc
+    raw = decode_json(data, _Report, "report")
     return ServerReport(
         started_at_ms=raw.born,
         membership=_decode_membership(raw.group),
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -8,7 +8,8 @@
 
 from ..node.settings import NodeSettings
 from ..transport.pool import Address, parse_address
-from .exceptions import PlatformSettingsError
+from .decoding import decode_json
+from .exceptions import PlatformSettingsError, RowFormatError
 
 SETTINGS_VARIABLE: Final = "GOOSEBERRYHALL_SETTINGS"
 MS_PER_S: Final = 1000
@@ -59,13 +60,13 @@
         raise PlatformSettingsError(f"{SETTINGS_VARIABLE} is not set")
     try:
         return decode_settings(Path(path).read_bytes())
-    except (OSError, msgspec.MsgspecError, ValueError) as exc:
+    except (OSError, RowFormatError, ValueError) as exc:
         raise PlatformSettingsError(f"{path}: {exc}") from exc
 
 
 def decode_settings(data: bytes) -> NodeSettings:
-    """Decode a settings file. Raises `msgspec.MsgspecError` or `ValueError`."""
-    raw = msgspec.json.decode(data, type=_Settings)
+    """Decode a settings file. Raises `RowFormatError` or `ValueError`."""
+    raw = decode_json(data, _Settings, "settings")
     bounds = raw.bounds
     return NodeSettings(
         node=raw.node_name,
--- a/gooseberryhall/platform/store.py
+++ b/gooseberryhall/platform/store.py
@@ -12,8 +12,10 @@
 from ..transport.exceptions import TransportError
 from ..transport.pool import Address, ConnectionPool
 from ..transport.request import Response, async_call, encode_request
+from .decoding import decode_json
 from .exceptions import (
     HistoryLostError,
+    RowFormatError,
     StoreConflictError,
     StoreUnavailableError,
 )
@@ -123,9 +125,9 @@
             raise StoreConflictError(f"{table}/{key} has another version")
         _require_ok(response)
         try:
-            return msgspec.json.decode(response.body, type=_Version).row_version
-        except msgspec.MsgspecError as exc:
-            raise StoreUnavailableError(f"malformed response: {exc}") from exc
+            return decode_json(response.body, _Version, "response").row_version
+        except RowFormatError as exc:
+            raise StoreUnavailableError(f"malformed {exc}") from exc
 
     async def _async_read_page(self, table: str, start: str) -> _Rows:
         query: dict[str, str | int] = {"table": table, "part": "", "limit": MAX_ROWS}
@@ -166,9 +168,9 @@
 
 def _decode_page(body: bytes) -> _Rows:
     try:
-        return msgspec.json.decode(body, type=_Rows)
-    except msgspec.MsgspecError as exc:
-        raise StoreUnavailableError(f"malformed response: {exc}") from exc
+        return decode_json(body, _Rows, "response")
+    except RowFormatError as exc:
+        raise StoreUnavailableError(f"malformed {exc}") from exc
 
 
 def _decode_rows(rows: Iterable[_Row]) -> Iterable[Row]:
--- a/gooseberryhall/requests/relay.py
+++ b/gooseberryhall/requests/relay.py
@@ -294,7 +294,7 @@
             or any(value for key, value in choice["delta"].items() if key != "role")
             for choice in choices
         )
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return True
 
 
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -1,6 +1,7 @@
 """Tests of datagrams and the state of peers."""
 
 import asyncio
+import math
 from collections import Counter
 from dataclasses import replace
 
@@ -100,6 +101,15 @@
         decode(data)
 
 
+@pytest.mark.parametrize("value", [b"\x81" * 3000 + b"\x01", cbor2.dumps(math.inf)])
+def test_nested_and_infinite_values_are_refused(value: bytes) -> None:
+    """Guards against a datagram whose error the receiver does not expect."""
+    numbers = cbor2.dumps(["n2", "z", 1, 1, 7])[1:]
+    data = b"\x8e" + numbers.replace(cbor2.dumps(7), b"") + value + b"\xf4" * 9
+    with pytest.raises(GossipError):
+        decode(data)
+
+
 def test_messages_of_another_shape_are_refused() -> None:
     """Guards against accepting valid CBOR values that are not a message."""
     with pytest.raises(GossipError):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -79,6 +79,15 @@
 }
 
 
+# Deeper than the decoder follows in a field that it skips.
+NESTED = b"[" * 2000 + b"]" * 2000
+
+
+def add_nested_field(record: dict[str, Any]) -> bytes:
+    """Return a record with an unknown field that is nested too deeply."""
+    return json.dumps(record).encode()[:-1] + b',"extra":' + NESTED + b"}"
+
+
 def test_settings_are_read(tmp_path: Any, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against refusing settings with unknown fields."""
     path = tmp_path / "node.json"
@@ -99,6 +108,9 @@
     monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
     with pytest.raises(PlatformSettingsError, match="zones"):
         load_settings()
+    path.write_bytes(add_nested_field(SETTINGS))
+    with pytest.raises(PlatformSettingsError, match="recursion"):
+        load_settings()
     monkeypatch.delenv(SETTINGS_VARIABLE)
     with pytest.raises(PlatformSettingsError, match=SETTINGS_VARIABLE):
         load_settings()
@@ -140,6 +152,19 @@
         decode_configuration(json.dumps({**CONFIGURATION, **change}).encode())
 
 
+def test_nested_rows_are_refused() -> None:
+    """Guards against an unreadable row whose error ends the task that reads the table.
+
+    All nodes then knew only the servers of that time (review/2, DRAIN).
+    """
+    with pytest.raises(RowFormatError):
+        decode_server_record("i-1", add_nested_field(SERVER_RECORD))
+    with pytest.raises(RowFormatError):
+        decode_report(add_nested_field(SERVER_RECORD))
+    with pytest.raises(RowFormatError):
+        decode_configuration(add_nested_field(CONFIGURATION))
+
+
 def test_record_of_a_leader_is_decoded() -> None:
     """Guards against a wrong incarnation, domain or group of a server."""
     server = decode_server_record("i-1", json.dumps(SERVER_RECORD).encode())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -25,7 +25,11 @@
 from gooseberryhall.platform.store import MAX_ROWS, Store
 from gooseberryhall.transport.pool import Address, ConnectionPool
 from standins.row_store import RowStore
-from tests.platform.test_decoding import CONFIGURATION, SERVER_RECORD
+from tests.platform.test_decoding import (
+    CONFIGURATION,
+    SERVER_RECORD,
+    add_nested_field,
+)
 
 
 @asynccontextmanager
@@ -113,6 +117,7 @@
         record = NodeRecord("n1", "z", Address("10.0.0.2", 7000))
         await directory.async_register(record)
         stand_in.put("nodes", "n2", b"\xff")
+        stand_in.put("nodes", "n3", add_nested_field({"host": "10.0.0.3", "port": 1}))
         nodes = await async_read_nodes(store)
     assert nodes == [record]
 
@@ -175,10 +180,12 @@
     assert len(store_states) <= 6
 
 
-async def test_servers_are_followed_through_a_lost_history() -> None:
-    """Guards against missing changes after the store dropped its history."""
-    servers: dict[str, BackendServer] = {}
-    outages: list[bool] = []
+def _server_listener(
+    servers: dict[str, BackendServer],
+    outages: list[bool],
+    on_record: Callable[[BackendServer], None] | None = None,
+) -> ServerListener:
+    """Return a listener that keeps the records in `servers`."""
 
     def on_snapshot(records: Any, after_outage: bool) -> None:
         outages.append(after_outage)
@@ -192,15 +199,58 @@
     async def async_wait_needed() -> bool:
         return False
 
-    listener = ServerListener(
+    return ServerListener(
         on_snapshot,
-        lambda record: servers.update({record.server_id: record}),
+        on_record or (lambda record: servers.update({record.server_id: record})),
         on_removed,
         lambda _: None,
         async_wait_needed,
         lambda: 0.0,
         lambda: 0.6,
     )
+
+
+async def test_unreadable_record_does_not_end_the_follower() -> None:
+    """Guards against one nested record after which no change is learned (review/2)."""
+    servers: dict[str, BackendServer] = {}
+    record = json.dumps(SERVER_RECORD).encode()
+    async with async_store() as (stand_in, store):
+        stand_in.put("servers", "i-1", record)
+        listener = _server_listener(servers, [])
+        task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
+        await _async_until(lambda: "i-1" in servers)
+        stand_in.put("servers", "i-odd", add_nested_field(SERVER_RECORD))
+        stand_in.put("servers", "i-1", None)
+        stand_in.put("servers", "i-2", record)
+        await _async_until(lambda: set(servers) == {"i-2"})
+        task.cancel()
+
+
+async def test_fault_of_this_program_does_not_end_the_follower() -> None:
+    """Guards against records that are never read again after an unexpected error."""
+    servers: dict[str, BackendServer] = {}
+    outages: list[bool] = []
+
+    def on_record(_: BackendServer) -> None:
+        raise RuntimeError("a fault of the listener")
+
+    record = json.dumps(SERVER_RECORD).encode()
+    async with async_store() as (stand_in, store):
+        stand_in.put("servers", "i-1", record)
+        listener = _server_listener(servers, outages, on_record)
+        task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
+        await _async_until(lambda: "i-1" in servers)
+        stand_in.put("servers", "i-2", record)
+        await _async_until(lambda: "i-2" in servers)
+        task.cancel()
+    assert outages == [False, True]
+
+
+async def test_servers_are_followed_through_a_lost_history() -> None:
+    """Guards against missing changes after the store dropped its history."""
+    servers: dict[str, BackendServer] = {}
+    outages: list[bool] = []
+    listener = _server_listener(servers, outages)
     record = json.dumps(SERVER_RECORD).encode()
     async with async_store() as (stand_in, store):
         stand_in.put("servers", "i-1", record)
