Answer requests whose handler fails

Cause: an unexpected error leaves the handler's task. The connection then has neither an answer nor a timer. Any fault of the program has the same effect. Evidence: for these requests the nodes log no failed send, but an exception that was never retrieved. Change: the gateway answers such a request with 500 and logs GH1504 with its id; a response that has begun is cut. Why it works: each path out of a handler now answers or closes.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -1,9 +1,11 @@
 """Authenticates and routes callers' requests."""
 
 import asyncio
+import logging
 
 from ..fleet.models import Configuration, Team
 from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
 from .caller import CallerConnection
 from .const import (
     DEFAULT_DEADLINE_S,
@@ -21,14 +23,38 @@
 from .state import GatewayState
 from .stream import async_forward_stream
 
+_LOGGER = logging.getLogger(__name__)
+
 _MS_PER_S = 1000
 _NOT_READY = GatewayResponse(503, "no configuration yet", 0.5)
+# The request may have run.
+_FAULT = GatewayResponse(500, "internal error")
 
 
 async def async_handle_request(
     state: GatewayState, conn: CallerConnection, request: CallerRequest
 ) -> None:
     """Handle one request from a caller and write its response."""
+    try:
+        await _async_handle_request(state, conn, request)
+    except Exception:  # noqa: BLE001
+        request_id = request.get(state.header_names.request_id)
+        log_event(
+            _LOGGER,
+            LogEvent.HANDLER_FAILED,
+            "request hit a fault of this program",
+            level=logging.ERROR,
+            exc_info=True,
+            request=request_id.decode("latin-1") if request_id else None,
+            responded=conn.responded,
+        )
+        if not conn.responded:
+            conn.respond(_FAULT, request_id, state.header_names.request_id)
+
+
+async def _async_handle_request(
+    state: GatewayState, conn: CallerConnection, request: CallerRequest
+) -> None:
     state.traffic_seen = True
     await _async_wait_until_started(state, request)
     cfg = state.configuration()
--- a/gooseberryhall/gateway/caller.py
+++ b/gooseberryhall/gateway/caller.py
@@ -1,6 +1,7 @@
 """Server side of a caller's HTTP/1.1 connection."""
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
@@ -8,11 +9,15 @@
 import httptools
 
 from ..fleet.models import Limits
+from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
 from ..transport.const import HOP_BY_HOP_HEADERS, WRITE_HIGH_WATER_BYTES
 from ..transport.exchange import Headers, ResponseHead
 from .const import MAX_READ_BYTES
 from .models import CallerRequest, GatewayResponse
 
+_LOGGER = logging.getLogger(__name__)
+
 _REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -55,6 +60,8 @@
         self._writable: asyncio.Future[None] | None = None
         self._chunked = False
         self._keep_alive = True
+        # Whether a response was begun, and whether it is complete, too.
+        self._responded = False
         self._responding = False
         self._reading = False
         # Bytes received since the last body data or the end of a request.
@@ -62,6 +69,11 @@
         self.closing = False
         self._reset_message()
 
+    @property
+    def responded(self) -> bool:
+        """Return whether a response to the request in progress was begun."""
+        return self._responded
+
     @property
     def busy(self) -> bool:
         """Return whether a request is being read or handled."""
@@ -176,6 +188,7 @@
 
         Without a length the body uses chunked transfer encoding.
         """
+        self._responded = True
         self._responding = True
         self._chunked = length is None
         if close:
@@ -251,11 +264,21 @@
         self._task = self._loop.create_task(self._async_handle(request))
 
     async def _async_handle(self, request: CallerRequest) -> None:
+        self._responded = False
         try:
             await self._handler(self, request)
+        except Exception:  # noqa: BLE001
+            log_event(
+                _LOGGER,
+                LogEvent.HANDLER_FAILED,
+                "handler of a request failed",
+                level=logging.ERROR,
+                exc_info=True,
+            )
         finally:
             self._task = None
-            if self._responding:
+            # A caller must not wait for the rest of an answer, or for all of it.
+            if self._responding or not self._responded:
                 self.abort()
         if self.closing:
             return
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from typing import NoReturn
 
 from gooseberryhall.transport.pool import Address
 from tests.gateway.common import (
@@ -9,8 +10,11 @@
     ScriptedServer,
     async_gateway,
     async_until,
+    chunk,
     encode_response,
+    event,
     route,
+    stream_head,
 )
 
 
@@ -260,6 +264,38 @@
     assert unreachable.requests == []
 
 
+async def test_request_that_hits_a_fault_of_the_node_is_answered() -> None:
+    """Guards against a silent connection after an unexpected error (review/3)."""
+
+    def raise_error() -> NoReturn:
+        raise RuntimeError("a fault of the node")
+
+    async with async_gateway((route(),)) as gateway:
+        gateway.state.servers = raise_error
+        response = await gateway.async_request()
+    assert response.startswith(b"HTTP/1.1 500")
+    assert b"x-id: 17" in response
+
+
+async def test_fault_of_the_node_within_a_stream_cuts_the_connection() -> None:
+    """Guards against a stream that looks complete, or stays open, after a fault."""
+
+    async def async_one_event(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(stream_head(request) + chunk(event(1)))
+
+    def raise_error(*_: object, **__: object) -> NoReturn:
+        raise RuntimeError("a fault of the node")
+
+    server = ScriptedServer("s1", async_one_event)
+    streaming = route(streaming=True)
+    async with async_gateway((streaming,), (server,)) as gateway:
+        gateway.state.metrics.latency.observe = raise_error
+        response = await gateway.async_request()
+    assert not response.endswith(b"0\r\n\r\n")
+
+
 async def test_request_waits_for_a_node_that_has_just_started() -> None:
     """Guards against refusals by all nodes right after all of them were restarted.
 
