Refuse addresses that no connection can reach

Cause: parse_address took any text as a host and any number as a port, and opening a connection expected only errors of sockets. A malformed name raises UnicodeError, a port over 65,535 OverflowError. The entry had no requests in flight and therefore was the first choice. Change: addresses in entries, records of nodes, settings and datagrams must be an IPv4 address and a port that a server can have (create_address). A connect that fails for any reason sends nothing and marks the server as unreachable. Why it works: such an entry names no server, and an address that still fails is avoided like one that refuses connections.

--- a/gooseberryhall/fleet/models.py
+++ b/gooseberryhall/fleet/models.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from ..transport.pool import Address
+from ..transport.address import Address
 
 
 class MemberState(StrEnum):
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -9,7 +9,7 @@
 from ..exceptions import InvalidInputError
 from ..fleet.models import BackendServer, ServedGroup
 from ..gateway.models import CrashReport
-from ..transport.pool import Address
+from ..transport.address import MAX_PORT, create_address
 
 
 class GossipError(InvalidInputError):
@@ -105,7 +105,7 @@
             zone=_require_text(values[1]),
             incarnation=int(values[2]),
             sequence=int(values[3]),
-            port=int(values[4]),
+            port=_require_port(values[4]),
             traffic_seen=bool(values[5]),
             config_version=int(values[6]),
             store_lost=bool(values[7]),
@@ -226,13 +226,20 @@
     return BackendServer(
         server_id=_require_text(values[0]),
         service=_require_text(values[1]),
-        address=Address(_require_text(values[2]), int(values[3])),
+        address=create_address(_require_text(values[2]), int(values[3])),
         zone=zone,
         leaving=bool(values[4]),
         slots=int(values[5]),
     )
 
 
+def _require_port(value: Any) -> int:
+    port = int(value)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"not a port: {port}")
+    return port
+
+
 def _require_text(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError(f"not a string: {value!r}")
--- a/gooseberryhall/gossip/models.py
+++ b/gooseberryhall/gossip/models.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..transport.pool import Address
+from ..transport.address import Address
 from .const import ANNOUNCEMENT_TTL_S, MS_PER_S
 from .messages import Gossip, ServerTraffic, ZoneAnnouncement
 
--- a/gooseberryhall/gossip/peers.py
+++ b/gooseberryhall/gossip/peers.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from ..transport.pool import Address
+from ..transport.address import Address
 from .const import (
     GOSSIP_PERIOD_S,
     INTERVALS_UNTIL_DOWN,
--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -7,7 +7,7 @@
 from ..fleet.models import BackendServer, Configuration
 from ..fleet.orders import EngineClient, LeaseStore
 from ..gateway.header_names import HeaderNames
-from ..transport.pool import Address
+from ..transport.address import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/node/listeners.py
+++ b/gooseberryhall/node/listeners.py
@@ -11,8 +11,8 @@
 from ..fleet.models import Limits
 from ..gateway.caller import CallerConnection
 from ..gateway.models import CallerRequest, GatewayResponse
+from ..transport.address import Address
 from ..transport.exchange import ResponseHead
-from ..transport.pool import Address
 
 BACKLOG = 512
 TEXT_FORMAT = "text/plain"
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -18,7 +18,7 @@
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
-from ..transport.pool import Address
+from ..transport.address import Address
 from .directory import PlatformAdapter
 from .listeners import (
     Listener,
--- a/gooseberryhall/node/registration.py
+++ b/gooseberryhall/node/registration.py
@@ -9,7 +9,7 @@
 from ..gossip.peers import Peers
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
-from ..transport.pool import Address
+from ..transport.address import Address
 from .directory import Directory, NodeRecord
 from .settings import NodeSettings
 
--- a/gooseberryhall/node/settings.py
+++ b/gooseberryhall/node/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..transport.pool import Address
+from ..transport.address import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/platform/leases.py
+++ b/gooseberryhall/platform/leases.py
@@ -10,7 +10,7 @@
 from ..node.directory import NodeRecord
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
-from ..transport.pool import Address
+from ..transport.address import create_address
 from .decoding import decode_json
 from .exceptions import RowFormatError, StoreConflictError, StoreUnavailableError
 from .store import Store
@@ -91,8 +91,9 @@
             continue
         try:
             node = decode_json(row.value, _NodeRow, f"node {row.key}")
-        except RowFormatError as exc:
+            address = create_address(node.host, node.port)
+        except (RowFormatError, ValueError) as exc:
             log_event(_LOGGER, LogEvent.ROW_REFUSED, str(exc), level=logging.WARNING)
             continue
-        found.append(NodeRecord(row.key, node.zone, Address(node.host, node.port)))
+        found.append(NodeRecord(row.key, node.zone, address))
     return found
--- a/gooseberryhall/platform/servers.py
+++ b/gooseberryhall/platform/servers.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..fleet.models import BackendServer, Membership, MemberState
-from ..transport.pool import parse_address
+from ..transport.address import parse_address
 from .decoding import decode_json
 from .exceptions import RowFormatError
 
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..node.settings import NodeSettings
-from ..transport.pool import Address, parse_address
+from ..transport.address import Address, parse_address
 from .decoding import decode_json
 from .exceptions import PlatformSettingsError, RowFormatError
 
--- a/gooseberryhall/platform/store.py
+++ b/gooseberryhall/platform/store.py
@@ -9,8 +9,9 @@
 
 import msgspec
 
+from ..transport.address import Address
 from ..transport.exceptions import TransportError
-from ..transport.pool import Address, ConnectionPool
+from ..transport.pool import ConnectionPool
 from ..transport.request import Response, async_call, encode_request
 from .decoding import decode_json
 from .exceptions import (
--- a/gooseberryhall/transport/pool.py
+++ b/gooseberryhall/transport/pool.py
@@ -4,32 +4,13 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from .address import Address
 from .client import ClientConnection
 from .const import CONNECT_TIMEOUT_S, MAX_IDLE_PER_ADDRESS
 from .exceptions import ConnectFailedError
 from .exchange import Exchange
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    """An IPv4 address and TCP port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return `host:port`."""
-        return f"{self.host}:{self.port}"
-
-
-def parse_address(text: str) -> Address:
-    """Parse `host:port`. Raises `ValueError`."""
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit():
-        raise ValueError(f"not an address: {text!r}")
-    return Address(host, int(port))
-
-
 @dataclass(slots=True)
 class ConnectionPool:
     """Opens connections and keeps idle connections for reuse."""
@@ -112,6 +93,7 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+            # The last two are raised for hosts and ports that no socket accepts.
             raise ConnectFailedError(f"cannot connect to {address}: {exc!r}") from exc
         return conn
--- a/gooseberryhall/transport/request.py
+++ b/gooseberryhall/transport/request.py
@@ -3,10 +3,11 @@
 import asyncio
 from dataclasses import dataclass
 
+from .address import Address
 from .const import MAX_RESPONSE_BYTES
 from .exceptions import ExchangeTimeoutError
 from .exchange import Exchange, Headers, ResponseHead
-from .pool import Address, ConnectionPool
+from .pool import ConnectionPool
 
 
 def encode_request(
--- a/tests/fleet/common.py
+++ b/tests/fleet/common.py
@@ -17,7 +17,7 @@
 from gooseberryhall.fleet.orders import OrderOutcome
 from gooseberryhall.fleet.view import FleetView
 from gooseberryhall.fleet.zone import ZoneState
-from gooseberryhall.transport.pool import Address
+from gooseberryhall.transport.address import Address
 
 LARGE = Model("large", 3, 1.0, 0.5, 4.0, 0.02)
 SMALL = Model("small", 2, 0.6, 0.5, 3.0, 0.02)
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -24,7 +24,8 @@
 from gooseberryhall.gateway.metrics import GatewayMetrics
 from gooseberryhall.gateway.state import GatewayState
 from gooseberryhall.node.listeners import async_listen
-from gooseberryhall.transport.pool import Address, ConnectionPool
+from gooseberryhall.transport.address import Address
+from gooseberryhall.transport.pool import ConnectionPool
 
 HEADER_NAMES = HeaderNames(
     request_id=b"x-id",
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -4,7 +4,9 @@
 from dataclasses import replace
 from typing import NoReturn
 
-from gooseberryhall.transport.pool import Address
+import pytest
+
+from gooseberryhall.transport.address import Address
 from tests.gateway.common import (
     ReceivedRequest,
     ScriptedServer,
@@ -264,6 +266,22 @@
     assert unreachable.requests == []
 
 
+@pytest.mark.parametrize(
+    "address", [Address("127.0..1", 8310), Address("127.0.0.1", 70_000)]
+)
+async def test_server_with_an_unusable_address_is_unreachable(address: Address) -> None:
+    """Guards against an error of the connect that is not one of a socket (review/3)."""
+    server = ScriptedServer("s2", _async_ok)
+    unsafe = route(idempotent=False, attempts=1)
+    async with async_gateway((unsafe,), (ScriptedServer("s1", _async_ok), server)) as (
+        gateway
+    ):
+        gateway.servers["s1"] = replace(gateway.servers["s1"], address=address)
+        gateway.state.backends.peer_load = {"s2": 1}
+        response = await gateway.async_request(method="POST", body="x")
+    assert response.startswith(b"HTTP/1.1 200")
+
+
 async def test_request_that_hits_a_fault_of_the_node_is_answered() -> None:
     """Guards against a silent connection after an unexpected error (review/3)."""
 
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -31,7 +31,7 @@
 from gooseberryhall.gossip.models import PeerTraffic
 from gooseberryhall.gossip.peers import Peers
 from gooseberryhall.gossip.service import GossipService
-from gooseberryhall.transport.pool import Address
+from gooseberryhall.transport.address import Address
 
 LEADER = BackendServer("s1", "engine", Address("10.0.0.1", 80), "z", False, 13)
 
@@ -110,6 +110,13 @@
         decode(data)
 
 
+@pytest.mark.parametrize("port", [0, 70_000, -1])
+def test_port_out_of_range_is_refused(port: int) -> None:
+    """Guards against a peer to which no datagram can be sent."""
+    with pytest.raises(GossipError):
+        decode(encode(replace(_gossip(), port=port)))
+
+
 def test_messages_of_another_shape_are_refused() -> None:
     """Guards against accepting valid CBOR values that are not a message."""
     with pytest.raises(GossipError):
--- a/tests/node/common.py
+++ b/tests/node/common.py
@@ -24,7 +24,7 @@
 )
 from gooseberryhall.node.node import Node
 from gooseberryhall.node.settings import NodeSettings
-from gooseberryhall.transport.pool import Address
+from gooseberryhall.transport.address import Address
 from tests.fleet.common import server
 
 PROFILE = EngineProfile(4, (Model("m", 2, 1.0, 1.0, 9.0, 1.0),), 0.1, 6)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -152,6 +152,28 @@
         decode_configuration(json.dumps({**CONFIGURATION, **change}).encode())
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0..1:8310",
+        "a" * 64 + ".example:80",
+        "host.example:80",
+        "10.0.0.1:65536",
+        "10.0.0.1:0",
+        "10.0.0.1:\u0663",
+        "10.0.0.1:" + "9" * 5000,
+        "10.0.0.1\r\nX: y:80",
+        "0.0.0.0:80",
+    ],
+)
+def test_unusable_address_is_refused(address: str) -> None:
+    """Guards against requests to a server that no connection can reach (review/3)."""
+    with pytest.raises(RowFormatError):
+        decode_server_record(
+            "i-1", json.dumps({**SERVER_RECORD, "address": address}).encode()
+        )
+
+
 def test_nested_rows_are_refused() -> None:
     """Guards against an unreadable row whose error ends the task that reads the table.
 
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -5,7 +5,8 @@
 from gooseberryhall.fleet.models import BackendServer, Group
 from gooseberryhall.fleet.orders import OrderOutcome
 from gooseberryhall.platform.orders import HttpEngineClient
-from gooseberryhall.transport.pool import Address, ConnectionPool
+from gooseberryhall.transport.address import Address
+from gooseberryhall.transport.pool import ConnectionPool
 
 DONE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
 REFUSED = b"HTTP/1.1 409 Conflict\r\ncontent-length: 2\r\n\r\n{}"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -23,7 +23,8 @@
 )
 from gooseberryhall.platform.leases import RowLeaseStore, async_read_nodes
 from gooseberryhall.platform.store import MAX_ROWS, Store
-from gooseberryhall.transport.pool import Address, ConnectionPool
+from gooseberryhall.transport.address import Address
+from gooseberryhall.transport.pool import ConnectionPool
 from standins.row_store import RowStore
 from tests.platform.test_decoding import (
     CONFIGURATION,
@@ -117,6 +118,7 @@
         record = NodeRecord("n1", "z", Address("10.0.0.2", 7000))
         await directory.async_register(record)
         stand_in.put("nodes", "n2", b"\xff")
+        stand_in.put("nodes", "n4", b'{"host":"10.0.0.4","port":70000}')
         stand_in.put("nodes", "n3", add_nested_field({"host": "10.0.0.3", "port": 1}))
         nodes = await async_read_nodes(store)
     assert nodes == [record]
