Ask a server before each join, and dissolve revived groups again

Cause: the leader carried out its first orders to join and to open late, after it had confirmed that it left. The owner ignored the group for good, took the record that tells of it for older than its report, and asked a server for its state only once in an incarnation. Change: a report precedes each join, and a server in a group that may serve leaves it first. A group is retired only if its leader answered all orders to join and open it. Why it works: a revived leader is seen by its record and made to leave, and if the record is late, by the report before the join.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -17,7 +17,7 @@
 )
 from .lifecycle import dissolve_group, form_group, is_released
 from .loads import count_loads, free_load_slots
-from .members import async_probe_members, probe_unresponsive
+from .members import async_probe_members, async_probe_state, probe_unresponsive
 from .models import BackendServer, EngineProfile, Group, MemberState
 from .planner import plan_zone
 from .plans import ZoneFacts
@@ -32,6 +32,7 @@
     if profile is None or _is_on_hold(zone):
         return
     now_s = asyncio.get_running_loop().time()
+    _probe_contradicted(zone)
     _adopt_groups(zone, profile, now_s)
     for managed in list(zone.groups.values()):
         if managed.phase is Phase.OPEN:
@@ -64,8 +65,15 @@
     return now_s < zone.hold_until_s
 
 
+def _probe_contradicted(zone: ZoneState) -> None:
+    """Probe the servers whose records contradict what is known of them."""
+    for server in zone.servers():
+        if zone.view.take_contradiction(server.server_id):
+            zone.create_task(async_probe_state(zone, server))
+
+
 def _adopt_groups(zone: ZoneState, profile: EngineProfile, now_s: float) -> None:
-    """Adopt the groups that an earlier owner left."""
+    """Adopt the groups that an earlier owner left or that late orders revived."""
     incomplete_since_s: dict[GroupKey, float] = {}
     zone.reserved = set()
     for group, states in zone.view.groups(zone.name):
@@ -101,9 +109,11 @@
         group, Phase.OPEN, leader, zone.group_domain(group), may_be_open=True
     )
     zone.groups[group.name, group.epoch] = managed
+    # Orders of the earlier owner may not have been answered.
+    zone.revivable_groups.add((group.name, group.epoch))
     zone.log(
         LogEvent.GROUP_ADOPTED,
-        "adopted group of an earlier owner",
+        "adopted group that this owner did not manage",
         group=group.name,
         head_state=state,
         whole=complete,
--- a/gooseberryhall/fleet/lifecycle.py
+++ b/gooseberryhall/fleet/lifecycle.py
@@ -7,7 +7,7 @@
 from .const import LEAVE_RETRY_S, OPEN_TIMEOUT_MARGIN_S, READY_POLL_S
 from .exceptions import FormationError
 from .members import async_join
-from .models import EngineProfile, Group, MemberState, Model
+from .models import BackendServer, EngineProfile, Group, MemberState, Model
 from .orders import ACCEPTED, OrderOutcome
 from .plans import GroupPlan
 from .zone import ManagedGroup, Phase, ZoneState
@@ -95,7 +95,7 @@
     managed.may_be_open = True
     leader = zone.require_server(group.leader)
     deadline_s = loop.time() + profile.formation_s + OPEN_TIMEOUT_MARGIN_S
-    outcome = await zone.engines.async_open(leader, group, zone.term)
+    outcome = await _async_order_open(zone, leader, group)
     await asyncio.sleep(profile.formation_s)
     while loop.time() < deadline_s:
         await zone.async_refresh(leader)
@@ -104,11 +104,20 @@
         if membership is not None and membership.state is MemberState.OPEN:
             return
         if outcome not in ACCEPTED:
-            outcome = await zone.engines.async_open(leader, group, zone.term)
+            outcome = await _async_order_open(zone, leader, group)
         await asyncio.sleep(READY_POLL_S)
     raise FormationError(f"open: {outcome}")
 
 
+async def _async_order_open(
+    zone: ZoneState, leader: BackendServer, group: Group
+) -> OrderOutcome:
+    outcome = await zone.engines.async_open(leader, group, zone.term)
+    if outcome is OrderOutcome.NO_ANSWER:
+        zone.record_unanswered_order(leader, group)
+    return outcome
+
+
 def dissolve_group(
     zone: ZoneState, managed: ManagedGroup, reason: str, **fields: Any
 ) -> None:
@@ -125,8 +134,8 @@
 
     A server must not join another group while the leader of its own may still serve,
     so the leader is ordered to leave first. If the leader is unresponsive, the other
-    members are ordered to leave. If such a leader comes back with the group, the group
-    is dissolved again.
+    members are ordered to leave. If such a leader comes back with the group, or carries
+    out late orders to join and open it, the group is adopted and dissolved again.
     """
     key = (managed.group.name, managed.group.epoch)
     while key in zone.groups:
@@ -138,7 +147,7 @@
         if outcome is OrderOutcome.SUPERSEDED:
             zone.on_superseded()
         elif outcome is not OrderOutcome.NO_ANSWER:
-            zone.retired_groups.add(key)
+            zone.retire(managed.group)
             zone.apply_leave(managed.group, managed.group.leader)
             break
         if await _async_release_members(zone, managed):
--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -49,6 +49,7 @@
     await _async_leave_earlier_group(zone, server)
     outcome = await zone.engines.async_join(server, group, zone.term)
     if outcome is OrderOutcome.NO_ANSWER:
+        zone.record_unanswered_order(server, group)
         outcome = await zone.engines.async_join(server, group, zone.term)
     if outcome is OrderOutcome.NO_ANSWER:
         zone.mark_unresponsive(server)
@@ -78,15 +79,13 @@
 async def _async_leave_earlier_group(zone: ZoneState, server: BackendServer) -> None:
     """Remove a server from a group whose leader may still serve.
 
-    An earlier owner may have formed the group, and the record of its leader may be
-    missing. Raises `FormationError`.
+    An earlier owner may have formed the group, the record of its leader may be missing,
+    or the leader may have carried out late orders. Raises `FormationError`.
     """
-    incarnation = (server.server_id, server.started_at_ms)
-    if incarnation not in zone.verified:
-        if not await zone.async_refresh(server):
-            zone.mark_unresponsive(server)
-            raise FormationError(f"{server.server_id} does not answer")
-        zone.verified.add(incarnation)
+    # Whatever is known may be outdated: a server may carry out an order late.
+    if not await zone.async_refresh(server):
+        zone.mark_unresponsive(server)
+        raise FormationError(f"{server.server_id} does not answer")
     membership = zone.require_server(server.server_id).membership
     if membership is None or membership.group.startswith(SPARE_GROUP_PREFIX):
         return
@@ -96,7 +95,7 @@
     outcome = await zone.engines.async_leave(server, earlier, zone.term)
     zone.log(
         LogEvent.EARLIER_GROUP_LEFT,
-        "server leaves a group of an earlier owner",
+        "server leaves its group before it joins another",
         server=server.server_id,
         group=membership.group,
         outcome=outcome,
@@ -115,6 +114,11 @@
         await zone.async_refresh(server)
 
 
+async def async_probe_state(zone: ZoneState, server: BackendServer) -> None:
+    """Update the state of a server by a report, if it answers."""
+    await zone.async_refresh(server)
+
+
 async def _async_probe_unresponsive(zone: ZoneState, server: BackendServer) -> None:
     if await zone.async_refresh(server):
         zone.unresponsive.pop(server.server_id, None)
--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -34,6 +34,8 @@
     _last_reports: dict[str, _LastReport] = field(default_factory=dict)
     # Servers whose record lapsed during a store outage, with the time of their removal.
     _lapsed: dict[str, float] = field(default_factory=dict)
+    # Servers with a record that contradicts their last report and may be newer than it.
+    _contradicted: set[str] = field(default_factory=set)
 
     def apply_record(self, server: BackendServer, now_s: float) -> None:
         """Apply a server record of the store, unless the current state is newer."""
@@ -48,6 +50,9 @@
         ):
             return
         if self._is_stale(server.membership, current, now_s):
+            last_report = self._last_reports[server.server_id]
+            if now_s - last_report.time_s >= REPORT_PRECEDENCE_S:
+                self._contradicted.add(server.server_id)
             server = replace(
                 server,
                 membership=current.membership,
@@ -69,8 +74,19 @@
             return membership.epoch <= last_report.epoch
         return membership.progress() < current.membership.progress()
 
+    def take_contradiction(self, server_id: str) -> bool:
+        """Return, once, whether a record contradicted the last report of a server.
+
+        The record may be late, or the server may have carried out a late order.
+        """
+        if server_id not in self._contradicted:
+            return False
+        self._contradicted.discard(server_id)
+        return True
+
     def remove_server(self, server_id: str) -> None:
         """Remove a server whose record was deleted."""
+        self._contradicted.discard(server_id)
         self.servers.pop(server_id, None)
         self._lapsed.pop(server_id, None)
         self._last_reports.pop(server_id, None)
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -66,8 +66,12 @@
     # Number of zones that share the weight store.
     zone_count: int
     groups: dict[GroupKey, ManagedGroup] = field(default_factory=dict)
-    # Groups whose leader confirmed that it left, or that were never opened.
+    # Groups that cannot serve again, because their leader confirmed that it left, or
+    # because they were never opened.
     retired_groups: set[GroupKey] = field(default_factory=set)
+    # Groups that may serve again after their leader left them, as an order to it was
+    # not answered and may be carried out late.
+    revivable_groups: set[GroupKey] = field(default_factory=set)
     # Incarnation (its start time) and time of the next probe of unresponsive servers.
     unresponsive: dict[str, tuple[int, float]] = field(default_factory=dict)
     # Models that spares are loading, by server.
@@ -78,8 +82,6 @@
     incomplete_since_s: dict[GroupKey, float] = field(default_factory=dict)
     # Servers of these groups, which must not join another group meanwhile.
     reserved: set[str] = field(default_factory=set)
-    # Incarnations of servers that this owner has probed.
-    verified: set[tuple[str, int]] = field(default_factory=set)
     epoch_count: int = 0
     rebalanced_s: float = 0.0
     summary_logged_s: float = 0.0
@@ -119,6 +121,17 @@
             )
         self.unresponsive[server.server_id] = (server.started_at_ms, due_s)
 
+    def record_unanswered_order(self, server: BackendServer, group: Group) -> None:
+        """Record that a server may carry out an order for a group late."""
+        if server.server_id == group.leader:
+            self.revivable_groups.add((group.name, group.epoch))
+
+    def retire(self, group: Group) -> None:
+        """Record that the leader of a group confirmed that it left."""
+        key = (group.name, group.epoch)
+        if key not in self.revivable_groups:
+            self.retired_groups.add(key)
+
     def is_ready(self, server_id: str, group: Group) -> bool:
         """Return whether a server reported that it is a ready member of a group."""
         server = self.view.servers.get(server_id)
--- a/tests/fleet/common.py
+++ b/tests/fleet/common.py
@@ -74,15 +74,29 @@
         self.servers = {record.server_id: FakeServer(record) for record in servers}
         self.violations: list[str] = []
         self.lost_answers = 0
+        # Orders that get no answer and are carried out by `carry_out_late`: the next
+        # ones, and the next one of a kind to a server.
+        self.late_orders = 0
+        self.late_kinds: set[tuple[str, str]] = set()
+        self._late: list[Callable[[], OrderOutcome]] = []
 
     async def async_join(
         self, server: BackendServer, group: Group, fencing_token: int
     ) -> OrderOutcome:
         """Join at once, unless the fencing token or the epoch is outdated."""
         await asyncio.sleep(0)
+        return self._carry_out(
+            server, "join", lambda: self._join(server, group, fencing_token)
+        )
+
+    def _join(
+        self, server: BackendServer, group: Group, fencing_token: int
+    ) -> OrderOutcome:
         fake = self._reach(server, "join", fencing_token)
         if isinstance(fake, OrderOutcome):
             return fake
+        if fake.membership and fake.membership.epoch == group.epoch:
+            return self._answer(OrderOutcome.DONE)
         if group.epoch < fake.highest_epoch:
             return OrderOutcome.SUPERSEDED
         self._check_join(fake, group)
@@ -99,6 +113,13 @@
     ) -> OrderOutcome:
         """Open the leader's group and check that all members are ready."""
         await asyncio.sleep(0)
+        return self._carry_out(
+            server, "open", lambda: self._open(server, group, fencing_token)
+        )
+
+    def _open(
+        self, server: BackendServer, group: Group, fencing_token: int
+    ) -> OrderOutcome:
         fake = self._reach(server, "open", fencing_token)
         if isinstance(fake, OrderOutcome):
             return fake
@@ -117,6 +138,13 @@
     ) -> OrderOutcome:
         """Leave the group if the server is in it."""
         await asyncio.sleep(0)
+        return self._carry_out(
+            server, "leave", lambda: self._leave(server, group, fencing_token)
+        )
+
+    def _leave(
+        self, server: BackendServer, group: Group, fencing_token: int
+    ) -> OrderOutcome:
         fake = self._reach(server, "leave", fencing_token)
         if isinstance(fake, OrderOutcome):
             return fake
@@ -147,6 +175,16 @@
             fake.record.started_at_ms, fake.membership, fake.staged, fake.last_model
         )
 
+    def add(self, record: BackendServer) -> None:
+        """Add a server that is in no group."""
+        self.servers[record.server_id] = FakeServer(record)
+
+    def carry_out_late(self) -> None:
+        """Carry out the late orders in the sequence in which they were sent."""
+        late, self._late = self._late, []
+        for order in late:
+            order()
+
     def open_groups(self) -> dict[str, tuple[str, ...]]:
         """Return the members of each open group."""
         return {
@@ -183,6 +221,18 @@
         fake.orders.append(order)
         return fake
 
+    def _carry_out(
+        self, server: BackendServer, kind: str, order: Callable[[], OrderOutcome]
+    ) -> OrderOutcome:
+        """Carry out an order now, or keep it for later without an answer."""
+        key = (server.server_id, kind)
+        if not self.late_orders and key not in self.late_kinds:
+            return order()
+        self.late_orders = max(0, self.late_orders - 1)
+        self.late_kinds.discard(key)
+        self._late.append(order)
+        return OrderOutcome.NO_ANSWER
+
     def _answer(self, outcome: OrderOutcome) -> OrderOutcome:
         if self.lost_answers:
             self.lost_answers -= 1
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -6,6 +6,7 @@
 from gooseberryhall.fleet.const import SPARE_GROUP_PREFIX
 from gooseberryhall.fleet.controller import probe_group, reconcile
 from gooseberryhall.fleet.models import Group, Membership, MemberState
+from gooseberryhall.fleet.view import REPORT_PRECEDENCE_S
 from gooseberryhall.fleet.zone import ZoneState
 from tests.fleet.common import FakeEngines, FakeZone, server
 
@@ -183,6 +184,76 @@
     assert zone.engines.violations == []
 
 
+async def _async_dissolve_group_with_late_orders(
+    zone: FakeZone, leaving_rank: int
+) -> tuple[ZoneState, Group]:
+    """Let a member of the group of s0 leave, and s0 carry out late orders then.
+
+    These are its first order to join the group and the first one to open it; both were
+    repeated. Returns the zone and the dissolved group, whose leader is open again.
+    """
+    zone.engines.late_kinds = {("s0", "join"), ("s0", "open")}
+    state = await _async_form_groups(zone)
+    group = next(group for group in state.open_groups() if group.leader == "s0")
+    leaving = zone.engines.servers[group.members[leaving_rank]]
+    leaving.record = replace(leaving.record, leaving=True)
+    zone.list_servers()
+    await zone.async_run(state, lambda: len(state.groups) == 1)
+    zone.engines.carry_out_late()
+    assert group.name in zone.engines.open_groups()
+    return state, group
+
+
+async def test_late_orders_do_not_revive_a_dissolved_group() -> None:
+    """Guards against a leader that is open again and joins another group (review/4)."""
+    zone = _zone(5)
+    state, group = await _async_dissolve_group_with_late_orders(zone, leaving_rank=1)
+    # A record that differs from a report counts only after this time.
+    await asyncio.sleep(REPORT_PRECEDENCE_S + 0.1)
+    zone.list_servers()
+    await zone.async_run(state, lambda: group.name not in zone.engines.open_groups())
+    zone.engines.add(server("s9"))
+    zone.list_servers()
+    await zone.async_run(state, lambda: len(state.open_groups()) == 2)
+    await zone.async_stop()
+    assert zone.engines.violations == []
+
+
+async def test_revived_leader_leaves_before_it_joins() -> None:
+    """Guards against a join of a revived leader whose record has not changed yet."""
+    zone = _zone(5)
+    state, group = await _async_dissolve_group_with_late_orders(zone, leaving_rank=1)
+    zone.engines.add(server("s9"))
+    _list_without_membership(zone, "s0")
+    await zone.async_run(state, lambda: len(state.open_groups()) == 2)
+    await zone.async_stop()
+    assert group.name not in zone.engines.open_groups()
+    assert zone.engines.violations == []
+
+
+async def test_members_of_a_revived_leader_leave_before_they_join() -> None:
+    """Guards against a member that joins another group while its leader is open again.
+
+    Members stay in a dissolved group after its leader left, until another group needs
+    them; the record of the leader has not changed yet.
+    """
+    zone = _zone(5)
+    state, _ = await _async_dissolve_group_with_late_orders(zone, leaving_rank=0)
+    zone.engines.add(server("s9"))
+    _list_without_membership(zone, "s0")
+    await zone.async_run(state, lambda: len(state.open_groups()) == 2)
+    await zone.async_stop()
+    assert zone.engines.violations == []
+
+
+def _list_without_membership(zone: FakeZone, server_id: str) -> None:
+    """List all servers, one of them with a record from before it joined a group."""
+    fake = zone.engines.servers[server_id]
+    membership, fake.membership = fake.membership, None
+    zone.list_servers()
+    fake.membership = membership
+
+
 async def test_group_of_a_leaving_member_is_closed_after_its_streams() -> None:
     """Guards against aborted streams and a group that outlives a leaving member."""
     zone = _zone(5)
--- a/tests/fleet/test_controller_faults.py
+++ b/tests/fleet/test_controller_faults.py
@@ -27,6 +27,8 @@
                 "owner",
                 "lost",
                 "leave",
+                "late",
+                "carry out",
             ]
         ),
         st.integers(0, SERVERS - 1),
@@ -51,6 +53,10 @@
         fake.record = replace(fake.record, leaving=True)
     elif kind == "lost":
         zone.engines.lost_answers = 1 + number % 3
+    elif kind == "late":
+        zone.engines.late_orders = 1 + number % 4
+    elif kind == "carry out":
+        zone.engines.carry_out_late()
     elif kind == "lapse":
         zone.list_servers(name)
     elif kind == "list":
