Ask a leader again that refuses to leave its group

Cause: each unknown status of an order counted as "does not fit the server's state", which for an order to leave means that the server is not in the group. Evidence: replay with a fake server that refuses, test_controller.py. Change: 429 and 503 are refusals, other unknown statuses tell nothing; after both the server may still be in the group, and the order is sent again. Why it works: only an answer that says so lets members of the group join another.

--- a/gooseberryhall/fleet/lifecycle.py
+++ b/gooseberryhall/fleet/lifecycle.py
@@ -8,7 +8,7 @@
 from .exceptions import FormationError
 from .members import async_join
 from .models import BackendServer, EngineProfile, Group, MemberState, Model
-from .orders import ACCEPTED, OrderOutcome
+from .orders import ACCEPTED, NOT_LEFT, OrderOutcome
 from .plans import GroupPlan
 from .zone import ManagedGroup, Phase, ZoneState
 
@@ -146,7 +146,7 @@
         )
         if outcome is OrderOutcome.SUPERSEDED:
             zone.on_superseded()
-        elif outcome is not OrderOutcome.NO_ANSWER:
+        elif outcome not in NOT_LEFT:
             zone.retire(managed.group)
             zone.apply_leave(managed.group, managed.group.leader)
             break
@@ -188,7 +188,7 @@
         managed.released.add(member)
         return
     outcome = await zone.engines.async_leave(server, managed.group, zone.term)
-    if outcome in {OrderOutcome.NO_ANSWER, OrderOutcome.SUPERSEDED}:
+    if outcome in NOT_LEFT:
         return
     zone.apply_leave(managed.group, member)
     managed.released.add(member)
--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -51,7 +51,7 @@
     if outcome is OrderOutcome.NO_ANSWER:
         zone.record_unanswered_order(server, group)
         outcome = await zone.engines.async_join(server, group, zone.term)
-    if outcome is OrderOutcome.NO_ANSWER:
+    if outcome in {OrderOutcome.NO_ANSWER, OrderOutcome.REFUSED}:
         zone.mark_unresponsive(server)
     if outcome not in ACCEPTED:
         await _async_handle_refusal(zone, server, outcome)
--- a/gooseberryhall/fleet/orders.py
+++ b/gooseberryhall/fleet/orders.py
@@ -19,11 +19,17 @@
     SUPERSEDED = "superseded"
     # Another server uses the address.
     OTHER_SERVER = "other_server"
-    # The order may still be carried out later.
+    # The server stated that it did nothing; the order may be sent again.
+    REFUSED = "refused"
+    # The order may have been carried out, or may be carried out later.
     NO_ANSWER = "no_answer"
 
 
 ACCEPTED = frozenset({OrderOutcome.DONE, OrderOutcome.STARTED})
+# Outcomes of an order to leave after which the server may still be in its group.
+NOT_LEFT = frozenset(
+    {OrderOutcome.REFUSED, OrderOutcome.NO_ANSWER, OrderOutcome.SUPERSEDED}
+)
 
 
 class Report(Protocol):
--- a/gooseberryhall/platform/orders.py
+++ b/gooseberryhall/platform/orders.py
@@ -18,9 +18,13 @@
 _OUTCOMES: Final = {
     200: OrderOutcome.DONE,
     202: OrderOutcome.STARTED,
+    400: OrderOutcome.UNFIT,
     409: OrderOutcome.UNFIT,
     412: OrderOutcome.SUPERSEDED,
     421: OrderOutcome.OTHER_SERVER,
+    # A server that sheds work answers orders like requests.
+    429: OrderOutcome.REFUSED,
+    503: OrderOutcome.REFUSED,
 }
 
 
@@ -102,7 +106,8 @@
         except TransportError:
             self._pool.close_idle(server.address)
             return OrderOutcome.NO_ANSWER
-        return _OUTCOMES.get(response.head.status, OrderOutcome.UNFIT)
+        # Another status, such as 500, does not tell whether the order was carried out.
+        return _OUTCOMES.get(response.head.status, OrderOutcome.NO_ANSWER)
 
 
 def _headers(server: BackendServer) -> list[tuple[bytes, bytes]]:
--- a/tests/fleet/common.py
+++ b/tests/fleet/common.py
@@ -77,6 +77,8 @@
         # Orders that get no answer and are carried out by `carry_out_late`: the next
         # ones, and the next one of a kind to a server.
         self.late_orders = 0
+        # Orders to leave that are refused.
+        self.refused_leaves = 0
         self.late_kinds: set[tuple[str, str]] = set()
         self._late: list[Callable[[], OrderOutcome]] = []
 
@@ -145,6 +147,9 @@
     def _leave(
         self, server: BackendServer, group: Group, fencing_token: int
     ) -> OrderOutcome:
+        if self.refused_leaves:
+            self.refused_leaves -= 1
+            return OrderOutcome.REFUSED
         fake = self._reach(server, "leave", fencing_token)
         if isinstance(fake, OrderOutcome):
             return fake
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -254,6 +254,26 @@
     fake.membership = membership
 
 
+async def test_leader_that_refuses_to_leave_is_asked_again() -> None:
+    """Guards against members that join another group while their leader serves.
+
+    A server that sheds work refuses orders, too.
+    """
+    zone = _zone(5)
+    state = await _async_form_groups(zone)
+    zone.engines.refused_leaves = 2
+    leaving = zone.engines.servers["s2"]
+    leaving.record = replace(leaving.record, leaving=True)
+    zone.engines.add(server("s9"))
+    zone.list_servers()
+    await zone.async_run(
+        state, lambda: any("s9" in group.members for group in state.open_groups())
+    )
+    await zone.async_stop()
+    assert zone.engines.refused_leaves == 0
+    assert zone.engines.violations == []
+
+
 async def test_group_of_a_leaving_member_is_closed_after_its_streams() -> None:
     """Guards against aborted streams and a group that outlives a leaving member."""
     zone = _zone(5)
