Go on with a stop if the kernel refuses a filter

Cause: the stop attaches a BPF filter to the listening socket. Where the kernel refuses it, the error leaves _async_drain and all connections are closed. The kernel of the test machine gives the same error for a locked filter. Why it works: no call on a listening socket can end the stop any more.

--- a/gooseberryhall/core/listening.py
+++ b/gooseberryhall/core/listening.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import ctypes
+import logging
 import os
 import select
 import socket
@@ -10,6 +11,11 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from ..telemetry.catalogue import LogEvent
+from ..telemetry.logs import log_event
+
+_LOGGER = logging.getLogger(__name__)
+
 # Linux socket option that attaches a classic BPF program to a socket.
 _SO_ATTACH_FILTER = 26
 # BPF program of one instruction (return 0), which drops every packet.
@@ -35,23 +41,54 @@
     Closing a listening socket resets the connections in its accept queue, and their
     callers cannot tell whether a request was executed. New connections get no reply
     until the sockets are closed, and are refused afterwards.
+
+    A system may refuse to drop new connections. Those that arrive between the last
+    check of the queue and the close are then reset. No error is raised, as callers that
+    are connected would pay for it.
     """
     with contextlib.ExitStack() as stack:
         poll = select.poll()
         for listening in sockets:
-            sock = socket.socket(fileno=os.dup(listening.fileno()))
+            try:
+                sock = socket.socket(fileno=os.dup(listening.fileno()))
+            except OSError as exc:
+                _log_refusal("the accept queue cannot be read", exc)
+                continue
             stack.enter_context(sock)
-            _attach_drop_filter(sock)
+            _drop_new_connections(sock)
             poll.register(sock, select.POLLIN)
-        for _ in range(_MAX_ACCEPT_ITERATIONS):
-            if not poll.poll(0):
-                break
+        await _async_wait_until_empty(poll)
+        for _ in range(_TRANSPORT_SETUP_ITERATIONS):
             await asyncio.sleep(0)
-    for _ in range(_TRANSPORT_SETUP_ITERATIONS):
+        # Connections arrive meanwhile if they are not dropped.
+        await _async_wait_until_empty(poll)
+
+
+async def _async_wait_until_empty(poll: "select.poll") -> None:
+    for _ in range(_MAX_ACCEPT_ITERATIONS):
+        if not poll.poll(0):
+            return
         await asyncio.sleep(0)
 
 
+def _drop_new_connections(sock: socket.socket) -> None:
+    try:
+        _attach_drop_filter(sock)
+    except OSError as exc:
+        _log_refusal("new connections cannot be dropped", exc)
+
+
 def _attach_drop_filter(sock: socket.socket) -> None:
     program = ctypes.create_string_buffer(_DROP_ALL_PROGRAM)
     option = struct.pack("HL", 1, ctypes.addressof(program))
     sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, option)
+
+
+def _log_refusal(message: str, exc: OSError) -> None:
+    log_event(
+        _LOGGER,
+        LogEvent.LISTENING_CALL_REFUSED,
+        message,
+        level=logging.WARNING,
+        error=repr(exc),
+    )
--- a/tests/core/test_listening.py
+++ b/tests/core/test_listening.py
@@ -1,7 +1,10 @@
 """Tests of draining the accept queue of listening sockets."""
 
 import asyncio
+import ctypes
+import os
 import socket
+import struct
 from collections.abc import Callable
 
 import pytest
@@ -11,6 +14,12 @@
 
 CALLERS = 20
 TIMEOUT_S = 5.0
+# Linux socket options.
+SO_ATTACH_FILTER = 26
+SO_LOCK_FILTER = 44
+
+# Programs whose memory the kernel reads while they are attached.
+_FILTERS: list[ctypes.Array[ctypes.c_char]] = []
 
 
 async def _async_echo(
@@ -55,6 +64,47 @@
         assert runner.run(_async_close_with_queued_connections()) == [b"a"] * CALLERS
 
 
+async def _async_close_with_locked_filter() -> list[bytes]:
+    server = await asyncio.start_server(_async_echo, "127.0.0.1", 0)
+    for listening in server.sockets:
+        with socket.socket(fileno=os.dup(listening.fileno())) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, _accept_all_filter())
+            sock.setsockopt(socket.SOL_SOCKET, SO_LOCK_FILTER, 1)
+    address = server.sockets[0].getsockname()
+    callers = [socket.create_connection(address) for _ in range(CALLERS)]
+    try:
+        for caller in callers:
+            caller.sendall(b"a")
+            caller.setblocking(False)
+        await async_drain_accept_queue(server.sockets)
+        server.close()
+        return await _async_read_responses(callers)
+    finally:
+        for caller in callers:
+            caller.close()
+
+
+def _accept_all_filter() -> bytes:
+    """Return the option value of a BPF program that accepts each packet."""
+    _FILTERS.append(
+        ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0xFFFFFFFF))
+    )
+    return struct.pack("HL", 1, ctypes.addressof(_FILTERS[-1]))
+
+
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_queued_connections_are_served_if_the_kernel_refuses_a_filter(
+    new_loop: Callable[[], asyncio.AbstractEventLoop],
+) -> None:
+    """Guards against a planned stop that fails with PermissionError.
+
+    The kernel refuses to replace a filter that is locked. A machine may refuse filters
+    for other reasons, and all requests in progress were cut then.
+    """
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        assert runner.run(_async_close_with_locked_filter()) == [b"a"] * CALLERS
+
+
 async def _async_connect_after_drain() -> None:
     server = await asyncio.start_server(_async_echo, "127.0.0.1", 0)
     address = server.sockets[0].getsockname()
