Refuse late requests of a stop, and answer the others at its end

Cause: the stop waited for requests, but decided nothing about them. Evidence: tests/platform/test_stop.py with an open connection whose request is complete 2.6 s after SIGTERM: passed on, then no answer. Change: requests that are complete after the load balancer had time to leave the node are passed on only if their deadline is before the end of the stop; others get 503 at once. At the end, requests without an answer get 502, or 503 if nothing was sent, and those not completely received are refused. Why it works: whatever is passed on late ends in time, and each request that was read has an answer before the connections are closed.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -18,7 +18,11 @@
 from .models import CallerRequest, GatewayResponse
 from .plain import async_forward_plain
 from .prompt import shared_prompt_parts
-from .refusals import crashing_request_response
+from .refusals import (
+    crashing_request_response,
+    outcome_unknown_response,
+    stopping_response,
+)
 from .sending import log_request
 from .state import GatewayState
 from .stream import async_forward_stream
@@ -64,14 +68,7 @@
         state.metrics.requests.inc({"route": "", "outcome": str(routed.status)})
         conn.respond(routed, request_id, state.header_names.request_id)
         return
-    now_s = asyncio.get_running_loop().time()
-    state.budget(routed.service).record_request(now_s)
-    if state.crashes.is_blocked(routed.traits):
-        response: GatewayResponse | None = crashing_request_response(may_have_run=False)
-    elif routed.route.streaming or state.is_grouped(routed.service):
-        response = await async_forward_stream(state, routed, conn)
-    else:
-        response = await async_forward_plain(state, routed, conn)
+    response = await _async_serve(state, routed, conn)
     outcome = "relayed" if response is None else str(response.status)
     state.metrics.requests.inc({"route": routed.route.name, "outcome": outcome})
     if response is None:
@@ -92,6 +89,35 @@
     conn.respond(response, request_id, state.header_names.request_id)
 
 
+async def _async_serve(
+    state: GatewayState, ctx: RequestContext, conn: CallerConnection
+) -> GatewayResponse | None:
+    """Forward a request; return a generated response if no server's was relayed."""
+    if not state.stopping.accepts(ctx.request.received_s, ctx.deadline_s):
+        return stopping_response(state.rng)
+    now_s = asyncio.get_running_loop().time()
+    state.budget(ctx.service).record_request(now_s)
+    if state.crashes.is_blocked(ctx.traits):
+        return crashing_request_response(may_have_run=False)
+    try:
+        async with state.stopping.async_limit():
+            if ctx.route.streaming or state.is_grouped(ctx.service):
+                return await async_forward_stream(state, ctx, conn)
+            return await async_forward_plain(state, ctx, conn)
+    except TimeoutError:
+        if not conn.responded:
+            return _stopped_response(state, ctx)
+        log_request(LogEvent.STREAM_CUT, "this node stops", ctx)
+        conn.abort()
+        return None
+
+
+def _stopped_response(state: GatewayState, ctx: RequestContext) -> GatewayResponse:
+    if ctx.sends:
+        return outcome_unknown_response("this node stopped before the answer")
+    return stopping_response(state.rng)
+
+
 def startup_wait_s(timeout_s: float) -> float:
     """Return how long a request may wait for a node that has just started.
 
--- a/gooseberryhall/gateway/caller.py
+++ b/gooseberryhall/gateway/caller.py
@@ -255,6 +255,11 @@
         if not self.busy and not self._requests:
             self._close()
 
+    def refuse_incomplete(self, response: GatewayResponse) -> None:
+        """Refuse a request that is not completely received."""
+        if self._reading and self._task is None and not self.closing:
+            self._reject(response)
+
     def _start_next(self) -> None:
         if self._task is not None or not self._requests or self.closing:
             return
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -75,4 +75,6 @@
 
 RETRY_AFTER_NO_GROUP_S: Final = 0.8
 RETRY_AFTER_BUSY_S: Final = 0.4
+# Callers of a node that stops can go to another node at once.
+RETRY_AFTER_STOPPING_S: Final = 0.05
 RETRY_AFTER_JITTER: Final = 0.5
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -7,6 +7,7 @@
     RETRY_AFTER_BUSY_S,
     RETRY_AFTER_JITTER,
     RETRY_AFTER_NO_GROUP_S,
+    RETRY_AFTER_STOPPING_S,
 )
 from .models import GatewayResponse
 
@@ -28,6 +29,13 @@
     )
 
 
+def stopping_response(rng: random.Random) -> GatewayResponse:
+    """Return a refusal because this node stops; another node can serve the request."""
+    return GatewayResponse(
+        503, "this node is stopping", _add_jitter(RETRY_AFTER_STOPPING_S, rng)
+    )
+
+
 def crashing_request_response(*, may_have_run: bool) -> GatewayResponse:
     """Return a refusal for a request that crashes servers.
 
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -13,6 +13,7 @@
 from .header_names import HeaderNames
 from .metrics import GatewayMetrics
 from .placement import Candidate, choose_group, choose_server
+from .stopping import Stopping
 
 
 @dataclass(slots=True)
@@ -34,6 +35,7 @@
     crashes: CrashTracker = field(default_factory=CrashTracker)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     rng: random.Random = field(default_factory=random.Random)
+    stopping: Stopping = field(default_factory=Stopping)
     # Whether this node or another has received requests from callers.
     traffic_seen: bool = False
 
--- a/gooseberryhall/node/listeners.py
+++ b/gooseberryhall/node/listeners.py
@@ -32,6 +32,11 @@
         for conn in list(self.connections):
             conn.close_when_idle()
 
+    def refuse_incomplete(self, response: GatewayResponse) -> None:
+        """Refuse the requests that are not completely received."""
+        for conn in list(self.connections):
+            conn.refuse_incomplete(response)
+
 
 async def async_listen(
     stack: AsyncExitStack,
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -14,6 +14,8 @@
 from ..fleet.models import Limits
 from ..gateway.app import async_handle_request
 from ..gateway.const import STALL_CHECK_PERIOD_S
+from ..gateway.refusals import stopping_response
+from ..gateway.stopping import StopSchedule
 from ..gossip.const import GOSSIP_PERIOD_S
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
@@ -35,6 +37,8 @@
 LOAD_BALANCER_DELAY_S = 2.3
 # Time kept before SIGKILL for closing connections.
 SHUTDOWN_MARGIN_S = 0.4
+# Time for the last answers to reach their callers before connections are closed.
+ANSWER_MARGIN_S = 0.2
 SHUTDOWN_POLL_S = 0.05
 POOL_CLEANUP_PERIOD_S = 0.5
 
@@ -78,7 +82,7 @@
         log_event(_LOGGER, LogEvent.PROGRAM_STARTED, "node started")
         await stopping.wait()
         log_event(_LOGGER, LogEvent.PROGRAM_STOPPING, "node stopping")
-        await _async_drain(callers, settings)
+        await _async_drain(node, callers, settings)
     log_event(_LOGGER, LogEvent.PROGRAM_STOPPED, "node stopped")
 
 
@@ -94,16 +98,22 @@
     stack.callback(transport.close)
 
 
-async def _async_drain(callers: Listener, settings: NodeSettings) -> None:
+async def _async_drain(node: Node, callers: Listener, settings: NodeSettings) -> None:
     """Serve until the load balancer removed the node and all callers are answered."""
     loop = asyncio.get_running_loop()
     started_s = loop.time()
-    deadline_s = started_s + settings.stop_grace_s - SHUTDOWN_MARGIN_S
+    closes_s = started_s + settings.stop_grace_s - SHUTDOWN_MARGIN_S
+    schedule = StopSchedule(
+        balanced_s=started_s + LOAD_BALANCER_DELAY_S, ends_s=closes_s - ANSWER_MARGIN_S
+    )
+    node.gateway.stopping.begin(schedule)
     await asyncio.sleep(LOAD_BALANCER_DELAY_S)
     await async_drain_accept_queue(callers.server.sockets)
     callers.server.close()
-    while loop.time() < deadline_s:
+    while loop.time() < closes_s:
         callers.close_idle()
+        if loop.time() >= schedule.ends_s:
+            callers.refuse_incomplete(stopping_response(node.gateway.rng))
         if not callers.connections:
             return
         await asyncio.sleep(SHUTDOWN_POLL_S)
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -5,8 +5,10 @@
 from functools import partial
 from pathlib import Path
 
+from tests.gateway.common import ReceivedRequest
 from tests.platform.common import (
     CALLER_PORT,
+    REQUEST_HEAD,
     RunningNode,
     async_respond,
     async_run_node,
@@ -16,6 +18,8 @@
 # Long enough to be in progress when the node stops to accept connections.
 LONG_S = 3.5
 GRACE_S = 5.0
+# When callers of a stopping node reach other nodes.
+LATE_S = 2.6
 EXIT_LIMIT_S = GRACE_S + 1.0
 
 
@@ -25,6 +29,86 @@
     assert node.process.returncode == 0
 
 
+async def _async_hang(_: ReceivedRequest, __: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(60)
+
+
+async def _async_send_late(node: RunningNode, *, deadline_ms: int) -> bytes:
+    """Begin a request before the node stops, and complete it late in the grace."""
+    reader, writer = await node.async_connect()
+    extra = f"x-deadline-milliseconds: {deadline_ms}\r\n"
+    head = REQUEST_HEAD.format(
+        method="POST", path="/once/late", key="k1", extra=extra
+    ).encode()
+    writer.write(head[:20])
+    await asyncio.sleep(0.2)
+    node.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(LATE_S)
+    writer.write(head[20:] + b"content-length: 0\r\n\r\n")
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+async def test_request_that_comes_late_in_a_stop_is_refused(tmp_path: Path) -> None:
+    """Guards against a request that is taken late and cut at the end of the grace.
+
+    It may not be repeated, so its caller must know that it has not run.
+    """
+    async with async_run_node(
+        tmp_path, _async_hang, timeout_s=10.0, grace_s=GRACE_S
+    ) as node:
+        response = await _async_send_late(node, deadline_ms=8000)
+        assert response.startswith(b"HTTP/1.1 503")
+        assert b"retry-after" in response
+        assert b"Connection: close" in response
+        await _async_stop(node)
+        assert node.server.requests == []
+
+
+async def test_request_that_can_end_within_a_stop_is_served(tmp_path: Path) -> None:
+    """Guards against refusing requests that a stopping node has time for."""
+    async with async_run_node(
+        tmp_path, async_respond, timeout_s=10.0, grace_s=GRACE_S
+    ) as node:
+        response = await _async_send_late(node, deadline_ms=800)
+        assert response.endswith(b"done")
+        await _async_stop(node)
+
+
+async def test_request_without_answer_is_answered_at_the_end_of_a_stop(
+    tmp_path: Path,
+) -> None:
+    """Guards against a connection that is closed without an answer at a stop."""
+    async with async_run_node(
+        tmp_path, _async_hang, timeout_s=20.0, grace_s=GRACE_S
+    ) as node:
+        request = asyncio.create_task(node.async_get(CALLER_PORT, "/once/1"))
+        await asyncio.sleep(0.2)
+        node.process.send_signal(signal.SIGTERM)
+        response = await request
+        assert response.startswith(b"HTTP/1.1 502")
+        await _async_stop(node)
+
+
+async def test_request_that_is_never_complete_is_refused_at_the_end_of_a_stop(
+    tmp_path: Path,
+) -> None:
+    """Guards against a slow upload that a planned stop cuts without an answer."""
+    async with async_run_node(tmp_path, async_respond, grace_s=GRACE_S) as node:
+        reader, writer = await node.async_connect()
+        head = REQUEST_HEAD.format(method="POST", path="/p/1", key="k1", extra="")
+        writer.write(f"{head}content-length: 9\r\n\r\n12".encode())
+        await asyncio.sleep(0.2)
+        node.process.send_signal(signal.SIGTERM)
+        response = await reader.read()
+        writer.close()
+        assert response.startswith(b"HTTP/1.1 503")
+        await _async_stop(node)
+        assert node.server.requests == []
+
+
 async def test_request_in_progress_is_answered_if_the_kernel_refuses_a_filter(
     tmp_path: Path,
 ) -> None:
