Refuse server entries with odd numbers, ids or missing fields

Seen: told by another operator: one odd entry among those of the servers ended the machines that read the list, or their reading of it. Cause: here, numbers of any size, ids with line breaks and entries without slots or sequence were taken as they are. Evidence: a node process that reads an id with a line break sends it as one more header; no entry that was tried ended a process. Why it works: such an entry names no server; it is logged and ignored.

--- a/gooseberryhall/platform/servers.py
+++ b/gooseberryhall/platform/servers.py
@@ -1,7 +1,8 @@
 """Decoders of server records in the store and of direct reports."""
 
+import re
 from dataclasses import dataclass
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
 import msgspec
 
@@ -10,7 +11,11 @@
 from .decoding import decode_json
 from .exceptions import RowFormatError
 
-_Natural = Annotated[int, msgspec.Meta(ge=0)]
+# Larger numbers are not exact in all JSON decoders, and none of the fields needs them.
+_MAX_INTEGER: Final = 2**53 - 1
+_Natural = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+# Ids are sent as the value of a header.
+_SERVER_ID_PATTERN: Final = re.compile(r"[!-~]{1,200}")
 
 
 class _Model(msgspec.Struct):
@@ -19,14 +24,14 @@
 
 class _Group(msgspec.Struct):
     name: str
-    epoch: int
+    epoch: _Natural
     rank: _Natural
     state: Literal["joining", "ready", "open", "closing", "broken"]
 
 
 class _ServerState(msgspec.Struct):
     # Unix time in milliseconds at which this incarnation of the server started.
-    born: int = 0
+    born: _Natural = 0
     models: list[_Model] = []
     # Models whose weights are on the host.
     staged: list[str] = []
@@ -38,11 +43,15 @@
     address: str
     zone: str
     state: Literal["ready", "draining"]
-    slots: _Natural = 0
+    slots: _Natural
     # Number of the heartbeat. The field of this name in reports counts orders.
-    sequence: _Natural = 0
+    sequence: _Natural
+    # Version of the server's software.
+    version: str = ""
+    # Time for which the server is slow after its start.
+    cold_remaining_ms: float = 0.0
     # Fabric domain of the server's host.
-    domain: str | int = ""
+    domain: str | _Natural = ""
 
 
 class _Report(_ServerState):
@@ -63,6 +72,8 @@
 
 def decode_server_record(server_id: str, data: bytes) -> BackendServer:
     """Decode a server record. Raises `RowFormatError`."""
+    if not _SERVER_ID_PATTERN.fullmatch(server_id):
+        raise RowFormatError(f"not the id of a server: {server_id!r}")
     raw = decode_json(data, _ServerRecord, f"server {server_id}")
     try:
         address = parse_address(raw.address)
--- a/tests/platform/common.py
+++ b/tests/platform/common.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from gooseberryhall.platform.settings import SETTINGS_VARIABLE
+from gooseberryhall.transport.address import parse_address
 from standins.row_store import RowStore
 from tests.gateway.common import ReceivedRequest, Script, ScriptedServer
 from tests.platform.test_decoding import CONFIGURATION, SERVER_RECORD
@@ -134,6 +135,7 @@
             listener = await asyncio.start_server(serve, "127.0.0.1", 0)
             stack.callback(listener.close)
             addresses.append("{}:{}".format(*listener.sockets[0].getsockname()[:2]))
+        server.address = parse_address(addresses[1])
         store.put("op", "config", _configuration(timeout_s))
         plain = {
             **SERVER_RECORD,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -152,6 +152,50 @@
         decode_configuration(json.dumps({**CONFIGURATION, **change}).encode())
 
 
+_TOO_LARGE = 10**30
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": _TOO_LARGE},
+        {"sequence": _TOO_LARGE},
+        {"born": _TOO_LARGE},
+        {"born": -1},
+        {"born": 1.5},
+        {"group": {**SERVER_RECORD["group"], "epoch": _TOO_LARGE}},
+        {"group": {**SERVER_RECORD["group"], "epoch": -1}},
+        {"group": {**SERVER_RECORD["group"], "rank": _TOO_LARGE}},
+        {"domain": _TOO_LARGE},
+        {"slots": None},
+        {"version": 5},
+        {"cold_remaining_ms": "soon"},
+    ],
+)
+def test_odd_numbers_are_refused(change: dict[str, Any]) -> None:
+    """Guards against numbers that fail later, in an order, a datagram or a choice."""
+    record = json.dumps({**SERVER_RECORD, **change}).encode()
+    with pytest.raises(RowFormatError):
+        decode_server_record("i-1", record)
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "sequence"])
+def test_record_without_a_field_is_refused(field: str) -> None:
+    """Guards against requests to a server of which too little is known."""
+    record = {key: value for key, value in SERVER_RECORD.items() if key != field}
+    with pytest.raises(RowFormatError):
+        decode_server_record("i-1", json.dumps(record).encode())
+
+
+@pytest.mark.parametrize(
+    "server_id", ["", "i-1\r\nx-tenant: t", "i 1", "i-\u00e9", "i" * 201]
+)
+def test_unusable_server_id_is_refused(server_id: str) -> None:
+    """Guards against a server id that adds a header to a request."""
+    with pytest.raises(RowFormatError):
+        decode_server_record(server_id, json.dumps(SERVER_RECORD).encode())
+
+
 @pytest.mark.parametrize(
     "address",
     [
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -1,9 +1,12 @@
 """Tests of the node program as a process, with stand-ins on loopback."""
 
 import asyncio
+import json
+import re
 import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -16,8 +19,10 @@
     async_respond,
     async_run_node,
 )
+from tests.platform.test_decoding import SERVER_RECORD, add_nested_field
 
 STOP_LIMIT_S = 8.0
+CHANGE_LIMIT_S = 5.0
 
 
 async def _async_respond(
@@ -51,6 +56,44 @@
     assert b'gooseberryhall_requests_total{outcome="relayed",route="r"} 1' in metrics
 
 
+async def test_odd_entries_do_not_affect_the_node(node: RunningNode) -> None:
+    """Guards against entries of another writer that end a node or its follower."""
+    plain = {**SERVER_RECORD, "service": "p", "group": None}
+    address = str(node.server.address)
+    odd: list[dict[str, Any]] = [
+        {"address": "127.0..1:8310"},
+        {"address": "127.0.0.1:99999"},
+        {"slots": 10**30},
+        {"sequence": 10**30},
+        {"born": 10**30},
+        {"group": {"name": "g", "epoch": 10**30, "rank": 0, "state": "open"}},
+        {"state": "odd"},
+        {"zone": None},
+    ]
+    for number, change in enumerate(odd):
+        record = json.dumps({**plain, **change}).encode()
+        node.store.put("servers", f"i-odd-{number}", record)
+    node.store.put("servers", "i-nested", add_nested_field(plain))
+    node.store.put("servers", "i-bytes", b"\xff\x00")
+    sound = json.dumps({**plain, "address": address}).encode()
+    node.store.put("servers", "i-8\r\nx-odd: 1", sound)
+    # Each node still learns of this change.
+    node.store.put("servers", "i-9", None)
+    node.store.put("servers", "i-8", sound)
+    async with asyncio.timeout(CHANGE_LIMIT_S):
+        while "i-8" not in {
+            item.headers["x-expected-instance"] for item in (node.server.requests)
+        }:
+            await node.async_get(CALLER_PORT, "/p/1")
+    responses = [await node.async_get(CALLER_PORT, "/p/1") for _ in range(20)]
+    assert all(response.endswith(b"done") for response in responses)
+    assert all("x-odd" not in item.headers for item in node.server.requests)
+    assert node.process.returncode is None
+    log = node.log.read_text()
+    assert "GH1803" in log
+    assert not {"GH1005", "GH1504", "GH1805"} & set(re.findall("GH[0-9]+", log))
+
+
 async def test_shutdown_answers_accepted_requests(node: RunningNode) -> None:
     """Guards against requests that are cut off by SIGTERM.
 
