Let a confirmed order to leave take precedence over older reports

Cause: reports are some hundred milliseconds old. The report right after the leave still named the group, and groups that may be revived are believed. Change: for 1 s after a confirmed leave a report that names the group changes nothing but that the server is asked again. A join goes by the report itself: a server that names a group that may serve leaves it first. A report is asked for twice before a server counts as silent. Why it works: an old report can no longer revive a group, and a revived one is still found by the next report or record.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -66,9 +66,10 @@
 
 
 def _probe_contradicted(zone: ZoneState) -> None:
-    """Probe the servers whose records contradict what is known of them."""
+    """Probe the servers whose records or reports contradict what is known of them."""
+    now_s = asyncio.get_running_loop().time()
     for server in zone.servers():
-        if zone.view.take_contradiction(server.server_id):
+        if zone.view.take_contradiction(server.server_id, now_s):
             zone.create_task(async_probe_state(zone, server))
 
 
--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -15,7 +15,7 @@
 )
 from .exceptions import FormationError
 from .models import BackendServer, Group, Model
-from .orders import ACCEPTED, OrderOutcome
+from .orders import ACCEPTED, OrderOutcome, Report
 from .plans import REJOIN_S
 from .zone import ManagedGroup, ZoneState
 
@@ -83,10 +83,11 @@
     or the leader may have carried out late orders. Raises `FormationError`.
     """
     # Whatever is known may be outdated: a server may carry out an order late.
-    if not await zone.async_refresh(server):
+    report = await _async_fetch_report(zone, server)
+    if report is None:
         zone.mark_unresponsive(server)
         raise FormationError(f"{server.server_id} does not answer")
-    membership = zone.require_server(server.server_id).membership
+    membership = report.membership
     if membership is None or membership.group.startswith(SPARE_GROUP_PREFIX):
         return
     if (membership.group, membership.epoch) in zone.retired_groups:
@@ -137,10 +138,13 @@
 
 
 async def _async_probe_member(zone: ZoneState, server: BackendServer) -> None:
-    for _ in range(2):
-        if await zone.async_refresh(server):
-            return
-    zone.mark_unresponsive(server)
+    if await _async_fetch_report(zone, server) is None:
+        zone.mark_unresponsive(server)
+
+
+async def _async_fetch_report(zone: ZoneState, server: BackendServer) -> Report | None:
+    """Return the report of a server; ask a second time if there is no answer."""
+    return await zone.async_refresh(server) or await zone.async_refresh(server)
 
 
 def probe_unresponsive(zone: ZoneState, now_s: float) -> None:
--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -10,6 +10,9 @@
 
 # A record that a server wrote before a report may arrive after the report.
 REPORT_PRECEDENCE_S = 0.3
+# A report may be some hundred milliseconds old, so that it still names a group that the
+# server left by a confirmed order.
+REPORT_LAG_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +25,15 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class _LastLeave:
+    """Time of a confirmed order to leave, the incarnation and the group's epoch."""
+
+    time_s: float
+    started_at_ms: int
+    epoch: int
+
+
 @dataclass(slots=True)
 class FleetView:
     """Backend servers by id.
@@ -32,6 +44,7 @@
 
     servers: dict[str, BackendServer] = field(default_factory=dict)
     _last_reports: dict[str, _LastReport] = field(default_factory=dict)
+    _last_leaves: dict[str, _LastLeave] = field(default_factory=dict)
     # Servers whose record lapsed during a store outage, with the time of their removal.
     _lapsed: dict[str, float] = field(default_factory=dict)
     # Servers with a record that contradicts their last report and may be newer than it.
@@ -74,19 +87,24 @@
             return membership.epoch <= last_report.epoch
         return membership.progress() < current.membership.progress()
 
-    def take_contradiction(self, server_id: str) -> bool:
-        """Return, once, whether a record contradicted the last report of a server.
+    def take_contradiction(self, server_id: str, now_s: float) -> bool:
+        """Return, once, whether a server should be asked because of a contradiction.
 
-        The record may be late, or the server may have carried out a late order.
+        A record or report contradicts an earlier report or a confirmed order to leave.
+        It may be late, or the server may have carried out a late order.
         """
         if server_id not in self._contradicted:
             return False
+        last_report = self._last_reports.get(server_id)
+        if last_report and now_s - last_report.time_s < REPORT_PRECEDENCE_S:
+            return False
         self._contradicted.discard(server_id)
         return True
 
     def remove_server(self, server_id: str) -> None:
         """Remove a server whose record was deleted."""
         self._contradicted.discard(server_id)
+        self._last_leaves.pop(server_id, None)
         self.servers.pop(server_id, None)
         self._lapsed.pop(server_id, None)
         self._last_reports.pop(server_id, None)
@@ -140,6 +158,9 @@
         self._last_reports[server_id] = _LastReport(
             now_s, started_at_ms, max(epochs, default=0)
         )
+        if membership and self._has_left(server_id, started_at_ms, membership, now_s):
+            self._contradicted.add(server_id)
+            membership = None
         self.servers[server_id] = replace(
             current,
             started_at_ms=started_at_ms,
@@ -156,8 +177,20 @@
         if current.membership.epoch != epoch:
             return
         self._last_reports[server_id] = _LastReport(now_s, current.started_at_ms, epoch)
+        self._last_leaves[server_id] = _LastLeave(now_s, current.started_at_ms, epoch)
         self.servers[server_id] = replace(current, membership=None)
 
+    def _has_left(
+        self, server_id: str, started_at_ms: int, membership: Membership, now_s: float
+    ) -> bool:
+        """Return whether a report may be older than the order to leave its group."""
+        left = self._last_leaves.get(server_id)
+        return (
+            left is not None
+            and (left.started_at_ms, left.epoch) == (started_at_ms, membership.epoch)
+            and now_s - left.time_s < REPORT_LAG_S
+        )
+
     def is_listed(self, server_id: str) -> bool:
         """Return whether the store lists a server that is not leaving."""
         server = self.servers.get(server_id)
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -12,7 +12,7 @@
 from .const import EPOCHS_PER_TERM, UNRESPONSIVE_BACKOFF_S
 from .exceptions import FormationError
 from .models import BackendServer, EngineProfile, Group, MemberState
-from .orders import EngineClient
+from .orders import EngineClient, Report
 from .plans import SEVERAL_DOMAINS
 from .view import FleetView
 
@@ -143,11 +143,14 @@
             group.epoch,
         ) and membership.state in {MemberState.READY, MemberState.OPEN}
 
-    async def async_refresh(self, server: BackendServer) -> bool:
-        """Update the state of a server by a report; return whether it answered."""
+    async def async_refresh(self, server: BackendServer) -> Report | None:
+        """Update the state of a server by a report; return it if the server answered.
+
+        The report may be older than a confirmed order, which then takes precedence.
+        """
         report = await self.engines.async_fetch_report(server)
         if report is None:
-            return False
+            return None
         self.view.apply_report(
             server.server_id,
             started_at_ms=report.started_at_ms,
@@ -156,7 +159,7 @@
             last_model=report.last_model,
             now_s=asyncio.get_running_loop().time(),
         )
-        return True
+        return report
 
     def require_server(self, server_id: str) -> BackendServer:
         """Return a server. Raises `FormationError` if it no longer exists."""
--- a/tests/fleet/common.py
+++ b/tests/fleet/common.py
@@ -77,6 +77,8 @@
         # Orders that get no answer and are carried out by `carry_out_late`: the next
         # ones, and the next one of a kind to a server.
         self.late_orders = 0
+        # Memberships that servers still report after they changed.
+        self.stale_reports: dict[str, Membership] = {}
         # Orders to leave that are refused.
         self.refused_leaves = 0
         self.late_kinds: set[tuple[str, str]] = set()
@@ -177,7 +179,10 @@
         if fake is None or not fake.reachable:
             return None
         return FakeReport(
-            fake.record.started_at_ms, fake.membership, fake.staged, fake.last_model
+            fake.record.started_at_ms,
+            self.stale_reports.get(server.server_id, fake.membership),
+            fake.staged,
+            fake.last_model,
         )
 
     def add(self, record: BackendServer) -> None:
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -5,6 +5,7 @@
 
 from gooseberryhall.fleet.const import SPARE_GROUP_PREFIX
 from gooseberryhall.fleet.controller import probe_group, reconcile
+from gooseberryhall.fleet.lifecycle import dissolve_group
 from gooseberryhall.fleet.models import Group, Membership, MemberState
 from gooseberryhall.fleet.view import REPORT_PRECEDENCE_S
 from gooseberryhall.fleet.zone import ZoneState
@@ -219,6 +220,29 @@
     assert zone.engines.violations == []
 
 
+async def test_old_report_does_not_revive_a_dissolved_group() -> None:
+    """Guards against a group that counts as open after its leader left it.
+
+    Reports are some hundred milliseconds old. The owner announced such a group for
+    seconds, and requests to it were rejected (trouble-3 of cuotas-unidas).
+    """
+    zone = _zone(7)
+    state = await _async_form_groups(zone)
+    group = _group_of(state, "large")
+    state.revivable_groups.add((group.name, group.epoch))
+    leader = zone.engines.servers[group.leader]
+    assert leader.membership is not None
+    zone.engines.stale_reports[group.leader] = leader.membership
+    dissolve_group(state, state.groups[group.name, group.epoch], "test")
+    await zone.async_run(state, lambda: (group.name, group.epoch) not in state.groups)
+    for _ in range(20):
+        reconcile(state)
+        await asyncio.sleep(0.01)
+        assert group not in state.open_groups()
+    await zone.async_stop()
+    assert zone.engines.violations == []
+
+
 async def test_revived_leader_leaves_before_it_joins() -> None:
     """Guards against a join of a revived leader whose record has not changed yet."""
     zone = _zone(5)
