Obey servers that leave or ask for a pause in their answers

Cause: no part of the product read Server-Leaving, or Retry-After of a server. Change: the adapter decodes both from the head of every answer into a ServerStatement; ServerStatements holds what follows, per incarnation for leaving and per node and server for pauses. It is asked when a server is chosen and when the request is about to be written, also for orders and reports. Peers get leavings as hints, owners replace the groups. Callers are served by other servers; a refusal tells when the first pause ends.

--- a/gooseberryhall/cli/request_chain.py
+++ b/gooseberryhall/cli/request_chain.py
@@ -31,6 +31,7 @@
     LogEvent.GROUP_OPEN,
     LogEvent.SPARE_PREPARED,
     LogEvent.ZONE_OWNED,
+    LogEvent.SERVER_STATEMENT,
 }
 _NODE_EVENTS = {
     LogEvent.PROGRAM_STARTED,
--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -133,7 +133,8 @@
     if lost:
         dissolve_group(zone, managed, "member lost", lost=lost)
         return
-    if any(zone.view.servers[member].leaving for member in managed.group.members):
+    members = [zone.view.servers[member] for member in managed.group.members]
+    if any(zone.is_leaving(member) for member in members):
         managed.leaving_since_s = managed.leaving_since_s or now_s
         if now_s - managed.leaving_since_s > LEAVING_GROUP_GRACE_S:
             dissolve_group(zone, managed, "member is leaving")
@@ -165,7 +166,8 @@
         server
         for server in zone.servers()
         if server.server_id not in zone.reserved
-        and not server.leaving
+        and not zone.is_leaving(server)
+        and not zone.is_paused(server)
         and server.server_id not in zone.unresponsive
     ]
     load_slots = free_load_slots(profile, count_loads(zone), zone.zone_count)
--- a/gooseberryhall/fleet/guard.py
+++ b/gooseberryhall/fleet/guard.py
@@ -24,12 +24,16 @@
     engines: EngineClient
     # Time of the last tick on the clock that includes suspended time; 0 if none was.
     last_tick_s: Callable[[], float]
+    # Returns whether a server asked this node to send nothing.
+    is_paused: Callable[[BackendServer], bool] = lambda _: False
 
     async def async_join(
         self, server: BackendServer, group: Group, fencing_token: int
     ) -> OrderOutcome:
         """Order a server to join a group."""
         await self._async_hold()
+        if self.is_paused(server):
+            return OrderOutcome.REFUSED
         return await self.engines.async_join(server, group, fencing_token)
 
     async def async_open(
@@ -37,6 +41,8 @@
     ) -> OrderOutcome:
         """Order the leader of a ready group to serve."""
         await self._async_hold()
+        if self.is_paused(server):
+            return OrderOutcome.REFUSED
         return await self.engines.async_open(server, group, fencing_token)
 
     async def async_leave(
@@ -44,6 +50,8 @@
     ) -> OrderOutcome:
         """Order a server to leave a group immediately."""
         await self._async_hold()
+        if self.is_paused(server):
+            return OrderOutcome.REFUSED
         return await self.engines.async_leave(server, group, fencing_token)
 
     async def async_stage(
@@ -51,10 +59,14 @@
     ) -> OrderOutcome:
         """Order a server to load the weights of a model onto its host."""
         await self._async_hold()
+        if self.is_paused(server):
+            return OrderOutcome.REFUSED
         return await self.engines.async_stage(server, model, fencing_token)
 
     async def async_fetch_report(self, server: BackendServer) -> Report | None:
         """Return the state that a server reports, or None if it does not answer."""
+        if self.is_paused(server):
+            return None
         return await self.engines.async_fetch_report(server)
 
     async def _async_hold(self) -> None:
--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -138,6 +138,8 @@
 
 
 async def _async_probe_member(zone: ZoneState, server: BackendServer) -> None:
+    if zone.is_paused(server):
+        return
     if await _async_fetch_report(zone, server) is None:
         zone.mark_unresponsive(server)
 
--- a/gooseberryhall/fleet/models.py
+++ b/gooseberryhall/fleet/models.py
@@ -2,9 +2,12 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Final
 
 from ..transport.address import Address
 
+INCARNATION_TAGS: Final = 1 << 16
+
 
 class MemberState(StrEnum):
     """Progress of a server's membership in a group, in this order."""
@@ -55,6 +58,14 @@
     # Number of the heartbeat that wrote the record; grows within an incarnation.
     heartbeat: int = 0
 
+    @property
+    def incarnation_tag(self) -> int:
+        """Return a short number that differs between incarnations.
+
+        Datagrams hold it in place of the start time.
+        """
+        return self.started_at_ms % INCARNATION_TAGS
+
 
 @dataclass(frozen=True, slots=True)
 class Model:
--- a/gooseberryhall/fleet/staging.py
+++ b/gooseberryhall/fleet/staging.py
@@ -58,7 +58,8 @@
         if server.server_id not in zone.staging
         and server.server_id not in zone.preparing
         and server.server_id not in zone.unresponsive
-        and not server.leaving
+        and not zone.is_leaving(server)
+        and not zone.is_paused(server)
     ]
     for plan in plan_staging(profile, servers):
         # A spare that loads a model is useful sooner than a second model on a host.
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -14,6 +14,7 @@
 from .models import BackendServer, EngineProfile, Group, MemberState
 from .orders import EngineClient, Report
 from .plans import SEVERAL_DOMAINS
+from .statements import ServerStatements
 from .view import FleetView
 
 _LOGGER = logging.getLogger(__name__)
@@ -65,6 +66,8 @@
     create_task: Callable[[Coroutine[Any, Any, None]], None]
     # Number of zones that share the weight store.
     zone_count: int
+    # What servers said of themselves in their answers.
+    statements: ServerStatements = field(default_factory=ServerStatements)
     groups: dict[GroupKey, ManagedGroup] = field(default_factory=dict)
     # Groups that cannot serve again, because their leader confirmed that it left, or
     # because they were never opened.
@@ -109,6 +112,14 @@
         unresponsive = self.unresponsive.get(server.server_id)
         return unresponsive is not None and unresponsive[0] == server.started_at_ms
 
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Return whether a server is listed as leaving or said that it leaves."""
+        return self.statements.is_leaving(server, asyncio.get_running_loop().time())
+
+    def is_paused(self, server: BackendServer) -> bool:
+        """Return whether a server asked this node to send nothing."""
+        return self.statements.pause_s(server, asyncio.get_running_loop().time()) > 0
+
     def mark_unresponsive(self, server: BackendServer) -> None:
         """Hold back orders to a server that does not answer."""
         due_s = asyncio.get_running_loop().time() + UNRESPONSIVE_BACKOFF_S
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -16,6 +16,7 @@
     retries: Counter = field(init=False)
     stalls: Counter = field(init=False)
     crash_refusals: Counter = field(init=False)
+    statements: Counter = field(init=False)
     latency: Histogram = field(init=False)
 
     def __post_init__(self) -> None:
@@ -40,6 +41,11 @@
             "Requests refused because requests like them crash servers, by route.",
             registry=self.registry,
         )
+        self.statements = Counter(
+            "gooseberryhall_server_statements_total",
+            "Answers in which a server said that it leaves or wants a pause, by kind.",
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "gooseberryhall_first_answer_seconds",
             "Time to the first part of an answer.",
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -16,6 +16,7 @@
     busy_response,
     no_group_response,
     outcome_unknown_response,
+    paused_response,
     timeout_response,
 )
 from .sending import (
@@ -52,6 +53,9 @@
         return None
     if failure_response is not None:
         return failure_response
+    soonest_s = state.soonest_return_s(ctx, asyncio.get_running_loop().time())
+    if soonest_s is not None:
+        return paused_response(soonest_s, state.rng)
     return busy_response(state.rng) if ctx.sends else no_group_response(state.rng)
 
 
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -29,6 +29,16 @@
     )
 
 
+def paused_response(soonest_s: float, rng: random.Random) -> GatewayResponse:
+    """Return a refusal because all servers asked this node for a pause.
+
+    Callers return after the first pause ends, spread over time.
+    """
+    return GatewayResponse(
+        503, "all servers asked for a pause", _add_jitter(soonest_s, rng)
+    )
+
+
 def stopping_response(rng: random.Random) -> GatewayResponse:
     """Return a refusal because this node stops; another node can serve the request."""
     return GatewayResponse(
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -11,7 +11,7 @@
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from ..transport.client import ClientConnection
-from ..transport.exceptions import ConnectFailedError
+from ..transport.exceptions import ConnectFailedError, SendWithheldError
 from ..transport.exchange import Exchange, ResponseHead
 from .backends import Attempt
 from .const import FIRST_ATTEMPT_SHARE
@@ -23,6 +23,7 @@
 _HTTP_MISDIRECTED_REQUEST = 421
 _HTTP_SERVER_ERROR = 500
 _HTTP_SUCCESS = range(200, 300)
+_MAX_LOGGED_BYTES = 40
 
 
 @dataclass(slots=True)
@@ -57,10 +58,14 @@
     def record_progress() -> None:
         state.backends.record_progress(server.server_id, loop.time())
 
+    def on_head(head: ResponseHead) -> None:
+        record_progress()
+        _record_statement(state, ctx, server, head)
+
     exchange = Exchange(
         expected_id=ctx.request_id,
         is_head_method=ctx.request.method == b"HEAD",
-        on_head=record_progress,
+        on_head=on_head,
     )
     attempt = Attempt(
         exchange, can_fail_over or ctx.is_retryable, ctx.traits, can_abandon
@@ -73,9 +78,15 @@
         # The server may close a reused connection at the same time. It would then be
         # unknown whether a request that must run at most once was run.
         conn = await state.pool.async_send_request(
-            server.address, data, exchange, new_connection=not ctx.route.idempotent
+            server.address,
+            data,
+            exchange,
+            new_connection=not ctx.route.idempotent,
+            may_send=lambda: state.statements.may_send(server, loop.time()),
         )
         yield SentRequest(server, exchange, conn, record_progress)
+    except SendWithheldError:
+        raise
     except ConnectFailedError:
         state.backends.mark_unreachable(server.server_id, loop.time())
         raise
@@ -85,6 +96,40 @@
             state.pool.release(server.address, conn)
 
 
+def _record_statement(
+    state: GatewayState, ctx: RequestContext, server: BackendServer, head: ResponseHead
+) -> None:
+    """Record what a server says of itself in an answer to a request."""
+    # An answer of another server at this address says nothing about this one.
+    if head.status == _HTTP_MISDIRECTED_REQUEST:
+        return
+    statement = state.decode_statement(head)
+    for value in statement.unusable:
+        state.metrics.statements.inc({"kind": "unusable"})
+        log_request(
+            LogEvent.STATEMENT_REFUSED,
+            "server sent a malformed value about itself; it is ignored",
+            ctx,
+            server=server.server_id,
+            value=value[:_MAX_LOGGED_BYTES].decode("latin-1"),
+        )
+    now_s = asyncio.get_running_loop().time()
+    if not state.statements.record(server, statement, now_s):
+        return
+    state.metrics.statements.inc({"kind": "leaving" if statement.leaving else "pause"})
+    log_request(
+        LogEvent.SERVER_STATEMENT,
+        "server leaves; it gets no more requests"
+        if statement.leaving
+        else "server asked for a pause; it gets no requests meanwhile",
+        ctx,
+        server=server.server_id,
+        pause_s=statement.pause_s,
+    )
+    if statement.leaving:
+        state.on_leaving()
+
+
 def attempt_deadline_s(ctx: RequestContext) -> float:
     """Return the deadline of this attempt.
 
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 
 from ..fleet.models import BackendServer, Configuration, ServedGroup
+from ..fleet.statements import NO_STATEMENT, ServerStatement, ServerStatements
+from ..transport.exchange import ResponseHead
 from ..transport.pool import ConnectionPool
 from .backends import Backends
 from .budget import RetryBudget
@@ -36,6 +38,11 @@
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     rng: random.Random = field(default_factory=random.Random)
     stopping: Stopping = field(default_factory=Stopping)
+    # What servers said of themselves, and the decoder of the headers in which they do.
+    statements: ServerStatements = field(default_factory=ServerStatements)
+    decode_statement: Callable[[ResponseHead], ServerStatement] = lambda _: NO_STATEMENT
+    # Called when a server said for the first time that it leaves.
+    on_leaving: Callable[[], None] = lambda: None
     # Whether this node or another has received requests from callers.
     traffic_seen: bool = False
 
@@ -68,7 +75,9 @@
         candidates = []
         for group in self.groups():
             leader = group.leader
-            if leader.leaving or leader.service != ctx.service:
+            if leader.service != ctx.service:
+                continue
+            if not self.statements.may_send(leader, now_s):
                 continue
             if ctx.model is not None and group.model != ctx.model:
                 continue
@@ -78,7 +87,7 @@
                 Candidate(
                     server_id=leader.server_id,
                     in_flight=self.backends.load(leader.server_id),
-                    slots=slots,
+                    slots=self.statements.usable_slots(leader, slots, now_s),
                     same_zone=leader.zone == self.zone,
                     suspected=self.backends.is_suspected(leader.server_id, now_s),
                     leaving=group.leaving,
@@ -92,17 +101,40 @@
             Candidate(
                 server_id=server.server_id,
                 in_flight=self.backends.load(server.server_id),
-                slots=max(1, server.slots),
+                slots=self.statements.usable_slots(server, max(1, server.slots), now_s),
                 same_zone=server.zone == self.zone,
                 suspected=self.backends.is_suspected(server.server_id, now_s),
                 failure_rate=self.backends.failure_rate(server.server_id),
             )
             for server in self.servers().values()
             if server.service == ctx.service
-            and not server.leaving
+            and self.statements.may_send(server, now_s)
             and server.server_id not in ctx.excluded_servers
         ]
 
+    def soonest_return_s(self, ctx: RequestContext, now_s: float) -> float | None:
+        """Return when the first server may get requests again.
+
+        None if there is none, or if one may get requests now.
+        """
+        if self.is_grouped(ctx.service):
+            servers = [
+                group.leader
+                for group in self.groups()
+                if ctx.model is None or group.model == ctx.model
+            ]
+        else:
+            servers = list(self.servers().values())
+        return self.statements.soonest_return_s(
+            [
+                server
+                for server in servers
+                if server.service == ctx.service
+                and not self.statements.is_leaving(server, now_s)
+            ],
+            now_s,
+        )
+
     def _group_slots(self, service: str) -> int:
         cfg = self.configuration()
         service_cfg = cfg.services.get(service) if cfg else None
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -22,6 +22,7 @@
     crashing_request_response,
     no_group_response,
     outcome_unknown_response,
+    paused_response,
     timeout_response,
 )
 from .sending import (
@@ -113,8 +114,12 @@
         return outcome_unknown_response("the server broke off")
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=ctx.breaks > 0)
-    if state.candidates(ctx, asyncio.get_running_loop().time()):
+    now_s = asyncio.get_running_loop().time()
+    if state.candidates(ctx, now_s):
         return busy_response(state.rng)
+    soonest_s = state.soonest_return_s(ctx, now_s)
+    if soonest_s is not None:
+        return paused_response(soonest_s, state.rng)
     return no_group_response(state.rng)
 
 
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -67,6 +67,8 @@
     # Traits of such requests that are harmless, and the seconds since the last
     # complete answer to a request with them.
     harmless: dict[str, int] = field(default_factory=dict)
+    # Incarnation tags of servers that told this node that they leave.
+    leaving: dict[str, int] = field(default_factory=dict)
 
 
 def encode(gossip: Gossip) -> bytes:
@@ -92,6 +94,7 @@
                 for item in gossip.crashes
             },
             gossip.harmless,
+            gossip.leaving,
         ]
     )
 
@@ -121,6 +124,11 @@
                 for fields in values[13:14]
                 for trait, age_s in fields.items()
             },
+            leaving={
+                _require_text(server_id): int(tag)
+                for fields in values[14:15]
+                for server_id, tag in fields.items()
+            },
         )
     except (
         cbor2.CBORDecodeError,
@@ -219,6 +227,7 @@
         address.port,
         server.leaving,
         server.slots,
+        server.incarnation_tag,
     ]
 
 
@@ -230,6 +239,8 @@
         zone=zone,
         leaving=bool(values[4]),
         slots=int(values[5]),
+        # Nodes of an earlier version do not send the tag.
+        started_at_ms=int(values[6]) if values[6:] else 0,
     )
 
 
--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -6,8 +6,10 @@
 
 from ..fleet.models import BackendServer, Configuration
 from ..fleet.orders import EngineClient, LeaseStore
+from ..fleet.statements import ServerStatement, ServerStatements
 from ..gateway.header_names import HeaderNames
 from ..transport.address import Address
+from ..transport.exchange import ResponseHead
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,3 +83,6 @@
     directory: Directory
     leases: LeaseStore
     engines: EngineClient
+    # What servers said in their answers, also to orders and queries of `engines`.
+    statements: ServerStatements
+    decode_statement: Callable[[ResponseHead], ServerStatement]
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -8,11 +8,11 @@
 from ..fleet.const import UNRESPONSIVE_BACKOFF_S
 from ..fleet.controller import probe_group, reconcile
 from ..fleet.guard import GuardedEngines
+from ..fleet.models import BackendServer
 from ..fleet.zone import ZoneState
 from ..gateway.backends import Backends
 from ..gateway.budget import RetryBudget
 from ..gateway.const import CAUSE_GOSSIP_SHARE, RETRY_SLACK_SHARE
-from ..gateway.header_names import HeaderNames
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
@@ -49,6 +49,7 @@
         self._leases = adapter.leases
         self._engines = adapter.engines
         self._directory = adapter.directory
+        self._statements = adapter.statements
         self._incarnation = incarnation
         self._sequence = 0
         self._loop = asyncio.get_running_loop()
@@ -78,7 +79,7 @@
             without_owner_s=self.owner.without_owner_s,
             has_servers=lambda: bool(self.table.servers),
         )
-        self.gateway = self._create_gateway(adapter.header_names)
+        self.gateway = self._create_gateway(adapter)
 
     @property
     def ready(self) -> bool:
@@ -189,6 +190,9 @@
             traffic=lambda server_id: total_traffic(
                 self.gateway.backends, server_id, self._loop.time()
             ),
+            is_leaving=lambda server: self._statements.is_leaving(
+                server, self._loop.time()
+            ),
             successors=self.peers.successors(zone, self._loop.time()),
             other_owners=tuple(sorted(self.peers.live_owners(self._loop.time()))),
         )
@@ -202,6 +206,9 @@
             self.servers.view.open_groups(self.configuration.group_sizes),
             grouped_service=service.name if service else None,
             traffic=lambda _: ServerTraffic(0),
+            is_leaving=lambda server: self._statements.is_leaving(
+                server, self._loop.time()
+            ),
         )
 
     def _request_announcement(self) -> None:
@@ -221,6 +228,8 @@
         self.gateway.pool.close_expired()
         self.gateway.backends.remove_unused(set(self.table.servers))
         self.gateway.crashes.remove_expired(now_s)
+        listed = self.table.servers.keys() | self.servers.view.servers.keys()
+        self._statements.retain(listed, now_s)
         for leader, until_s in list(self._stalled_leaders.items()):
             if until_s <= now_s:
                 del self._stalled_leaders[leader]
@@ -237,8 +246,9 @@
         with_causes = self.gateway.rng.random() < CAUSE_GOSSIP_SHARE
         crashes = self.gateway.crashes.reports(now_s, with_causes=with_causes)
         messages = []
-        if crashes or not self.is_owner:
-            message = self._create_message(None)
+        leaving = self._statements.leaving()
+        if crashes or leaving or not self.is_owner:
+            message = replace(self._create_message(None), leaving=leaving)
             harmless = self.gateway.crashes.harmless_traits(now_s)
             messages.append(replace(message, crashes=crashes, harmless=harmless))
         for zone in self.owner.zones:
@@ -265,6 +275,7 @@
         """Apply a message of a peer."""
         if gossip.traffic_seen:
             self.gateway.traffic_seen = True
+        self._statements.record_hints(gossip.leaving, self._loop.time())
         self.gateway.crashes.merge(gossip.crashes, gossip.harmless, self._loop.time())
         self._apply_crash_causes()
         for leader in gossip.stalled_leaders:
@@ -302,11 +313,14 @@
         for zone in self.owner.zones.values():
             probe_group(zone, leader)
 
-    def _create_gateway(self, header_names: HeaderNames) -> GatewayState:
+    def _create_gateway(self, adapter: PlatformAdapter) -> GatewayState:
         return GatewayState(
             zone=self.settings.zone,
-            header_names=header_names,
-            pool=ConnectionPool(header_names.request_id),
+            header_names=adapter.header_names,
+            pool=ConnectionPool(adapter.header_names.request_id),
+            statements=adapter.statements,
+            decode_statement=adapter.decode_statement,
+            on_leaving=lambda: self.gossip.send(urgent=True),
             backends=Backends(self._on_stall),
             metrics=GatewayMetrics(),
             configuration=lambda: self.configuration.current,
@@ -349,7 +363,9 @@
             service=service.name,
             term=term,
             view=self.servers.view,
-            engines=GuardedEngines(self._engines, lambda: zone.last_reconcile_s),
+            engines=GuardedEngines(
+                self._engines, lambda: zone.last_reconcile_s, self._is_paused
+            ),
             profile=lambda: self.configuration.profile,
             other_zone_groups=lambda: count_groups(self.table.groups, name),
             traffic_seen=lambda: self.gateway.traffic_seen,
@@ -357,5 +373,9 @@
             on_superseded=lambda: self.owner.verify_lease(name),
             create_task=run_in_zone,
             zone_count=len(self.settings.zones),
+            statements=self._statements,
         )
         return zone
+
+    def _is_paused(self, server: BackendServer) -> bool:
+        return self._statements.pause_s(server, self._loop.time()) > 0
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -56,20 +56,23 @@
     *,
     grouped_service: str | None,
     traffic: Callable[[str], ServerTraffic],
+    is_leaving: Callable[[BackendServer], bool] = lambda server: server.leaving,
     successors: tuple[str, ...] = (),
     other_owners: tuple[str, ...] = (),
 ) -> ZoneAnnouncement:
     """Return an announcement of a zone's open groups and plain servers.
 
-    `traffic` returns the traffic to a server by its id.
+    `traffic` returns the traffic to a server by its id, `is_leaving` whether it leaves,
+    by its record or its own words.
     """
     served = [
         group
         for open_group in groups
-        if (group := _create_served_group(view, zone, open_group)) is not None
+        if (group := _create_served_group(view, zone, open_group, is_leaving))
+        is not None
     ]
     plain = [
-        server
+        _with_leaving(server, is_leaving)
         for server in view.servers.values()
         if server.zone == zone and server.service != grouped_service
     ]
@@ -87,15 +90,25 @@
     )
 
 
+def _with_leaving(
+    server: BackendServer, is_leaving: Callable[[BackendServer], bool]
+) -> BackendServer:
+    leaving = is_leaving(server)
+    return server if server.leaving == leaving else replace(server, leaving=leaving)
+
+
 def _create_served_group(
-    view: FleetView, zone: str, group: Group
+    view: FleetView,
+    zone: str,
+    group: Group,
+    is_leaving: Callable[[BackendServer], bool],
 ) -> ServedGroup | None:
     leader = view.servers.get(group.leader)
     if leader is None or leader.zone != zone:
         return None
     members = [view.servers.get(member) for member in group.members]
-    leaving = any(member is None or member.leaving for member in members)
-    return ServedGroup(group.model, leader, leaving)
+    leaving = any(member is None or is_leaving(member) for member in members)
+    return ServedGroup(group.model, _with_leaving(leader, is_leaving), leaving)
 
 
 def count_groups(
--- a/gooseberryhall/platform/__main__.py
+++ b/gooseberryhall/platform/__main__.py
@@ -4,6 +4,7 @@
 
 import uvloop
 
+from ..fleet.statements import ServerStatements
 from ..node.directory import PlatformAdapter
 from ..node.program import async_run
 from ..node.settings import NodeSettings
@@ -15,6 +16,7 @@
 from .leases import RowLeaseStore
 from .orders import HttpEngineClient
 from .settings import load_settings
+from .statements import decode_statement
 from .store import Store
 
 EXIT_SETTINGS_REFUSED = 2
@@ -23,11 +25,14 @@
 def create_adapter(settings: NodeSettings) -> PlatformAdapter:
     """Return the implementations of the platform's interfaces."""
     store = Store(ConnectionPool(HEADER_NAMES.request_id), settings.store)
+    statements = ServerStatements()
     return PlatformAdapter(
         header_names=HEADER_NAMES,
         directory=StoreDirectory(store),
         leases=RowLeaseStore(store),
-        engines=HttpEngineClient(ConnectionPool(HEADER_NAMES.request_id)),
+        engines=HttpEngineClient(ConnectionPool(HEADER_NAMES.request_id), statements),
+        statements=statements,
+        decode_statement=decode_statement,
     )
 
 
--- a/gooseberryhall/platform/orders.py
+++ b/gooseberryhall/platform/orders.py
@@ -1,27 +1,33 @@
 """Client for orders to model servers and for their reports."""
 
+import asyncio
 from typing import Any, Final
 
 import msgspec
 
 from ..fleet.models import BackendServer, Group
 from ..fleet.orders import OrderOutcome
+from ..fleet.statements import ServerStatements
 from ..transport.exceptions import TransportError
+from ..transport.exchange import ResponseHead
 from ..transport.pool import ConnectionPool
 from ..transport.request import async_call, encode_request
 from .exceptions import RowFormatError
 from .servers import ServerReport, decode_report
+from .statements import decode_statement
 
 ORDER_TIMEOUT_S: Final = 0.6
 REPORT_TIMEOUT_S: Final = 0.15
 
+_MISDIRECTED: Final = 421
+
 _OUTCOMES: Final = {
     200: OrderOutcome.DONE,
     202: OrderOutcome.STARTED,
     400: OrderOutcome.UNFIT,
     409: OrderOutcome.UNFIT,
     412: OrderOutcome.SUPERSEDED,
-    421: OrderOutcome.OTHER_SERVER,
+    _MISDIRECTED: OrderOutcome.OTHER_SERVER,
     # A server that sheds work answers orders like requests.
     429: OrderOutcome.REFUSED,
     503: OrderOutcome.REFUSED,
@@ -31,9 +37,12 @@
 class HttpEngineClient:
     """Sends orders to model servers and queries their reports."""
 
-    def __init__(self, pool: ConnectionPool) -> None:
-        """Create a client that uses a connection pool."""
+    def __init__(
+        self, pool: ConnectionPool, statements: ServerStatements | None = None
+    ) -> None:
+        """Create a client that uses a pool and records what servers say."""
         self._pool = pool
+        self._statements = statements or ServerStatements()
 
     async def async_join(
         self, server: BackendServer, group: Group, fencing_token: int
@@ -77,7 +86,11 @@
         data = encode_request(b"GET", b"/v1/report", headers, b"")
         try:
             response = await async_call(
-                self._pool, server.address, data, timeout_s=REPORT_TIMEOUT_S
+                self._pool,
+                server.address,
+                data,
+                timeout_s=REPORT_TIMEOUT_S,
+                on_head=lambda head: self._record_statement(server, head),
             )
             if response.head.status != 200:  # noqa: PLR2004
                 return None
@@ -102,6 +115,7 @@
                 data,
                 timeout_s=ORDER_TIMEOUT_S,
                 new_connection=True,
+                on_head=lambda head: self._record_statement(server, head),
             )
         except TransportError:
             self._pool.close_idle(server.address)
@@ -109,6 +123,13 @@
         # Another status, such as 500, does not tell whether the order was carried out.
         return _OUTCOMES.get(response.head.status, OrderOutcome.NO_ANSWER)
 
+    def _record_statement(self, server: BackendServer, head: ResponseHead) -> None:
+        # An answer of another server at this address says nothing about this one.
+        if head.status == _MISDIRECTED:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._statements.record(server, decode_statement(head), now_s)
+
 
 def _headers(server: BackendServer) -> list[tuple[bytes, bytes]]:
     return [
--- a/gooseberryhall/transport/exceptions.py
+++ b/gooseberryhall/transport/exceptions.py
@@ -11,6 +11,10 @@
     """No connection was established, so nothing was sent."""
 
 
+class SendWithheldError(ConnectFailedError):
+    """The server must get no request any more, so nothing was sent."""
+
+
 class ConnectionBrokenError(TransportError):
     """The connection closed before the response was complete."""
 
--- a/gooseberryhall/transport/exchange.py
+++ b/gooseberryhall/transport/exchange.py
@@ -41,7 +41,7 @@
 
     expected_id: bytes | None = None
     is_head_method: bool = False
-    on_head: Callable[[], None] = _do_nothing
+    on_head: Callable[[ResponseHead], None] = _do_nothing
     close: Callable[[], None] = _do_nothing
     set_reading: Callable[[bool], None] = _do_nothing
     head: ResponseHead | None = None
@@ -55,7 +55,7 @@
     def receive_head(self, head: ResponseHead) -> None:
         """Store the received status and headers."""
         self.head = head
-        self.on_head()
+        self.on_head(head)
         self._wake()
 
     def receive_chunk(self, data: bytes) -> None:
--- a/gooseberryhall/transport/pool.py
+++ b/gooseberryhall/transport/pool.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from .address import Address
 from .client import ClientConnection
 from .const import CONNECT_TIMEOUT_S, MAX_IDLE_PER_ADDRESS
-from .exceptions import ConnectFailedError
+from .exceptions import ConnectFailedError, SendWithheldError
 from .exchange import Exchange
 
 
@@ -28,15 +29,19 @@
         *,
         new_connection: bool = False,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> ClientConnection:
         """Send an encoded request and return its connection.
 
-        With `new_connection` no idle connection is reused. Raises `ConnectFailedError`
-        if nothing was sent.
+        With `new_connection` no idle connection is reused. `may_send` is asked when the
+        connection is open. Raises `ConnectFailedError` if nothing was sent.
         """
         conn = None if new_connection else self._pop_idle(address)
         if conn is None:
             conn = await self._async_connect(address, connect_timeout_s)
+        if not may_send():
+            self.release(address, conn)
+            raise SendWithheldError(f"{address} must get no request now")
         conn.start(exchange, data)
         return conn
 
--- a/gooseberryhall/transport/request.py
+++ b/gooseberryhall/transport/request.py
@@ -1,6 +1,7 @@
 """Encoding of requests and calls that wait for the whole response."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .address import Address
@@ -36,12 +37,14 @@
     *,
     timeout_s: float,
     new_connection: bool = False,
+    on_head: Callable[[ResponseHead], None] = lambda _: None,
 ) -> Response:
     """Send an encoded request and wait for the whole response.
 
-    Raises `TransportError`; `ConnectFailedError` means that nothing was sent.
+    `on_head` is called with the head, also if the rest does not follow. Raises
+    `TransportError`; `ConnectFailedError` means that nothing was sent.
     """
-    exchange = Exchange()
+    exchange = Exchange(on_head=on_head)
     conn = None
     try:
         async with asyncio.timeout(timeout_s):
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -120,6 +120,7 @@
         path = f"{prefix or f'/{kind}/'}{number}"
         attempt = Attempt(f"a{number}", node, kind, path, parts)
         self.env.records.node_by_attempt[attempt.attempt_id] = node.name
+        self.env.records.begun_s[attempt.attempt_id] = self.env.records.now_s()
         # Only requests that were sent while the program was running are checked.
         was_running = node.process.is_running
         started_s = self.env.records.now_s()
--- a/standins/soak/const.py
+++ b/standins/soak/const.py
@@ -47,6 +47,10 @@
 DRAIN_LIMIT_S: Final = 2.0
 CONFIG_LIMIT_S: Final = 2.0
 STABILITY_WINDOW_S: Final = 3.0
+# Requests that may reach a server from a node between this time after it asked the node
+# for a pause and the end of the pause.
+PAUSE_SLACK_S: Final = 0.5
+MAX_ARRIVALS_IN_PAUSE: Final = 2
 RESPONSE_SLACK_S: Final = 0.5
 RECOVERY_LIMIT_S: Final = 12.0
 GRACE_PERIOD_S: Final = 8.0
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -228,6 +228,24 @@
     await env.async_remove_server(server)
 
 
+async def _async_say_leaving(env: Environment, _: Callers, fault: Fault) -> None:
+    """Let a server say only in its answers that it leaves, then remove it."""
+    service = MODEL_SERVICE if fault.choice < 0.5 else PLAIN_SERVICE  # noqa: PLR2004
+    server = _select_server(env, fault, service)
+    await env.async_add_server(service, server.zone)
+    server.says_leaving = True
+    await asyncio.sleep(2 * DRAIN_LIMIT_S + fault.for_s)
+    if server.is_running:
+        await env.async_remove_server(server)
+
+
+async def _async_ask_for_pause(env: Environment, _: Callers, fault: Fault) -> None:
+    """Let a server turn all requests away and ask for a pause."""
+    service = MODEL_SERVICE if fault.choice < 0.5 else PLAIN_SERVICE  # noqa: PLR2004
+    server = _select_server(env, fault, service)
+    server.full_until_s = env.records.now_s() + 1.0 + fault.for_s
+
+
 async def _async_disturb_links(env: Environment, _: Callers, fault: Fault) -> None:
     """Disturb one server's links: block both ways or one, stall, delay or reset."""
     server = _select_server(env, fault, MODEL_SERVICE)
@@ -281,6 +299,7 @@
 Injector = Callable[[Environment, Callers, Fault], Awaitable[None]]
 INJECTORS: dict[str, Injector] = {
     "add route": _async_add_route,
+    "ask for pause": _async_ask_for_pause,
     "crash model server": _async_crash_model_server,
     "crash plain server": _async_crash_plain_server,
     "cut store": _async_disconnect_store,
@@ -291,6 +310,7 @@
     "lose orders": _async_lose_order_responses,
     "pause": _async_pause,
     "reload": _async_reload,
+    "say leaving": _async_say_leaving,
     "silence store": _async_stall_store_connections,
     "stop": _async_stop,
     "store forgets": _async_compact_store,
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -21,6 +21,7 @@
     ALLOWED = "a proper request is not rejected"
     TEAM = "a server sees the team and not the key"
     DRAIN = "a leaving server gets no new work"
+    PAUSE = "a server that asked for a pause gets no requests"
     CONFIG = "an accepted configuration is in force everywhere"
     IN_TIME = "a request has its final answer at its route's timeout"
     PLANNED_STOP = "a planned stop cuts off no request"
@@ -50,6 +51,8 @@
     runs: defaultdict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
     # Name of the node to which an attempt was sent.
     node_by_attempt: dict[str, str] = field(default_factory=dict)
+    # When the caller began each attempt.
+    begun_s: dict[str, float] = field(default_factory=dict)
     not_run: dict[str, int] = field(default_factory=dict)
     outcomes: Counter[str] = field(default_factory=Counter)
     # Servers that crashed as they began to answer a prompt.
--- a/standins/soak/server.py
+++ b/standins/soak/server.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,7 +16,9 @@
     EVENT_INTERVAL_S,
     FORMATION_S,
     LOAD_S,
+    MAX_ARRIVALS_IN_PAUSE,
     MODEL_SERVICE,
+    PAUSE_SLACK_S,
     PLAIN_WORK_S,
     REJOIN_S,
     SLOTS,
@@ -80,6 +83,16 @@
     lost_response_ratio: float = 0.0
     # Until then the leader sends no events, although its group is whole.
     slow_until_s: float = 0.0
+    # Since then answers say that the server leaves, while its record does not.
+    says_leaving: bool = False
+    # Until then requests are turned away with a pause.
+    full_until_s: float = 0.0
+    # When nodes passed on an answer that said that the server leaves, and until when
+    # they were asked to send nothing.
+    told_leaving_s: dict[str, float] = field(default_factory=dict)
+    told_pause_s: dict[str, tuple[float, float]] = field(default_factory=dict)
+    # Requests that arrived from nodes in a pause.
+    arrivals_in_pause: Counter[str] = field(default_factory=Counter)
     running_streams: set[asyncio.Task[None]] = field(default_factory=set)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     stopping: asyncio.Task[None] | None = None
@@ -170,17 +183,24 @@
             self._handle_order(json.loads(body), writer)
         else:
             self._check_request(message)
-            if self.service == MODEL_SERVICE:
+            self._check_statements(message)
+            if self.full_until_s > self.records.now_s():
+                self._ask_for_pause(message, writer)
+            elif self.service == MODEL_SERVICE:
                 await self._async_handle_stream(message, writer)
             else:
                 await self._async_handle_plain(message, writer)
         await writer.drain()
 
     def _reject(
-        self, message: Message, status: int, writer: asyncio.StreamWriter
+        self,
+        message: Message,
+        status: int,
+        writer: asyncio.StreamWriter,
+        extra: dict[str, str] | None = None,
     ) -> None:
         attempt_id = message.headers.get("x-attempt-id", "")
-        headers = {"x-attempt-id": attempt_id, "x-not-executed": "1"}
+        headers = {"x-attempt-id": attempt_id, "x-not-executed": "1", **(extra or {})}
         writer.write(encode_message(f"HTTP/1.1 {status} {_REASON_PHRASE}", headers))
 
     def _check_request(self, message: Message) -> None:
@@ -203,6 +223,47 @@
             )
             self.records.record_violation(Promise.DRAIN, text)
 
+    def _check_statements(self, message: Message) -> None:
+        """Check that a node obeys what this server said in its answers."""
+        node = self.records.node_by_attempt.get(message.headers["x-attempt-id"], "")
+        now_s = self.records.now_s()
+        told_s = self.told_leaving_s.get(node)
+        begun_s = self.records.begun_s.get(message.headers["x-attempt-id"], 0.0)
+        # Only a restart or a pause of the node since then excuses a late request.
+        if (
+            told_s is not None
+            and begun_s - told_s > DRAIN_LIMIT_S
+            and self.records.is_undisturbed(node, for_s=now_s - told_s)
+        ):
+            text = f"{node} sends to {self.server_id}, which said that it leaves"
+            self.records.record_violation(Promise.DRAIN, text)
+        since_s, until_s = self.told_pause_s.get(node, (now_s, 0.0))
+        if not since_s + PAUSE_SLACK_S < now_s < until_s - ARRIVAL_SLACK_S:
+            return
+        if self.records.is_undisturbed(node, self.server_id, for_s=now_s - since_s):
+            self.arrivals_in_pause[node] += 1
+        if self.arrivals_in_pause[node] > MAX_ARRIVALS_IN_PAUSE:
+            text = f"{node} sends to {self.server_id} in its pause"
+            self.records.record_violation(Promise.PAUSE, text)
+
+    def _ask_for_pause(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        node = self.records.node_by_attempt.get(message.headers["x-attempt-id"], "")
+        now_s = self.records.now_s()
+        _, until_s = self.told_pause_s.get(node, (0.0, 0.0))
+        if until_s <= now_s:
+            self.told_pause_s[node] = (now_s, self.full_until_s)
+            self.arrivals_in_pause[node] = 0
+        pause_s = self.full_until_s - now_s
+        self._reject(message, 503, writer, {"retry-after": f"{pause_s:.3f}"})
+
+    def _statement_headers(self, message: Message) -> dict[str, str]:
+        """Return the headers in which the server says that it leaves."""
+        if not self.says_leaving:
+            return {}
+        node = self.records.node_by_attempt.get(message.headers["x-attempt-id"], "")
+        self.told_leaving_s.setdefault(node, self.records.now_s())
+        return {"server-leaving": "1"}
+
     # Requests
 
     async def _async_handle_plain(
@@ -213,6 +274,7 @@
         self.records.record_run(attempt_id, self.server_id, command=command)
         await asyncio.sleep(random.uniform(*PLAIN_WORK_S))
         headers = {"x-attempt-id": attempt_id, "x-response-seal": self.server_id}
+        headers.update(self._statement_headers(message))
         body = f"{message.path} {attempt_id}".encode()
         writer.write(encode_message(f"HTTP/1.1 200 {_REASON_PHRASE}", headers, body))
 
@@ -249,9 +311,13 @@
     ) -> None:
         attempt_id = message.headers["x-attempt-id"]
         first_number = int(message.headers.get("last-event-id", 0)) + 1
+        statement = "".join(
+            f"{name}: {value}\r\n"
+            for name, value in self._statement_headers(message).items()
+        )
         writer.write(
             f"HTTP/1.1 200 {_REASON_PHRASE}\r\nx-attempt-id: {attempt_id}\r\n"
-            f"x-response-seal: {self.server_id}\r\n"
+            f"x-response-seal: {self.server_id}\r\n{statement}"
             "content-type: text/event-stream\r\n"
             "transfer-encoding: chunked\r\n\r\n".encode()
         )
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gooseberryhall.fleet.statements import NO_STATEMENT, ServerStatements
 from gooseberryhall.node.directory import (
     PlatformAdapter,
 )
@@ -25,7 +26,14 @@
     """Return a started node without peers."""
     directory = FakeDirectory()
     leases = FakeLeases()
-    adapter = PlatformAdapter(HEADER_NAMES, directory, leases, FakeEngines())
+    adapter = PlatformAdapter(
+        HEADER_NAMES,
+        directory,
+        leases,
+        FakeEngines(),
+        ServerStatements(),
+        lambda _: NO_STATEMENT,
+    )
     node = Node(SETTINGS, adapter, incarnation=1)
     node.gossip = FakeGossip()  # type: ignore[assignment]
     node.start()
--- a/tests/standins/soak/test_promises.py
+++ b/tests/standins/soak/test_promises.py
@@ -15,6 +15,7 @@
 from standins.soak.const import (
     DRAIN_LIMIT_S,
     KEY,
+    MAX_ARRIVALS_IN_PAUSE,
     MODEL_SERVICE,
     PLAIN_SERVICE,
     ROUTE_TIMEOUT_S,
@@ -96,6 +97,30 @@
     assert _promises(records) == [Promise.DRAIN]
 
 
+async def test_ignored_statements_of_a_server_are_found(records: Records) -> None:
+    """Guards against missing requests after a server spoke of itself in an answer."""
+    request = Message("GET /read/1 HTTP/1.1", HEADERS)
+    records.node_by_attempt["a1"] = NODE.name
+    records.started_s -= 2 * DRAIN_LIMIT_S
+    now_s = records.now_s()
+    records.begun_s["a1"] = now_s
+    server = _server(records)
+    server.told_leaving_s[NODE.name] = now_s - DRAIN_LIMIT_S - 0.5
+    records.mark_disturbed(NODE.name)
+    server._check_statements(request)
+    assert _promises(records) == []
+    records.disturbed_until_s.clear()
+    server._check_statements(request)
+    assert _promises(records) == [Promise.DRAIN]
+    server.told_leaving_s.clear()
+    server.told_pause_s[NODE.name] = (now_s - 1.0, now_s + 1.0)
+    for _ in range(MAX_ARRIVALS_IN_PAUSE):
+        server._check_statements(request)
+    assert _promises(records) == [Promise.DRAIN]
+    server._check_statements(request)
+    assert _promises(records) == [Promise.DRAIN, Promise.PAUSE]
+
+
 async def test_partial_group_and_second_group_are_found(records: Records) -> None:
     """Guards against missing a group with an unready member or a server in two."""
     current = Membership("g1", 1, ["i-1", "i-2"], "open")
