--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -47,14 +47,21 @@
     settings: NodeSettings,
     reload_settings: Callable[[], NodeSettings],
     adapter: PlatformAdapter,
+    *,
+    reload_requested: Callable[[], bool] = lambda: False,
 ) -> None:
-    """Run the node until SIGTERM or SIGINT; SIGHUP reloads the settings."""
+    """Run the node until SIGTERM or SIGINT; SIGHUP reloads the settings.
+
+    `reload_requested` returns whether SIGHUP came before this function was called.
+    """
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     node = Node(settings, adapter, incarnation=secrets.randbits(32))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, partial(_reload, node, reload_settings))
+    if reload_requested():
+        _reload(node, reload_settings)
     async with AsyncExitStack() as stack:
         timer = TimerService()
         node.tasks.create(timer.async_run())
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -109,6 +109,20 @@
     assert node.process.returncode == 0
 
 
+async def test_reload_during_the_start_does_not_end_the_node(tmp_path: Path) -> None:
+    """Guards against SIGHUP that ends a node which has not installed a handler yet.
+
+    It was not started again (soak, seed 805555).
+    """
+    environment = {"PYTHONPATH": str(Path(__file__).parent / "early_reload")}
+    async with async_run_node(
+        tmp_path, _async_respond, environment=environment
+    ) as running:
+        response = await running.async_get(CALLER_PORT, "/p/1")
+        assert response.endswith(b"done")
+    assert "GH1006" in running.log.read_text()
+
+
 async def test_invalid_settings_do_not_stop_the_node(
     node: RunningNode, tmp_path: Path
 ) -> None:
