--- a/tests/core/test_listening.py
+++ b/tests/core/test_listening.py
@@ -18,9 +18,6 @@
 SO_ATTACH_FILTER = 26
 SO_LOCK_FILTER = 44
 
-# Programs whose memory the kernel reads while they are attached.
-_FILTERS: list[ctypes.Array[ctypes.c_char]] = []
-
 
 async def _async_echo(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -36,8 +33,10 @@
         return [await loop.sock_recv(caller, 2) for caller in callers]
 
 
-async def _async_close_with_queued_connections() -> list[bytes]:
+async def _async_close_with_queued_connections(*, lock_filter: bool) -> list[bytes]:
     server = await asyncio.start_server(_async_echo, "127.0.0.1", 0)
+    if lock_filter:
+        _lock_filters(server)
     address = server.sockets[0].getsockname()
     # The event loop does not run meanwhile, so connections stay in the accept queue.
     callers = [socket.create_connection(address) for _ in range(CALLERS)]
@@ -55,41 +54,26 @@
             caller.close()
 
 
+def _lock_filters(server: asyncio.Server) -> None:
+    """Attach a BPF program that accepts each packet, and let nothing replace it."""
+    program = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0xFFFFFFFF))
+    option = struct.pack("HL", 1, ctypes.addressof(program))
+    for listening in server.sockets:
+        with socket.socket(fileno=os.dup(listening.fileno())) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, option)
+            sock.setsockopt(socket.SOL_SOCKET, SO_LOCK_FILTER, 1)
+
+
 @pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
 def test_queued_connections_are_served(
     new_loop: Callable[[], asyncio.AbstractEventLoop],
 ) -> None:
     """Without a drain, closing resets them; callers cannot tell if requests ran."""
     with asyncio.Runner(loop_factory=new_loop) as runner:
-        assert runner.run(_async_close_with_queued_connections()) == [b"a"] * CALLERS
-
-
-async def _async_close_with_locked_filter() -> list[bytes]:
-    server = await asyncio.start_server(_async_echo, "127.0.0.1", 0)
-    for listening in server.sockets:
-        with socket.socket(fileno=os.dup(listening.fileno())) as sock:
-            sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, _accept_all_filter())
-            sock.setsockopt(socket.SOL_SOCKET, SO_LOCK_FILTER, 1)
-    address = server.sockets[0].getsockname()
-    callers = [socket.create_connection(address) for _ in range(CALLERS)]
-    try:
-        for caller in callers:
-            caller.sendall(b"a")
-            caller.setblocking(False)
-        await async_drain_accept_queue(server.sockets)
-        server.close()
-        return await _async_read_responses(callers)
-    finally:
-        for caller in callers:
-            caller.close()
-
-
-def _accept_all_filter() -> bytes:
-    """Return the option value of a BPF program that accepts each packet."""
-    _FILTERS.append(
-        ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0xFFFFFFFF))
-    )
-    return struct.pack("HL", 1, ctypes.addressof(_FILTERS[-1]))
+        assert (
+            runner.run(_async_close_with_queued_connections(lock_filter=False))
+            == [b"a"] * CALLERS
+        )
 
 
 @pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
@@ -102,7 +86,10 @@
     for other reasons, and all requests in progress were cut then.
     """
     with asyncio.Runner(loop_factory=new_loop) as runner:
-        assert runner.run(_async_close_with_locked_filter()) == [b"a"] * CALLERS
+        assert (
+            runner.run(_async_close_with_queued_connections(lock_filter=True))
+            == [b"a"] * CALLERS
+        )
 
 
 async def _async_connect_after_drain() -> None:
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -1,6 +1,7 @@
 """Scripted backend servers and a gateway in front of them."""
 
 import asyncio
+import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
@@ -117,6 +118,17 @@
     ).encode()
 
 
+def unframed_head(request: ReceivedRequest) -> bytes:
+    """Return the head of a success with neither a length nor chunks."""
+    request_id = request.headers["x-id"]
+    return f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-signature: s\r\n\r\n".encode()
+
+
+def event_ids(response: bytes) -> list[int]:
+    """Return the ids of the events in a response."""
+    return [int(number) for number in re.findall(rb"(?<!x-)id: (\d+)", response)]
+
+
 def chunk(data: bytes) -> bytes:
     """Return a chunk; an empty chunk ends the response."""
     return b"%x\r\n%s\r\n" % (len(data), data)
@@ -165,6 +177,12 @@
     servers: dict[str, BackendServer]
     groups: list[ServedGroup]
 
+    def prefer(self, server_id: str) -> None:
+        """Make one server look less loaded than the others."""
+        self.state.backends.peer_load = {
+            key: 0 if key == server_id else 1 for key in self.servers
+        }
+
     async def async_request(
         self,
         extra: str = "",
--- a/tests/gateway/test_faulty_answers.py
+++ b/tests/gateway/test_faulty_answers.py
@@ -20,6 +20,7 @@
     route,
     stream_head,
     stream_route,
+    unframed_head,
 )
 
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -44,12 +45,6 @@
     writer.transport.abort()
 
 
-def _unframed_head(request: ReceivedRequest) -> bytes:
-    """Return a head with neither a length nor chunks."""
-    request_id = request.headers["x-id"]
-    return f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-signature: s\r\n\r\n".encode()
-
-
 class _InOrder(random.Random):
     """Samples the first groups, so that a request reaches groups in a known order."""
 
@@ -219,7 +214,7 @@
     async def async_only_head(
         request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        writer.write(_unframed_head(request))
+        writer.write(unframed_head(request))
         await writer.drain()
         writer.close()
 
@@ -254,7 +249,7 @@
     async def async_unframed(
         request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        writer.write(_unframed_head(request) + event(1) + end)
+        writer.write(unframed_head(request) + event(1) + end)
         await writer.drain()
         if reset:
             # The gateway reads the event before the reset discards it.
--- a/tests/gateway/test_plain_streams.py
+++ b/tests/gateway/test_plain_streams.py
@@ -1,20 +1,20 @@
 """Tests of event streams from servers of a plain service."""
 
 import asyncio
-import re
 
 import pytest
 
 from gooseberryhall.fleet.models import Route, Target
 from tests.gateway.common import (
-    Gateway,
     ReceivedRequest,
     ScriptedServer,
     async_gateway,
     chunk,
     event,
+    event_ids,
     stream_head,
     stream_route,
+    unframed_head,
 )
 
 _LAST = 5
@@ -25,25 +25,9 @@
     return stream_route(**{"targets": (Target("plain", 1.0),), **changes})
 
 
-def _unframed_head(request: ReceivedRequest) -> bytes:
-    """Return a head with neither a length nor chunks."""
-    request_id = request.headers["x-id"]
-    return f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-signature: s\r\n\r\n".encode()
-
-
-def _prefer(gateway: Gateway, server_id: str) -> None:
-    gateway.state.backends.peer_load = {
-        key: 0 if key == server_id else 1 for key in gateway.servers
-    }
-
-
-def _ids(response: bytes) -> list[int]:
-    return [int(number) for number in re.findall(rb"(?<!x-)id: (\d+)", response)]
-
-
 async def _async_whole(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
     """Send the events after the last one that the caller has; close the connection."""
-    writer.write(_unframed_head(request))
+    writer.write(unframed_head(request))
     first = int(request.headers.get("last-event-id", 0)) + 1
     for number in range(first, _LAST + 1):
         writer.write(event(number))
@@ -55,7 +39,7 @@
     request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
     """Close the connection within the third event."""
-    writer.write(_unframed_head(request))
+    writer.write(unframed_head(request))
     writer.write(event(1) + event(2) + event(3)[:9])
     await writer.drain()
     writer.close()
@@ -90,9 +74,9 @@
         ScriptedServer("s2", _async_whole),
     )
     async with async_gateway((_plain_stream_route(),), servers) as gateway:
-        _prefer(gateway, "s1")
+        gateway.prefer("s1")
         response = await gateway.async_request(method="POST", body="x")
-    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert event_ids(response) == [1, 2, 3, 4, 5]
     assert servers[1].requests[0].headers["last-event-id"] == "2"
     assert response.endswith(_LAST_CHUNK)
 
@@ -102,7 +86,7 @@
     server = ScriptedServer("s1", _async_whole)
     async with async_gateway((_plain_stream_route(),), (server,)) as gateway:
         response = await gateway.async_request(method="POST", body="x")
-    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert event_ids(response) == [1, 2, 3, 4, 5]
     assert response.endswith(_LAST_CHUNK)
 
 
@@ -131,7 +115,7 @@
         rest = await reader.read()
         writer.close()
     assert first.endswith(event(1))
-    assert _ids(rest) == [2]
+    assert event_ids(rest) == [2]
 
 
 async def test_silent_plain_server_leaves_time_for_another() -> None:
@@ -142,6 +126,6 @@
 
     servers = (ScriptedServer("s1", async_silent), ScriptedServer("s2", _async_whole))
     async with async_gateway((_plain_stream_route(),), servers) as gateway:
-        _prefer(gateway, "s1")
+        gateway.prefer("s1")
         response = await gateway.async_request(method="POST", body="x")
-    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert event_ids(response) == [1, 2, 3, 4, 5]
--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -1,7 +1,6 @@
 """Tests of event streams from groups that fail, stall or are full."""
 
 import asyncio
-import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -16,6 +15,7 @@
     chunk,
     encode_response,
     event,
+    event_ids,
     stream_head,
     stream_route,
 )
@@ -64,22 +64,12 @@
     writer.write(encode_response(request, status=503, extra="x-not-run: 1\r\n"))
 
 
-def _ids(response: bytes) -> list[int]:
-    return [int(number) for number in re.findall(rb"(?<!x-)id: (\d+)", response)]
-
-
-def _prefer(gateway: Gateway, server_id: str) -> None:
-    gateway.state.backends.peer_load = {
-        key: 0 if key == server_id else 1 for key in gateway.servers
-    }
-
-
 async def test_complete_stream_is_relayed() -> None:
     """Guards against losing events or the server's signature."""
     leader = ScriptedServer("h1", _async_whole)
     async with async_gateway((stream_route(),), leaders=(leader,)) as gateway:
         response = await gateway.async_request("x-model: large\r\n")
-    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert event_ids(response) == [1, 2, 3, 4, 5]
     assert b"x-signature: whole" in response
     assert response.endswith(b"0\r\n\r\n")
 
@@ -88,9 +78,9 @@
     """Guards against lost or repeated events when a leader crashes within an event."""
     leaders = (ScriptedServer("h1", _async_break), ScriptedServer("h2", _async_whole))
     async with async_gateway((stream_route(),), leaders=leaders) as gateway:
-        _prefer(gateway, "h1")
+        gateway.prefer("h1")
         response = await gateway.async_request("x-model: large\r\n")
-    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert event_ids(response) == [1, 2, 3, 4, 5]
     assert b"x-signature: broken" in response
     assert leaders[1].requests[0].headers["last-event-id"] == "2"
     assert response.endswith(b"0\r\n\r\n")
@@ -101,7 +91,7 @@
     leaders = (ScriptedServer("h1", _async_break), ScriptedServer("h2", _async_whole))
     once = stream_route(resumable=False, idempotent=False, attempts=1)
     async with async_gateway((once,), leaders=leaders) as gateway:
-        _prefer(gateway, "h1")
+        gateway.prefer("h1")
         response = await gateway.async_request("x-model: large\r\n")
     assert not response.endswith(b"0\r\n\r\n")
     assert leaders[1].requests == []
@@ -133,14 +123,14 @@
     async with async_gateway(
         (stream_route(timeout_s=5.0),), leaders=leaders
     ) as gateway:
-        _prefer(gateway, "h1")
+        gateway.prefer("h1")
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         async with _stall_checks(gateway):
             response = await gateway.async_request("x-model: large\r\n")
         took_s = loop.time() - started_s
         suspected = gateway.state.backends.is_suspected("h1", loop.time())
-    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert event_ids(response) == [1, 2, 3, 4, 5]
     assert took_s < GROUP_STALL_TIMEOUT_S + 0.5
     assert suspected
 
@@ -157,11 +147,11 @@
         stream_route(timeout_s=5.0, resumable=False, idempotent=False, attempts=1),
     ):
         async with async_gateway((route,), leaders=leaders) as gateway:
-            _prefer(gateway, "h1")
+            gateway.prefer("h1")
             async with _stall_checks(gateway):
                 response = await gateway.async_request("x-model: large\r\n")
         assert b"x-signature: slow" in response
-        assert _ids(response) == [1, 2, 3, 4, 5]
+        assert event_ids(response) == [1, 2, 3, 4, 5]
         assert response.endswith(b"0\r\n\r\n")
 
 
@@ -174,7 +164,7 @@
         _stall_checks(gateway),
     ):
         response = await gateway.async_request("x-model: large\r\n")
-    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert event_ids(response) == [1, 2, 3, 4, 5]
     assert response.endswith(b"0\r\n\r\n")
 
 
@@ -183,9 +173,9 @@
     leaders = (ScriptedServer("h1", _async_full), ScriptedServer("h2", _async_whole))
     once = stream_route(resumable=False, idempotent=False, attempts=1)
     async with async_gateway((once,), leaders=leaders) as gateway:
-        _prefer(gateway, "h1")
+        gateway.prefer("h1")
         response = await gateway.async_request("x-model: large\r\n")
-    assert _ids(response) == [1, 2, 3, 4, 5]
+    assert event_ids(response) == [1, 2, 3, 4, 5]
 
 
 async def test_request_for_a_model_without_group_is_refused_immediately() -> None:
