--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -25,6 +25,7 @@
 )
 from .sending import log_request
 from .state import GatewayState
+from .stopping import StopOutcome
 from .stream import async_forward_stream
 
 _LOGGER = logging.getLogger(__name__)
@@ -94,6 +95,7 @@
 ) -> GatewayResponse | None:
     """Forward a request; return a generated response if no server's was relayed."""
     if not state.stopping.accepts(ctx.request.received_s, ctx.deadline_s):
+        state.stopping.outcomes[StopOutcome.REFUSED] += 1
         return stopping_response(state.rng)
     now_s = asyncio.get_running_loop().time()
     state.budget(ctx.service).record_request(now_s)
@@ -107,14 +109,29 @@
     except TimeoutError:
         if not conn.responded:
             return _stopped_response(state, ctx)
-        log_request(LogEvent.STREAM_CUT, "this node stops", ctx)
+        state.stopping.outcomes[StopOutcome.CUT] += 1
+        log_request(
+            LogEvent.STREAM_CUT, "this node stops", ctx, sends=ctx.sends, on=ctx.ran_on
+        )
         conn.abort()
         return None
+    except asyncio.CancelledError:
+        log_request(
+            LogEvent.REQUEST_CANCELLED,
+            "connection of the caller ended before the response",
+            ctx,
+            responded=conn.responded,
+            sends=ctx.sends,
+            on=ctx.ran_on,
+        )
+        raise
 
 
 def _stopped_response(state: GatewayState, ctx: RequestContext) -> GatewayResponse:
     if ctx.sends:
+        state.stopping.outcomes[StopOutcome.UNANSWERED] += 1
         return outcome_unknown_response("this node stopped before the answer")
+    state.stopping.outcomes[StopOutcome.REFUSED] += 1
     return stopping_response(state.rng)
 
 
--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -29,6 +29,18 @@
     can_abandon: Callable[[], bool] = lambda: False
 
 
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """A group that sent nothing for any of its requests."""
+
+    server_id: str
+    # Time without progress, in seconds.
+    silent_s: float
+    # Requests in flight, and how many of them are aborted to be sent elsewhere.
+    requests: int
+    moved: int
+
+
 @dataclass(slots=True)
 class BackendHealth:
     """In-flight requests and observed health of one server."""
@@ -48,7 +60,7 @@
 class Backends:
     """Health and load of servers by server id."""
 
-    on_stall: Callable[[str], None]
+    on_stall: Callable[[Stall], None]
     _health: defaultdict[str, BackendHealth] = field(
         default_factory=lambda: defaultdict(BackendHealth)
     )
@@ -138,7 +150,7 @@
                 continue
             if server_id not in leaders:
                 continue
-            self._handle_stall(server_id, health, now_s)
+            self._handle_stall(server_id, health, now_s, stalled_s)
             stalled.append(server_id)
         return stalled
 
@@ -158,13 +170,14 @@
                 del self._health[server_id]
 
     def _handle_stall(
-        self, server_id: str, health: BackendHealth, now_s: float
+        self, server_id: str, health: BackendHealth, now_s: float, silent_s: float
     ) -> None:
         health.suspected_until_s = now_s + health.backoff_s
         health.backoff_s = min(2 * health.backoff_s, MAX_STALL_BACKOFF_S)
         # Requests that stay in flight are not reported again before another timeout.
         health.no_progress_since_s = now_s
-        self.on_stall(server_id)
-        for attempt in list(health.in_flight.values()):
-            if attempt.can_fail_over():
-                attempt.exchange.abort(ExchangeAbortedError("the group is silent"))
+        requests = list(health.in_flight.values())
+        moved = [attempt for attempt in requests if attempt.can_fail_over()]
+        for attempt in moved:
+            attempt.exchange.abort(ExchangeAbortedError("the group is silent"))
+        self.on_stall(Stall(server_id, silent_s, len(requests), len(moved)))
--- a/gooseberryhall/gateway/stopping.py
+++ b/gooseberryhall/gateway/stopping.py
@@ -1,9 +1,11 @@
 """Decides which requests a node takes while it stops, and ends the others in time."""
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,11 +27,24 @@
         return received_s <= self.balanced_s or deadline_s <= self.ends_s
 
 
+class StopOutcome(StrEnum):
+    """How a stop ended a request that no server completed."""
+
+    # The response had begun.
+    CUT = "cut"
+    # The request was passed on, and its response had not begun.
+    UNANSWERED = "unanswered"
+    # The request was not passed on.
+    REFUSED = "refused"
+
+
 @dataclass(slots=True)
 class Stopping:
     """The planned stop of this node, if it has begun, and the requests in progress."""
 
     schedule: StopSchedule | None = None
+    # What became of requests because of the stop, by outcome.
+    outcomes: Counter[StopOutcome] = field(default_factory=Counter)
     _limits: set[asyncio.Timeout] = field(default_factory=set)
 
     def begin(self, schedule: StopSchedule) -> None:
@@ -38,6 +53,11 @@
         for limit in self._limits:
             limit.reschedule(schedule.ends_s)
 
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests that are being forwarded."""
+        return len(self._limits)
+
     def accepts(self, received_s: float, deadline_s: float) -> bool:
         """Return whether a request may be passed on to a server."""
         return self.schedule is None or self.schedule.accepts(received_s, deadline_s)
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -99,7 +99,15 @@
         if outcome is _Outcome.TIMED_OUT or (ctx.ran_on and not ctx.is_retryable()):
             break
     if relay.started:
-        log_request(LogEvent.STREAM_CUT, "stream ends incomplete", ctx, last=outcome)
+        log_request(
+            LogEvent.STREAM_CUT,
+            "stream ends incomplete",
+            ctx,
+            last=outcome,
+            events=relay.splitter.event_count,
+            sends=ctx.sends,
+            on=ctx.ran_on,
+        )
         conn.abort()
         return None
     return _failure_response(state, ctx, outcome)
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -10,7 +10,7 @@
 from ..fleet.guard import GuardedEngines
 from ..fleet.models import BackendServer
 from ..fleet.zone import ZoneState
-from ..gateway.backends import Backends
+from ..gateway.backends import Backends, Stall
 from ..gateway.budget import RetryBudget
 from ..gateway.const import CAUSE_GOSSIP_SHARE, RETRY_SLACK_SHARE
 from ..gateway.metrics import GatewayMetrics
@@ -302,9 +302,18 @@
             self.gateway.backends.abort_crashing(crashes.is_blocked)
             self.gossip.send(urgent=True)
 
-    def _on_stall(self, leader: str) -> None:
+    def _on_stall(self, stall: Stall) -> None:
+        leader = stall.server_id
         self.gateway.metrics.stalls.inc({})
-        log_event(_LOGGER, LogEvent.GROUP_SILENT, "group is silent", server=leader)
+        log_event(
+            _LOGGER,
+            LogEvent.GROUP_SILENT,
+            "group is silent",
+            server=leader,
+            silent_s=round(stall.silent_s, 3),
+            requests=stall.requests,
+            moved=stall.moved,
+        )
         self._stalled_leaders[leader] = self._loop.time() + UNRESPONSIVE_BACKOFF_S
         self._probe_group(leader)
         self.gossip.send(urgent=True)
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -15,7 +15,7 @@
 from ..gateway.app import async_handle_request
 from ..gateway.const import STALL_CHECK_PERIOD_S
 from ..gateway.refusals import stopping_response
-from ..gateway.stopping import StopSchedule
+from ..gateway.stopping import StopOutcome, StopSchedule
 from ..gossip.const import GOSSIP_PERIOD_S
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
@@ -114,9 +114,20 @@
         balanced_s=started_s + LOAD_BALANCER_DELAY_S, ends_s=closes_s - ANSWER_MARGIN_S
     )
     node.gateway.stopping.begin(schedule)
+    _log_drain(LogEvent.DRAIN_STARTED, "planned stop began", node, callers)
     await asyncio.sleep(LOAD_BALANCER_DELAY_S)
     await async_drain_accept_queue(callers.server.sockets)
     callers.server.close()
+    _log_drain(LogEvent.LISTENER_CLOSED, "listener is closed", node, callers)
+    await _async_end_connections(node, callers, schedule, closes_s)
+    _log_drain(LogEvent.DRAIN_ENDED, "planned stop ended", node, callers)
+
+
+async def _async_end_connections(
+    node: Node, callers: Listener, schedule: StopSchedule, closes_s: float
+) -> None:
+    """Close connections as they become idle; return when all are, or at `closes_s`."""
+    loop = asyncio.get_running_loop()
     while loop.time() < closes_s:
         callers.close_idle()
         if loop.time() >= schedule.ends_s:
@@ -126,6 +137,20 @@
         await asyncio.sleep(SHUTDOWN_POLL_S)
 
 
+def _log_drain(event: LogEvent, message: str, node: Node, callers: Listener) -> None:
+    stopping = node.gateway.stopping
+    log_event(
+        _LOGGER,
+        event,
+        message,
+        connections=len(callers.connections),
+        in_progress=stopping.in_progress,
+        cut=stopping.outcomes[StopOutcome.CUT],
+        unanswered=stopping.outcomes[StopOutcome.UNANSWERED],
+        refused=stopping.outcomes[StopOutcome.REFUSED],
+    )
+
+
 def _reload(node: Node, reload_settings: Callable[[], NodeSettings]) -> None:
     try:
         node.settings = reload_settings()
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -127,7 +127,7 @@
 def test_stalled_leader_is_reported_once_and_gets_no_requests() -> None:
     """Guards against requests that stay at a stalled leader or are sent to it."""
     stalled: list[str] = []
-    backends = Backends(stalled.append)
+    backends = Backends(lambda stall: stalled.append(stall.server_id))
     exchange = Exchange()
     _start(backends, exchange)
     backends.check_stalls({"h"}, GROUP_STALL_TIMEOUT_S / 2)
@@ -144,7 +144,7 @@
     The group may only be slow.
     """
     stalled: list[str] = []
-    backends = Backends(stalled.append)
+    backends = Backends(lambda stall: stalled.append(stall.server_id))
     exchange = Exchange()
     _start(backends, exchange, can_fail_over=False)
     backends.check_stalls({"h"}, GROUP_STALL_TIMEOUT_S)
@@ -193,7 +193,7 @@
     timeout than needed sends more requests to a broken group.
     """
     stalled: list[str] = []
-    backends = Backends(stalled.append)
+    backends = Backends(lambda stall: stalled.append(stall.server_id))
     _start(backends, Exchange())
     backends.check_stalls({"h"}, silent_s)
     assert stalled == expected
