--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -24,7 +24,7 @@
 from gooseberryhall.gateway.header_names import HeaderNames
 from gooseberryhall.gateway.metrics import GatewayMetrics
 from gooseberryhall.gateway.state import GatewayState
-from gooseberryhall.node.listeners import async_listen
+from gooseberryhall.node.listeners import Listener, async_listen
 from gooseberryhall.transport.address import Address
 from gooseberryhall.transport.pool import ConnectionPool
 
@@ -176,6 +176,7 @@
     address: Address
     servers: dict[str, BackendServer]
     groups: list[ServedGroup]
+    callers: Listener
 
     def prefer(self, server_id: str) -> None:
         """Make one server look less loaded than the others."""
@@ -261,4 +262,4 @@
             Limits,
         )
         address = Address(*callers.server.sockets[0].getsockname()[:2])
-        yield Gateway(state, address, servers, groups)
+        yield Gateway(state, address, servers, groups, callers)
--- a/tests/platform/common.py
+++ b/tests/platform/common.py
@@ -91,7 +91,8 @@
         "attempts": 2,
     }
     once = {**route, "name": "once", "prefix": "/once/", "kind": "unsafe"}
-    return json.dumps({**CONFIGURATION, "routes": [route, once]}).encode()
+    stream = {**route, "name": "stream", "prefix": "/stream/", "kind": "streaming"}
+    return json.dumps({**CONFIGURATION, "routes": [route, once, stream]}).encode()
 
 
 def _settings(host: str, store: str, grace_s: float) -> str:
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -5,7 +5,13 @@
 from functools import partial
 from pathlib import Path
 
-from tests.gateway.common import ReceivedRequest
+from tests.gateway.common import (
+    ReceivedRequest,
+    async_until,
+    chunk,
+    event,
+    event_ids,
+)
 from tests.platform.common import (
     CALLER_PORT,
     REQUEST_HEAD,
@@ -20,6 +26,8 @@
 GRACE_S = 5.0
 # When callers of a stopping node reach other nodes.
 LATE_S = 2.6
+# Time before SIGKILL at which the last event of a stream comes.
+KILL_MARGIN_S = 0.3
 EXIT_LIMIT_S = GRACE_S + 1.0
 
 
@@ -92,6 +100,39 @@
         await _async_stop(node)
 
 
+async def _async_stream_until(
+    request: ReceivedRequest, writer: asyncio.StreamWriter, *, end_s: float
+) -> None:
+    """Send a stream that ends after some time."""
+    writer.write(
+        f"HTTP/1.1 200 OK\r\nx-attempt-id: {request.headers['x-attempt-id']}\r\n"
+        "x-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n".encode()
+        + chunk(event(1))
+    )
+    await asyncio.sleep(end_s)
+    writer.write(chunk(event(2)) + chunk(b""))
+
+
+async def test_stream_that_ends_shortly_before_the_kill_is_complete(
+    tmp_path: Path,
+) -> None:
+    """Guards against cutting a stream while there is time to complete it (LOST).
+
+    Nothing is to be said to its caller, so it may go on until the process is killed.
+    """
+    script = partial(_async_stream_until, end_s=GRACE_S - KILL_MARGIN_S)
+    async with async_run_node(
+        tmp_path, script, timeout_s=10.0, grace_s=GRACE_S
+    ) as node:
+        request = asyncio.create_task(node.async_get(CALLER_PORT, "/stream/1"))
+        await async_until(lambda: bool(node.server.requests))
+        node.process.send_signal(signal.SIGTERM)
+        response = await request
+        assert event_ids(response) == [1, 2]
+        assert response.endswith(b"0\r\n\r\n")
+        await _async_stop(node)
+
+
 async def test_request_that_is_never_complete_is_refused_at_the_end_of_a_stop(
     tmp_path: Path,
 ) -> None:
