Keep a stream at its silent group until another one answers

Cause: check_stalls aborted each request that passed a check for another group and for the retry budget. All streams of a group pass that check at once, and then one group or budget cannot take them; a group may also reject them, not be reachable or be silent, too. The class: check, then act, on a shared limit. Change: silence is only reported to the request. It takes its place in the budget, asks another group (gateway/takeover.py), and is moved when that group has sent an event; until then the silent group may go on. Why it works: a stream is given up only when another server already answers. Evidence: 9 cases of tests/gateway/test_silent_groups.py failed before; two more cover a group that breaks off and a caller that leaves meanwhile. test_request_that_cannot_fail_over_stays_at_a_stalled_leader asked can_fail_over, which is gone; it now asks that no request is aborted.

--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -21,8 +21,6 @@
     """One send of a request to a server."""
 
     exchange: Exchange
-    # Returns whether another server can complete the request.
-    can_fail_over: Callable[[], bool]
     # Fingerprint of the request and ids of the shared parts of its prompt.
     traits: frozenset[str] = frozenset()
     # Returns whether the request may be aborted if such requests crash servers.
@@ -36,9 +34,8 @@
     server_id: str
     # Time without progress, in seconds.
     silent_s: float
-    # Requests in flight, and how many of them are aborted to be sent elsewhere.
+    # Requests in flight.
     requests: int
-    moved: int
 
 
 @dataclass(slots=True)
@@ -137,10 +134,9 @@
         health.suspected_until_s = now_s + UNREACHABLE_BACKOFF_S
 
     def check_stalls(self, leaders: set[str], now_s: float) -> list[str]:
-        """Abort requests to stalled group leaders and return these leaders.
+        """Report silence to the requests of stalled group leaders; return the leaders.
 
         A leader that loses a member stops sending on all its streams simultaneously.
-        Requests that cannot fail over are not aborted, as the group may only be slow.
         """
         stalled = []
         for server_id, health in self._health.items():
@@ -176,8 +172,6 @@
         health.backoff_s = min(2 * health.backoff_s, MAX_STALL_BACKOFF_S)
         # Requests that stay in flight are not reported again before another timeout.
         health.no_progress_since_s = now_s
-        requests = list(health.in_flight.values())
-        moved = [attempt for attempt in requests if attempt.can_fail_over()]
-        for attempt in moved:
-            attempt.exchange.abort(ExchangeAbortedError("the group is silent"))
-        self.on_stall(Stall(server_id, silent_s, len(requests), len(moved)))
+        for attempt in health.in_flight.values():
+            attempt.exchange.report_silence()
+        self.on_stall(Stall(server_id, silent_s, len(health.in_flight)))
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -11,7 +11,11 @@
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from ..transport.client import ClientConnection
-from ..transport.exceptions import ConnectFailedError, SendWithheldError
+from ..transport.exceptions import (
+    ConnectFailedError,
+    SendWithheldError,
+    TransportError,
+)
 from ..transport.exchange import Exchange, ResponseHead
 from .backends import Attempt
 from .const import FIRST_ATTEMPT_SHARE
@@ -44,13 +48,11 @@
     server: BackendServer,
     *,
     last_event_id: bytes | None = None,
-    can_fail_over: Callable[[], bool] | None = None,
     can_abandon: Callable[[], bool] = lambda: False,
 ) -> AsyncIterator[SentRequest]:
     """Send the request; an exchange that is incomplete on exit is cancelled.
 
-    `can_fail_over` returns whether another server can complete the request if this one
-    stalls, `can_abandon` whether it may be aborted because requests like it crash
+    `can_abandon` returns whether it may be aborted because requests like it crash
     servers. Raises `ConnectFailedError` if nothing was sent.
     """
     loop = asyncio.get_running_loop()
@@ -67,9 +69,7 @@
         is_head_method=ctx.request.method == b"HEAD",
         on_head=on_head,
     )
-    attempt = Attempt(
-        exchange, can_fail_over or ctx.is_retryable, ctx.traits, can_abandon
-    )
+    attempt = Attempt(exchange, ctx.traits, can_abandon)
     key = state.backends.start_attempt(server.server_id, attempt, loop.time())
     conn: ClientConnection | None = None
     try:
@@ -169,6 +169,40 @@
     state.on_crash()
 
 
+def record_break(
+    state: GatewayState,
+    ctx: RequestContext,
+    server_id: str,
+    exc: TransportError,
+    *,
+    is_crash: bool,
+    **fields: Any,
+) -> None:
+    """Record that a server did not complete the request.
+
+    `is_crash` tells whether the request may have crashed the server.
+    """
+    loop = asyncio.get_running_loop()
+    state.backends.record_result(server_id, failed=True)
+    ctx.breaks += 1
+    if is_crash:
+        record_crash(state, ctx, server_id)
+    elif state.crashes.is_blocked(ctx.traits):
+        state.crashes.record_abandoned(
+            ctx.fingerprint, server_id, loop.time(), ctx.prompt_parts
+        )
+    log_request(
+        LogEvent.SEND_FAILED,
+        str(exc),
+        ctx,
+        server=server_id,
+        parts=ctx.prompt_parts,
+        crashed=state.crashes.crashed_servers(ctx.fingerprint),
+        **fields,
+    )
+    state.metrics.retries.inc({"cause": "broken"})
+
+
 def record_success(state: GatewayState, ctx: RequestContext) -> None:
     """Record that a server completed the request, so that it is harmless."""
     now_s = asyncio.get_running_loop().time()
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -1,6 +1,7 @@
 """Forwards requests to groups or plain servers and relays their event streams."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -9,6 +10,7 @@
 from ..transport.exceptions import (
     ConnectFailedError,
     ConnectionBrokenError,
+    ExchangeAbortedError,
     TransportError,
 )
 from ..transport.exchange import ResponseHead
@@ -32,10 +34,11 @@
     is_rejection,
     is_success,
     log_request,
-    record_crash,
+    record_break,
     record_success,
 )
 from .state import GatewayState
+from .takeover import Successor, async_wait_for_data
 
 _SERVER_POLL_PERIOD_S = 0.01
 _HTTP_REDIRECTION = 300
@@ -50,18 +53,33 @@
     NOT_SENT = "not_sent"
     BROKEN = "broken"
     TIMED_OUT = "timed_out"
+    # The server was silent, and another group goes on with the stream.
+    MOVED = "moved"
 
 
 @dataclass(slots=True)
 class _RelayedResponse:
     """State of the response to the caller."""
 
+    conn: CallerConnection
+    # Head of the current attempt's response; the caller gets the first one.
+    head: ResponseHead | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     started: bool = False
     # Time of the first event of the current attempt.
     answering_since_s: float | None = None
     # Timeout of the current attempt; extended by its first event.
     timeout: asyncio.Timeout | None = None
+    # The group that goes on with the stream.
+    successor: Successor | None = None
+
+    def begin(self) -> bool:
+        """Send the head to the caller; return False if that was done before."""
+        if self.started or self.head is None:
+            return False
+        self.started = True
+        self.conn.begin_response(self.head, length=None)
+        return True
 
     def record_events(self, deadline_s: float) -> None:
         """Record that events arrived, which gives the attempt until the deadline."""
@@ -80,23 +98,20 @@
     A broken stream is resumed at another server within the same response if the route
     allows it; otherwise the caller's connection is aborted.
     """
-    loop = asyncio.get_running_loop()
-    relay = _RelayedResponse()
+    relay = _RelayedResponse(conn)
     relay.splitter.last_event_id = ctx.request.get(state.header_names.last_event_id)
     outcome = _Outcome.NOT_SENT
-    while ctx.rejections < MAX_REJECTIONS:
-        server = await _async_choose_server(state, ctx)
-        if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
-            break
-        if state.crashes.is_blocked(ctx.traits):
-            break
-        if ctx.sends and not state.budget(ctx.service).try_acquire(loop.time()):
-            log_request(LogEvent.RETRY_BUDGET_EMPTY, "retry budget is exhausted", ctx)
-            break
-        outcome = await _async_attempt(state, ctx, conn, relay, server)
+    while outcome is _Outcome.MOVED or ctx.rejections < MAX_REJECTIONS:
+        if relay.successor is not None:
+            outcome = await _async_go_on(state, ctx, relay, relay.successor)
+        else:
+            server = await _async_next_server(state, ctx)
+            if server is None:
+                break
+            outcome = await _async_attempt(state, ctx, relay, server)
         if outcome is _Outcome.COMPLETE:
             return None
-        if outcome is _Outcome.TIMED_OUT or (ctx.ran_on and not ctx.is_retryable()):
+        if _is_final(ctx, outcome):
             break
     if relay.started:
         log_request(
@@ -113,6 +128,31 @@
     return _failure_response(state, ctx, outcome)
 
 
+async def _async_next_server(
+    state: GatewayState, ctx: RequestContext
+) -> BackendServer | None:
+    """Return the server of the next attempt, or None if there can be none."""
+    loop = asyncio.get_running_loop()
+    server = await _async_choose_server(state, ctx)
+    if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
+        return None
+    if state.crashes.is_blocked(ctx.traits):
+        return None
+    if ctx.sends and not state.budget(ctx.service).try_acquire(loop.time()):
+        log_request(LogEvent.RETRY_BUDGET_EMPTY, "retry budget is exhausted", ctx)
+        return None
+    return server
+
+
+def _is_final(ctx: RequestContext, outcome: _Outcome) -> bool:
+    """Return whether no other server may run the request after this outcome."""
+    if outcome is _Outcome.MOVED:
+        return False
+    if outcome is _Outcome.TIMED_OUT:
+        return True
+    return bool(ctx.ran_on) and not ctx.is_retryable()
+
+
 def _failure_response(
     state: GatewayState, ctx: RequestContext, outcome: _Outcome
 ) -> GatewayResponse:
@@ -150,30 +190,62 @@
 async def _async_attempt(
     state: GatewayState,
     ctx: RequestContext,
-    conn: CallerConnection,
     relay: _RelayedResponse,
     server: BackendServer,
 ) -> _Outcome:
+    """Send the request to a server and relay its stream."""
+    ctx.excluded_servers.add(server.server_id)
+    relay.answering_since_s = None
+    sending = async_send(
+        state,
+        ctx,
+        server,
+        last_event_id=relay.splitter.last_event_id if relay.started else None,
+        can_abandon=lambda: relay.answering_since_s is None,
+    )
+    deadline_s = _first_event_deadline_s(state, ctx, relay)
+
+    async def async_relay() -> _Outcome:
+        async with asyncio.timeout_at(deadline_s) as timeout, sending as sent:
+            relay.timeout = timeout
+            return await _async_relay(state, ctx, relay, sent)
+
+    return await _async_classify(state, ctx, relay, server.server_id, async_relay)
+
+
+async def _async_go_on(
+    state: GatewayState,
+    ctx: RequestContext,
+    relay: _RelayedResponse,
+    successor: Successor,
+) -> _Outcome:
+    """Relay the stream of a group that took it over."""
+    relay.successor = None
+    relay.head = successor.head
+    relay.splitter = successor.splitter
+    relay.answering_since_s = asyncio.get_running_loop().time()
+    server_id = successor.server.server_id
+
+    async def async_relay() -> _Outcome:
+        async with asyncio.timeout_at(ctx.deadline_s), successor.stack:
+            await _async_write_events(state, ctx, relay, server_id, successor.events)
+            return await _async_relay_events(state, ctx, relay, successor.sent)
+
+    return await _async_classify(state, ctx, relay, server_id, async_relay)
+
+
+async def _async_classify(
+    state: GatewayState,
+    ctx: RequestContext,
+    relay: _RelayedResponse,
+    server_id: str,
+    async_relay: Callable[[], Awaitable[_Outcome]],
+) -> _Outcome:
+    """Run one attempt and return its outcome, also if it fails."""
     loop = asyncio.get_running_loop()
-    server_id = server.server_id
-    ctx.excluded_servers.add(server_id)
-    resume_after = relay.splitter.last_event_id if relay.started else None
     sent_s = loop.time()
-    relay.answering_since_s = None
     try:
-        async with (
-            asyncio.timeout_at(_first_event_deadline_s(state, ctx, relay)) as timeout,
-            async_send(
-                state,
-                ctx,
-                server,
-                last_event_id=resume_after,
-                can_fail_over=lambda: _can_fail_over(state, ctx, relay),
-                can_abandon=lambda: relay.answering_since_s is None,
-            ) as sent,
-        ):
-            relay.timeout = timeout
-            return await _async_relay(state, ctx, conn, relay, sent)
+        return await async_relay()
     except ConnectFailedError as exc:
         ctx.rejections += 1
         log_request(LogEvent.SEND_FAILED, str(exc), ctx, server=server_id, ran="no")
@@ -188,27 +260,19 @@
         return _Outcome.TIMED_OUT
     except TransportError as exc:
         relay.splitter.discard_partial()
-        state.backends.record_result(server_id, failed=True)
         if server_id not in ctx.ran_on and not ctx.route.idempotent:
             ctx.ran_on.append(server_id)
-        ctx.breaks += 1
-        if isinstance(exc, ConnectionBrokenError) and _may_be_cause(relay):
-            record_crash(state, ctx, server_id)
-        elif state.crashes.is_blocked(ctx.traits):
-            state.crashes.record_abandoned(
-                ctx.fingerprint, server_id, loop.time(), ctx.prompt_parts
-            )
-        log_request(
-            LogEvent.SEND_FAILED,
-            str(exc),
+        record_break(
+            state,
             ctx,
-            server=server_id,
+            server_id,
+            exc,
+            is_crash=isinstance(exc, ConnectionBrokenError) and _may_be_cause(relay),
             events=relay.splitter.event_count,
             after_s=round(loop.time() - sent_s, 3),
-            parts=ctx.prompt_parts,
-            crashed=state.crashes.crashed_servers(ctx.fingerprint),
         )
-        state.metrics.retries.inc({"cause": "broken"})
+        if relay.successor is not None:
+            return _Outcome.MOVED
         return _Outcome.BROKEN
 
 
@@ -233,31 +297,13 @@
     return now_s - relay.answering_since_s < CRASH_ONSET_S
 
 
-def _can_fail_over(
-    state: GatewayState, ctx: RequestContext, relay: _RelayedResponse
-) -> bool:
-    """Return whether another group can complete the request of a stalled group.
-
-    A response that has started and finds no other group would have to be aborted. The
-    stalled group may only be slow, so its stream is kept in that case.
-    """
-    if not ctx.is_retryable():
-        return False
-    if not relay.started:
-        return True
-    now_s = asyncio.get_running_loop().time()
-    if not state.budget(ctx.service).has_capacity(now_s):
-        return False
-    return state.choose_candidate(ctx, now_s) is not None
-
-
 async def _async_relay(
     state: GatewayState,
     ctx: RequestContext,
-    conn: CallerConnection,
     relay: _RelayedResponse,
     sent: SentRequest,
 ) -> _Outcome:
+    await _async_wait_for_data(state, ctx, relay, sent)
     head = await sent.exchange.async_read_head()
     server_id = sent.server.server_id
     if is_rejection(state, head):
@@ -271,8 +317,34 @@
         )
         return _Outcome.REJECTED
     if not is_success(state, head):
-        return await _async_relay_failure(ctx, conn, relay, sent, head)
-    while chunk := await sent.exchange.async_read_chunk():
+        return await _async_relay_failure(ctx, relay, sent, head)
+    relay.head = head
+    return await _async_relay_events(state, ctx, relay, sent)
+
+
+async def _async_wait_for_data(
+    state: GatewayState, ctx: RequestContext, relay: _RelayedResponse, sent: SentRequest
+) -> None:
+    """Wait until the server sends; raise `TransportError` if another group goes on."""
+    relay.successor = await async_wait_for_data(
+        state, ctx, relay.splitter, sent, started=relay.started
+    )
+    if relay.successor is not None:
+        raise ExchangeAbortedError("the group is silent, another one goes on")
+
+
+async def _async_relay_events(
+    state: GatewayState,
+    ctx: RequestContext,
+    relay: _RelayedResponse,
+    sent: SentRequest,
+) -> _Outcome:
+    server_id = sent.server.server_id
+    while True:
+        await _async_wait_for_data(state, ctx, relay, sent)
+        chunk = await sent.exchange.async_read_chunk()
+        if not chunk:
+            break
         events = relay.splitter.feed(chunk)
         if not events:
             continue
@@ -280,25 +352,31 @@
         relay.record_events(ctx.deadline_s)
         if server_id not in ctx.ran_on:
             ctx.ran_on.append(server_id)
-        if not relay.started:
-            relay.started = True
-            conn.begin_response(head, length=None)
-            _record_first_event(state, ctx, server_id)
-        conn.write_body(events)
-        await conn.async_drain()
+        await _async_write_events(state, ctx, relay, server_id, events)
     if relay.splitter.has_partial:
         raise ConnectionBrokenError("stream ended within an event")
-    if not relay.started:
-        conn.begin_response(head, length=None)
-    conn.end_response()
+    relay.begin()
+    relay.conn.end_response()
     state.backends.record_result(server_id, failed=False)
     record_success(state, ctx)
     return _Outcome.COMPLETE
 
 
+async def _async_write_events(
+    state: GatewayState,
+    ctx: RequestContext,
+    relay: _RelayedResponse,
+    server_id: str,
+    events: bytes,
+) -> None:
+    if relay.begin():
+        _record_first_event(state, ctx, server_id)
+    relay.conn.write_body(events)
+    await relay.conn.async_drain()
+
+
 async def _async_relay_failure(
     ctx: RequestContext,
-    conn: CallerConnection,
     relay: _RelayedResponse,
     sent: SentRequest,
     head: ResponseHead,
@@ -311,9 +389,9 @@
     body = await sent.exchange.async_read_body(1 << 20)
     if relay.started or head.status < _HTTP_REDIRECTION or ctx.is_retryable():
         raise TransportError(f"server answered {head.status}")
-    conn.begin_response(head, length=len(body))
-    conn.write_body(body)
-    conn.end_response()
+    relay.conn.begin_response(head, length=len(body))
+    relay.conn.write_body(body)
+    relay.conn.end_response()
     return _Outcome.COMPLETE
 
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -312,7 +312,6 @@
             server=leader,
             silent_s=round(stall.silent_s, 3),
             requests=stall.requests,
-            moved=stall.moved,
         )
         self._stalled_leaders[leader] = self._loop.time() + UNRESPONSIVE_BACKOFF_S
         self._probe_group(leader)
--- a/gooseberryhall/transport/exchange.py
+++ b/gooseberryhall/transport/exchange.py
@@ -47,11 +47,45 @@
     head: ResponseHead | None = None
     complete: bool = False
     error: TransportError | None = None
+    # Whether the server was found silent, and this was not noticed yet.
+    _silent: bool = False
+    _head_read: bool = False
     _chunks: deque[bytes] = field(default_factory=deque)
     _buffered_bytes: int = 0
     _paused: bool = False
     _waiter: asyncio.Future[None] | None = None
 
+    @property
+    def has_data(self) -> bool:
+        """Return whether there is something to read, or the response has ended."""
+        if self.error is not None:
+            return True
+        if not self._head_read:
+            return self.head is not None
+        return bool(self._chunks) or self.complete
+
+    @property
+    def is_silent(self) -> bool:
+        """Return whether silence was reported and nobody has waited for data since."""
+        return self._silent
+
+    def report_silence(self) -> None:
+        """Make `async_wait_for_data` return False if the server has sent nothing."""
+        self._silent = True
+        self._wake()
+
+    async def async_wait_for_data(self) -> bool:
+        """Wait for data or the end of the response.
+
+        Returns False if `report_silence` was called before either.
+        """
+        self._silent = False
+        while not self.has_data:
+            if self._silent:
+                return False
+            await self._async_wait()
+        return True
+
     def receive_head(self, head: ResponseHead) -> None:
         """Store the received status and headers."""
         self.head = head
@@ -90,6 +124,7 @@
             if self.error is not None:
                 raise self.error
             await self._async_wait()
+        self._head_read = True
         return self.head
 
     async def async_read_chunk(self) -> bytes:
@@ -131,8 +166,9 @@
             self._waiter.set_result(None)
 
     async def _async_wait(self) -> None:
-        self._waiter = asyncio.get_running_loop().create_future()
+        waiter = self._waiter = asyncio.get_running_loop().create_future()
         try:
-            await self._waiter
+            await waiter
         finally:
-            self._waiter = None
+            if self._waiter is waiter:
+                self._waiter = None
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -23,11 +23,9 @@
     return Candidate(name, load, 13, changes.pop("same_zone", True), **changes)
 
 
-def _start(
-    backends: Backends, exchange: Exchange, *, can_fail_over: bool = True
-) -> None:
+def _start(backends: Backends, exchange: Exchange) -> None:
     """Start an attempt at the server h."""
-    backends.start_attempt("h", Attempt(exchange, lambda: can_fail_over), 0.0)
+    backends.start_attempt("h", Attempt(exchange), 0.0)
 
 
 def test_least_loaded_group_is_chosen() -> None:
@@ -76,9 +74,9 @@
     _start(backends, waiting)
     backends.peer_progress_s = {"h": 0.5}
     backends.check_stalls({"h"}, GROUP_STALL_TIMEOUT_S + 0.1)
-    assert waiting.error is None
+    assert not waiting.is_silent
     backends.check_stalls({"h"}, 0.5 + GROUP_STALL_TIMEOUT_S + 0.1)
-    assert waiting.error is not None
+    assert waiting.is_silent
 
 
 def test_nodes_with_the_same_load_reports_choose_different_groups() -> None:
@@ -131,22 +129,23 @@
     exchange = Exchange()
     _start(backends, exchange)
     backends.check_stalls({"h"}, GROUP_STALL_TIMEOUT_S / 2)
-    assert exchange.error is None
+    assert not exchange.is_silent
     backends.check_stalls({"h"}, GROUP_STALL_TIMEOUT_S)
-    assert exchange.error is not None
+    assert exchange.is_silent
     assert stalled == ["h"]
     assert backends.is_suspected("h", GROUP_STALL_TIMEOUT_S + 0.1)
 
 
-def test_request_that_cannot_fail_over_stays_at_a_stalled_leader() -> None:
+def test_request_stays_at_a_stalled_leader() -> None:
     """Guards against aborting a request that no other group can complete (LOST).
 
-    The group may only be slow.
+    The group may only be slow. Whether another one takes the request is known only when
+    it answers, see test_silent_groups.py.
     """
     stalled: list[str] = []
     backends = Backends(lambda stall: stalled.append(stall.server_id))
     exchange = Exchange()
-    _start(backends, exchange, can_fail_over=False)
+    _start(backends, exchange)
     backends.check_stalls({"h"}, GROUP_STALL_TIMEOUT_S)
     assert stalled == ["h"]
     assert exchange.error is None
@@ -162,7 +161,7 @@
     _start(backends, waiting)
     backends.record_progress("h", 0.5)
     backends.check_stalls({"h"}, 0.5 + GROUP_STALL_TIMEOUT_S / 2)
-    assert waiting.error is None
+    assert not waiting.is_silent
 
 
 @given(st.lists(st.integers(1, 30), max_size=40), st.integers(1, 12))
--- a/tests/gateway/test_silent_groups.py
+++ b/tests/gateway/test_silent_groups.py
@@ -76,6 +76,22 @@
     writer.transport.abort()
 
 
+async def _async_slow_break(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send one event, pause, and break off soon after the stall timeout."""
+    writer.write(stream_head(request, "broken"))
+    writer.write(chunk(event(1)))
+    await asyncio.sleep(GROUP_STALL_TIMEOUT_S + 0.1)
+    writer.transport.abort()
+
+
+async def _async_late(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Go on with a stream after a pause below the stall timeout."""
+    await asyncio.sleep(0.3)
+    await _async_go_on(request, writer)
+
+
 async def _async_hang(_: ReceivedRequest, __: asyncio.StreamWriter) -> None:
     await asyncio.sleep(60)
 
@@ -164,3 +180,27 @@
     assert [event_ids(response) for response in responses] == [_COMPLETE] * 8
     assert all(response.endswith(b"0\r\n\r\n") for response in responses)
     assert len(other.requests) == 2
+
+
+async def test_stream_goes_on_if_the_silent_group_breaks_off() -> None:
+    """Guards against a stream that is lost with its group while another is asked."""
+    silent = ScriptedServer("silent", _async_slow_break)
+    other = ScriptedServer("other", _async_late)
+    async with _async_two_groups(silent, other) as gateway:
+        (caller,) = await _async_send(gateway, silent)
+        response = await caller
+    assert event_ids(response) == _COMPLETE
+    assert response.endswith(b"0\r\n\r\n")
+    assert len(other.requests) == 1
+
+
+async def test_both_groups_are_released_when_the_caller_leaves() -> None:
+    """Guards against servers that go on with a stream whose caller has left (GONE)."""
+    silent = ScriptedServer("silent", _async_hang)
+    other = ScriptedServer("other", _async_hang)
+    async with _async_two_groups(silent, other) as gateway:
+        (caller,) = await _async_send(gateway, silent)
+        await async_until(lambda: bool(other.requests))
+        caller.cancel()
+        await async_until(lambda: not gateway.state.backends.local_load())
+        await async_until(lambda: not gateway.callers.connections)
