Do not take a pause that all servers share for stalled groups

Owners dissolved the groups. Cause: each group that sends nothing for 0.45 s counted as stalled, whatever the others did, and also if this process had not run itself: timers come before the sockets. A pause of a VM, as at the start of a process, silences all groups. The class: the silence of one side is taken for a failure of the other. Change: if several servers should send something and none did for 0.2 s, here or at a peer, groups count as stalled after 0.9 s; a check that is late by over 0.1 s does not count the time in between. Why it works: a lost member silences one group, a pause silences them all. Evidence: test_pause_that_all_groups_share_is_not_a_stall failed before (both groups were reported); the others hold the limits of the rule.

--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -9,11 +9,14 @@
 from .const import (
     GROUP_STALL_TIMEOUT_S,
     MAX_STALL_BACKOFF_S,
+    RECENT_PROGRESS_S,
+    SHARED_STALL_TIMEOUT_S,
     STALL_BACKOFF_S,
     UNREACHABLE_BACKOFF_S,
 )
 
 _FAILURE_WEIGHT = 0.2
+_MIN_SHARING_SERVERS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,18 +141,36 @@
 
         A leader that loses a member stops sending on all its streams simultaneously.
         """
+        is_shared = self._is_silence_shared(now_s)
         stalled = []
         for server_id, health in self._health.items():
             peer_s = self.peer_progress_s.get(server_id, 0.0)
             stalled_s = now_s - max(health.no_progress_since_s, peer_s)
             if not health.in_flight or stalled_s < GROUP_STALL_TIMEOUT_S:
                 continue
+            if is_shared and stalled_s < SHARED_STALL_TIMEOUT_S:
+                continue
             if server_id not in leaders:
                 continue
             self._handle_stall(server_id, health, now_s, stalled_s)
             stalled.append(server_id)
         return stalled
 
+    def skip_unobserved(self, gap_s: float, now_s: float) -> None:
+        """Do not count a time in which this process did not run as silence."""
+        for health in self._health.values():
+            since_s = health.no_progress_since_s + gap_s
+            health.no_progress_since_s = min(since_s, now_s)
+
+    def _is_silence_shared(self, now_s: float) -> bool:
+        """Return whether several servers should send something and none does."""
+        waiting = sum(1 for health in self._health.values() if health.in_flight)
+        if waiting < _MIN_SHARING_SERVERS:
+            return False
+        progress_s = [health.last_progress_s for health in self._health.values()]
+        latest_s = max(*progress_s, *self.peer_progress_s.values())
+        return now_s - latest_s >= RECENT_PROGRESS_S
+
     def abort_crashing(self, is_blocked: Callable[[frozenset[str]], bool]) -> None:
         """Abort requests that would crash their servers, before they are answered."""
         for health in self._health.values():
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -6,7 +6,14 @@
 # lost a member. The timeout must exceed the pauses of a healthy group: processing
 # prompts between the tokens of a full batch takes up to about a third of a second.
 GROUP_STALL_TIMEOUT_S: Final = 0.45
+# If all servers that should send something are silent, a pause of this VM or of the
+# network is more likely than the loss of all of them.
+SHARED_STALL_TIMEOUT_S: Final = 0.9
+# A server that sent something this recently shows that there is no such pause.
+RECENT_PROGRESS_S: Final = 0.2
 STALL_CHECK_PERIOD_S: Final = 0.05
+# A check that comes this much later than planned shows that the process did not run.
+MAX_CHECK_DELAY_S: Final = 0.1
 # Time for which a stalled group gets no requests; doubled with each consecutive stall.
 STALL_BACKOFF_S: Final = 0.8
 MAX_STALL_BACKOFF_S: Final = 6.0
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -12,7 +12,12 @@
 from ..fleet.zone import ZoneState
 from ..gateway.backends import Backends, Stall
 from ..gateway.budget import RetryBudget
-from ..gateway.const import CAUSE_GOSSIP_SHARE, RETRY_SLACK_SHARE
+from ..gateway.const import (
+    CAUSE_GOSSIP_SHARE,
+    MAX_CHECK_DELAY_S,
+    RETRY_SLACK_SHARE,
+    STALL_CHECK_PERIOD_S,
+)
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
@@ -54,6 +59,7 @@
         self._sequence = 0
         self._loop = asyncio.get_running_loop()
         self._was_ready = False
+        self._stalls_checked_s: float | None = None
         # Times of the announcements from which the routing table was built.
         self._announced_s: list[float] | None = None
         # Whether groups changed since the last announcement.
@@ -219,8 +225,13 @@
         self._announcement_requested = True
 
     def check_stalls(self) -> None:
-        """Move requests away from stalled groups."""
-        self.gateway.backends.check_stalls(self.table.leaders(), self._loop.time())
+        """Look for groups that are silent."""
+        now_s = self._loop.time()
+        planned_s = (self._stalls_checked_s or now_s) + STALL_CHECK_PERIOD_S
+        if now_s - planned_s > MAX_CHECK_DELAY_S:
+            self.gateway.backends.skip_unobserved(now_s - planned_s, now_s)
+        self._stalls_checked_s = now_s
+        self.gateway.backends.check_stalls(self.table.leaders(), now_s)
 
     def clean_up(self) -> None:
         """Close expired connections and remove expired state."""
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -11,6 +11,7 @@
 from gooseberryhall.gateway.const import (
     GROUP_STALL_TIMEOUT_S,
     MAX_QUEUED_PER_GROUP,
+    SHARED_STALL_TIMEOUT_S,
 )
 from gooseberryhall.gateway.events import EventSplitter
 from gooseberryhall.gateway.placement import Candidate, choose_group, choose_server
@@ -196,3 +197,59 @@
     _start(backends, Exchange())
     backends.check_stalls({"h"}, silent_s)
     assert stalled == expected
+
+
+def _two_groups_in_use() -> tuple[Backends, list[str]]:
+    stalled: list[str] = []
+    backends = Backends(lambda stall: stalled.append(stall.server_id))
+    for server_id in ("h", "k"):
+        backends.start_attempt(server_id, Attempt(Exchange()), 0.0)
+        backends.record_progress(server_id, 0.1)
+    return backends, stalled
+
+
+def test_pause_that_all_groups_share_is_not_a_stall() -> None:
+    """Guards against streams and groups given up for a pause of the VM (issue 35).
+
+    A VM or network that stands still for a moment silences all groups at once.
+    """
+    backends, stalled = _two_groups_in_use()
+    backends.check_stalls({"h", "k"}, 0.1 + GROUP_STALL_TIMEOUT_S)
+    assert stalled == []
+    assert not backends.is_suspected("h", 0.1 + GROUP_STALL_TIMEOUT_S)
+
+
+def test_group_is_stalled_if_another_one_answers() -> None:
+    """Guards against taking the loss of a member for a pause of all groups."""
+    backends, stalled = _two_groups_in_use()
+    backends.record_progress("k", GROUP_STALL_TIMEOUT_S)
+    backends.check_stalls({"h", "k"}, 0.1 + GROUP_STALL_TIMEOUT_S)
+    assert stalled == ["h"]
+
+
+def test_group_is_stalled_if_another_node_gets_answers() -> None:
+    """Guards against taking the loss of all groups of a node for a shared pause."""
+    backends, stalled = _two_groups_in_use()
+    backends.peer_progress_s = {"m": GROUP_STALL_TIMEOUT_S}
+    backends.check_stalls({"h", "k"}, 0.1 + GROUP_STALL_TIMEOUT_S)
+    assert stalled == ["h", "k"]
+
+
+def test_groups_that_stay_silent_together_are_stalled() -> None:
+    """Guards against streams that wait for groups that were all lost."""
+    backends, stalled = _two_groups_in_use()
+    backends.check_stalls({"h", "k"}, 0.2 + SHARED_STALL_TIMEOUT_S)
+    assert stalled == ["h", "k"]
+
+
+def test_time_in_which_this_node_did_not_run_is_no_silence() -> None:
+    """Guards against streams given up for a pause of this node (issue 35).
+
+    Their events wait in the sockets, which are read after the timers.
+    """
+    backends, stalled = _two_groups_in_use()
+    backends.skip_unobserved(2.0, now_s=2.1)
+    backends.check_stalls({"h", "k"}, 2.1 + GROUP_STALL_TIMEOUT_S / 2)
+    assert stalled == []
+    backends.check_stalls({"h", "k"}, 2.2 + SHARED_STALL_TIMEOUT_S)
+    assert stalled == ["h", "k"]
