Answer all requests of a connection that a stop has read

Cause: a stop marked the connection to close after the response in progress, whatever was queued behind it. Change: a connection that ends closes when nothing is queued, being read or handled; only the last response says so.

--- a/gooseberryhall/gateway/caller.py
+++ b/gooseberryhall/gateway/caller.py
@@ -60,6 +60,8 @@
         self._writable: asyncio.Future[None] | None = None
         self._chunked = False
         self._keep_alive = True
+        # Whether to close as soon as no request is queued, being read or handled.
+        self._ending = False
         # Whether a response was begun, and whether it is complete, too.
         self._responded = False
         self._responding = False
@@ -76,8 +78,8 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether a request is being read or handled."""
-        return self._task is not None or self._reading
+        """Return whether a request is queued, being read or handled."""
+        return self._task is not None or self._reading or bool(self._requests)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timeout."""
@@ -191,7 +193,7 @@
         self._responded = True
         self._responding = True
         self._chunked = length is None
-        if close:
+        if close or (self._ending and not self._reading and not self._requests):
             self._keep_alive = False
         lines = [_status_line(head.status)]
         lines.extend(
@@ -250,9 +252,9 @@
             self._transport.abort()
 
     def close_when_idle(self) -> None:
-        """Close after the response in progress, or now if there is none."""
-        self._keep_alive = False
-        if not self.busy and not self._requests:
+        """Close after the requests that are read or queued, or now if there is none."""
+        self._ending = True
+        if not self.busy:
             self._close()
 
     def refuse_incomplete(self, response: GatewayResponse) -> None:
@@ -287,7 +289,7 @@
                 self.abort()
         if self.closing:
             return
-        if not self._keep_alive:
+        if not self._keep_alive or (self._ending and not self.busy):
             self._close()
             return
         self._start_timer(self._limits().idle_timeout_s)
