Serve connections that a stop has just accepted

A stop reads the accept queue so that queued callers are served, and then closed their connections before their first request was read, or did not know the last of them yet. Cause: an idle connection was closed at once, however young; the event loop sets up a connection one iteration after it accepts it. Change: a connection without a request so far is closed when it is 0.5 s old; the stop waits for the connections accepted last (async_stop_listening).

--- a/gooseberryhall/core/listening.py
+++ b/gooseberryhall/core/listening.py
@@ -35,6 +35,14 @@
         """Return the file descriptor."""
 
 
+async def async_stop_listening(server: asyncio.Server) -> None:
+    """Stop listening; all accepted connections are set up afterwards."""
+    await async_drain_accept_queue(server.sockets)
+    server.close()
+    # A connection may have been accepted after the last check of the queue.
+    await _async_wait_for_setup()
+
+
 async def async_drain_accept_queue(sockets: Iterable[ListeningSocket]) -> None:
     """Drop new connections to the sockets and accept those already queued.
 
@@ -58,12 +66,16 @@
             _drop_new_connections(sock)
             poll.register(sock, select.POLLIN)
         await _async_wait_until_empty(poll)
-        for _ in range(_TRANSPORT_SETUP_ITERATIONS):
-            await asyncio.sleep(0)
+        await _async_wait_for_setup()
         # Connections arrive meanwhile if they are not dropped.
         await _async_wait_until_empty(poll)
 
 
+async def _async_wait_for_setup() -> None:
+    for _ in range(_TRANSPORT_SETUP_ITERATIONS):
+        await asyncio.sleep(0)
+
+
 async def _async_wait_until_empty(poll: "select.poll") -> None:
     for _ in range(_MAX_ACCEPT_ITERATIONS):
         if not poll.poll(0):
--- a/gooseberryhall/gateway/caller.py
+++ b/gooseberryhall/gateway/caller.py
@@ -13,7 +13,7 @@
 from ..telemetry.logs import log_event
 from ..transport.const import HOP_BY_HOP_HEADERS, WRITE_HIGH_WATER_BYTES
 from ..transport.exchange import Headers, ResponseHead
-from .const import MAX_READ_BYTES
+from .const import FIRST_REQUEST_S, MAX_READ_BYTES
 from .models import CallerRequest, GatewayResponse
 
 _LOGGER = logging.getLogger(__name__)
@@ -62,6 +62,8 @@
         self._keep_alive = True
         # Whether to close as soon as no request is queued, being read or handled.
         self._ending = False
+        self._used = False
+        self._opened_s = self._loop.time()
         # Whether a response was begun, and whether it is complete, too.
         self._responded = False
         self._responding = False
@@ -252,9 +254,13 @@
             self._transport.abort()
 
     def close_when_idle(self) -> None:
-        """Close after the requests that are read or queued, or now if there is none."""
+        """Close after the requests that are read or queued, or now if there is none.
+
+        The first request of a connection that has just been opened may be on its way.
+        """
         self._ending = True
-        if not self.busy:
+        age_s = self._loop.time() - self._opened_s
+        if not self.busy and (self._used or age_s >= FIRST_REQUEST_S):
             self._close()
 
     def refuse_incomplete(self, response: GatewayResponse) -> None:
@@ -266,6 +272,7 @@
         if self._task is not None or not self._requests or self.closing:
             return
         request = self._requests.popleft()
+        self._used = True
         if not request.keep_alive:
             self._keep_alive = False
         self._task = self._loop.create_task(self._async_handle(request))
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -70,6 +70,8 @@
 CAUSE_GOSSIP_SHARE: Final = 0.2
 # Prompt parts of a request that are taken into account.
 MAX_PROMPT_PARTS: Final = 16
+# Time in which the first request of a new connection arrives.
+FIRST_REQUEST_S: Final = 0.5
 # Maximum number of bytes that one read of a caller's connection returns. They may hold
 # the end of one request and the start of the next.
 MAX_READ_BYTES: Final = 256 * 1024
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -8,7 +8,7 @@
 from contextlib import AsyncExitStack
 from functools import partial
 
-from ..core.listening import async_drain_accept_queue
+from ..core.listening import async_stop_listening
 from ..core.timer import TimerService
 from ..fleet.const import OWNERSHIP_PERIOD_S, TICK_PERIOD_S
 from ..fleet.models import Limits
@@ -119,8 +119,7 @@
     node.gateway.stopping.begin(schedule)
     _log_drain(LogEvent.DRAIN_STARTED, "planned stop began", node, callers)
     await asyncio.sleep(LOAD_BALANCER_DELAY_S)
-    await async_drain_accept_queue(callers.server.sockets)
-    callers.server.close()
+    await async_stop_listening(callers.server)
     _log_drain(LogEvent.LISTENER_CLOSED, "listener is closed", node, callers)
     await _async_end_connections(node, callers, schedule)
     _log_drain(LogEvent.DRAIN_ENDED, "planned stop ended", node, callers)
--- a/tests/core/test_listening.py
+++ b/tests/core/test_listening.py
@@ -3,6 +3,7 @@
 import asyncio
 import ctypes
 import os
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 import pytest
 import uvloop
 
+from gooseberryhall.core import listening
 from gooseberryhall.core.listening import async_drain_accept_queue
 
 CALLERS = 20
@@ -58,8 +60,8 @@
     """Attach a BPF program that accepts each packet, and let nothing replace it."""
     program = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0xFFFFFFFF))
     option = struct.pack("HL", 1, ctypes.addressof(program))
-    for listening in server.sockets:
-        with socket.socket(fileno=os.dup(listening.fileno())) as sock:
+    for item in server.sockets:
+        with socket.socket(fileno=os.dup(item.fileno())) as sock:
             sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, option)
             sock.setsockopt(socket.SOL_SOCKET, SO_LOCK_FILTER, 1)
 
@@ -108,3 +110,46 @@
     """The close would reset a connection that the kernel queues after the drain."""
     with asyncio.Runner(loop_factory=new_loop) as runner:
         runner.run(_async_connect_after_drain())
+
+
+class _Accepted(asyncio.Protocol):
+    """Counts the connections that were made."""
+
+    count = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        _Accepted.count += 1
+        transport.close()
+
+
+async def _async_connect_during_drain(monkeypatch: pytest.MonkeyPatch) -> int:
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(_Accepted, "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()
+    async_wait_until_empty = listening._async_wait_until_empty
+    callers = []
+
+    async def async_wait_and_connect(poll: select.poll) -> None:
+        await async_wait_until_empty(poll)
+        callers.append(socket.create_connection(address))
+        # The event loop accepts the connection in this iteration.
+        await asyncio.sleep(0)
+
+    monkeypatch.setattr(listening, "_async_wait_until_empty", async_wait_and_connect)
+    _lock_filters(server)
+    _Accepted.count = 0
+    await listening.async_stop_listening(server)
+    for caller in callers:
+        caller.close()
+    return _Accepted.count - len(callers)
+
+
+def test_connection_accepted_last_is_known_after_the_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stop that ends while an accepted connection is not set up.
+
+    uvloop accepts connections between the steps of a task.
+    """
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(_async_connect_during_drain(monkeypatch)) == 0
