Count silence from the end of a pause that all servers share

Seen: with stops that overlap and pauses of 0.6 s, groups were still dissolved and 29 requests lost in 8 stops: silent_s of GH1527 was 0.61 to 0.72. Cause: the first server that went on after the pause proved that silence was not shared any more, and all others had been silent for longer than 0.45 s by then. Change: after a shared pause each server has 0.45 s to go on, 1.35 s in all. Evidence: test_groups_get_time_to_go_on_after_a_shared_pause failed before.

--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -68,6 +68,8 @@
     peer_load: dict[str, int] = field(default_factory=dict)
     # Time at which other nodes last observed progress, by server.
     peer_progress_s: dict[str, float] = field(default_factory=dict)
+    # When all servers that should send something were last silent.
+    _shared_silence_s: float = float("-inf")
     _next_key: int = 0
 
     def load(self, server_id: str) -> int:
@@ -142,13 +144,13 @@
         A leader that loses a member stops sending on all its streams simultaneously.
         """
         is_shared = self._is_silence_shared(now_s)
+        if is_shared:
+            self._shared_silence_s = now_s
         stalled = []
         for server_id, health in self._health.items():
             peer_s = self.peer_progress_s.get(server_id, 0.0)
             stalled_s = now_s - max(health.no_progress_since_s, peer_s)
-            if not health.in_flight or stalled_s < GROUP_STALL_TIMEOUT_S:
-                continue
-            if is_shared and stalled_s < SHARED_STALL_TIMEOUT_S:
+            if not health.in_flight or not self._is_stalled(stalled_s, now_s):
                 continue
             if server_id not in leaders:
                 continue
@@ -162,6 +164,18 @@
             since_s = health.no_progress_since_s + gap_s
             health.no_progress_since_s = min(since_s, now_s)
 
+    def _is_stalled(self, silent_s: float, now_s: float) -> bool:
+        """Return whether a server that was silent for so long is stalled.
+
+        After a silence that all servers shared, each gets time to go on.
+        """
+        shared_s = now_s - self._shared_silence_s
+        if shared_s <= 0:
+            return silent_s >= SHARED_STALL_TIMEOUT_S
+        if silent_s >= SHARED_STALL_TIMEOUT_S + GROUP_STALL_TIMEOUT_S:
+            return True
+        return min(silent_s, shared_s) >= GROUP_STALL_TIMEOUT_S
+
     def _is_silence_shared(self, now_s: float) -> bool:
         """Return whether several servers should send something and none does."""
         waiting = sum(1 for health in self._health.values() if health.in_flight)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -242,6 +242,18 @@
     assert stalled == ["h", "k"]
 
 
+def test_groups_get_time_to_go_on_after_a_shared_pause() -> None:
+    """Guards against taking the first group that goes on for a proof of stalls."""
+    backends, stalled = _two_groups_in_use()
+    backends.check_stalls({"h", "k"}, 0.7)
+    backends.record_progress("k", 0.72)
+    backends.check_stalls({"h", "k"}, 0.75)
+    assert stalled == []
+    backends.record_progress("k", 1.1)
+    backends.check_stalls({"h", "k"}, 0.71 + GROUP_STALL_TIMEOUT_S)
+    assert stalled == ["h"]
+
+
 def test_time_in_which_this_node_did_not_run_is_no_silence() -> None:
     """Guards against streams given up for a pause of this node (issue 35).
 
