Limit the memory of all answers, and free those that are given up

Cause: each body had a limit of 32 MB, all together none; and the traceback of the error kept a body that was given up until garbage was collected. Change: transport/memory.py counts what is received and not passed on; beyond an eighth of memory_mb the largest incomplete answer is given up. Parts are dropped with the error. Reports and orders may have 64 KB, an event 256 KB; an idle connection drops the body of its last request.

--- a/gooseberryhall/gateway/caller.py
+++ b/gooseberryhall/gateway/caller.py
@@ -83,6 +83,11 @@
         """Return whether a request is queued, being read or handled."""
         return self._task is not None or self._reading or bool(self._requests)
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the size of the body that is being received."""
+        return len(self._body)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timeout."""
         self._transport = cast("asyncio.Transport", transport)
@@ -179,6 +184,8 @@
             keep_alive=self._parser.should_keep_alive(),
             received_s=self._loop.time(),
         )
+        # An idle connection must not keep the body of its last request.
+        self._reset_message()
         self._requests.append(request)
         if len(self._requests) > _MAX_PIPELINED_REQUESTS:
             self._reject(GatewayResponse(400, "too many pipelined requests"))
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -75,8 +75,11 @@
 # Maximum number of bytes that one read of a caller's connection returns. They may hold
 # the end of one request and the start of the next.
 MAX_READ_BYTES: Final = 256 * 1024
-# Maximum size of one event of a stream.
-MAX_EVENT_BYTES: Final = 1024 * 1024
+# Maximum size of one event of a stream. Hundreds of streams may hold an event each.
+MAX_EVENT_BYTES: Final = 256 * 1024
+# Share of the memory of the process that responses may take while they are received. A
+# body that is complete is copied once, and other state takes the rest.
+RESPONSE_MEMORY_SHARE: Final = 0.125
 # Remaining time below which a request is not sent.
 MIN_REMAINING_S: Final = 0.02
 DEFAULT_DEADLINE_S: Final = 30.0
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -68,6 +68,7 @@
         expected_id=ctx.request_id,
         is_head_method=ctx.request.method == b"HEAD",
         on_head=on_head,
+        memory=state.memory,
     )
     attempt = Attempt(exchange, ctx.traits, can_abandon)
     key = state.backends.start_attempt(server.server_id, attempt, loop.time())
@@ -91,6 +92,7 @@
         state.backends.mark_unreachable(server.server_id, loop.time())
         raise
     finally:
+        exchange.release()
         state.backends.end_attempt(server.server_id, key)
         if conn is not None:
             state.pool.release(server.address, conn)
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -15,6 +15,7 @@
 from ..gateway.const import (
     CAUSE_GOSSIP_SHARE,
     MAX_CHECK_DELAY_S,
+    RESPONSE_MEMORY_SHARE,
     RETRY_SLACK_SHARE,
     STALL_CHECK_PERIOD_S,
 )
@@ -25,6 +26,7 @@
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
+from ..transport.memory import ResponseMemory
 from ..transport.pool import ConnectionPool
 from .configuration import ConfigurationFollower
 from .directory import PlatformAdapter
@@ -341,6 +343,9 @@
             decode_statement=adapter.decode_statement,
             on_leaving=lambda: self.gossip.send(urgent=True),
             backends=Backends(self._on_stall),
+            memory=ResponseMemory(
+                int(self.settings.memory_bytes * RESPONSE_MEMORY_SHARE)
+            ),
             metrics=GatewayMetrics(),
             configuration=lambda: self.configuration.current,
             servers=lambda: self.table.servers,
--- a/gooseberryhall/node/settings.py
+++ b/gooseberryhall/node/settings.py
@@ -22,6 +22,8 @@
     host: str
     internal_port: int
     store: Address
+    # Memory above which the platform kills the process.
+    memory_bytes: int
     # Time between SIGTERM and SIGKILL.
     stop_grace_s: float
     # Time after which a server that announced that it leaves must get no requests.
--- a/gooseberryhall/platform/orders.py
+++ b/gooseberryhall/platform/orders.py
@@ -18,6 +18,9 @@
 
 ORDER_TIMEOUT_S: Final = 0.6
 REPORT_TIMEOUT_S: Final = 0.15
+# Reports and answers to orders take a few hundred bytes. Many servers are asked at the
+# same time, and one in trouble may send bytes without end.
+MAX_ANSWER_BYTES: Final = 64 * 1024
 
 _MISDIRECTED: Final = 421
 
@@ -90,6 +93,7 @@
                 server.address,
                 data,
                 timeout_s=REPORT_TIMEOUT_S,
+                max_bytes=MAX_ANSWER_BYTES,
                 on_head=lambda head: self._record_statement(server, head),
             )
             if response.head.status != 200:  # noqa: PLR2004
@@ -114,6 +118,7 @@
                 server.address,
                 data,
                 timeout_s=ORDER_TIMEOUT_S,
+                max_bytes=MAX_ANSWER_BYTES,
                 new_connection=True,
                 on_head=lambda head: self._record_statement(server, head),
             )
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -13,6 +13,7 @@
 
 SETTINGS_VARIABLE: Final = "GOOSEBERRYHALL_SETTINGS"
 MS_PER_S: Final = 1000
+BYTES_PER_MB: Final = 1_000_000
 # deploy/system.toml names the same port.
 METRICS_PORT: Final = 9464
 
@@ -34,6 +35,11 @@
     retry_budget_slack: float = 130.0
 
 
+class _Limits(msgspec.Struct):
+    # A process that exceeds this is killed.
+    memory_mb: float = 256.0
+
+
 class _Store(msgspec.Struct):
     address: str
 
@@ -48,6 +54,7 @@
     internal_port_range: tuple[int, int]
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load_settings() -> NodeSettings:
@@ -78,6 +85,7 @@
         host=raw.ip_address,
         internal_port=raw.internal_port_range[0],
         store=parse_address(raw.platform.address),
+        memory_bytes=int(raw.limits.memory_mb * BYTES_PER_MB),
         stop_grace_s=bounds.grace_period_s,
         leaving_limit_s=bounds.drain_timeout_ms / MS_PER_S,
         retry_ratio=bounds.retry_budget_ratio,
--- a/gooseberryhall/transport/exchange.py
+++ b/gooseberryhall/transport/exchange.py
@@ -7,6 +7,7 @@
 
 from .const import MAX_BUFFERED_BYTES
 from .exceptions import TransportError
+from .memory import ResponseMemory
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -30,17 +31,19 @@
     """Do nothing; the default callback of an exchange."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Exchange:
     """A request in flight.
 
     `expected_id` is the request id that the response must echo. Responses with another
     id belong to an earlier request and are skipped. `on_head` is called when the head
     was received, `close` closes the connection and `set_reading` pauses and resumes it.
+    Body data counts in `memory` until it is read; a whole body until `release`.
     """
 
     expected_id: bytes | None = None
     is_head_method: bool = False
+    memory: ResponseMemory | None = None
     on_head: Callable[[ResponseHead], None] = _do_nothing
     close: Callable[[], None] = _do_nothing
     set_reading: Callable[[bool], None] = _do_nothing
@@ -94,7 +97,10 @@
 
     def receive_chunk(self, data: bytes) -> None:
         """Buffer a received part of the body."""
+        if self.error is not None:
+            return
         self._chunks.append(data)
+        self._hold(len(data))
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._paused:
             self._paused = True
@@ -118,6 +124,21 @@
         self.fail(error)
         self.close()
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Return whether more of the response may arrive."""
+        return not self.complete and self.error is None
+
+    def abort_for_memory(self) -> None:
+        """Fail the exchange, close its connection and drop what was received."""
+        self.abort(TransportError("response needs too much memory"))
+        self._chunks.clear()
+
+    def release(self) -> None:
+        """Stop to count the response in the memory of responses."""
+        if self.memory is not None:
+            self.memory.release(self)
+
     async def async_read_head(self) -> ResponseHead:
         """Wait for the status and headers. Raises `TransportError`."""
         while self.head is None:
@@ -140,6 +161,8 @@
             await self._async_wait()
         data = b"".join(self._chunks)
         self._chunks.clear()
+        if self.memory is not None:
+            self.memory.release(self, len(data))
         self._buffered_bytes = 0
         if self._paused and not self.complete:
             self._paused = False
@@ -151,15 +174,25 @@
 
         Raises `TransportError`, also if the body exceeds `max_bytes`.
         """
-        parts = []
+        parts: list[bytes] = []
         size = 0
-        while chunk := await self.async_read_chunk():
-            parts.append(chunk)
-            size += len(chunk)
-            if size > max_bytes:
-                self.abort(TransportError(f"response body exceeds {max_bytes} bytes"))
-                raise TransportError(f"response body exceeds {max_bytes} bytes")
-        return b"".join(parts)
+        try:
+            while chunk := await self.async_read_chunk():
+                parts.append(chunk)
+                self._hold(len(chunk))
+                size += len(chunk)
+                if size > max_bytes:
+                    self.abort(TransportError(f"response exceeds {max_bytes} bytes"))
+                    raise TransportError(f"response body exceeds {max_bytes} bytes")
+            return b"".join(parts)
+        finally:
+            # The traceback of an error keeps this frame until garbage is collected.
+            parts.clear()
+            chunk = b""
+
+    def _hold(self, size: int) -> None:
+        if self.memory is not None:
+            self.memory.hold(self, size)
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/gooseberryhall/transport/request.py
+++ b/gooseberryhall/transport/request.py
@@ -37,12 +37,14 @@
     *,
     timeout_s: float,
     new_connection: bool = False,
+    max_bytes: int = MAX_RESPONSE_BYTES,
     on_head: Callable[[ResponseHead], None] = lambda _: None,
 ) -> Response:
     """Send an encoded request and wait for the whole response.
 
-    `on_head` is called with the head, also if the rest does not follow. Raises
-    `TransportError`; `ConnectFailedError` means that nothing was sent.
+    `on_head` is called with the head, also if the rest does not follow. A body of more
+    than `max_bytes` is not read. Raises `TransportError`; `ConnectFailedError` means
+    that nothing was sent.
     """
     exchange = Exchange(on_head=on_head)
     conn = None
@@ -52,7 +54,7 @@
                 address, data, exchange, new_connection=new_connection
             )
             head = await exchange.async_read_head()
-            body = await exchange.async_read_body(MAX_RESPONSE_BYTES)
+            body = await exchange.async_read_body(max_bytes)
     except TimeoutError as exc:
         raise ExchangeTimeoutError(f"no response from {address}") from exc
     finally:
--- a/tests/node/common.py
+++ b/tests/node/common.py
@@ -48,6 +48,7 @@
     "127.0.0.1",
     1,
     ADDRESS,
+    256_000_000,
     8,
     2.0,
     0.2,
