--- a/standins/processes.py
+++ b/standins/processes.py
@@ -48,7 +48,7 @@
         """Start the process; its output is appended to the log file."""
         if self.is_running:
             raise ProcessError(f"{self.name} is already running")
-        environment = {**os.environ, **self.environment, "PYTHONPATH": str(ROOT)}
+        environment = {**os.environ, "PYTHONPATH": str(ROOT), **self.environment}
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(
                 [sys.executable, *self.command],
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -22,7 +23,6 @@
 from .environment import Environment, SoakNode
 from .http import (
     Message,
-    TruncatedMessageError,
     async_read_body,
     async_read_head,
     encode_message,
@@ -36,6 +36,12 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 REJECTION_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 431})
 UNREACHED = "no connection"
+# The node closed a kept connection before it read the request.
+CROSSED = "closed before"
+# Share of the requests that use a kept connection.
+KEPT_SHARE = 0.5
+
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
 class RequestKind(StrEnum):
@@ -63,6 +69,8 @@
     path: str
     # Prompt parts that the request shares with others.
     parts: tuple[str, ...] = (SHARED_PART,)
+    # Whether to use a connection that is kept open.
+    kept: bool = False
 
     def encode(self) -> bytes:
         """Return the request in its HTTP form."""
@@ -72,8 +80,9 @@
             "x-attempt-id": self.attempt_id,
             "authorization": f"Token {KEY}",
             "x-deadline-milliseconds": str(round(ROUTE_TIMEOUT_S * MS_PER_S)),
-            "connection": "close",
         }
+        if not self.kept:
+            headers["connection"] = "close"
         if self.kind.is_stream:
             headers["x-model"] = MODEL
             parts = (*self.parts, f"own-{self.attempt_id}")
@@ -97,6 +106,16 @@
 
     env: Environment
     _ids: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    # Idle connections by node.
+    _idle: defaultdict[str, list[Connection]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle.values():
+            for _, writer in idle:
+                writer.transport.abort()
 
     async def async_run(self) -> None:
         """Send requests until cancelled."""
@@ -104,7 +123,8 @@
             while True:
                 for node in self.env.nodes:
                     kind = random.choice(list(RequestKind))
-                    tasks.create_task(self.async_call(node, kind))
+                    kept = random.random() < KEPT_SHARE
+                    tasks.create_task(self.async_call(node, kind, kept=kept))
                 await asyncio.sleep(random.uniform(0.5, 1.5) * CALLER_PERIOD_S)
 
     async def async_call(
@@ -114,11 +134,12 @@
         prefix: str | None = None,
         *,
         parts: tuple[str, ...] = (SHARED_PART,),
+        kept: bool = False,
     ) -> str:
         """Send one request; return its status, or the reason for having none."""
         number = next(self._ids)
         path = f"{prefix or f'/{kind}/'}{number}"
-        attempt = Attempt(f"a{number}", node, kind, path, parts)
+        attempt = Attempt(f"a{number}", node, kind, path, parts, kept)
         self.env.records.node_by_attempt[attempt.attempt_id] = node.name
         self.env.records.begun_s[attempt.attempt_id] = self.env.records.now_s()
         # Only requests that were sent while the program was running are checked.
@@ -131,13 +152,17 @@
         return outcome
 
     async def _async_send(self, attempt: Attempt) -> str:
+        connection = self._pop_idle(attempt)
+        reused = connection is not None
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
-                reader, writer = await asyncio.open_connection(
+                reader, writer = connection or await asyncio.open_connection(
                     attempt.node.host, CALLER_PORT
                 )
         except (OSError, TimeoutError):
             return UNREACHED
+        message: Message | None = None
+        keep = False
         try:
             async with asyncio.timeout(RESPONSE_LIMIT_S):
                 writer.write(attempt.encode())
@@ -145,19 +170,33 @@
                 if message.status == OK:
                     self._check_head(attempt, message)
                 body = await async_read_body(reader, message)
-        except TruncatedMessageError as exc:
+            keep = attempt.kept and message.headers.get("connection") != "close"
+        except OSError as exc:
+            ran = bool(self.env.records.runs.get(attempt.attempt_id))
+            if reused and message is None and not ran:
+                return CROSSED
             return f"cut: {exc}"
-        except OSError:
-            return "cut: reset"
         except TimeoutError:
             return "no answer"
         finally:
-            writer.transport.abort()
+            if keep:
+                self._idle[attempt.node.name].append((reader, writer))
+            else:
+                writer.transport.abort()
         if message.status == OK and body != attempt.expected_body():
             text = f"{attempt.attempt_id} got {body[:200]!r}"
             self.env.records.record_violation(Promise.OWN_RESPONSE, text)
         return str(message.status)
 
+    def _pop_idle(self, attempt: Attempt) -> Connection | None:
+        idle = self._idle[attempt.node.name]
+        while attempt.kept and idle:
+            reader, writer = idle.pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer
+            writer.transport.abort()
+        return None
+
     def _check_head(self, attempt: Attempt, message: Message) -> None:
         if not message.headers.get("x-response-seal"):
             text = f"{attempt.attempt_id} got {message.headers}"
--- a/standins/soak/const.py
+++ b/standins/soak/const.py
@@ -33,6 +33,10 @@
 ROUTE_TIMEOUT_S: Final = 3.0
 # Pause of a slow group between two events; well below STALL_S and the timeout.
 SLOW_GROUP_S: Final = 1.0
+# Pause of all servers in a series of stops that overlap.
+SERVER_PAUSE_S: Final = 0.6
+STOPPED_NODES: Final = 2
+STOP_INTERVAL_S: Final = 1.0
 # Prompt parts that requests share; one of them crashes servers that answer.
 SHARED_PART: Final = "5a"
 CRASHING_PART: Final = "bad"
--- a/standins/soak/environment.py
+++ b/standins/soak/environment.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import os
 import random
 from collections.abc import Iterator
 from contextlib import AsyncExitStack
@@ -10,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from ..processes import ManagedProcess, ProcessSet
+from ..processes import ROOT, ManagedProcess, ProcessSet
 from ..proxy import FaultProxy
 from ..row_store import RowStore
 from .const import (
@@ -46,6 +47,7 @@
 MS_PER_S = 1000
 NS_PER_S = 1e9
 READY_LIMIT_S = 1.0
+REFUSING = ROOT / "standins" / "refusing_kernel"
 SETTINGS_VARIABLE = "GOOSEBERRYHALL_SETTINGS"
 
 
@@ -142,10 +144,12 @@
             "bounds": {"grace_period_s": GRACE_PERIOD_S},
         }
         path.write_text(json.dumps(settings))
+        environment = {SETTINGS_VARIABLE: str(path)}
+        if len(self.nodes) % 2:
+            # Half of the nodes run on a kernel that refuses socket filters.
+            environment["PYTHONPATH"] = os.pathsep.join(map(str, (ROOT, REFUSING)))
         return processes.add(
-            name,
-            ["-m", "gooseberryhall.platform"],
-            environment={SETTINGS_VARIABLE: str(path)},
+            name, ["-m", "gooseberryhall.platform"], environment=environment
         )
 
     async def async_watch_processor(self) -> None:
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -9,6 +9,7 @@
 from ..proxy import Direction
 from .callers import Callers, RequestKind
 from .const import (
+    CALLER_PERIOD_S,
     CONFIG_LIMIT_S,
     DRAIN_LIMIT_S,
     GRACE_PERIOD_S,
@@ -107,19 +108,33 @@
 
 
 async def _async_stop(env: Environment, callers: Callers, fault: Fault) -> None:
-    """Stop a node as planned; requests that it has read must still be answered."""
-    node = _select_node(env, fault)
+    """Stop a node as planned, and start it again."""
+    await async_stop_node(env, callers, _select_node(env, fault), _all_parts(env))
+
+
+async def async_stop_node(
+    env: Environment, callers: Callers, node: SoakNode, parts: list[str]
+) -> None:
+    """Stop a node; requests that it has read must still be answered.
+
+    Callers go on to use their connections until the process is gone. Nothing is checked
+    if one of `parts` was disturbed.
+    """
     calls = [
-        asyncio.create_task(callers.async_call(node, kind))
+        asyncio.create_task(callers.async_call(node, kind, kept=kept))
         for kind in RequestKind
-        for _ in "ab"
+        for kept in (False, True)
     ]
     await asyncio.sleep(0.05)
     stopped_s = env.records.now_s()
     node.process.terminate()
+    while node.process.is_running and env.records.now_s() < stopped_s + GRACE_PERIOD_S:
+        kind = random.choice(list(RequestKind))
+        calls.append(asyncio.create_task(callers.async_call(node, kind, kept=True)))
+        await asyncio.sleep(CALLER_PERIOD_S)
     outcomes = await asyncio.gather(*calls)
     # A planned stop takes the node out of service, but must not fail its requests.
-    undisturbed = env.records.is_undisturbed(*_all_parts(env), for_s=STABILITY_WINDOW_S)
+    undisturbed = env.records.is_undisturbed(*parts, for_s=STABILITY_WINDOW_S)
     cut = [item for item in outcomes if item.startswith(("cut", "no answer"))]
     if undisturbed and cut:
         text = f"{node.name}, stopped at {stopped_s:.2f} s: {outcomes}"
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -13,17 +13,21 @@
     CRASHING_REQUEST_PERIOD_S,
     CRASHING_REQUESTS,
     FAULTS_S,
+    GRACE_PERIOD_S,
     MAX_PROMPT_CRASHES,
     MIN_SOUND_SHARE,
     MODEL_SERVICE,
     RECOVERY_LIMIT_S,
+    SERVER_PAUSE_S,
     SHARED_PART,
     SLOW_GROUP_S,
     START_LIMIT_S,
+    STOP_INTERVAL_S,
+    STOPPED_NODES,
     ZONES,
 )
 from .environment import Environment
-from .faults import Fault, async_inject, plan_faults
+from .faults import Fault, async_inject, async_stop_node, plan_faults
 from .records import Promise, Records, Violation
 
 POLL_S = 0.1
@@ -54,6 +58,7 @@
         env = Environment(directory, Records(), stack)
         await env.async_start()
         callers = Callers(env)
+        stack.callback(callers.close)
         message = "the system does not serve"
         if not await async_wait_serving(env, callers, START_LIMIT_S):
             raise TimeoutError(message)
@@ -68,6 +73,7 @@
         with suppress(asyncio.CancelledError):
             await callers_task
         await async_check_slow_groups(env, callers)
+        await async_check_stops(env, callers)
         await async_check_crashing_prompts(env, callers)
         env.records.check_not_run()
         outcomes = dict(env.records.outcomes)
@@ -91,6 +97,44 @@
         env.records.record_violation(Promise.SLOW_GROUP, f"{outcomes}")
 
 
+async def async_check_stops(env: Environment, callers: Callers) -> None:
+    """Stop two nodes so that the stops overlap, while all servers pause now and then.
+
+    A pause of the VM on which everything runs silences all servers at the same time.
+    """
+    before = _count_cut(env)
+    pauses = asyncio.create_task(_async_pause_servers(env))
+    load = asyncio.create_task(callers.async_run())
+    try:
+        async with asyncio.TaskGroup() as tasks:
+            for node in env.nodes[:STOPPED_NODES]:
+                tasks.create_task(async_stop_node(env, callers, node, []))
+                await asyncio.sleep(STOP_INTERVAL_S)
+    finally:
+        pauses.cancel()
+        load.cancel()
+        await asyncio.wait({load})
+    undisturbed = env.records.is_undisturbed("soak", for_s=GRACE_PERIOD_S)
+    if undisturbed and (cut := _count_cut(env) - before):
+        text = f"{cut} answers cut beside pauses of all servers"
+        env.records.record_violation(Promise.SLOW_GROUP, text)
+    if not await async_wait_serving(env, callers, RECOVERY_LIMIT_S):
+        text = f"not {RECOVERY_LIMIT_S} s after the stops"
+        env.records.record_violation(Promise.RECOVERY, text)
+
+
+async def _async_pause_servers(env: Environment) -> None:
+    while True:
+        for server in env.servers.values():
+            server.paused_until_s = env.records.now_s() + SERVER_PAUSE_S
+        await asyncio.sleep(2 * SERVER_PAUSE_S)
+
+
+def _count_cut(env: Environment) -> int:
+    counts = env.records.outcomes.items()
+    return sum(count for outcome, count in counts if " cut:" in outcome)
+
+
 async def async_check_crashing_prompts(env: Environment, callers: Callers) -> None:
     """Send requests that crash servers, and sound ones beside them, to all nodes."""
     bad: list[asyncio.Task[str]] = []
--- a/standins/soak/server.py
+++ b/standins/soak/server.py
@@ -83,6 +83,8 @@
     lost_response_ratio: float = 0.0
     # Until then the leader sends no events, although its group is whole.
     slow_until_s: float = 0.0
+    # Until then the server sends nothing at all, like one whose VM stands still.
+    paused_until_s: float = 0.0
     # Since then answers say that the server leaves, while its record does not.
     says_leaving: bool = False
     # Until then requests are turned away with a pause.
@@ -173,6 +175,7 @@
     async def _async_handle(
         self, message: Message, body: bytes, writer: asyncio.StreamWriter
     ) -> None:
+        await asyncio.sleep(max(0.0, self.paused_until_s - self.records.now_s()))
         expected = message.headers.get("x-expected-instance", self.server_id)
         if expected != self.server_id:
             self._reject(message, 421, writer)
@@ -327,7 +330,8 @@
             self.stopping = asyncio.create_task(self.async_stop())
             await asyncio.shield(self.stopping)
         for number in range(first_number, STREAM_EVENTS + 1):
-            slow_s = self.slow_until_s - self.records.now_s()
+            slow_until_s = max(self.slow_until_s, self.paused_until_s)
+            slow_s = slow_until_s - self.records.now_s()
             await asyncio.sleep(max(EVENT_INTERVAL_S, slow_s))
             await self._async_wait_until_whole(membership)
             event = f"id: {number}\ndata: {message.path} {number}\n\n"
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -14,12 +14,13 @@
 from tests.platform.common import (
     CALLER_PORT,
     REQUEST_HEAD,
+    ROOT,
     RunningNode,
     async_respond,
     async_run_node,
 )
 
-REFUSING_KERNEL = Path(__file__).parent / "refusing_kernel"
+REFUSING_KERNEL = ROOT / "standins" / "refusing_kernel"
 # Long enough to be in progress when the node stops to accept connections.
 LONG_S = 3.5
 GRACE_S = 5.0
