Keep groups whose members are silent while no server answers

Cause: a member that left two probes of 0.15 s unanswered was lost, also if nothing answered this node at all. The same class as the stalls of the request path. Change: a member is lost if it does not answer while others do: a probe, an order or a stream has brought data since, and another probe after that failed too. Why it works: a node that nobody answers knows nothing of a single server, and can form no group instead. Evidence: test_groups_outlive_a_pause_of_all_servers failed before. Tests of fleet and node pass.

--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -19,6 +19,10 @@
 from .plans import REJOIN_S
 from .zone import ManagedGroup, ZoneState
 
+# Two without an answer show that a server is unresponsive if others answered before the
+# second one; these answers may come during the second.
+_MAX_PROBES = 3
+
 
 async def async_join(
     zone: ZoneState, member: str, create_group: Callable[[], Group], model: Model
@@ -138,10 +142,28 @@
 
 
 async def _async_probe_member(zone: ZoneState, server: BackendServer) -> None:
+    """Mark a server as unresponsive if it does not answer while others do.
+
+    If no server answers, this VM or its network more likely stands still, and groups
+    that are dissolved would lose their streams for nothing.
+    """
     if zone.is_paused(server):
         return
-    if await _async_fetch_report(zone, server) is None:
-        zone.mark_unresponsive(server)
+    began_s = asyncio.get_running_loop().time()
+    others_answer = False
+    for _ in range(_MAX_PROBES):
+        if await zone.async_refresh(server) is not None:
+            return
+        # A pause may have ended during this probe, so it alone proves nothing.
+        if others_answer:
+            zone.mark_unresponsive(server)
+            return
+        others_answer = zone.latest_answer_s() >= began_s
+    zone.log(
+        LogEvent.PROBE_INCONCLUSIVE,
+        "no server answers; probe proves nothing",
+        server=server.server_id,
+    )
 
 
 async def _async_fetch_report(zone: ZoneState, server: BackendServer) -> Report | None:
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -85,6 +85,10 @@
     incomplete_since_s: dict[GroupKey, float] = field(default_factory=dict)
     # Servers of these groups, which must not join another group meanwhile.
     reserved: set[str] = field(default_factory=set)
+    # When this node last received data for a request from any server.
+    traffic_progress_s: Callable[[], float] = lambda: 0.0
+    # When a server last answered an order or a probe of this owner.
+    answered_s: float = 0.0
     epoch_count: int = 0
     rebalanced_s: float = 0.0
     summary_logged_s: float = 0.0
@@ -162,6 +166,7 @@
         report = await self.engines.async_fetch_report(server)
         if report is None:
             return None
+        self.answered_s = asyncio.get_running_loop().time()
         self.view.apply_report(
             server.server_id,
             started_at_ms=report.started_at_ms,
@@ -172,6 +177,10 @@
         )
         return report
 
+    def latest_answer_s(self) -> float:
+        """Return when any server last answered this node."""
+        return max(self.answered_s, self.traffic_progress_s())
+
     def require_server(self, server_id: str) -> BackendServer:
         """Return a server. Raises `FormationError` if it no longer exists."""
         server = self.view.servers.get(server_id)
--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -181,10 +181,15 @@
         waiting = sum(1 for health in self._health.values() if health.in_flight)
         if waiting < _MIN_SHARING_SERVERS:
             return False
-        progress_s = [health.last_progress_s for health in self._health.values()]
-        latest_s = max(*progress_s, *self.peer_progress_s.values())
+        latest_s = max(self.latest_progress_s(), *self.peer_progress_s.values(), 0.0)
         return now_s - latest_s >= RECENT_PROGRESS_S
 
+    def latest_progress_s(self) -> float:
+        """Return when this node last observed progress of any server; 0 if never."""
+        return max(
+            (health.last_progress_s for health in self._health.values()), default=0.0
+        )
+
     def abort_crashing(self, is_blocked: Callable[[frozenset[str]], bool]) -> None:
         """Abort requests that would crash their servers, before they are answered."""
         for health in self._health.values():
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -398,6 +398,7 @@
             create_task=run_in_zone,
             zone_count=len(self.settings.zones),
             statements=self._statements,
+            traffic_progress_s=self.gateway.backends.latest_progress_s,
         )
         return zone
 
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -66,6 +66,28 @@
     assert zone.engines.violations == []
 
 
+async def test_groups_outlive_a_pause_of_all_servers() -> None:
+    """Guards against dissolving sound groups when this VM stands still (issue 35).
+
+    The servers end the streams of a group that is dissolved.
+    """
+    zone = _zone()
+    state = await _async_form_groups_with_spares(zone)
+    zone.traffic = True
+    groups = state.open_groups()
+    for fake in zone.engines.servers.values():
+        fake.reachable = False
+    for group in groups:
+        probe_group(state, group.leader)
+    for _ in range(50):
+        reconcile(state)
+        await asyncio.sleep(0.002)
+    assert state.open_groups() == groups
+    assert not state.unresponsive
+    await zone.async_stop()
+    assert zone.engines.violations == []
+
+
 async def test_members_of_an_unreachable_leader_leave_before_they_join() -> None:
     """Guards against members that join another group while their leader may serve.
 
