Move a stream from a group that only drips bytes

Seen: by reading and by two tests. While another group was asked, each byte of the silent one counted as its return, so that a group that drips bytes kept the stream for good; and a stream that lacked only its end failed at the other group. Cause: the takeover looked at data instead of complete events; a rest without events counted as a broken stream. Change: StreamSource reads until events are complete or the stream has ended, for both groups. Evidence: test_group_that_drips_bytes_does_not_keep_the_stream and test_stream_that_lacks_only_its_end_is_completed failed before. Result: tests of gateway pass.

--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -38,7 +38,12 @@
     record_success,
 )
 from .state import GatewayState
-from .takeover import Successor, async_wait_for_data
+from .takeover import (
+    StreamSource,
+    Successor,
+    async_wait_for_events,
+    async_wait_for_head,
+)
 
 _SERVER_POLL_PERIOD_S = 0.01
 _HTTP_REDIRECTION = 300
@@ -81,6 +86,11 @@
         self.conn.begin_response(self.head, length=None)
         return True
 
+    def raise_if_moved(self) -> None:
+        """Raise `TransportError` if another group goes on with the stream."""
+        if self.successor is not None:
+            raise ExchangeAbortedError("the group is silent, another one goes on")
+
     def record_events(self, deadline_s: float) -> None:
         """Record that events arrived, which gives the attempt until the deadline."""
         if self.answering_since_s is not None:
@@ -222,15 +232,14 @@
     """Relay the stream of a group that took it over."""
     relay.successor = None
     relay.head = successor.head
-    relay.splitter = successor.splitter
+    relay.splitter = successor.source.splitter
     relay.answering_since_s = asyncio.get_running_loop().time()
-    server_id = successor.server.server_id
 
     async def async_relay() -> _Outcome:
         async with asyncio.timeout_at(ctx.deadline_s), successor.stack:
-            await _async_write_events(state, ctx, relay, server_id, successor.events)
-            return await _async_relay_events(state, ctx, relay, successor.sent)
+            return await _async_relay_events(state, ctx, relay, successor.source)
 
+    server_id = successor.source.server.server_id
     return await _async_classify(state, ctx, relay, server_id, async_relay)
 
 
@@ -303,7 +312,9 @@
     relay: _RelayedResponse,
     sent: SentRequest,
 ) -> _Outcome:
-    await _async_wait_for_data(state, ctx, relay, sent)
+    source = StreamSource(sent.server, sent, relay.splitter)
+    relay.successor = await async_wait_for_head(state, ctx, source)
+    relay.raise_if_moved()
     head = await sent.exchange.async_read_head()
     server_id = sent.server.server_id
     if is_rejection(state, head):
@@ -319,42 +330,30 @@
     if not is_success(state, head):
         return await _async_relay_failure(ctx, relay, sent, head)
     relay.head = head
-    return await _async_relay_events(state, ctx, relay, sent)
-
-
-async def _async_wait_for_data(
-    state: GatewayState, ctx: RequestContext, relay: _RelayedResponse, sent: SentRequest
-) -> None:
-    """Wait until the server sends; raise `TransportError` if another group goes on."""
-    relay.successor = await async_wait_for_data(
-        state, ctx, relay.splitter, sent, started=relay.started
-    )
-    if relay.successor is not None:
-        raise ExchangeAbortedError("the group is silent, another one goes on")
+    return await _async_relay_events(state, ctx, relay, source)
 
 
 async def _async_relay_events(
     state: GatewayState,
     ctx: RequestContext,
     relay: _RelayedResponse,
-    sent: SentRequest,
+    source: StreamSource,
 ) -> _Outcome:
-    server_id = sent.server.server_id
+    server_id = source.server.server_id
     while True:
-        await _async_wait_for_data(state, ctx, relay, sent)
-        chunk = await sent.exchange.async_read_chunk()
-        if not chunk:
+        relay.successor = await async_wait_for_events(
+            state, ctx, source, started=relay.started
+        )
+        relay.raise_if_moved()
+        events, source.events = source.events, b""
+        if events:
+            source.sent.record_progress()
+            relay.record_events(ctx.deadline_s)
+            if server_id not in ctx.ran_on:
+                ctx.ran_on.append(server_id)
+            await _async_write_events(state, ctx, relay, server_id, events)
+        elif source.ended:
             break
-        events = relay.splitter.feed(chunk)
-        if not events:
-            continue
-        sent.record_progress()
-        relay.record_events(ctx.deadline_s)
-        if server_id not in ctx.ran_on:
-            ctx.ran_on.append(server_id)
-        await _async_write_events(state, ctx, relay, server_id, events)
-    if relay.splitter.has_partial:
-        raise ConnectionBrokenError("stream ended within an event")
     relay.begin()
     relay.conn.end_response()
     state.backends.record_result(server_id, failed=False)
--- a/gooseberryhall/gateway/takeover.py
+++ b/gooseberryhall/gateway/takeover.py
@@ -33,45 +33,80 @@
 
 
 @dataclass(slots=True)
-class Successor:
-    """A group that goes on with a stream, with its first events."""
+class StreamSource:
+    """A server from which a stream comes."""
 
     server: BackendServer
     sent: SentRequest
-    head: ResponseHead
     splitter: EventSplitter
     # Complete events that were not relayed yet.
-    events: bytes
+    events: bytes = b""
+    ended: bool = False
+
+    async def async_read(self) -> None:
+        """Read what has arrived. Raises `TransportError`."""
+        chunk = await self.sent.exchange.async_read_chunk()
+        self.ended = not chunk
+        self.events = self.splitter.feed(chunk)
+        if self.ended and self.splitter.has_partial:
+            raise ConnectionBrokenError("stream ended within an event")
+
+    @property
+    def has_news(self) -> bool:
+        """Return whether there are events to relay, or the stream has ended."""
+        return bool(self.events) or self.ended
+
+
+@dataclass(slots=True)
+class Successor:
+    """A group that goes on with a stream, from its next events on."""
+
+    source: StreamSource
+    head: ResponseHead
     # Ends the request at this group.
     stack: AsyncExitStack
 
 
-async def async_wait_for_data(
-    state: GatewayState,
-    ctx: RequestContext,
-    splitter: EventSplitter,
-    sent: SentRequest,
-    *,
-    started: bool,
+async def async_wait_for_head(
+    state: GatewayState, ctx: RequestContext, source: StreamSource
+) -> Successor | None:
+    """Wait for the head of the response, or for the end of the connection.
+
+    Returns another group if the server is silent and that group answers first.
+    """
+    exchange = source.sent.exchange
+    while not await exchange.async_wait_for_data():
+        opening = _async_open(state, ctx, source, started=False)
+        successor = await _async_first(source, asyncio.create_task(opening))
+        if successor is not None:
+            return successor
+    return None
+
+
+async def async_wait_for_events(
+    state: GatewayState, ctx: RequestContext, source: StreamSource, *, started: bool
 ) -> Successor | None:
-    """Wait until the server sends something or its answer ends.
+    """Wait until the source has complete events, or until its stream ends.
 
-    `splitter` holds the events that were relayed, `started` tells whether there were
-    any. Returns another group if the server is silent and that group answers first.
+    `started` tells whether events were relayed before. Returns another group if the
+    server is silent and that group answers first. Raises `TransportError`.
     """
-    while not await sent.exchange.async_wait_for_data():
-        current = sent.server.server_id
-        opening = _async_open(state, ctx, splitter, current, started=started)
-        successor = await _async_first(sent.exchange, asyncio.create_task(opening))
+    while not source.has_news:
+        if await source.sent.exchange.async_wait_for_data():
+            await source.async_read()
+            continue
+        opening = _async_open(state, ctx, source, started=started)
+        successor = await _async_first(source, asyncio.create_task(opening))
         if successor is not None:
             return successor
     return None
 
 
 async def _async_first(
-    exchange: Exchange, opening: asyncio.Task[Successor | None]
+    source: StreamSource, opening: asyncio.Task[Successor | None]
 ) -> Successor | None:
-    """Return the successor if it answers before the silent server does."""
+    """Return the successor if it answers before the silent server goes on."""
+    exchange = source.sent.exchange
     async with AsyncExitStack() as stack:
         stack.push_async_callback(_async_discard, opening)
         while not opening.done():
@@ -85,13 +120,28 @@
             if exchange.error is not None:
                 # The silent server broke off, so the other one is not given up.
                 await asyncio.wait({opening})
-            elif exchange.has_data and not opening.done():
+            elif (
+                exchange.has_data
+                and not opening.done()
+                and await _async_goes_on(source)
+            ):
                 return None
         stack.pop_all()
         return opening.result()
     return None
 
 
+async def _async_goes_on(source: StreamSource) -> bool:
+    """Return whether a server that was silent has sent something useful.
+
+    Single bytes that complete no event are not.
+    """
+    if not source.sent.exchange.head_read:
+        return True
+    await source.async_read()
+    return source.has_news
+
+
 async def _async_discard(opening: asyncio.Task[Successor | None]) -> None:
     """End the request to another group."""
     await _async_cancel(opening)
@@ -114,31 +164,17 @@
 
 
 async def _async_open(
-    state: GatewayState,
-    ctx: RequestContext,
-    splitter: EventSplitter,
-    current: str,
-    *,
-    started: bool,
+    state: GatewayState, ctx: RequestContext, source: StreamSource, *, started: bool
 ) -> Successor | None:
     """Return the first group that goes on with the stream; None if none does now."""
-    loop = asyncio.get_running_loop()
+    current = source.server.server_id
     while ctx.rejections < MAX_REJECTIONS and _may_run_elsewhere(ctx, current):
-        now_s = loop.time()
-        if ctx.deadline_s - now_s < MIN_REMAINING_S:
-            return None
-        if state.crashes.is_blocked(ctx.traits):
-            return None
-        chosen = state.choose_candidate(ctx, now_s)
-        server = state.servers().get(chosen.server_id) if chosen else None
+        server = _acquire_server(state, ctx)
         if server is None:
             return None
-        if not state.budget(ctx.service).try_acquire(now_s):
-            log_request(LogEvent.RETRY_BUDGET_EMPTY, "retry budget is exhausted", ctx)
-            return None
-        ctx.excluded_servers.add(server.server_id)
+        own = EventSplitter(source.splitter.last_event_id, source.splitter.event_count)
         try:
-            successor = await _async_ask(state, ctx, splitter, server, started=started)
+            successor = await _async_ask(state, ctx, server, own, started=started)
         except ConnectFailedError as exc:
             ctx.rejections += 1
             log_request(
@@ -154,11 +190,27 @@
     return None
 
 
+def _acquire_server(state: GatewayState, ctx: RequestContext) -> BackendServer | None:
+    """Return a server to ask, for which the retry budget has a place."""
+    now_s = asyncio.get_running_loop().time()
+    if ctx.deadline_s - now_s < MIN_REMAINING_S or state.crashes.is_blocked(ctx.traits):
+        return None
+    chosen = state.choose_candidate(ctx, now_s)
+    server = state.servers().get(chosen.server_id) if chosen else None
+    if server is None:
+        return None
+    if not state.budget(ctx.service).try_acquire(now_s):
+        log_request(LogEvent.RETRY_BUDGET_EMPTY, "retry budget is exhausted", ctx)
+        return None
+    ctx.excluded_servers.add(server.server_id)
+    return server
+
+
 async def _async_ask(
     state: GatewayState,
     ctx: RequestContext,
-    splitter: EventSplitter,
     server: BackendServer,
+    splitter: EventSplitter,
     *,
     started: bool,
 ) -> Successor | None:
@@ -167,7 +219,6 @@
     Raises `TransportError`, also if the group is silent or answers with a failure.
     """
     server_id = server.server_id
-    own = EventSplitter(splitter.last_event_id, splitter.event_count)
     answering = False
     async with AsyncExitStack() as stack:
         sent = await stack.enter_async_context(
@@ -194,17 +245,14 @@
         if not is_success(state, head):
             ctx.ran_on.append(server_id)
             raise TransportError(f"server answered {head.status}")
-        events = b""
-        while not events:
+        source = StreamSource(server, sent, splitter)
+        while not source.has_news:
             await _async_wait(sent.exchange)
-            chunk = await sent.exchange.async_read_chunk()
-            if not chunk:
-                raise ConnectionBrokenError("stream ended without an event")
-            events = own.feed(chunk)
+            await source.async_read()
         answering = True
         sent.record_progress()
         ctx.ran_on.append(server_id)
-        return Successor(server, sent, head, own, events, stack.pop_all())
+        return Successor(source, head, stack.pop_all())
     return None
 
 
--- a/gooseberryhall/transport/exchange.py
+++ b/gooseberryhall/transport/exchange.py
@@ -52,7 +52,8 @@
     error: TransportError | None = None
     # Whether the server was found silent, and this was not noticed yet.
     _silent: bool = False
-    _head_read: bool = False
+    # Whether the head was read by `async_read_head`.
+    head_read: bool = False
     _chunks: deque[bytes] = field(default_factory=deque)
     _buffered_bytes: int = 0
     _paused: bool = False
@@ -63,7 +64,7 @@
         """Return whether there is something to read, or the response has ended."""
         if self.error is not None:
             return True
-        if not self._head_read:
+        if not self.head_read:
             return self.head is not None
         return bool(self._chunks) or self.complete
 
@@ -145,7 +146,7 @@
             if self.error is not None:
                 raise self.error
             await self._async_wait()
-        self._head_read = True
+        self.head_read = True
         return self.head
 
     async def async_read_chunk(self) -> bytes:
--- a/tests/gateway/test_silent_groups.py
+++ b/tests/gateway/test_silent_groups.py
@@ -204,3 +204,44 @@
         caller.cancel()
         await async_until(lambda: not gateway.state.backends.local_load())
         await async_until(lambda: not gateway.callers.connections)
+
+
+async def _async_drip(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Send one event, then bytes that complete no event."""
+    writer.write(stream_head(request, "drip"))
+    writer.write(chunk(event(1)))
+    while True:
+        await asyncio.sleep(0.05)
+        writer.write(chunk(b"x"))
+
+
+async def test_group_that_drips_bytes_does_not_keep_the_stream() -> None:
+    """Guards against a stalled stream that never ends, as each byte seemed progress."""
+    silent = ScriptedServer("silent", _async_drip)
+    other = ScriptedServer("other", _async_late)
+    async with _async_two_groups(silent, other) as gateway:
+        (caller,) = await _async_send(gateway, silent)
+        response = await asyncio.wait_for(caller, 3 * _PAUSE_S)
+    assert event_ids(response) == _COMPLETE
+    assert response.endswith(b"0\r\n\r\n")
+
+
+async def _async_all_but_the_end(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send all events and stall before the end of the response."""
+    writer.write(stream_head(request, "silent"))
+    for number in _COMPLETE:
+        writer.write(chunk(event(number)))
+    await asyncio.sleep(60)
+
+
+async def test_stream_that_lacks_only_its_end_is_completed() -> None:
+    """Guards against taking an empty rest of a stream for a failure."""
+    silent = ScriptedServer("silent", _async_all_but_the_end)
+    other = ScriptedServer("other", _async_go_on)
+    async with _async_two_groups(silent, other) as gateway:
+        (caller,) = await _async_send(gateway, silent)
+        response = await asyncio.wait_for(caller, 3 * _PAUSE_S)
+    assert event_ids(response) == _COMPLETE
+    assert response.endswith(b"0\r\n\r\n")
