--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -27,7 +27,9 @@
     is_success,
     log_request,
     record_crash,
+    record_rejection,
     record_success,
+    record_unsent,
 )
 from .state import GatewayState
 
@@ -95,8 +97,7 @@
             head = await sent.exchange.async_read_head()
             body = await sent.exchange.async_read_body(MAX_RESPONSE_BYTES)
     except ConnectFailedError as exc:
-        ctx.rejections += 1
-        log_request(LogEvent.SEND_FAILED, str(exc), ctx, server=server_id, ran="no")
+        record_unsent(ctx, server_id, exc)
         return None
     except TimeoutError:
         if server_id not in ctx.ran_on:
@@ -124,14 +125,7 @@
     head = response[0]
     if is_rejection(state, head):
         ctx.ran_on.remove(server_id)
-        ctx.rejections += 1
-        log_request(
-            LogEvent.REQUEST_REJECTED,
-            "server did not run the request",
-            ctx,
-            server=server_id,
-            status=head.status,
-        )
+        record_rejection(ctx, server_id, head)
         return None
     state.backends.record_result(server_id, failed=is_server_failure(head))
     if head.status < 300 and not is_success(state, head):  # noqa: PLR2004
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -171,6 +171,24 @@
     state.on_crash()
 
 
+def record_unsent(ctx: RequestContext, server_id: str, exc: ConnectFailedError) -> None:
+    """Record that nothing was sent to a server."""
+    ctx.rejections += 1
+    log_request(LogEvent.SEND_FAILED, str(exc), ctx, server=server_id, ran="no")
+
+
+def record_rejection(ctx: RequestContext, server_id: str, head: ResponseHead) -> None:
+    """Record that a server did not run the request."""
+    ctx.rejections += 1
+    log_request(
+        LogEvent.REQUEST_REJECTED,
+        "server did not run the request",
+        ctx,
+        server=server_id,
+        status=head.status,
+    )
+
+
 def record_break(
     state: GatewayState,
     ctx: RequestContext,
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -35,7 +35,9 @@
     is_success,
     log_request,
     record_break,
+    record_rejection,
     record_success,
+    record_unsent,
 )
 from .state import GatewayState
 from .takeover import (
@@ -256,8 +258,7 @@
     try:
         return await async_relay()
     except ConnectFailedError as exc:
-        ctx.rejections += 1
-        log_request(LogEvent.SEND_FAILED, str(exc), ctx, server=server_id, ran="no")
+        record_unsent(ctx, server_id, exc)
         return _Outcome.NOT_SENT
     except TimeoutError:
         log_request(LogEvent.SEND_FAILED, "no answer in time", ctx, server=server_id)
@@ -318,14 +319,7 @@
     head = await sent.exchange.async_read_head()
     server_id = sent.server.server_id
     if is_rejection(state, head):
-        ctx.rejections += 1
-        log_request(
-            LogEvent.REQUEST_REJECTED,
-            "group did not run the request",
-            ctx,
-            server=server_id,
-            status=head.status,
-        )
+        record_rejection(ctx, server_id, head)
         return _Outcome.REJECTED
     if not is_success(state, head):
         return await _async_relay_failure(ctx, relay, sent, head)
--- a/gooseberryhall/gateway/takeover.py
+++ b/gooseberryhall/gateway/takeover.py
@@ -28,6 +28,8 @@
     is_success,
     log_request,
     record_break,
+    record_rejection,
+    record_unsent,
 )
 from .state import GatewayState
 
@@ -176,10 +178,7 @@
         try:
             successor = await _async_ask(state, ctx, server, own, started=started)
         except ConnectFailedError as exc:
-            ctx.rejections += 1
-            log_request(
-                LogEvent.SEND_FAILED, str(exc), ctx, server=server.server_id, ran="no"
-            )
+            record_unsent(ctx, server.server_id, exc)
             continue
         except TransportError as exc:
             is_crash = isinstance(exc, ConnectionBrokenError)
@@ -233,14 +232,7 @@
         await _async_wait(sent.exchange)
         head = await sent.exchange.async_read_head()
         if is_rejection(state, head):
-            ctx.rejections += 1
-            log_request(
-                LogEvent.REQUEST_REJECTED,
-                "group did not run the request",
-                ctx,
-                server=server_id,
-                status=head.status,
-            )
+            record_rejection(ctx, server_id, head)
             return None
         if not is_success(state, head):
             ctx.ran_on.append(server_id)
