Start without non-blocking standard output if the system refuses it

A node process ended at its start where os.set_blocking is refused. Cause: a convenience of the system was taken for granted, as with the socket filter. Change: the refusal is logged (GH1007); lines are then written only if the pipe has room for all of a line.

--- a/gooseberryhall/telemetry/rate_limited_logs.py
+++ b/gooseberryhall/telemetry/rate_limited_logs.py
@@ -2,11 +2,15 @@
 
 import logging
 import os
+import select
 import time
 
 from pythonjsonlogger.json import JsonFormatter
 
-from .logs import LOG_FORMAT, RENAMED_FIELDS
+from .catalogue import LogEvent
+from .logs import LOG_FORMAT, RENAMED_FIELDS, log_event
+
+_LOGGER = logging.getLogger(__name__)
 
 LINES_PER_S = 400.0
 BURST_LINES = 2000.0
@@ -16,14 +20,22 @@
     """Write JSON lines to a file descriptor and drop those above the rate limit.
 
     A line is also dropped when writing it would block. The next line that is written
-    holds the number of lines dropped before it in `dropped_lines`.
+    holds the number of lines dropped before it in `dropped_lines`. If the system refuses
+    to make the descriptor non-blocking, `may_block` is true, and lines are dropped that
+    are not sure to be taken at once.
     """
 
     def __init__(self, descriptor: int) -> None:
         """Create a handler; the descriptor is made non-blocking."""
         super().__init__()
-        os.set_blocking(descriptor, False)
+        self.may_block = False
+        try:
+            os.set_blocking(descriptor, False)
+        except OSError:
+            self.may_block = True
         self._descriptor = descriptor
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
         self._available_lines = BURST_LINES
         self._refilled_at_s = time.monotonic()
         self.dropped = 0
@@ -37,12 +49,18 @@
             record.dropped_lines = self.dropped
         line = self.format(record).encode() + b"\n"
         try:
+            if self.may_block and not self._takes(line):
+                raise BlockingIOError
             os.write(self._descriptor, line)
         except OSError:
             self.dropped += 1
         else:
             self.dropped = 0
 
+    def _takes(self, line: bytes) -> bool:
+        """Return whether a pipe has room for the whole line."""
+        return len(line) <= select.PIPE_BUF and bool(self._poll.poll(0))
+
     def _acquire_line(self) -> bool:
         now_s = time.monotonic()
         refill_lines = (now_s - self._refilled_at_s) * LINES_PER_S
@@ -69,4 +87,11 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    if handler.may_block:
+        log_event(
+            _LOGGER,
+            LogEvent.OUTPUT_CALL_REFUSED,
+            "standard output cannot be made non-blocking",
+            level=logging.WARNING,
+        )
     return handler
