--- a/gooseberryhall/telemetry/rate_limited_logs.py
+++ b/gooseberryhall/telemetry/rate_limited_logs.py
@@ -20,9 +20,9 @@
     """Write JSON lines to a file descriptor and drop those above the rate limit.
 
     A line is also dropped when writing it would block. The next line that is written
-    holds the number of lines dropped before it in `dropped_lines`. If the system refuses
-    to make the descriptor non-blocking, `may_block` is true, and lines are dropped that
-    are not sure to be taken at once.
+    holds the number of lines dropped before it in `dropped_lines`. If the system
+    refuses to make the descriptor non-blocking, `may_block` is true, and lines are
+    dropped that are not sure to be taken at once.
     """
 
     def __init__(self, descriptor: int) -> None:
