Test the soak's check of overlapping stops

Cause: each check of the soak is shown failing, the new one was not. Change: fake callers of which one loses an answer at a node that does not stop. Result: tests/standins/soak/test_promises.py passes.

--- a/tests/standins/soak/test_promises.py
+++ b/tests/standins/soak/test_promises.py
@@ -28,6 +28,7 @@
 from standins.soak.run import (
     async_check_crashing_prompts,
     async_check_slow_groups,
+    async_check_stops,
     async_wait_serving,
 )
 from standins.soak.server import Membership, Server
@@ -226,6 +227,10 @@
         """Return the outcome."""
         return self.outcome
 
+    async def async_run(self) -> None:
+        """Send nothing, until cancelled."""
+        await asyncio.sleep(60)
+
 
 @pytest.mark.parametrize(
     ("outcome", "expected"), [("200", []), ("cut: reset", [Promise.PLANNED_STOP])]
@@ -242,6 +247,37 @@
     assert _promises(records) == expected
 
 
+class FakeLoad(FakeCallers):
+    """Fake callers of which one loses its answer."""
+
+    def __init__(self, env: Environment) -> None:
+        """Create callers whose outcomes are counted in an environment."""
+        super().__init__("200")
+        self.env = env
+
+    async def async_run(self) -> None:
+        """Count one answer that was cut."""
+        self.env.records.outcomes["chat cut: reset"] += 1
+        await asyncio.sleep(60)
+
+
+@pytest.mark.parametrize(
+    ("cut", "expected"), [(False, []), (True, [Promise.SLOW_GROUP])]
+)
+async def test_answer_cut_beside_pauses_of_all_servers_is_found(
+    records: Records, *, cut: bool, expected: list[Promise]
+) -> None:
+    """Guards against a missed cut at a node that does not stop."""
+    # Times are checked only if nothing was late for a while.
+    records.started_s -= 20
+    async with AsyncExitStack() as stack:
+        env = Environment(Path(), records, stack)
+        env.nodes = [cast("SoakNode", FakeNode())]
+        fake = FakeLoad(env) if cut else FakeCallers("200")
+        await async_check_stops(env, cast("Callers", fake))
+    assert _promises(records) == expected
+
+
 @pytest.mark.parametrize(
     ("ready", "outcome", "expected"),
     [(True, "200", True), (True, "503", False), (False, "200", False)],
