Resume a stream at a third group after the last relayed event

Seen: by reading and by a test: a stream that was resumed at a group that is silent before its head asked the next group for all events again. That group's events were refused as repeated, and the stream stayed at the silent one. Cause: async_wait_for_head took no stream for begun. Change: it gets started, as the wait for events does. Evidence: test_resumed_stream_moves_on_from_a_silent_group failed before. Routes with two attempts, as on all sites, do not come there. Result: tests of gateway/test_silent_groups.py and test_stream.py pass.

--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -314,7 +314,9 @@
     sent: SentRequest,
 ) -> _Outcome:
     source = StreamSource(sent.server, sent, relay.splitter)
-    relay.successor = await async_wait_for_head(state, ctx, source)
+    relay.successor = await async_wait_for_head(
+        state, ctx, source, started=relay.started
+    )
     relay.raise_if_moved()
     head = await sent.exchange.async_read_head()
     server_id = sent.server.server_id
--- a/gooseberryhall/gateway/takeover.py
+++ b/gooseberryhall/gateway/takeover.py
@@ -70,15 +70,16 @@
 
 
 async def async_wait_for_head(
-    state: GatewayState, ctx: RequestContext, source: StreamSource
+    state: GatewayState, ctx: RequestContext, source: StreamSource, *, started: bool
 ) -> Successor | None:
     """Wait for the head of the response, or for the end of the connection.
 
-    Returns another group if the server is silent and that group answers first.
+    `started` tells whether events were relayed before. Returns another group if the
+    server is silent and that group answers first.
     """
     exchange = source.sent.exchange
     while not await exchange.async_wait_for_data():
-        opening = _async_open(state, ctx, source, started=False)
+        opening = _async_open(state, ctx, source, started=started)
         successor = await _async_first(source, asyncio.create_task(opening))
         if successor is not None:
             return successor
@@ -90,8 +91,7 @@
 ) -> Successor | None:
     """Wait until the source has complete events, or until its stream ends.
 
-    `started` tells whether events were relayed before. Returns another group if the
-    server is silent and that group answers first. Raises `TransportError`.
+    See `async_wait_for_head`. Raises `TransportError`.
     """
     while not source.has_news:
         if await source.sent.exchange.async_wait_for_data():
--- a/tests/gateway/test_silent_groups.py
+++ b/tests/gateway/test_silent_groups.py
@@ -98,11 +98,11 @@
 
 @asynccontextmanager
 async def _async_two_groups(
-    silent: ScriptedServer, other: ScriptedServer
+    silent: ScriptedServer, *others: ScriptedServer, attempts: int = 2
 ) -> AsyncIterator[Gateway]:
     """Run a gateway that knows only the first group and checks for silent groups."""
-    routes = (stream_route(timeout_s=5.0),)
-    async with async_gateway(routes, leaders=(silent, other)) as gateway:
+    routes = (stream_route(timeout_s=5.0, attempts=attempts),)
+    async with async_gateway(routes, leaders=(silent, *others)) as gateway:
         gateway.groups[:] = [gateway.groups[0]]
         loop = asyncio.get_running_loop()
 
@@ -245,3 +245,29 @@
         response = await asyncio.wait_for(caller, 3 * _PAUSE_S)
     assert event_ids(response) == _COMPLETE
     assert response.endswith(b"0\r\n\r\n")
+
+
+async def _async_break_later(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send two events and break off."""
+    writer.write(stream_head(request, "broken") + chunk(event(1)) + chunk(event(2)))
+    await asyncio.sleep(0.1)
+    writer.transport.abort()
+
+
+async def test_resumed_stream_moves_on_from_a_silent_group() -> None:
+    """Guards against a third group that is asked for events that were relayed."""
+    broken = ScriptedServer("broken", _async_break_later)
+    silent = ScriptedServer("silent", _async_hang)
+    other = ScriptedServer("other", _async_go_on)
+    async with _async_two_groups(broken, silent, other, attempts=3) as gateway:
+        caller = asyncio.create_task(gateway.async_request())
+        await async_until(lambda: bool(broken.requests))
+        gateway.groups.append(ServedGroup("large", gateway.servers["silent"]))
+        await async_until(lambda: bool(silent.requests))
+        gateway.groups.append(ServedGroup("large", gateway.servers["other"]))
+        response = await asyncio.wait_for(caller, 3 * _PAUSE_S)
+    assert other.requests[0].headers["last-event-id"] == "2"
+    assert event_ids(response) == _COMPLETE
+    assert response.endswith(b"0\r\n\r\n")
