Keep the port of a proxy while it is disconnected

Cause: FaultProxy closed its listening socket in async_disconnect and bound the same number again in async_restore. The port is in the range that the kernel gives to connections, so another process may take it in between. Change: a socket that is bound, but does not listen, keeps the port meanwhile. Evidence: test_port_is_kept_while_disconnected failed before.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -45,6 +45,8 @@
         self._changed = asyncio.Event()
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
+        # Keeps the port while the proxy is disconnected.
+        self._reserved: socket.socket | None = None
 
     @property
     def connections(self) -> int:
@@ -68,12 +70,26 @@
     async def async_start(self, port: int = 0) -> None:
         """Listen on `port`, or on the former port if there was one."""
         self._server = await asyncio.start_server(
-            self._async_accept, HOST, port or self.port, backlog=BACKLOG
+            self._async_accept,
+            HOST,
+            port or self.port,
+            backlog=BACKLOG,
+            reuse_port=True,
         )
         self.port = self._server.sockets[0].getsockname()[1]
+        self._release_port()
 
     async def async_stop(self) -> None:
-        """Refuse new connections and close all open ones."""
+        """Refuse new connections, close all open ones and give up the port."""
+        self._release_port()
+        await self._async_close()
+
+    def _release_port(self) -> None:
+        if self._reserved is not None:
+            self._reserved.close()
+            self._reserved = None
+
+    async def _async_close(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -86,8 +102,15 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def async_disconnect(self) -> None:
-        """Refuse new connections and close all open ones, until `async_restore`."""
-        await self.async_stop()
+        """Refuse new connections and close all open ones, until `async_restore`.
+
+        A bound socket that does not listen keeps the port from other processes.
+        """
+        if self._server is not None:
+            self._reserved = socket.socket()
+            self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self._reserved.bind((HOST, self.port))
+        await self._async_close()
 
     async def async_restore(self) -> None:
         """End all faults except stalled connections, and deliver blocked bytes."""
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -1,10 +1,12 @@
 """Tests that the fault proxy delays, blocks and disconnects as a network does."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 
 import pytest
 
+from standins.http import HOST
 from standins.proxy import Direction, FaultProxy
 
 STALL_S = 0.2
@@ -101,3 +103,16 @@
     assert await restored.async_echo(b"four") == b"four"
     assert loop.time() - start_s >= 0.2
     restored.writer.close()
+
+
+async def test_port_is_kept_while_disconnected() -> None:
+    """Guards against a port that another process takes before the proxy is restored."""
+    async with FaultProxy(1) as proxy:
+        await proxy.async_disconnect()
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind((HOST, proxy.port))
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(HOST, proxy.port)
+        await proxy.async_restore()
+        _, writer = await asyncio.open_connection(HOST, proxy.port)
+        writer.close()
