--- a/gooseberryhall/fleet/models.py
+++ b/gooseberryhall/fleet/models.py
@@ -81,6 +81,27 @@
     warmup_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class EngineTiming:
+    """Times of an engine's passes; a model's `time_factor` multiplies all of them.
+
+    All values are 0 if the configuration does not state them.
+    """
+
+    # Time of a token step, and what each running request adds to it.
+    step_s: float = 0.0
+    step_per_request_s: float = 0.0
+    # Time that 1,000 tokens of context of a running request add to a step.
+    step_per_context_s: float = 0.0
+    # Prompt tokens read in a second.
+    prompt_tokens_per_s: float = 0.0
+    # Token steps in a pass, which are sent as one event.
+    steps_per_pass: int = 1
+    # Mean tokens of a prompt and of an answer.
+    mean_prompt_tokens: float = 0.0
+    mean_answer_tokens: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class EngineProfile:
     """Properties of a service whose servers form groups."""
@@ -90,6 +111,7 @@
     formation_s: float
     # Number of concurrent loads of weights that do not slow each other down.
     loads_at_once: int
+    timing: EngineTiming = EngineTiming()
 
     def model(self, name: str) -> Model | None:
         """Return a model by name."""
@@ -102,6 +124,10 @@
 
     name: str
     engine: EngineProfile | None = None
+    # Time for which a server is cold after its start; 0 if servers are never cold.
+    cold_start_s: float = 0.0
+    # Requests that a cold server tolerates in a second.
+    cold_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -83,7 +83,7 @@
             data,
             exchange,
             new_connection=not ctx.route.idempotent,
-            may_send=lambda: state.statements.may_send(server, loop.time()),
+            may_send=lambda: state.may_send(server, loop.time()),
         )
         yield SentRequest(server, exchange, conn, record_progress)
     except SendWithheldError:
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -64,6 +64,13 @@
         service_cfg = cfg.services.get(service) if cfg else None
         return service_cfg is not None and service_cfg.engine is not None
 
+    def may_send(self, server: BackendServer, now_s: float) -> bool:
+        """Return whether a request may be sent to a server now.
+
+        All requests pass this check, when a server is chosen and before they are sent.
+        """
+        return self.statements.may_send(server, now_s)
+
     def candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups or plain servers to which the request may be sent."""
         if self.is_grouped(ctx.service):
@@ -83,7 +90,7 @@
             leader = group.leader
             if leader.service != ctx.service:
                 continue
-            if not self.statements.may_send(leader, now_s):
+            if not self.may_send(leader, now_s):
                 continue
             if ctx.model is not None and group.model != ctx.model:
                 continue
@@ -114,7 +121,7 @@
             )
             for server in self.servers().values()
             if server.service == ctx.service
-            and self.statements.may_send(server, now_s)
+            and self.may_send(server, now_s)
             and server.server_id not in ctx.excluded_servers
         ]
 
--- a/gooseberryhall/node/settings.py
+++ b/gooseberryhall/node/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..transport.address import Address
+from .options import DEFAULT_OPTIONS, NodeOptions
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,3 +34,11 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    # Time after which an evacuated zone must get no requests; 0 if zones are not
+    # evacuated.
+    evacuation_limit_s: float = 0.0
+    # A cold server must not get more requests in a second than its rate times the
+    # factor, plus the constant.
+    cold_overrun: float = 1.0
+    cold_slack: float = 0.0
+    options: NodeOptions = DEFAULT_OPTIONS
--- a/gooseberryhall/platform/configuration.py
+++ b/gooseberryhall/platform/configuration.py
@@ -7,6 +7,7 @@
 from ..fleet.models import (
     Configuration,
     EngineProfile,
+    EngineTiming,
     Limits,
     Model,
     Route,
@@ -51,16 +52,32 @@
     warmup_s: float = 0.0
 
 
+class _Usual(msgspec.Struct):
+    # Mean tokens of a prompt and of an answer.
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
 class _Engine(msgspec.Struct):
     slots: _Positive
     models: list[_Model] = []
     formation_ms: float = 0.0
     loads_at_once: _Positive = 1
+    # Time of a token step, and what a running request and its context add.
+    step_ms: float = 0.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    # Prompt tokens read in a second.
+    read_per_s: float = 0.0
+    stride: _Positive = 1
+    usual: _Usual = msgspec.field(default_factory=_Usual)
 
 
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -125,26 +142,38 @@
 
 
 def _decode_service(raw: _Service) -> Service:
-    engine = raw.engine
-    if engine is None:
-        return Service(raw.name)
     return Service(
         raw.name,
-        EngineProfile(
-            slots=engine.slots,
-            models=tuple(
-                Model(
-                    name=model.name,
-                    size=model.size,
-                    time_factor=model.pace,
-                    share=model.share,
-                    load_s=model.load_time_s,
-                    warmup_s=model.warmup_s,
-                )
-                for model in engine.models
-            ),
-            formation_s=engine.formation_ms / MS_PER_S,
-            loads_at_once=engine.loads_at_once,
+        _decode_engine(raw.engine) if raw.engine else None,
+        cold_start_s=raw.cold_start_s,
+        cold_requests_per_s=raw.cold_per_s,
+    )
+
+
+def _decode_engine(raw: _Engine) -> EngineProfile:
+    return EngineProfile(
+        slots=raw.slots,
+        models=tuple(
+            Model(
+                name=model.name,
+                size=model.size,
+                time_factor=model.pace,
+                share=model.share,
+                load_s=model.load_time_s,
+                warmup_s=model.warmup_s,
+            )
+            for model in raw.models
+        ),
+        formation_s=raw.formation_ms / MS_PER_S,
+        loads_at_once=raw.loads_at_once,
+        timing=EngineTiming(
+            step_s=raw.step_ms / MS_PER_S,
+            step_per_request_s=raw.per_seq_ms / MS_PER_S,
+            step_per_context_s=raw.context_per_k / MS_PER_S,
+            prompt_tokens_per_s=raw.read_per_s,
+            steps_per_pass=raw.stride,
+            mean_prompt_tokens=raw.usual.prompt,
+            mean_answer_tokens=raw.usual.answer,
         ),
     )
 
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -10,6 +10,7 @@
 from ..transport.address import Address, parse_address
 from .decoding import decode_json
 from .exceptions import PlatformSettingsError, RowFormatError
+from .options import load_options
 
 SETTINGS_VARIABLE: Final = "GOOSEBERRYHALL_SETTINGS"
 MS_PER_S: Final = 1000
@@ -33,6 +34,13 @@
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     retry_budget_slack: float = 130.0
+    # Time after which an evacuated zone must get no requests; 0 if zones are not
+    # evacuated.
+    evacuation_ms: float = 0.0
+    # A cold server must not get more requests in a second than its rate times the
+    # factor, plus the constant.
+    cold_overrun: float = 1.0
+    cold_slack: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -91,4 +99,8 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_s=bounds.budget_window_s,
         retry_slack=bounds.retry_budget_slack,
+        evacuation_limit_s=bounds.evacuation_ms / MS_PER_S,
+        cold_overrun=bounds.cold_overrun,
+        cold_slack=bounds.cold_slack,
+        options=load_options(),
     )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from gooseberryhall.fleet.models import MemberState
+from gooseberryhall.fleet.models import EngineTiming, MemberState
 from gooseberryhall.platform.configuration import decode_configuration
 from gooseberryhall.platform.exceptions import PlatformSettingsError, RowFormatError
 from gooseberryhall.platform.servers import decode_report, decode_server_record
@@ -129,6 +129,29 @@
     assert cfg.find_route(b"other", b"/x/1") is None
 
 
+def test_times_of_an_engine_are_converted_to_seconds() -> None:
+    """Guards against estimates that are wrong by the unit of a field."""
+    engine = {
+        **CONFIGURATION["services"][0]["engine"],
+        "step_ms": 6.0,
+        "per_seq_ms": 0.1,
+        "context_per_k": 0.02,
+        "read_per_s": 50000.0,
+        "stride": 7,
+        "usual": {"prompt": 800, "answer": 210},
+    }
+    service = {"name": "e", "engine": engine, "cold_start_s": 3, "cold_per_s": 14}
+    cfg = decode_configuration(
+        json.dumps({**CONFIGURATION, "services": [service]}).encode()
+    )
+    decoded = cfg.services["e"]
+    assert (decoded.cold_start_s, decoded.cold_requests_per_s) == (3.0, 14.0)
+    assert decoded.engine is not None
+    assert decoded.engine.timing == EngineTiming(
+        0.006, 0.0001, 0.00002, 50000.0, 7, 800, 210
+    )
+
+
 def test_api_keys_select_their_team() -> None:
     """Guards against a refused key of a team and an accepted unknown key."""
     cfg = decode_configuration(json.dumps(CONFIGURATION).encode())
