Keep a group while a member without a record answers probes

The record of a server that cannot reach the store lapses, although it serves on. Owners dissolved its group at once.

While the first probe runs, its domain forms no other group.

test_group_whose_member_cannot_reach_the_store_serves_on failed before; tests/fleet and tests/node pass (87).

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -17,7 +17,12 @@
 )
 from .lifecycle import dissolve_group, form_group, is_released
 from .loads import count_loads, free_load_slots
-from .members import async_probe_members, async_probe_state, probe_unresponsive
+from .members import (
+    async_probe_lapsed,
+    async_probe_members,
+    async_probe_state,
+    probe_unresponsive,
+)
 from .models import BackendServer, EngineProfile, Group, MemberState
 from .planner import plan_zone
 from .plans import ZoneFacts
@@ -126,23 +131,42 @@
 
 
 def _check_group(zone: ZoneState, managed: ManagedGroup, now_s: float) -> None:
-    """Dissolve a group that lost a member or is about to lose one."""
+    """Dissolve a group that lost a member or is about to lose one.
+
+    The record of a server that cannot reach the store lapses although it serves on. If
+    many records lapse at once, the streams of all their groups would have to move to
+    the others at the same time. So a member without a record is probed, and its group
+    serves until the member does not answer, or until the streams of a leader without a
+    record had time to end.
+    """
     lost = [
         member for member in managed.group.members if _is_lost(zone, managed, member)
     ]
     if lost:
         dissolve_group(zone, managed, "member lost", lost=lost)
         return
-    members = [zone.view.servers[member] for member in managed.group.members]
-    if any(zone.is_leaving(member) for member in members):
-        managed.leaving_since_s = managed.leaving_since_s or now_s
-        if now_s - managed.leaving_since_s > LEAVING_GROUP_GRACE_S:
-            dissolve_group(zone, managed, "member is leaving")
+    servers = zone.view.servers
+    lapsed = [member for member in managed.group.members if member not in servers]
+    members = [servers[name] for name in managed.group.members if name in servers]
+    leaves = managed.group.leader in lapsed or any(map(zone.is_leaving, members))
+    if lapsed and now_s - managed.lapsed_probed_s >= GROUP_PROBE_PERIOD_S:
+        managed.lapsed_probed_s = now_s
+        managed.probing_lapsed = True
+        zone.create_task(async_probe_lapsed(zone, managed, lapsed))
+    if not leaves:
+        managed.leaving_since_s = None
+        return
+    managed.leaving_since_s = managed.leaving_since_s or now_s
+    if now_s - managed.leaving_since_s > LEAVING_GROUP_GRACE_S:
+        dissolve_group(zone, managed, "member is leaving")
 
 
 def _is_lost(zone: ZoneState, managed: ManagedGroup, member: str) -> bool:
     server = zone.view.servers.get(member)
-    if server is None or zone.is_unresponsive(server):
+    if server is None:
+        lapsed = zone.view.removed_server(member)
+        return lapsed is None or zone.is_unresponsive(lapsed)
+    if zone.is_unresponsive(server):
         return True
     membership = server.membership
     if membership is None:
@@ -194,9 +218,12 @@
         dissolving_domains=frozenset(
             managed.domain
             for managed in zone.groups.values()
-            if managed.phase is Phase.DISSOLVING
-            and now_s - managed.dissolved_s < DISSOLVE_WAIT_S
-            and not is_released(zone, managed)
+            if managed.probing_lapsed
+            or (
+                managed.phase is Phase.DISSOLVING
+                and now_s - managed.dissolved_s < DISSOLVE_WAIT_S
+                and not is_released(zone, managed)
+            )
         ),
         load_slots=load_slots,
     )
--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -1,7 +1,7 @@
 """Orders to single servers and probes of their state."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ..telemetry.catalogue import LogEvent
 from .const import (
@@ -14,7 +14,7 @@
     VIEW_POLL_S,
 )
 from .exceptions import FormationError
-from .models import BackendServer, Group, Model
+from .models import BackendServer, Group, MemberState, Model
 from .orders import ACCEPTED, OrderOutcome, Report
 from .plans import REJOIN_S
 from .zone import ManagedGroup, ZoneState
@@ -129,13 +129,43 @@
         zone.unresponsive.pop(server.server_id, None)
 
 
+async def async_probe_lapsed(
+    zone: ZoneState, managed: ManagedGroup, lapsed: Sequence[str]
+) -> None:
+    """Mark members without a record as unresponsive if they left their group.
+
+    So does a member that does not answer two probes.
+    """
+    found = [zone.view.removed_server(member) for member in lapsed]
+    try:
+        for server in found:
+            if server is None:
+                continue
+            report = await _async_fetch_report(zone, server)
+            if report is None or not _is_member(report, server, managed.group):
+                zone.mark_unresponsive(server)
+    finally:
+        managed.probing_lapsed = False
+
+
+def _is_member(report: Report, server: BackendServer, group: Group) -> bool:
+    """Return whether the incarnation that was listed reports the group as its own."""
+    membership = report.membership
+    return (
+        report.started_at_ms == server.started_at_ms
+        and membership is not None
+        and (membership.group, membership.epoch) == (group.name, group.epoch)
+        and membership.state is not MemberState.BROKEN
+    )
+
+
 async def async_probe_members(zone: ZoneState, managed: ManagedGroup) -> None:
     """Mark the members of a stalled group as unresponsive if two probes fail."""
-    members = [
-        zone.view.servers[member]
+    found = [
+        zone.view.servers.get(member) or zone.view.removed_server(member)
         for member in managed.group.members
-        if member in zone.view.servers
     ]
+    members = [server for server in found if server is not None]
     async with asyncio.TaskGroup() as tasks:
         for server in members:
             tasks.create_task(_async_probe_member(zone, server))
--- a/gooseberryhall/fleet/plans.py
+++ b/gooseberryhall/fleet/plans.py
@@ -50,7 +50,8 @@
     traffic_seen: bool
     # Servers that are in the zone's groups.
     members: Sequence[ServerFacts] = ()
-    # Domains with a dissolving group, where more servers become free soon.
+    # Domains with a group that dissolves, or may have to, so that more servers become
+    # free soon.
     dissolving_domains: frozenset[str] = frozenset()
     # Number of loads that may start now; None before traffic begins or for no limit.
     load_slots: int | None = None
--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -8,6 +8,9 @@
 # Records that lapsed during a store outage return within about 2 s.
 LAPSED_RECORD_GRACE_S = 2.0
 
+# Time for which the last record of a removed server is kept.
+REMOVED_RECORD_RETENTION_S = 60.0
+
 # A record that a server wrote before a report may arrive after the report.
 REPORT_PRECEDENCE_S = 0.3
 # A report may be some hundred milliseconds old, so that it still names a group that the
@@ -47,12 +50,15 @@
     _last_leaves: dict[str, _LastLeave] = field(default_factory=dict)
     # Servers whose record lapsed during a store outage, with the time of their removal.
     _lapsed: dict[str, float] = field(default_factory=dict)
+    # Last records of removed servers, with the time of their removal.
+    _removed: dict[str, tuple[BackendServer, float]] = field(default_factory=dict)
     # Servers with a record that contradicts their last report and may be newer than it.
     _contradicted: set[str] = field(default_factory=set)
 
     def apply_record(self, server: BackendServer, now_s: float) -> None:
         """Apply a server record of the store, unless the current state is newer."""
         self._lapsed.pop(server.server_id, None)
+        self._removed.pop(server.server_id, None)
         current = self.servers.get(server.server_id)
         if current is None or current.started_at_ms < server.started_at_ms:
             self.servers[server.server_id] = server
@@ -101,11 +107,13 @@
         self._contradicted.discard(server_id)
         return True
 
-    def remove_server(self, server_id: str) -> None:
+    def remove_server(self, server_id: str, now_s: float) -> None:
         """Remove a server whose record was deleted."""
         self._contradicted.discard(server_id)
         self._last_leaves.pop(server_id, None)
-        self.servers.pop(server_id, None)
+        removed = self.servers.pop(server_id, None)
+        if removed is not None:
+            self._removed[server_id] = (removed, now_s)
         self._lapsed.pop(server_id, None)
         self._last_reports.pop(server_id, None)
 
@@ -124,7 +132,7 @@
             if after_outage:
                 self._lapsed.setdefault(server_id, now_s + LAPSED_RECORD_GRACE_S)
             else:
-                self.remove_server(server_id)
+                self.remove_server(server_id, now_s)
         for server in listed.values():
             self.apply_record(server, now_s)
 
@@ -132,9 +140,17 @@
         """Remove the servers whose records did not return; return their ids."""
         due = [key for key, until_s in self._lapsed.items() if until_s <= now_s]
         for server_id in due:
-            self.remove_server(server_id)
+            self.remove_server(server_id, now_s)
+        for server_id, (_, removed_s) in list(self._removed.items()):
+            if now_s - removed_s > REMOVED_RECORD_RETENTION_S:
+                del self._removed[server_id]
         return due
 
+    def removed_server(self, server_id: str) -> BackendServer | None:
+        """Return the last record of a server that was removed lately."""
+        removed = self._removed.get(server_id)
+        return removed[0] if removed else None
+
     def apply_report(
         self,
         server_id: str,
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -44,6 +44,9 @@
     leaving_since_s: float | None = None
     dissolved_s: float = 0.0
     probed_s: float = 0.0
+    # When members without a record were last probed, and whether they are now.
+    lapsed_probed_s: float = 0.0
+    probing_lapsed: bool = False
     # Members that left while the leader was unresponsive.
     released: set[str] = field(default_factory=set)
 
--- a/gooseberryhall/node/servers.py
+++ b/gooseberryhall/node/servers.py
@@ -116,7 +116,7 @@
             self._on_snapshot(kept, after_outage=True)
             return
         for server_id in removed:
-            self.view.remove_server(server_id)
+            self.view.remove_server(server_id, _now_s())
             _log_server(server_id, "server record was removed")
 
     def update_demand(self) -> None:
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from gooseberryhall.fleet.const import SPARE_GROUP_PREFIX
 from gooseberryhall.fleet.controller import probe_group, reconcile
 from gooseberryhall.fleet.lifecycle import dissolve_group
@@ -120,6 +122,41 @@
     assert zone.engines.violations == []
 
 
+@pytest.mark.parametrize("rank", [0, 1])
+async def test_group_whose_member_cannot_reach_the_store_serves_on(rank: int) -> None:
+    """Guards against streams that all move at once when many records lapse.
+
+    26 of 222 servers lost the store during a burst: the groups of all of them were
+    dissolved within a second, and 197 streams had to start elsewhere.
+    """
+    zone = _zone()
+    state = await _async_form_groups_with_spares(zone)
+    zone.traffic = True
+    large = _group_of(state, "large")
+    zone.list_servers(large.members[rank])
+    for _ in range(20):
+        reconcile(state)
+        await asyncio.sleep(0.01)
+    assert large in state.open_groups()
+    zone.list_servers()
+    reconcile(state)
+    assert large in state.open_groups()
+    await zone.async_stop()
+
+
+async def test_group_whose_unlisted_member_restarted_is_replaced() -> None:
+    """Guards against a group that is kept with a member that forgot it."""
+    zone = _zone()
+    state = await _async_form_groups_with_spares(zone)
+    zone.traffic = True
+    large = _group_of(state, "large")
+    member = large.members[1]
+    zone.engines.servers[member].membership = None
+    zone.list_servers(member)
+    await zone.async_run(state, lambda: large not in state.open_groups())
+    await zone.async_stop()
+
+
 async def test_new_owner_keeps_complete_groups() -> None:
     """Guards against a change of owner that interrupts groups that serve."""
     zone = _zone(5)
--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -76,7 +76,7 @@
     reconcile(state)
     assert len(state.preparing) == 2
     for record in busy[:3]:
-        zone.view.remove_server(record.server_id)
+        zone.view.remove_server(record.server_id, 0.0)
     reconcile(state)
     assert len(state.preparing) == 3
     await zone.async_stop()
