Decide which share of a zone's traffic may be sent while it is evacuated

An operator evacuates an availability zone by a row in the store. The state by zone keeps the newest version of the row; the share of the traffic falls to nothing within half of the limit.

--- /dev/null
+++ b/gooseberryhall/fleet/evacuation.py
@@ -0,0 +1,211 @@
+"""Evacuations of availability zones, and the share of traffic that a zone still gets.
+
+Load pattern: all load of a zone moves to the other zones at once, while it is at its
+usual level. The load is shifted step by step, so that the groups of the other zones
+take it over before the zone is cut off. Pure state and decisions; all times are those
+of one clock of the caller, and the clock of the store is not used.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+# Share of the limit within which the load is shifted. The rest covers the time until
+# the last node learns of the evacuation, and requests that are on their way.
+SHIFT_SHARE: Final = 0.5
+# Time for which nodes tell that an evacuation ended, so that older news lose.
+END_TOLD_S: Final = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationNews:
+    """The last known write of a zone's row."""
+
+    # Version of the row, or of the store if the row was found missing.
+    version: int
+    # Whether the row exists.
+    active: bool
+    # Time since the first node learned of the evacuation.
+    age_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationRows:
+    """Rows of evacuations that the store returned, by zone."""
+
+    news: Mapping[str, EvacuationNews]
+    # Version of the store that the rows reach.
+    version: int
+    # Whether these are all rows, so that other zones are not evacuated.
+    complete: bool
+
+
+@dataclass(slots=True)
+class _Evacuation:
+    """What is known of one zone."""
+
+    version: int
+    active: bool
+    # When the shift of the load began, if the evacuation is active.
+    since_s: float
+    # When the evacuation ended on this node's clock.
+    ended_s: float | None = None
+    # Until when peers are told that it ended.
+    told_until_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Evacuations:
+    """Evacuations by zone; the newest version of a row counts.
+
+    Without a limit zones are not evacuated.
+    """
+
+    # Time after which an evacuated zone must get no requests; 0 if not used.
+    limit_s: float = 0.0
+    # Zones of the deployment.
+    zones: tuple[str, ...] = ()
+    # Zones that rows name but the deployment does not have.
+    unknown_zones: set[str] = field(default_factory=set)
+    _evacuations: dict[str, _Evacuation] = field(default_factory=dict)
+    # Whether the store or a peer told which zones are evacuated.
+    _informed: bool = False
+    # Version of the last complete read.
+    _read_version: int = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether it is known which zones are evacuated."""
+        return self._informed or not self.limit_s
+
+    def apply_rows(self, rows: EvacuationRows, now_s: float, *, recent: bool) -> bool:
+        """Apply rows of the store; return whether anything changed.
+
+        `recent` tells whether the rows were written a moment ago. If not, for example
+        after a start, the time of the shift may have passed, so the zone is cut off at
+        once.
+        """
+        if not self.limit_s:
+            return False
+        since_s = now_s if recent else now_s - self.limit_s
+        known = self._known_zones(rows.news)
+        changed = [self._apply(zone, rows.news[zone], since_s, now_s) for zone in known]
+        if rows.complete:
+            missing = EvacuationNews(rows.version, active=False)
+            ended = [zone for zone in self.active_zones() if zone not in rows.news]
+            changed += [self._apply(zone, missing, now_s, now_s) for zone in ended]
+            self._read_version = max(self._read_version, rows.version)
+            self._informed = True
+        return any(changed)
+
+    def apply_peer(self, news: Mapping[str, EvacuationNews], now_s: float) -> bool:
+        """Apply what a peer told; return whether anything changed."""
+        if not self.limit_s:
+            return False
+        self._informed = True
+        changed = False
+        for zone in self._known_zones(news):
+            item = news[zone]
+            if item.active and self._is_outdated(zone, item.version):
+                self._tell_end(zone, now_s)
+            elif self._apply(zone, item, now_s - item.age_s, now_s):
+                changed = True
+        return changed
+
+    def told(self, now_s: float) -> dict[str, EvacuationNews]:
+        """Return what peers are told: active evacuations and those that ended lately.
+
+        The age lets a node that learns of an evacuation late shift its load in the time
+        that is left.
+        """
+        return {
+            zone: EvacuationNews(item.version, item.active, self._age_s(item, now_s))
+            for zone, item in self._evacuations.items()
+            if item.active or now_s < item.told_until_s
+        }
+
+    def active_zones(self) -> list[str]:
+        """Return the zones that are evacuated, also while their load is shifted."""
+        return [zone for zone, item in self._evacuations.items() if item.active]
+
+    def is_active(self, zone: str) -> bool:
+        """Return whether a zone is evacuated, also while its load is shifted."""
+        item = self._evacuations.get(zone)
+        return item is not None and item.active
+
+    def share(self, zone: str, now_s: float) -> float:
+        """Return the share of a zone's usual traffic that may still be sent there."""
+        if not self.is_known:
+            return 0.0
+        item = self._evacuations.get(zone)
+        if item is None or not item.active:
+            return 1.0
+        elapsed_s = max(0.0, now_s - item.since_s)
+        return max(0.0, 1.0 - elapsed_s / (self.limit_s * SHIFT_SHARE))
+
+    def may_send(self, zone: str, now_s: float) -> bool:
+        """Return whether any request may be sent to a zone."""
+        return self.share(zone, now_s) > 0
+
+    def all_cut_off(self, now_s: float) -> bool:
+        """Return whether all zones of the deployment are evacuated and get nothing."""
+        return bool(self._evacuations) and all(
+            self.is_active(zone) and not self.may_send(zone, now_s)
+            for zone in self.zones
+        )
+
+    def cut_off(self, now_s: float) -> None:
+        """End all shifts now, as the clock may not have counted a pause."""
+        for item in self._evacuations.values():
+            item.since_s = min(item.since_s, now_s - self.limit_s)
+
+    def restored_s(self, zone: str) -> float | None:
+        """Return when the zone's evacuation ended on this node's clock, or None."""
+        item = self._evacuations.get(zone)
+        return item.ended_s if item is not None and not item.active else None
+
+    def _known_zones(self, zones: Iterable[str]) -> list[str]:
+        self.unknown_zones.update(zone for zone in zones if zone not in self.zones)
+        return [zone for zone in zones if zone in self.zones]
+
+    def _is_outdated(self, zone: str, version: int) -> bool:
+        """Return whether a zone is known to be restored after a version."""
+        item = self._evacuations.get(zone)
+        if item is None:
+            return version <= self._read_version
+        return not item.active and version < item.version
+
+    def _tell_end(self, zone: str, now_s: float) -> None:
+        """Tell peers for a time that an evacuation ended, as one of them missed it."""
+        item = self._evacuations.get(zone)
+        if item is None:
+            item = _Evacuation(self._read_version, active=False, since_s=now_s)
+            self._evacuations[zone] = item
+        item.told_until_s = now_s + END_TOLD_S
+
+    def _apply(
+        self, zone: str, news: EvacuationNews, since_s: float, now_s: float
+    ) -> bool:
+        item = self._evacuations.get(zone)
+        if item is not None and news.version <= item.version:
+            if news.version == item.version and item.active:
+                item.since_s = min(item.since_s, since_s)
+            return False
+        if not news.active:
+            told_until_s = now_s + END_TOLD_S
+            self._evacuations[zone] = _Evacuation(
+                news.version, False, since_s, now_s, told_until_s
+            )
+            return True
+        if item is not None and item.active:
+            # The row was written again, or was removed for a moment only. This node
+            # sent nothing meanwhile, so the load is not shifted a second time.
+            since_s = min(since_s, item.since_s)
+        self._evacuations[zone] = _Evacuation(news.version, True, since_s)
+        return True
+
+    def _age_s(self, item: _Evacuation, now_s: float) -> float:
+        """Return the age of an active evacuation, which counts up to the limit only."""
+        if not item.active:
+            return 0.0
+        return min(max(0.0, now_s - item.since_s), self.limit_s)
