Tell peers which zones are evacuated

Nodes that cannot reach the store, or whose watch hangs, learn of evacuations from datagrams. The new last field maps zones to version, whether the evacuation is active, and its age. None tells that the node does not know the evacuations, which is also what nodes of an earlier version tell.

--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -7,9 +7,11 @@
 import cbor2
 
 from ..exceptions import InvalidInputError
+from ..fleet.evacuation import EvacuationNews
 from ..fleet.models import BackendServer, ServedGroup
 from ..gateway.models import CrashReport
 from ..transport.address import MAX_PORT, create_address
+from .const import MS_PER_S
 
 
 class GossipError(InvalidInputError):
@@ -69,6 +71,8 @@
     harmless: dict[str, int] = field(default_factory=dict)
     # Incarnation tags of servers that told this node that they leave.
     leaving: dict[str, int] = field(default_factory=dict)
+    # Evacuations of zones; None if this node does not know which zones are evacuated.
+    evacuations: dict[str, EvacuationNews] | None = None
 
 
 def encode(gossip: Gossip) -> bytes:
@@ -95,6 +99,7 @@
             },
             gossip.harmless,
             gossip.leaving,
+            _encode_evacuations(gossip.evacuations),
         ]
     )
 
@@ -129,6 +134,7 @@
                 for fields in values[14:15]
                 for server_id, tag in fields.items()
             },
+            evacuations=_decode_evacuations(values[15] if values[15:] else None),
         )
     except (
         cbor2.CBORDecodeError,
@@ -180,6 +186,31 @@
     return tuple(reports)
 
 
+def _encode_evacuations(
+    evacuations: dict[str, EvacuationNews] | None,
+) -> dict[str, list[Any]] | None:
+    """Encode evacuations as version, whether it is active, and age in milliseconds."""
+    if evacuations is None:
+        return None
+    return {
+        zone: [news.version, news.active, int(news.age_s * MS_PER_S)]
+        for zone, news in evacuations.items()
+    }
+
+
+def _decode_evacuations(values: Any) -> dict[str, EvacuationNews] | None:
+    if values is None:
+        return None
+    return {
+        _require_text(zone): EvacuationNews(
+            version=int(fields[0]),
+            active=bool(fields[1]),
+            age_s=max(0, int(fields[2])) / MS_PER_S if fields[2:] else 0.0,
+        )
+        for zone, fields in values.items()
+    }
+
+
 def _encode_announcement(announcement: ZoneAnnouncement) -> list[Any]:
     return [
         announcement.zone,
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gooseberryhall.fleet.evacuation import EvacuationNews
 from gooseberryhall.fleet.models import BackendServer, ServedGroup
 from gooseberryhall.gateway.models import CrashReport
 from gooseberryhall.gossip.const import (
@@ -82,6 +83,10 @@
         ),
         crashes=(CrashReport("ab", ("p1", "p2"), {"s9": 3}),),
         harmless={"p3": 12},
+        evacuations={
+            "z": EvacuationNews(9, active=True, age_s=1.25),
+            "y": EvacuationNews(7, active=False),
+        },
     )
     assert decode(encode(gossip)) == gossip
 
@@ -94,6 +99,35 @@
     assert earlier.harmless == {}
 
 
+def test_node_of_an_earlier_version_tells_nothing_of_evacuations() -> None:
+    """Guards against a node that serves since a peer seems to know the evacuations.
+
+    Nodes of an earlier version do not send the field, and nodes that have just started
+    do not know them. An empty field tells that no zone is evacuated.
+    """
+    earlier = cbor2.loads(encode(_gossip()))[:15]
+    assert decode(cbor2.dumps(earlier)).evacuations is None
+    assert decode(encode(_gossip())).evacuations is None
+    assert decode(encode(_gossip(evacuations={}))).evacuations == {}
+    without_age = decode(cbor2.dumps([*earlier, {"z": [9, True]}]))
+    assert without_age.evacuations == {"z": EvacuationNews(9, active=True)}
+
+
+def test_earlier_versions_decode_messages_with_evacuations() -> None:
+    """Guards against a new field that moves the fields which older nodes read."""
+    gossip = _gossip(evacuations={"z": EvacuationNews(9, active=True)})
+    without = cbor2.loads(encode(replace(gossip, evacuations=None)))
+    assert cbor2.loads(encode(gossip))[:15] == without[:15]
+
+
+@pytest.mark.parametrize("value", [{"z": [1]}, {"z": 3}, {3: [1, True]}, [1], "z"])
+def test_malformed_evacuations_are_refused(value: object) -> None:
+    """Guards against an error of the receiver that the service does not expect."""
+    fields = cbor2.loads(encode(_gossip()))[:15]
+    with pytest.raises(GossipError):
+        decode(cbor2.dumps([*fields, value]))
+
+
 @given(st.binary(max_size=80))
 def test_random_bytes_are_refused(data: bytes) -> None:
     """Guards against a stray datagram that stops the node."""
