Read the evacuations of zones beside the configuration

Rows evacuate/ZONE of the operator's table are passed on from complete reads and from changes, before the configuration that was read with them. Their value does not matter, the row itself is the request.

--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ..fleet.evacuation import EvacuationRows
 from ..fleet.models import BackendServer, Configuration
 from ..fleet.orders import EngineClient, LeaseStore
 from ..fleet.statements import ServerStatement, ServerStatements
@@ -23,6 +24,8 @@
     wait_s: Callable[[], float]
     # Maximum delay between two calls that the store does not answer.
     max_retry_delay_s: Callable[[], float]
+    # Called with the evacuations, before the configuration that was read with them.
+    on_evacuations: Callable[[EvacuationRows], None] = lambda _: None
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from ..fleet.evacuation import EvacuationNews, EvacuationRows
 from ..fleet.models import BackendServer, Configuration
 from ..node.directory import ConfigurationListener, NodeRecord, ServerListener
 from ..telemetry.catalogue import LogEvent
@@ -22,6 +23,7 @@
 # Tables of the operator and of the servers, which the system may only read.
 OPERATOR_TABLE: Final = "op"
 CONFIGURATION_KEY: Final = "config"
+EVACUATION_PREFIX: Final = "evacuate/"
 SERVER_TABLE: Final = "servers"
 
 # Time that a watch waits, after which a stalled connection is noticed. It is short
@@ -42,7 +44,9 @@
     async def async_follow_configuration(self, listener: ConfigurationListener) -> None:
         """Notify the listener of each new version until cancelled."""
 
-        def on_rows(rows: RowSet) -> None:
+        def on_rows(rows: RowSet, *, complete: bool = False) -> None:
+            # A node must not serve before it knows the evacuations.
+            listener.on_evacuations(_find_evacuations(rows, complete=complete))
             cfg = _find_configuration(rows)
             if cfg is not None:
                 listener.on_configuration(cfg)
@@ -52,7 +56,7 @@
 
         table_listener = _TableListener(
             OPERATOR_TABLE,
-            lambda rows, _: on_rows(rows),
+            lambda rows, _: on_rows(rows, complete=True),
             on_rows,
             listener.on_store_state,
             async_wait_needed,
@@ -182,6 +186,22 @@
     return None
 
 
+def _find_evacuations(rows: RowSet, *, complete: bool) -> EvacuationRows:
+    """Return the evacuations; a row requests one whatever its value is.
+
+    Of several changes of a row only the last one counts.
+    """
+    news: dict[str, EvacuationNews] = {}
+    for row in rows.rows:
+        if not row.key.startswith(EVACUATION_PREFIX):
+            continue
+        zone = row.key.removeprefix(EVACUATION_PREFIX)
+        version = row.version or rows.version
+        if zone not in news or version >= news[zone].version:
+            news[zone] = EvacuationNews(version, active=row.value is not None)
+    return EvacuationRows(news, rows.version, complete)
+
+
 def _decode_server(row: Row) -> BackendServer | None:
     if row.value is None:
         return None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gooseberryhall.fleet.evacuation import EvacuationNews, EvacuationRows
 from gooseberryhall.fleet.exceptions import LeaseConflictError
 from gooseberryhall.fleet.models import BackendServer, Configuration
 from gooseberryhall.node.directory import (
@@ -166,6 +167,55 @@
         task.cancel()
 
 
+async def test_evacuations_are_followed_through_lost_changes() -> None:
+    """Guards against an evacuation that is missed, or whose end is missed.
+
+    The row itself is the request, so a malformed value counts. The first read, the
+    changes and the read after a lost history are told apart.
+    """
+    told: list[EvacuationRows] = []
+    known_at_configuration: list[int] = []
+    async with async_store() as (stand_in, store):
+        stand_in.put("op", "config", json.dumps(CONFIGURATION).encode())
+        stand_in.put("op", "evacuate/a", b"\xff{")
+        listener = ConfigurationListener(
+            lambda _: known_at_configuration.append(len(told)),
+            lambda _: None,
+            lambda: 2.0,
+            lambda: 0.6,
+            told.append,
+        )
+        follow = StoreDirectory(store).async_follow_configuration(listener)
+        task = asyncio.create_task(follow)
+        await _async_until(lambda: len(told) == 1)
+        stand_in.put("op", "evacuate/b", b"{}")
+        await _async_until(lambda: len(told) == 2)
+        stand_in.put("op", "evacuate/a", None)
+        stand_in.put("op", "evacuate/b", None)
+        stand_in.put("op", "evacuate/b", b"")
+        await _async_until(lambda: told[-1].version == 6)
+        # Changes up to version 9 are told by a complete read only.
+        stand_in.compacted_version = 9
+        stand_in.put("op", "other", b"")
+        await _async_until(lambda: told[-1].complete)
+        stand_in.put("op", "evacuate/b", None)
+        stand_in.put("op", "other", b"")
+        await _async_until(lambda: told[-1].version == 9)
+        task.cancel()
+    assert known_at_configuration[0] == 1
+    assert told[0] == EvacuationRows({"a": EvacuationNews(2, True)}, 2, True)
+    assert told[1] == EvacuationRows({"b": EvacuationNews(3, True)}, 3, False)
+    changes = {
+        zone: item
+        for rows in told[2:]
+        if not rows.complete
+        for zone, item in rows.news.items()
+    }
+    assert changes["a"] == EvacuationNews(4, active=False)
+    assert changes["b"] == EvacuationNews(6, active=True)
+    assert told[-1] == EvacuationRows({}, 9, complete=True)
+
+
 async def test_retries_back_off_while_the_store_is_unavailable() -> None:
     """Guards against nodes that together overload a store that refuses their calls."""
     store_states: list[bool] = []
