Direct requests away from zones that are evacuated

GatewayState.may_send refuses servers of a zone that is cut off, and all servers while news may be unread after a pause. While the load is shifted, a request is directed away from the zone by a draw of its id, and uses it only if no other zone can take it; a request that was sent before always goes elsewhere. A request whose servers are all in zones that are cut off is refused at once with 503 and Retry-After. Requests wait on a node that does not know the evacuations as they do on one that knows no servers.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -20,6 +20,7 @@
 from .prompt import shared_prompt_parts
 from .refusals import (
     crashing_request_response,
+    evacuated_response,
     outcome_unknown_response,
     stopping_response,
 )
@@ -98,6 +99,8 @@
         state.stopping.outcomes[StopOutcome.REFUSED] += 1
         return stopping_response(state.rng)
     now_s = asyncio.get_running_loop().time()
+    if state.is_evacuated(ctx, now_s):
+        return evacuated_response(state.rng)
     state.budget(ctx.service).record_request(now_s)
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=False)
@@ -147,11 +150,11 @@
 async def _async_wait_until_started(
     state: GatewayState, request: CallerRequest
 ) -> None:
-    """Wait until this node knows the configuration and servers, for a short time."""
+    """Wait for a short time until this node knows what it needs to send requests."""
     loop = asyncio.get_running_loop()
     wait_s = startup_wait_s(_caller_timeout_s(state, request))
     while loop.time() < request.received_s + wait_s:
-        if state.configuration() is not None and state.servers():
+        if state.is_started():
             return
         await asyncio.sleep(STARTUP_POLL_S)
 
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -87,6 +87,8 @@
 
 RETRY_AFTER_NO_GROUP_S: Final = 0.8
 RETRY_AFTER_BUSY_S: Final = 0.4
+# An evacuation lasts long; callers return once, in case it ends.
+RETRY_AFTER_EVACUATED_S: Final = 1.0
 # Callers of a node that stops can go to another node at once.
 RETRY_AFTER_STOPPING_S: Final = 0.05
 RETRY_AFTER_JITTER: Final = 0.5
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
 
@@ -18,6 +18,8 @@
     crash_refusals: Counter = field(init=False)
     statements: Counter = field(init=False)
     latency: Histogram = field(init=False)
+    evacuated_zones: Gauge = field(init=False)
+    evacuation_redirects: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -52,3 +54,14 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.evacuated_zones = Gauge(
+            "gooseberryhall_evacuated_zones",
+            "Availability zones that are evacuated.",
+            registry=self.registry,
+        )
+        self.evacuation_redirects = Counter(
+            "gooseberryhall_evacuation_redirects_total",
+            "Times that a server of another zone was chosen because a zone is "
+            "evacuated, by route.",
+            registry=self.registry,
+        )
--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -29,6 +29,9 @@
     leaving: bool = False
     # Moving average of failed requests, from 0 to 1.
     failure_rate: float = 0.0
+    # Share of the usual traffic of the server's zone that may still be sent there; less
+    # than 1 while the zone is evacuated.
+    zone_share: float = 1.0
 
 
 def _load(candidate: Candidate) -> float:
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -11,9 +11,9 @@
 from .const import MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .models import GatewayResponse
-from .placement import choose_server
 from .refusals import (
     busy_response,
+    evacuated_response,
     no_group_response,
     outcome_unknown_response,
     paused_response,
@@ -55,7 +55,10 @@
         return None
     if failure_response is not None:
         return failure_response
-    soonest_s = state.soonest_return_s(ctx, asyncio.get_running_loop().time())
+    now_s = asyncio.get_running_loop().time()
+    if state.is_evacuated(ctx, now_s):
+        return evacuated_response(state.rng)
+    soonest_s = state.soonest_return_s(ctx, now_s)
     if soonest_s is not None:
         return paused_response(soonest_s, state.rng)
     return busy_response(state.rng) if ctx.sends else no_group_response(state.rng)
@@ -70,7 +73,7 @@
         return None
     if ctx.sends and state.crashes.is_blocked(ctx.traits):
         return None
-    chosen = choose_server(state.server_candidates(ctx, now_s), state.rng)
+    chosen = state.choose_candidate(ctx, now_s)
     if chosen is None or (
         ctx.sends and not state.budget(ctx.service).try_acquire(now_s)
     ):
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -5,6 +5,7 @@
 from .const import (
     CRASH_RETENTION_S,
     RETRY_AFTER_BUSY_S,
+    RETRY_AFTER_EVACUATED_S,
     RETRY_AFTER_JITTER,
     RETRY_AFTER_NO_GROUP_S,
     RETRY_AFTER_STOPPING_S,
@@ -39,6 +40,15 @@
     )
 
 
+def evacuated_response(rng: random.Random) -> GatewayResponse:
+    """Return a refusal because all servers are in evacuated zones."""
+    return GatewayResponse(
+        503,
+        "all servers are in evacuated zones",
+        _add_jitter(RETRY_AFTER_EVACUATED_S, rng),
+    )
+
+
 def stopping_response(rng: random.Random) -> GatewayResponse:
     """Return a refusal because this node stops; another node can serve the request."""
     return GatewayResponse(
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..fleet.evacuation import Evacuations
 from ..fleet.models import BackendServer, Configuration, ServedGroup
 from ..fleet.statements import NO_STATEMENT, ServerStatement, ServerStatements
 from ..transport.const import MAX_RESPONSE_BYTES
@@ -14,6 +15,7 @@
 from .budget import RetryBudget
 from .context import RequestContext
 from .crashes import CrashTracker
+from .evacuated import direct_away, draw_share
 from .header_names import HeaderNames
 from .metrics import GatewayMetrics
 from .placement import Candidate, choose_group, choose_server
@@ -51,6 +53,19 @@
     on_leaving: Callable[[], None] = lambda: None
     # Whether this node or another has received requests from callers.
     traffic_seen: bool = False
+    evacuations: Evacuations = field(default_factory=Evacuations)
+    # Returns whether nothing may be sent, because this process was paused and may not
+    # have heard yet which zones are evacuated.
+    is_held: Callable[[], bool] = lambda: False
+
+    def is_started(self) -> bool:
+        """Return whether this node knows what it needs to send requests."""
+        return (
+            self.configuration() is not None
+            and bool(self.servers())
+            and self.evacuations.is_known
+            and not self.is_held()
+        )
 
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
@@ -69,7 +84,11 @@
 
         All requests pass this check, when a server is chosen and before they are sent.
         """
-        return self.statements.may_send(server, now_s)
+        return (
+            self.statements.may_send(server, now_s)
+            and self.evacuations.may_send(server.zone, now_s)
+            and not self.is_held()
+        )
 
     def candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups or plain servers to which the request may be sent."""
@@ -78,9 +97,26 @@
         return self.server_candidates(ctx, now_s)
 
     def choose_candidate(self, ctx: RequestContext, now_s: float) -> Candidate | None:
-        """Choose a group or a plain server; None if none may take the request now."""
+        """Choose a group or a plain server; None if none may take the request now.
+
+        While the load of a zone is shifted, a request that is directed away from it
+        uses it only if no other zone can take the request.
+        """
         choose = choose_group if self.is_grouped(ctx.service) else choose_server
-        return choose(self.candidates(ctx, now_s), self.rng)
+        candidates = self.candidates(ctx, now_s)
+        # A request that was sent before goes elsewhere.
+        draw = 1.0 if ctx.sends else draw_share(ctx.request_id)
+        elsewhere = direct_away(candidates, draw)
+        chosen = choose(elsewhere, self.rng)
+        if len(elsewhere) == len(candidates):
+            redirected = not self.evacuations.may_send(self.zone, now_s)
+        elif chosen is None:
+            return choose(candidates, self.rng)
+        else:
+            redirected = True
+        if redirected and chosen is not None:
+            self.metrics.evacuation_redirects.inc({"route": ctx.route.name})
+        return chosen
 
     def group_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups to which the request may be sent."""
@@ -104,6 +140,7 @@
                     same_zone=leader.zone == self.zone,
                     suspected=self.backends.is_suspected(leader.server_id, now_s),
                     leaving=group.leaving,
+                    zone_share=self.evacuations.share(leader.zone, now_s),
                 )
             )
         return candidates
@@ -118,6 +155,7 @@
                 same_zone=server.zone == self.zone,
                 suspected=self.backends.is_suspected(server.server_id, now_s),
                 failure_rate=self.backends.failure_rate(server.server_id),
+                zone_share=self.evacuations.share(server.zone, now_s),
             )
             for server in self.servers().values()
             if server.service == ctx.service
@@ -148,6 +186,25 @@
             now_s,
         )
 
+    def is_evacuated(self, ctx: RequestContext, now_s: float) -> bool:
+        """Return whether all servers for a request are in zones that are cut off."""
+        if not self.evacuations.active_zones() or not self.evacuations.is_known:
+            return False
+        if self.evacuations.all_cut_off(now_s):
+            return True
+        if self.is_grouped(ctx.service):
+            servers = [
+                group.leader
+                for group in self.groups()
+                if ctx.model is None or group.model == ctx.model
+            ]
+        else:
+            servers = list(self.servers().values())
+        zones = {server.zone for server in servers if server.service == ctx.service}
+        return bool(zones) and not any(
+            self.evacuations.may_send(zone, now_s) for zone in zones
+        )
+
     def _group_slots(self, service: str) -> int:
         cfg = self.configuration()
         service_cfg = cfg.services.get(service) if cfg else None
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -22,6 +22,7 @@
 from .refusals import (
     busy_response,
     crashing_request_response,
+    evacuated_response,
     no_group_response,
     outcome_unknown_response,
     paused_response,
@@ -175,6 +176,8 @@
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=ctx.breaks > 0)
     now_s = asyncio.get_running_loop().time()
+    if state.is_evacuated(ctx, now_s):
+        return evacuated_response(state.rng)
     if state.candidates(ctx, now_s):
         return busy_response(state.rng)
     soonest_s = state.soonest_return_s(ctx, now_s)
