Send no orders that give work to an evacuated zone

The owner of an evacuated zone plans no groups, spares or staging there and sends no probes. Formations in progress are given up before the group is opened. Open groups stay open; a group that lost a member is dissolved.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -32,16 +32,21 @@
     if profile is None or _is_on_hold(zone):
         return
     now_s = asyncio.get_running_loop().time()
-    _probe_contradicted(zone)
+    is_evacuated = zone.is_evacuated()
+    if not is_evacuated:
+        _probe_contradicted(zone)
     _adopt_groups(zone, profile, now_s)
     for managed in list(zone.groups.values()):
         if managed.phase is Phase.OPEN:
             _check_group(zone, managed, now_s)
-    _plan_orders(zone, profile, now_s)
+    if not is_evacuated:
+        _plan_orders(zone, profile, now_s)
 
 
 def probe_group(zone: ZoneState, leader_id: str) -> None:
     """Probe the members of the group whose leader stalled."""
+    if zone.is_evacuated():
+        return
     now_s = asyncio.get_running_loop().time()
     for managed in zone.groups.values():
         if managed.group.leader != leader_id or managed.phase is not Phase.OPEN:
--- a/gooseberryhall/fleet/guard.py
+++ b/gooseberryhall/fleet/guard.py
@@ -26,13 +26,15 @@
     last_tick_s: Callable[[], float]
     # Returns whether a server asked this node to send nothing.
     is_paused: Callable[[BackendServer], bool] = lambda _: False
+    # Returns whether the zone is evacuated; its servers are then sent no work.
+    is_evacuated: Callable[[], bool] = lambda: False
 
     async def async_join(
         self, server: BackendServer, group: Group, fencing_token: int
     ) -> OrderOutcome:
         """Order a server to join a group."""
         await self._async_hold()
-        if self.is_paused(server):
+        if self.is_paused(server) or self.is_evacuated():
             return OrderOutcome.REFUSED
         return await self.engines.async_join(server, group, fencing_token)
 
@@ -41,7 +43,7 @@
     ) -> OrderOutcome:
         """Order the leader of a ready group to serve."""
         await self._async_hold()
-        if self.is_paused(server):
+        if self.is_paused(server) or self.is_evacuated():
             return OrderOutcome.REFUSED
         return await self.engines.async_open(server, group, fencing_token)
 
@@ -59,7 +61,7 @@
     ) -> OrderOutcome:
         """Order a server to load the weights of a model onto its host."""
         await self._async_hold()
-        if self.is_paused(server):
+        if self.is_paused(server) or self.is_evacuated():
             return OrderOutcome.REFUSED
         return await self.engines.async_stage(server, model, fencing_token)
 
--- a/gooseberryhall/fleet/lifecycle.py
+++ b/gooseberryhall/fleet/lifecycle.py
@@ -84,14 +84,15 @@
 ) -> None:
     """Open a group whose members are all ready.
 
-    Raises `FormationError` if a member is not ready or the leader does not open the
-    group in time.
+    Raises `FormationError` if a member is not ready, if the leader does not open the
+    group in time, or if the zone is evacuated.
     """
     loop = asyncio.get_running_loop()
     group = managed.group
     for member in group.members:
         if not zone.is_ready(member, group):
             raise FormationError(f"{member} is no longer ready")
+    zone.require_not_evacuated()
     managed.may_be_open = True
     leader = zone.require_server(group.leader)
     deadline_s = loop.time() + profile.formation_s + OPEN_TIMEOUT_MARGIN_S
@@ -104,6 +105,7 @@
         if membership is not None and membership.state is MemberState.OPEN:
             return
         if outcome not in ACCEPTED:
+            zone.require_not_evacuated()
             outcome = await _async_order_open(zone, leader, group)
         await asyncio.sleep(READY_POLL_S)
     raise FormationError(f"open: {outcome}")
--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -50,11 +50,14 @@
     poll_s: float,
 ) -> None:
     loop = asyncio.get_running_loop()
+    zone.require_not_evacuated()
     await _async_leave_earlier_group(zone, server)
     outcome = await zone.engines.async_join(server, group, zone.term)
     if outcome is OrderOutcome.NO_ANSWER:
         zone.record_unanswered_order(server, group)
         outcome = await zone.engines.async_join(server, group, zone.term)
+    if outcome is OrderOutcome.REFUSED:
+        zone.require_not_evacuated()
     if outcome in {OrderOutcome.NO_ANSWER, OrderOutcome.REFUSED}:
         zone.mark_unresponsive(server)
     if outcome not in ACCEPTED:
@@ -66,6 +69,7 @@
     next_poll_s = ordered_s + min(expected_s, LOAD_POLL_S)
     misses = 0
     while not zone.is_ready(server.server_id, group):
+        zone.require_not_evacuated()
         now_s = loop.time()
         if now_s > deadline_s or server.server_id not in zone.view.servers:
             raise FormationError(f"{server.server_id} did not become ready")
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -87,6 +87,9 @@
     reserved: set[str] = field(default_factory=set)
     # When this node last received data for a request from any server.
     traffic_progress_s: Callable[[], float] = lambda: 0.0
+    # Returns whether the zone is evacuated; its servers then get neither work nor
+    # probes, and open groups stay as they are.
+    is_evacuated: Callable[[], bool] = lambda: False
     # When a server last answered an order or a probe of this owner.
     answered_s: float = 0.0
     epoch_count: int = 0
@@ -181,6 +184,11 @@
         """Return when any server last answered this node."""
         return max(self.answered_s, self.traffic_progress_s())
 
+    def require_not_evacuated(self) -> None:
+        """Raise `FormationError` if the zone is evacuated."""
+        if self.is_evacuated():
+            raise FormationError(f"{self.name} is evacuated")
+
     def require_server(self, server_id: str) -> BackendServer:
         """Return a server. Raises `FormationError` if it no longer exists."""
         server = self.view.servers.get(server_id)
