Apply evacuations from the store and from peers

The node passes rows of the store and news of peers to one state, tells peers at once of what changed, and is ready only when it knows the evacuations. Groups of evacuated zones are not counted as capacity by the planner of another zone. Begin, idleness and end of an evacuation are logged, and a gauge counts the zones.

--- a/gooseberryhall/node/configuration.py
+++ b/gooseberryhall/node/configuration.py
@@ -7,6 +7,7 @@
 
 from ..core.tasks import CreateTask
 from ..exceptions import UnavailableError
+from ..fleet.evacuation import EvacuationRows
 from ..fleet.models import Configuration, EngineProfile, Limits, Service
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
@@ -31,6 +32,8 @@
     create_task: CreateTask
     # Whether watches must be short, because no other node notices soon if one hangs.
     needs_short_watch: Callable[[], bool]
+    # Called with the evacuations, which are in the same table.
+    on_evacuations: Callable[[EvacuationRows], None] = lambda _: None
     current: Configuration | None = None
     # Whether the last call to the store failed.
     store_lost: bool = False
@@ -69,7 +72,11 @@
     def start(self) -> None:
         """Start to follow the store."""
         listener = ConfigurationListener(
-            self._configure, self._on_store_state, self._wait_s, self._max_retry_delay_s
+            self._configure,
+            self._on_store_state,
+            self._wait_s,
+            self._max_retry_delay_s,
+            self.on_evacuations,
         )
         self.create_task(self.directory.async_follow_configuration(listener))
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -7,6 +7,7 @@
 from ..core.tasks import TaskSet
 from ..fleet.const import UNRESPONSIVE_BACKOFF_S
 from ..fleet.controller import probe_group, reconcile
+from ..fleet.evacuation import Evacuations
 from ..fleet.guard import GuardedEngines
 from ..fleet.models import BackendServer
 from ..fleet.zone import ZoneState
@@ -30,6 +31,7 @@
 from ..transport.pool import ConnectionPool
 from .configuration import ConfigurationFollower
 from .directory import PlatformAdapter
+from .evacuation import EvacuationFollower
 from .owner import RunInZone, ZoneOwner
 from .registration import async_register
 from .servers import ServerFollower
@@ -72,10 +74,21 @@
         self._crash_causes: list[frozenset[str]] = []
         # Leaders of stalled groups, and the time until which peers are notified.
         self._stalled_leaders: dict[str, float] = {}
+        self.evacuations = Evacuations(settings.evacuation_limit_s, settings.zones)
+        self.gateway = self._create_gateway(adapter)
+        self.evacuation = EvacuationFollower(
+            self.evacuations,
+            self.gateway.metrics,
+            servers=lambda: self.table.servers,
+            local_load=self.gateway.backends.local_load,
+            on_change=self._request_announcement,
+        )
+        self.gateway.is_held = self.evacuation.is_held
         self.configuration = ConfigurationFollower(
             adapter.directory,
             self.tasks.create,
             lambda: self.is_owner or not self.peers.announcements,
+            self.evacuation.apply_rows,
         )
         self.owner = self._create_owner()
         self.servers = ServerFollower(
@@ -87,12 +100,15 @@
             without_owner_s=self.owner.without_owner_s,
             has_servers=lambda: bool(self.table.servers),
         )
-        self.gateway = self._create_gateway(adapter)
 
     @property
     def ready(self) -> bool:
         """Return whether the node can route requests."""
-        return self.configuration.current is not None and bool(self.table.servers)
+        return (
+            self.configuration.current is not None
+            and bool(self.table.servers)
+            and self.evacuations.is_known
+        )
 
     @property
     def is_owner(self) -> bool:
@@ -121,6 +137,7 @@
 
     def tick(self) -> None:
         """Update the routing table and reconcile the owned zones."""
+        self.evacuation.tick()
         self.servers.update_demand()
         self.servers.remove_lapsed()
         self._update_table()
@@ -282,12 +299,14 @@
             traffic=self._reported_traffic,
             stalled_leaders=tuple(self._stalled_leaders),
             announcement=announcement,
+            evacuations=self.evacuation.told(),
         )
 
     def receive_gossip(self, gossip: Gossip) -> None:
         """Apply a message of a peer."""
         if gossip.traffic_seen:
             self.gateway.traffic_seen = True
+        self.evacuation.apply_peer(gossip.evacuations)
         self._statements.record_hints(gossip.leaving, self._loop.time())
         self.gateway.crashes.merge(gossip.crashes, gossip.harmless, self._loop.time())
         self._apply_crash_causes()
@@ -352,6 +371,7 @@
             groups=lambda: self.table.groups,
             create_budget=self._create_budget,
             on_crash=self._apply_crash_causes,
+            evacuations=self.evacuations,
         )
 
     def _create_owner(self) -> ZoneOwner:
@@ -388,10 +408,15 @@
             term=term,
             view=self.servers.view,
             engines=GuardedEngines(
-                self._engines, lambda: zone.last_reconcile_s, self._is_paused
+                self._engines,
+                lambda: zone.last_reconcile_s,
+                self._is_paused,
+                lambda: self.evacuations.is_active(name),
             ),
             profile=lambda: self.configuration.profile,
-            other_zone_groups=lambda: count_groups(self.table.groups, name),
+            other_zone_groups=lambda: count_groups(
+                self.table.groups, {name, *self.evacuations.active_zones()}
+            ),
             traffic_seen=lambda: self.gateway.traffic_seen,
             on_change=self._request_announcement,
             on_superseded=lambda: self.owner.verify_lease(name),
@@ -399,6 +424,7 @@
             zone_count=len(self.settings.zones),
             statements=self._statements,
             traffic_progress_s=self.gateway.backends.latest_progress_s,
+            is_evacuated=lambda: self.evacuations.is_active(name),
         )
         return zone
 
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -1,6 +1,6 @@
 """Routing table: the groups and servers that this node can send requests to."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from ..fleet.models import BackendServer, Group, ServedGroup
@@ -112,12 +112,12 @@
 
 
 def count_groups(
-    groups: Sequence[ServedGroup], excluded_zone: str
+    groups: Sequence[ServedGroup], excluded_zones: Collection[str]
 ) -> dict[str, dict[str, int]]:
-    """Return the number of groups by zone and model, except for one zone."""
+    """Return the number of groups by zone and model, except for some zones."""
     counts: dict[str, dict[str, int]] = {}
     for group in groups:
-        if group.leader.zone == excluded_zone:
+        if group.leader.zone in excluded_zones:
             continue
         models = counts.setdefault(group.leader.zone, {})
         models[group.model] = models.get(group.model, 0) + 1
--- a/tests/node/common.py
+++ b/tests/node/common.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from gooseberryhall.fleet.evacuation import EvacuationNews, EvacuationRows
 from gooseberryhall.fleet.models import (
     BackendServer,
     Configuration,
@@ -63,10 +64,12 @@
 
     listener: ServerListener | None = None
     on_configuration_store_state: Callable[[bool], None] | None = None
+    configuration_listener: ConfigurationListener | None = None
 
     async def async_follow_configuration(self, listener: ConfigurationListener) -> None:
         """Notify the listener of one version."""
         self.on_configuration_store_state = listener.on_store_state
+        self.configuration_listener = listener
         listener.on_configuration(CONFIGURATION)
 
     async def async_read_configuration(self) -> Configuration | None:
@@ -132,6 +135,15 @@
         assert self.directory.listener is not None
         self.directory.listener.on_snapshot(servers, False)
 
+    def read_evacuations(
+        self, version: int, *, complete: bool = False, **zones: bool
+    ) -> None:
+        """Pass rows of evacuations to the node, which exist or were removed."""
+        assert self.directory.configuration_listener is not None
+        news = {zone: EvacuationNews(version, zones[zone]) for zone in zones}
+        rows = EvacuationRows(news, version, complete)
+        self.directory.configuration_listener.on_evacuations(rows)
+
     def lose_store(self) -> None:
         """Notify the node that the store did not answer."""
         assert self.directory.listener is not None
--- /dev/null
+++ b/tests/node/test_evacuation.py
@@ -0,0 +1,230 @@
+"""Tests of a node that learns of evacuations, without sockets."""
+
+import asyncio
+import logging
+from dataclasses import replace
+
+import pytest
+
+from gooseberryhall.fleet.const import PAUSE_LIMIT_S
+from gooseberryhall.fleet.evacuation import EvacuationNews
+from gooseberryhall.fleet.models import Membership, MemberState, ServedGroup
+from gooseberryhall.fleet.pause import DRAIN_S
+from gooseberryhall.gateway.backends import Attempt
+from gooseberryhall.transport.exchange import Exchange
+from tests.fleet.common import server
+from tests.node.common import OPEN_GROUP, StartedNode, create_announcement
+
+SHIFT_S = 0.2
+ACTIVE = EvacuationNews(5, active=True, age_s=1.0)
+
+
+def _may_send(started: StartedNode, zone: str = "z") -> bool:
+    now_s = asyncio.get_running_loop().time()
+    return started.node.gateway.may_send(server("h1", zone=zone), now_s)
+
+
+def _told(started: StartedNode) -> dict[str, tuple[int, bool]] | None:
+    """Return what each message of the node tells of evacuations."""
+    told = {
+        None
+        if gossip.evacuations is None
+        else tuple(
+            (zone, item.version, item.active)
+            for zone, item in gossip.evacuations.items()
+        )
+        for gossip in started.node.create_messages()
+    }
+    (items,) = told
+    return None if items is None else {zone: rest for zone, *rest in items}  # type: ignore[misc]
+
+
+async def test_evacuation_is_learned_from_the_store(
+    with_evacuations: StartedNode,
+) -> None:
+    """Guards against requests to a zone for which the operator wrote a row."""
+    started = with_evacuations
+    started.read_evacuations(1, complete=True)
+    started.read_evacuations(5, z=True)
+    assert _may_send(started)
+    assert started.node._announcement_requested
+    await asyncio.sleep(SHIFT_S + 0.05)
+    assert not _may_send(started)
+    assert _may_send(started, "y")
+    started.read_evacuations(8, z=False)
+    assert _may_send(started)
+    now_s = asyncio.get_running_loop().time()
+    restored_s = started.node.evacuations.restored_s("z")
+    assert restored_s is not None
+    assert now_s - 0.1 <= restored_s <= now_s
+
+
+async def test_evacuation_is_learned_from_peers(with_evacuations: StartedNode) -> None:
+    """Guards against requests of a node whose watch hangs, or without the store.
+
+    A peer that is late does not bring the evacuation back.
+    """
+    started = with_evacuations
+    started.read_evacuations(1, complete=True)
+    started.lose_store()
+    started.receive("n2", evacuations={"z": ACTIVE})
+    assert not _may_send(started)
+    started.receive("n3", evacuations={})
+    assert not _may_send(started)
+    started.receive("n2", evacuations={"z": EvacuationNews(8, active=False)})
+    assert _may_send(started)
+    started.receive("n3", evacuations={"z": ACTIVE})
+    assert _may_send(started)
+
+
+async def test_every_message_tells_the_evacuations(
+    with_evacuations: StartedNode,
+) -> None:
+    """Guards against peers that do not learn of an evacuation, or of its end."""
+    started = with_evacuations
+    assert _told(started) is None
+    started.read_evacuations(1, complete=True)
+    assert _told(started) == {}
+    started.list_servers([server("h1", leaving=True)])
+    started.node.owner.become_owner("z", 2)
+    started.node._statements._leaving["h1"] = 1
+    started.read_evacuations(5, z=True, y=True)
+    assert len(started.node.create_messages()) == 2
+    assert _told(started) == {"z": [5, True], "y": [5, True]}
+    started.read_evacuations(8, z=False)
+    assert _told(started) == {"z": [8, False], "y": [5, True]}
+
+
+async def test_restarted_node_serves_only_when_it_knows_the_evacuations(
+    with_evacuations: StartedNode,
+) -> None:
+    """Guards against a node that starts without the store and sends to all zones.
+
+    A peer that has just started, too, knows nothing.
+    """
+    started = with_evacuations
+    started.receive(announcement=create_announcement(2, "h1"))
+    started.node.tick()
+    assert not started.node.ready
+    assert not started.node.gateway.is_started()
+    assert not _may_send(started)
+    started.receive(
+        announcement=create_announcement(2, "h1"), evacuations={"z": ACTIVE}
+    )
+    assert started.node.ready
+    assert started.node.gateway.is_started()
+    assert not _may_send(started)
+    assert _may_send(started, "y")
+
+
+async def test_restarted_node_cuts_off_at_once_what_it_reads(
+    with_evacuations: StartedNode,
+) -> None:
+    """Guards against a second shift of the load, long after the row was written."""
+    started = with_evacuations
+    started.receive(announcement=create_announcement(2, "h1"))
+    started.read_evacuations(9, complete=True, z=True)
+    started.node.tick()
+    assert started.node.ready
+    assert not _may_send(started)
+
+
+async def test_nodes_without_a_limit_serve_as_before(started: StartedNode) -> None:
+    """Guards against rows or peers that affect a deployment without evacuations."""
+    started.receive(
+        announcement=create_announcement(2, "h1"), evacuations={"z": ACTIVE}
+    )
+    started.read_evacuations(9, complete=True, z=True)
+    started.node.tick()
+    assert started.node.ready
+    assert _may_send(started)
+    assert _told(started) is None
+
+
+async def test_paused_node_sends_nothing_before_it_hears_a_peer(
+    with_evacuations: StartedNode, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests to a zone that was evacuated during the pause.
+
+    What the node says then may be as old as its pause, so peers learn nothing from it.
+    A change that was written meanwhile may be older than the limit.
+    """
+    started = with_evacuations
+    started.read_evacuations(1, complete=True)
+    clock = [100.0]
+    monkeypatch.setattr("gooseberryhall.node.evacuation.boot_time_s", lambda: clock[0])
+    started.node.tick()
+    assert _may_send(started)
+    clock[0] += PAUSE_LIMIT_S + 5
+    assert not _may_send(started)
+    assert _told(started) is None
+    started.node.tick()
+    started.receive("n2", evacuations={})
+    assert not _may_send(started, "y")
+    started.read_evacuations(5, z=True)
+    clock[0] += DRAIN_S + 0.05
+    started.receive("n3", evacuations={})
+    assert _may_send(started, "y")
+    assert not _may_send(started)
+
+
+async def test_owner_of_an_evacuated_zone_does_not_plan_with_it(
+    with_evacuations: StartedNode,
+) -> None:
+    """Guards against orders to an evacuated zone, and against groups that do not serve.
+
+    The other zones would count them and form too few groups of the model.
+    """
+    started = with_evacuations
+    started.read_evacuations(1, complete=True)
+    started.list_servers(OPEN_GROUP)
+    started.node.owner.become_owner("z", 2)
+    zone = started.node.owner.zones["z"]
+    leader = replace(
+        server("y1"),
+        zone="y",
+        membership=Membership("y-1", 1, 0, MemberState.OPEN),
+    )
+    started.node.table.groups = [ServedGroup("m", leader)]
+    assert zone.other_zone_groups() == {"y": {"m": 1}}
+    assert not zone.is_evacuated()
+    started.read_evacuations(5, y=True, z=True)
+    assert zone.other_zone_groups() == {}
+    assert zone.is_evacuated()
+    assert [group.leader for group in zone.open_groups()] == ["h1"]
+
+
+async def test_progress_of_an_evacuation_is_logged(
+    with_evacuations: StartedNode, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against operators who cannot tell when a zone may be taken down."""
+    caplog.set_level(logging.INFO)
+
+    def logged(message: str) -> int:
+        return sum(message in record.getMessage() for record in caplog.records)
+
+    started = with_evacuations
+    started.read_evacuations(1, complete=True)
+    started.receive(announcement=create_announcement(2, "h1"))
+    started.node.tick()
+    backends = started.node.gateway.backends
+    key = backends.start_attempt("h1", Attempt(Exchange(expected_id=b"1")), 0.0)
+    started.read_evacuations(5, z=True, w=True)
+    started.node.tick()
+    gauge = started.node.gateway.metrics.evacuated_zones
+    assert gauge.get({}) == 1
+    await asyncio.sleep(SHIFT_S + 0.05)
+    # The group is dissolved, but its stream goes on.
+    started.receive(announcement=create_announcement(2))
+    started.node.tick()
+    assert logged("zone is evacuated") == 1
+    assert logged("no more requests") == 0
+    backends.end_attempt("h1", key)
+    for _ in range(2):
+        started.node.tick()
+    assert logged("no more requests") == 1
+    started.read_evacuations(8, z=False)
+    started.node.tick()
+    assert logged("zone is restored") == 1
+    assert logged("no such zone") == 1
+    assert gauge.get({}) == 0
