--- a/gooseberryhall/fleet/evacuation.py
+++ b/gooseberryhall/fleet/evacuation.py
@@ -25,7 +25,7 @@
     version: int
     # Whether the row exists.
     active: bool
-    # Time since the first node learned of the evacuation.
+    # Time since the first node learned of the evacuation, or since it ended.
     age_s: float = 0.0
 
 
@@ -116,7 +116,7 @@
         """Return what peers are told: active evacuations and those that ended lately.
 
         The age lets a node that learns of an evacuation late shift its load in the time
-        that is left.
+        that is left, and one that learns late of its end know when it was.
         """
         return {
             zone: EvacuationNews(item.version, item.active, self._age_s(item, now_s))
@@ -193,8 +193,9 @@
             return False
         if not news.active:
             told_until_s = now_s + END_TOLD_S
+            ended_s = now_s - news.age_s
             self._evacuations[zone] = _Evacuation(
-                news.version, False, since_s, now_s, told_until_s
+                news.version, False, since_s, ended_s, told_until_s
             )
             return True
         if item is not None and item.active:
@@ -205,7 +206,7 @@
         return True
 
     def _age_s(self, item: _Evacuation, now_s: float) -> float:
-        """Return the age of an active evacuation, which counts up to the limit only."""
+        """Return the age that peers are told, up to the limit if it is active."""
         if not item.active:
-            return 0.0
+            return 0.0 if item.ended_s is None else max(0.0, now_s - item.ended_s)
         return min(max(0.0, now_s - item.since_s), self.limit_s)
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -104,17 +104,16 @@
         """
         choose = choose_group if self.is_grouped(ctx.service) else choose_server
         candidates = self.candidates(ctx, now_s)
+        if not self.evacuations.active_zones():
+            return choose(candidates, self.rng)
         # A request that was sent before goes elsewhere.
         draw = 1.0 if ctx.sends else draw_share(ctx.request_id)
         elsewhere = direct_away(candidates, draw)
         chosen = choose(elsewhere, self.rng)
-        if len(elsewhere) == len(candidates):
-            redirected = not self.evacuations.may_send(self.zone, now_s)
-        elif chosen is None:
+        if chosen is None:
             return choose(candidates, self.rng)
-        else:
-            redirected = True
-        if redirected and chosen is not None:
+        is_shifted = len(elsewhere) < len(candidates)
+        if is_shifted or not self.evacuations.may_send(self.zone, now_s):
             self.metrics.evacuation_redirects.inc({"route": ctx.route.name})
         return chosen
 
