Keep the shift of peers when one node cuts a zone off early

A node that learns of an evacuation by a complete read cuts the zone off at once. It told this as the age of the evacuation, so that one restart ended the shift on all nodes. The age now counts from when the first node learned of it.

While nothing may be sent after a pause, requests and broken streams wait; a stream that broke during the pause would have been given up after an eighth of its objective.

--- a/gooseberryhall/fleet/evacuation.py
+++ b/gooseberryhall/fleet/evacuation.py
@@ -46,7 +46,9 @@
 
     version: int
     active: bool
-    # When the shift of the load began, if the evacuation is active.
+    # When the first node learned of an active evacuation, as far as this node knows.
+    learned_s: float
+    # When the shift of this node's load began; earlier if it was cut off at once.
     since_s: float
     # When the evacuation ended on this node's clock.
     ended_s: float | None = None
@@ -179,7 +181,7 @@
         """Tell peers for a time that an evacuation ended, as one of them missed it."""
         item = self._evacuations.get(zone)
         if item is None:
-            item = _Evacuation(self._read_version, active=False, since_s=now_s)
+            item = _Evacuation(self._read_version, False, now_s, now_s)
             self._evacuations[zone] = item
         item.told_until_s = now_s + END_TOLD_S
 
@@ -187,26 +189,27 @@
         self, zone: str, news: EvacuationNews, since_s: float, now_s: float
     ) -> bool:
         item = self._evacuations.get(zone)
+        learned_s = now_s - news.age_s
         if item is not None and news.version <= item.version:
             if news.version == item.version and item.active:
+                item.learned_s = min(item.learned_s, learned_s)
                 item.since_s = min(item.since_s, since_s)
             return False
         if not news.active:
             told_until_s = now_s + END_TOLD_S
-            ended_s = now_s - news.age_s
             self._evacuations[zone] = _Evacuation(
-                news.version, False, since_s, ended_s, told_until_s
+                news.version, False, now_s, since_s, learned_s, told_until_s
             )
             return True
         if item is not None and item.active:
             # The row was written again, or was removed for a moment only. This node
             # sent nothing meanwhile, so the load is not shifted a second time.
             since_s = min(since_s, item.since_s)
-        self._evacuations[zone] = _Evacuation(news.version, True, since_s)
+        self._evacuations[zone] = _Evacuation(news.version, True, learned_s, since_s)
         return True
 
     def _age_s(self, item: _Evacuation, now_s: float) -> float:
         """Return the age that peers are told, up to the limit if it is active."""
         if not item.active:
             return 0.0 if item.ended_s is None else max(0.0, now_s - item.ended_s)
-        return min(max(0.0, now_s - item.since_s), self.limit_s)
+        return min(max(0.0, now_s - item.learned_s), self.limit_s)
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -30,6 +30,8 @@
 STARTUP_WAIT_S: Final = 0.8
 STARTUP_WAIT_SHARE: Final = 0.25
 STARTUP_POLL_S: Final = 0.01
+# Period in which requests ask whether a node that was paused may send again.
+HOLD_POLL_S: Final = 0.01
 # Added to the load, as a share of the slots, of servers in other zones.
 CROSS_ZONE_LOAD_PENALTY: Final = 0.1
 # Rejections by servers after which a request is refused.
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -21,6 +21,7 @@
 )
 from .sending import (
     async_send,
+    async_wait_until_released,
     attempt_deadline_s,
     is_rejection,
     is_server_failure,
@@ -42,7 +43,7 @@
     """Relay a server's response; return a generated response if there is none."""
     server_response: ServerResponse | None = None
     failure_response: GatewayResponse | None = None
-    while (server := _next_server(state, ctx)) is not None:
+    while (server := await _async_next_server(state, ctx)) is not None:
         result = await _async_attempt(state, ctx, server)
         if isinstance(result, GatewayResponse):
             failure_response = result
@@ -64,8 +65,11 @@
     return busy_response(state.rng) if ctx.sends else no_group_response(state.rng)
 
 
-def _next_server(state: GatewayState, ctx: RequestContext) -> BackendServer | None:
+async def _async_next_server(
+    state: GatewayState, ctx: RequestContext
+) -> BackendServer | None:
     """Return the server for the next attempt, or None if there is none."""
+    await async_wait_until_released(state, ctx)
     now_s = asyncio.get_running_loop().time()
     if ctx.rejections >= MAX_REJECTIONS or ctx.deadline_s - now_s < MIN_REMAINING_S:
         return None
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -18,7 +18,7 @@
 )
 from ..transport.exchange import Exchange, ResponseHead
 from .backends import Attempt
-from .const import FIRST_ATTEMPT_SHARE
+from .const import FIRST_ATTEMPT_SHARE, HOLD_POLL_S
 from .context import RequestContext
 from .state import GatewayState
 
@@ -98,6 +98,19 @@
             state.pool.release(server.address, conn)
 
 
+async def async_wait_until_released(state: GatewayState, ctx: RequestContext) -> None:
+    """Wait while nothing may be sent because this process was paused.
+
+    A request that is refused meanwhile, or a stream that is given up, could go on at
+    another server a moment later.
+    """
+    loop = asyncio.get_running_loop()
+    while loop.time() < ctx.deadline_s:
+        if not state.is_held():
+            return
+        await asyncio.sleep(HOLD_POLL_S)
+
+
 def _record_statement(
     state: GatewayState, ctx: RequestContext, server: BackendServer, head: ResponseHead
 ) -> None:
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -64,7 +64,6 @@
             self.configuration() is not None
             and bool(self.servers())
             and self.evacuations.is_known
-            and not self.is_held()
         )
 
     def budget(self, service: str) -> RetryBudget:
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -31,6 +31,7 @@
 from .sending import (
     SentRequest,
     async_send,
+    async_wait_until_released,
     attempt_deadline_s,
     is_rejection,
     is_success,
@@ -146,6 +147,7 @@
 ) -> BackendServer | None:
     """Return the server of the next attempt, or None if there can be none."""
     loop = asyncio.get_running_loop()
+    await async_wait_until_released(state, ctx)
     server = await _async_choose_server(state, ctx)
     if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
         return None
--- a/tests/fleet/test_evacuation.py
+++ b/tests/fleet/test_evacuation.py
@@ -50,6 +50,8 @@
     """Guards against a whole shift of a node that hears late, or after a restart."""
     restarted = _evacuations(9, z=5)
     assert not restarted.may_send("z", 0.0)
+    # Its peers go on with their shift.
+    assert restarted.told(1.0)["z"].age_s == 1.0
     evacuations = _evacuations()
     evacuations.apply_peer({"z": EvacuationNews(5, True, 2.0)}, 10.0)
     assert evacuations.share("z", 10.0) == pytest.approx(0.2)
--- a/tests/gateway/test_evacuated.py
+++ b/tests/gateway/test_evacuated.py
@@ -82,10 +82,11 @@
         served = await gateway.async_request()
         redirects = gateway.state.metrics.evacuation_redirects.get({"route": "r"})
         async with asyncio.timeout(0.5):
-            _evacuate(gateway, "y")
-            refused = [await gateway.async_request()]
             _place(gateway, s2="z")
             _evacuate(gateway, "z")
+            refused = [await gateway.async_request()]
+            _evacuate(gateway, "y")
+            gateway.groups.clear()
             refused.append(await gateway.async_request())
     assert served.startswith(b"HTTP/1.1 200")
     assert redirects == 1
@@ -154,12 +155,19 @@
     assert [len(server.requests) for server in servers] == [2, 1]
 
 
-async def test_request_waits_while_news_may_be_unread() -> None:
-    """Guards against refusing all requests that arrived during a pause."""
-    server = ScriptedServer("s1", _async_ok)
-    async with async_gateway((route(),), (server,)) as gateway:
-        gateway.state.is_held = lambda: not server.connections and not released.done()
-        released = asyncio.create_task(asyncio.sleep(0.1))
-        response = await gateway.async_request()
-    assert response.startswith(b"HTTP/1.1 200")
-    assert released.done()
+async def test_requests_wait_while_news_may_be_unread() -> None:
+    """Guards against refusing what arrived in a pause, and giving up broken streams."""
+    leaders = (ScriptedServer("s1", _async_break), ScriptedServer("s2", _async_end))
+    routes = (stream_route(), route(prefix=b"/a/plain"))
+    plain = ScriptedServer("p1", _async_ok)
+    async with async_gateway(routes, (plain,), leaders) as gateway:
+        gateway.prefer("s1")
+        stream = asyncio.create_task(gateway.async_request())
+        await async_until(lambda: bool(leaders[0].requests))
+        gateway.state.is_held = lambda: True
+        request = asyncio.create_task(gateway.async_request(path="/a/plain"))
+        await asyncio.sleep(0.5)
+        assert not plain.requests
+        gateway.state.is_held = lambda: False
+        assert event_ids(await stream) == [1, 2, 3]
+        assert (await request).startswith(b"HTTP/1.1 200")
--- a/tests/node/test_evacuation.py
+++ b/tests/node/test_evacuation.py
@@ -115,26 +115,30 @@
 ) -> None:
     """Guards against requests to a zone that was evacuated during the pause.
 
-    What the node says then may be as old as its pause, so peers learn nothing from it.
-    A change that was written meanwhile may be older than the limit.
+    A change that was written meanwhile, or a shift, may be older than the limit.
     """
     started = with_evacuations
     started.read_evacuations(1, complete=True)
     clock = [100.0]
     monkeypatch.setattr("gooseberryhall.node.evacuation.boot_time_s", lambda: clock[0])
     started.node.tick()
-    assert _may_send(started)
+    clock[0] += PAUSE_LIMIT_S + 1
+    # Peers learn nothing from what may be as old as the pause.
+    assert _told(started) == [None]
+    clock[0] = 100.0
+    started.read_evacuations(4, y=True)
+    assert _may_send(started, "y")
     clock[0] += PAUSE_LIMIT_S + 5
     assert not _may_send(started)
-    assert _told(started) == [None]
     started.node.tick()
     started.receive("n2", evacuations={})
-    assert not _may_send(started, "y")
+    assert not _may_send(started)
     started.read_evacuations(5, z=True)
     clock[0] += DRAIN_S + 0.05
     started.receive("n3", evacuations={})
-    assert _may_send(started, "y")
+    assert not started.node.gateway.is_held()
     assert not _may_send(started)
+    assert not _may_send(started, "y")
 
 
 async def test_owners_do_not_plan_with_an_evacuated_zone(
@@ -166,9 +170,9 @@
     started.receive(announcement=create_announcement(2, "h1"), evacuations={})
     started.node.tick()
     backends = started.node.gateway.backends
-    key = backends.start_attempt("h1", Attempt(Exchange(expected_id=b"1")), 0.0)
     started.read_evacuations(5, z=True, w=True)
     started.node.tick()
+    key = backends.start_attempt("h1", Attempt(Exchange(expected_id=b"1")), 0.0)
     assert started.node.gateway.metrics.evacuated_zones.get({}) == 1
     await asyncio.sleep(SHIFT_S + 0.05)
     # The group is dissolved, but its stream goes on.
