Name the fields of an evacuation that ended

The order of five times and versions was easy to confuse. No behaviour changes. tests/fleet/test_evacuation.py, tests/node, tests/gossip: passed.

--- a/gooseberryhall/fleet/evacuation.py
+++ b/gooseberryhall/fleet/evacuation.py
@@ -196,9 +196,13 @@
                 item.since_s = min(item.since_s, since_s)
             return False
         if not news.active:
-            told_until_s = now_s + END_TOLD_S
             self._evacuations[zone] = _Evacuation(
-                news.version, False, now_s, since_s, learned_s, told_until_s
+                news.version,
+                active=False,
+                learned_s=learned_s,
+                since_s=since_s,
+                ended_s=learned_s,
+                told_until_s=now_s + END_TOLD_S,
             )
             return True
         if item is not None and item.active:
