--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -30,6 +30,8 @@
 STARTUP_WAIT_S: Final = 0.8
 STARTUP_WAIT_SHARE: Final = 0.25
 STARTUP_POLL_S: Final = 0.01
+# Period in which requests ask whether a node that was paused may send again.
+HOLD_POLL_S: Final = 0.01
 # Added to the load, as a share of the slots, of servers in other zones.
 CROSS_ZONE_LOAD_PENALTY: Final = 0.1
 # Rejections by servers after which a request is refused.
@@ -87,6 +89,8 @@
 
 RETRY_AFTER_NO_GROUP_S: Final = 0.8
 RETRY_AFTER_BUSY_S: Final = 0.4
+# An evacuation lasts long; callers return once, in case it ends.
+RETRY_AFTER_EVACUATED_S: Final = 1.0
 # Callers of a node that stops can go to another node at once.
 RETRY_AFTER_STOPPING_S: Final = 0.05
 RETRY_AFTER_JITTER: Final = 0.5
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -22,6 +22,7 @@
 from .refusals import (
     busy_response,
     crashing_request_response,
+    evacuated_response,
     no_group_response,
     outcome_unknown_response,
     paused_response,
@@ -30,6 +31,7 @@
 from .sending import (
     SentRequest,
     async_send,
+    async_wait_until_released,
     attempt_deadline_s,
     is_rejection,
     is_success,
@@ -145,6 +147,7 @@
 ) -> BackendServer | None:
     """Return the server of the next attempt, or None if there can be none."""
     loop = asyncio.get_running_loop()
+    await async_wait_until_released(state, ctx)
     server = await _async_choose_server(state, ctx)
     if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
         return None
@@ -175,6 +178,8 @@
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=ctx.breaks > 0)
     now_s = asyncio.get_running_loop().time()
+    if state.is_evacuated(ctx, now_s):
+        return evacuated_response(state.rng)
     if state.candidates(ctx, now_s):
         return busy_response(state.rng)
     soonest_s = state.soonest_return_s(ctx, now_s)
