Dissolve groups of an evacuated zone that lose a member's record

Members without a record are kept while they answer probes, and the servers of an evacuated zone are not probed. tests/fleet, tests/node, tests/gateway and tests/gossip pass.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -170,7 +170,8 @@
     server = zone.view.servers.get(member)
     if server is None:
         lapsed = zone.view.removed_server(member)
-        return lapsed is None or zone.is_unresponsive(lapsed)
+        # The servers of an evacuated zone are not probed.
+        return lapsed is None or zone.is_unresponsive(lapsed) or zone.is_evacuated()
     if zone.is_unresponsive(server):
         return True
     membership = server.membership
