--- a/tests/platform/common.py
+++ b/tests/platform/common.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from gooseberryhall.platform.options import OPTIONS_VARIABLE
 from gooseberryhall.platform.settings import SETTINGS_VARIABLE
 from gooseberryhall.transport.address import parse_address
 from standins.row_store import RowStore
@@ -22,6 +23,7 @@
 CALLER_PORT = 8227
 READY_PORT = 8220
 GRACE_S = 8.0
+NO_LIMITS: Mapping[str, float] = {}
 REQUEST_HEAD = (
     "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: 7\r\n"
     "authorization: Token {key}\r\n{extra}"
@@ -80,7 +82,7 @@
         raise TimeoutError("node did not become ready")
 
 
-def _configuration(timeout_s: float) -> bytes:
+def _configuration(timeout_s: float, limits: Mapping[str, float]) -> bytes:
     route = {
         "name": "r",
         "host": "a.example",
@@ -92,10 +94,13 @@
     }
     once = {**route, "name": "once", "prefix": "/once/", "kind": "unsafe"}
     stream = {**route, "name": "stream", "prefix": "/stream/", "kind": "streaming"}
-    return json.dumps({**CONFIGURATION, "routes": [route, once, stream]}).encode()
+    changed = {"routes": [route, once, stream], "limits": dict(limits)}
+    return json.dumps({**CONFIGURATION, **changed}).encode()
 
 
-def _settings(host: str, store: str, grace_s: float) -> str:
+def _settings(
+    host: str, store: str, grace_s: float, limits: Mapping[str, float]
+) -> str:
     return json.dumps(
         {
             "node_name": "frontend-a-1",
@@ -109,6 +114,7 @@
             "internal_port_range": [7340, 7355],
             "platform": {"address": store},
             "bounds": {"grace_period_s": grace_s},
+            "limits": dict(limits),
         }
     )
 
@@ -121,11 +127,21 @@
     timeout_s: float = 2.0,
     grace_s: float = GRACE_S,
     environment: Mapping[str, str] | None = None,
+    process_limits: Mapping[str, float] = NO_LIMITS,
+    caller_limits: Mapping[str, float] = CONFIGURATION["limits"],
+    options: Mapping[str, object] | None = None,
 ) -> AsyncIterator[RunningNode]:
     """Run a node with one plain server; kill it if it still runs at the end.
 
-    The settings file and the log are in `directory`.
+    The settings file, the options file and the log are in `directory`.
+    `process_limits` are the limits in the settings, `caller_limits` those in the
+    configuration.
     """
+    added = dict(environment or {})
+    if options is not None:
+        path = directory / "options.json"
+        path.write_text(json.dumps(options))
+        added[OPTIONS_VARIABLE] = str(path)
     # An address of its own for each test keeps the fixed ports apart.
     host = f"127.{random.randint(1, 254)}.{random.randint(1, 254)}.2"
     async with AsyncExitStack() as stack:
@@ -137,7 +153,7 @@
             stack.callback(listener.close)
             addresses.append("{}:{}".format(*listener.sockets[0].getsockname()[:2]))
         server.address = parse_address(addresses[1])
-        store.put("op", "config", _configuration(timeout_s))
+        store.put("op", "config", _configuration(timeout_s, caller_limits))
         plain = {
             **SERVER_RECORD,
             "service": "p",
@@ -146,14 +162,14 @@
         }
         store.put("servers", "i-9", json.dumps(plain).encode())
         settings = directory / "node.json"
-        settings.write_text(_settings(host, addresses[0], grace_s))
+        settings.write_text(_settings(host, addresses[0], grace_s, process_limits))
         log = directory / "log"
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "gooseberryhall.platform",
             cwd=ROOT,
-            env={**os.environ, SETTINGS_VARIABLE: str(settings), **(environment or {})},
+            env={**os.environ, SETTINGS_VARIABLE: str(settings), **added},
             stdout=log.open("wb"),
             stderr=asyncio.subprocess.STDOUT,
         )
