Hold a node's input and output to one byte budget

Cause: each caller's head, body and unread response had a bound of its own, but all of them together had none, and neither had connections. A response that its caller did not read was kept until the caller left. Change: NodeBudget counts heads (also those the parser still keeps), bodies with their copies, complete requests, responses, bytes that callers have not taken and a constant for each connection, a quarter of memory_mb in all. Beyond it the largest incomplete request gets 503 with Retry-After; requests up to 64 KiB have an eighth more. Complete requests stay. HeldBytes counts one kind and replaces ResponseMemory. Connections are bounded by limits.file_descriptors (new in the settings) and by memory. A refused caller has a second to read the refusal. Callers that read nothing are given up after the idle timeout, or after 1 s beyond the budget. A slow body ends by its own deadline or the idle timeout, the later of the two. Bodies in tiny chunks take a quarter of the time at most, and extensions of chunks are bounded.

--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -80,6 +80,54 @@
 # Share of the memory of the process that responses may take while they are received. A
 # body that is complete is copied once, and other state takes the rest.
 RESPONSE_MEMORY_SHARE: Final = 0.125
+# Share for all that the node holds for others: requests, responses, what callers have
+# not read, and connections. The program takes a third of the smallest VM; the rest is
+# for copies, the kernel's buffers and the allocator.
+HELD_MEMORY_SHARE: Final = 0.25
+# Reserve for small requests, as a share of the limit, and the largest such request.
+SMALL_REQUEST_SHARE: Final = 0.125
+MAX_SMALL_REQUEST_BYTES: Final = 64 * 1024
+# Objects of a header in memory, besides its characters.
+HEADER_BYTES: Final = 160
+# Objects and kernel structures of an open connection.
+CONNECTION_BYTES: Final = 8 * 1024
+CONNECTION_MEMORY_SHARE: Final = 0.0625
+# Descriptors of listeners, datagrams, the store and orders.
+RESERVED_DESCRIPTORS: Final = 64
+# Of the others: callers take this share, their servers as much, and idle connections to
+# servers the rest.
+CONNECTION_DESCRIPTOR_SHARE: Final = 0.4
+MIN_CONNECTIONS: Final = 8
+# Connections to the listeners for readiness checks and metrics.
+MAX_SERVICE_CONNECTIONS: Final = 32
+# Receive buffers of all connections together, as a share of the memory; above it each
+# gets less than the system gives by default.
+RECEIVE_MEMORY_SHARE: Final = 0.125
+RECEIVE_BUFFER_BYTES: Final = 128 * 1024
+MIN_RECEIVE_BUFFER_BYTES: Final = 8 * 1024
+# The system's default grows to megabytes, which are not counted.
+SEND_BUFFER_BYTES: Final = 128 * 1024
+# Time after which a caller that takes nothing is given up while too much
+# is held.
+MAX_UNREAD_S: Final = 1.0
+# Time in which a caller can read a refusal, and bytes that are dropped meanwhile. An
+# earlier close resets the connection, and the refusal may be lost.
+LINGER_S: Final = 1.0
+MAX_DROPPED_BYTES: Final = 1024 * 1024
+# Longest time for a body, if its request has a later deadline.
+MAX_BODY_S: Final = 60.0
+# Bytes received for each byte of a body. A chunk of one byte takes six.
+MAX_BYTES_PER_BODY_BYTE: Final = 8
+# Parts of bodies in one read that are not paced, the time that the parser takes for a
+# part, and the share of all time for such reads.
+FREE_PARTS: Final = 512
+PART_COST_S: Final = 0.000_000_3
+PARTS_TIME_SHARE: Final = 0.25
+# Complete requests of a connection that wait for an earlier one, in bytes; above it the
+# connection is not read.
+MAX_PIPELINED_BYTES: Final = 64 * 1024
+# Period of the check for callers that do not read, and of the metrics of input.
+INTAKE_CHECK_PERIOD_S: Final = 0.25
 # Remaining time below which a request is not sent.
 MIN_REMAINING_S: Final = 0.02
 DEFAULT_DEADLINE_S: Final = 30.0
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
 
@@ -18,6 +18,8 @@
     crash_refusals: Counter = field(init=False)
     statements: Counter = field(init=False)
     latency: Histogram = field(init=False)
+    held_bytes: Gauge = field(init=False)
+    input_refusals: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -52,3 +54,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "gooseberryhall_held_bytes",
+            "Bytes held for callers and servers, by kind.",
+            registry=self.registry,
+        )
+        self.input_refusals = Counter(
+            "gooseberryhall_input_refusals_total",
+            "Requests and connections outside the limits, by reason.",
+            registry=self.registry,
+        )
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -29,6 +29,13 @@
     )
 
 
+def memory_response(rng: random.Random) -> GatewayResponse:
+    """Return a refusal because this node holds too much for others."""
+    return GatewayResponse(
+        503, "this node holds too much", _add_jitter(RETRY_AFTER_BUSY_S, rng)
+    )
+
+
 def paused_response(soonest_s: float, rng: random.Random) -> GatewayResponse:
     """Return a refusal because all servers asked this node for a pause.
 
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -8,7 +8,7 @@
 from ..fleet.statements import NO_STATEMENT, ServerStatement, ServerStatements
 from ..transport.const import MAX_RESPONSE_BYTES
 from ..transport.exchange import ResponseHead
-from ..transport.memory import ResponseMemory
+from ..transport.memory import HeldBytes
 from ..transport.pool import ConnectionPool
 from .backends import Backends
 from .budget import RetryBudget
@@ -35,9 +35,7 @@
     groups: Callable[[], list[ServedGroup]]
     create_budget: Callable[[], RetryBudget]
     # Memory of the responses of all servers.
-    memory: ResponseMemory = field(
-        default_factory=lambda: ResponseMemory(MAX_RESPONSE_BYTES)
-    )
+    memory: HeldBytes = field(default_factory=lambda: HeldBytes(MAX_RESPONSE_BYTES))
     # Called after a crash was recorded.
     on_crash: Callable[[], None] = lambda: None
     crashes: CrashTracker = field(default_factory=CrashTracker)
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -15,10 +15,10 @@
 from ..gateway.const import (
     CAUSE_GOSSIP_SHARE,
     MAX_CHECK_DELAY_S,
-    RESPONSE_MEMORY_SHARE,
     RETRY_SLACK_SHARE,
     STALL_CHECK_PERIOD_S,
 )
+from ..gateway.intake import max_connections
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
@@ -26,10 +26,10 @@
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
-from ..transport.memory import ResponseMemory
 from ..transport.pool import ConnectionPool
 from .configuration import ConfigurationFollower
 from .directory import PlatformAdapter
+from .intake import create_intake
 from .owner import RunInZone, ZoneOwner
 from .registration import async_register
 from .servers import ServerFollower
@@ -87,7 +87,14 @@
             without_owner_s=self.owner.without_owner_s,
             has_servers=lambda: bool(self.table.servers),
         )
-        self.gateway = self._create_gateway(adapter)
+        metrics = GatewayMetrics()
+        self.intake = create_intake(settings, metrics, adapter.header_names.deadline_ms)
+        self.max_connections = max_connections(
+            settings.memory_bytes,
+            settings.file_descriptors,
+            settings.options.input_limits.connections,
+        )
+        self.gateway = self._create_gateway(adapter, metrics)
 
     @property
     def ready(self) -> bool:
@@ -334,19 +341,21 @@
         for zone in self.owner.zones.values():
             probe_group(zone, leader)
 
-    def _create_gateway(self, adapter: PlatformAdapter) -> GatewayState:
+    def _create_gateway(
+        self, adapter: PlatformAdapter, metrics: GatewayMetrics
+    ) -> GatewayState:
         return GatewayState(
             zone=self.settings.zone,
             header_names=adapter.header_names,
-            pool=ConnectionPool(adapter.header_names.request_id),
+            pool=ConnectionPool(
+                adapter.header_names.request_id, max_idle=self.max_connections // 2
+            ),
             statements=adapter.statements,
             decode_statement=adapter.decode_statement,
             on_leaving=lambda: self.gossip.send(urgent=True),
             backends=Backends(self._on_stall),
-            memory=ResponseMemory(
-                int(self.settings.memory_bytes * RESPONSE_MEMORY_SHARE)
-            ),
-            metrics=GatewayMetrics(),
+            memory=self.intake.held.responses,
+            metrics=metrics,
             configuration=lambda: self.configuration.current,
             servers=lambda: self.table.servers,
             groups=lambda: self.table.groups,
--- a/gooseberryhall/node/options.py
+++ b/gooseberryhall/node/options.py
@@ -22,6 +22,12 @@
     held_bytes: int | None = None
     # Connections of callers that are open at the same time.
     connections: int | None = None
+    # Longest time for a body, if its request has a later deadline.
+    body_ms: int | None = None
+    # Time after which a caller that reads nothing is given up while too much is held.
+    unread_ms: int | None = None
+    # Bytes received for each byte of a chunked body.
+    bytes_per_body_byte: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -13,7 +13,7 @@
 from ..fleet.const import OWNERSHIP_PERIOD_S, TICK_PERIOD_S
 from ..fleet.models import Limits
 from ..gateway.app import async_handle_request
-from ..gateway.const import STALL_CHECK_PERIOD_S
+from ..gateway.const import INTAKE_CHECK_PERIOD_S, STALL_CHECK_PERIOD_S
 from ..gateway.refusals import stopping_response
 from ..gateway.stopping import StopOutcome, StopSchedule
 from ..gossip.const import GOSSIP_PERIOD_S
@@ -72,14 +72,20 @@
             stack,
             settings.callers,
             lambda conn, req: async_handle_request(node.gateway, conn, req),
-            lambda: node.configuration.limits,
+            limits=lambda: node.configuration.limits,
+            intake=node.intake,
+            max_connections=node.max_connections,
         )
         readiness = create_readiness_handler(
             lambda: node.ready and not stopping.is_set()
         )
-        await async_listen(stack, settings.readiness, readiness, Limits)
+        await async_listen(
+            stack, settings.readiness, readiness, limits=Limits, intake=node.intake
+        )
         metrics = create_metrics_handler(node.gateway.metrics.registry)
-        await async_listen(stack, settings.metrics, metrics, Limits)
+        await async_listen(
+            stack, settings.metrics, metrics, limits=Limits, intake=node.intake
+        )
         await _async_start_gossip(stack, node, settings)
         node.start()
         timer.async_subscribe(TICK_PERIOD_S, node.tick)
@@ -87,6 +93,9 @@
         timer.async_subscribe(GOSSIP_PERIOD_S, node.gossip.send, jitter=0.1)
         timer.async_subscribe(OWNERSHIP_PERIOD_S, node.owner.contend, jitter=0.2)
         timer.async_subscribe(POOL_CLEANUP_PERIOD_S, node.clean_up)
+        timer.async_subscribe(
+            INTAKE_CHECK_PERIOD_S, partial(_check_intake, node, callers)
+        )
         log_event(_LOGGER, LogEvent.PROGRAM_STARTED, "node started")
         await stopping.wait()
         log_event(_LOGGER, LogEvent.PROGRAM_STOPPING, "node stopping")
@@ -153,6 +162,11 @@
     )
 
 
+def _check_intake(node: Node, callers: Listener) -> None:
+    callers.give_up_unread(node.intake, node.configuration.limits.idle_timeout_s)
+    node.intake.report()
+
+
 def _reload(node: Node, reload_settings: Callable[[], NodeSettings]) -> None:
     try:
         node.settings = reload_settings()
--- a/gooseberryhall/node/settings.py
+++ b/gooseberryhall/node/settings.py
@@ -41,4 +41,6 @@
     # factor, plus the constant.
     cold_overrun: float = 1.0
     cold_slack: float = 0.0
+    # Descriptors that the process may have open.
+    file_descriptors: int = 1024
     options: NodeOptions = DEFAULT_OPTIONS
--- a/gooseberryhall/platform/options.py
+++ b/gooseberryhall/platform/options.py
@@ -29,6 +29,9 @@
 class _InputLimits(msgspec.Struct, forbid_unknown_fields=True):
     held_bytes: _Positive | None = None
     connections: _Positive | None = None
+    body_ms: _Positive | None = None
+    unread_ms: _Positive | None = None
+    bytes_per_body_byte: _Positive | None = None
 
 
 class _Options(msgspec.Struct, forbid_unknown_fields=True):
@@ -56,6 +59,10 @@
     return NodeOptions(
         hedging=HedgingOptions(raw.hedging.max_share, raw.hedging.quantile),
         input_limits=InputLimits(
-            raw.input_limits.held_bytes, raw.input_limits.connections
+            held_bytes=raw.input_limits.held_bytes,
+            connections=raw.input_limits.connections,
+            body_ms=raw.input_limits.body_ms,
+            unread_ms=raw.input_limits.unread_ms,
+            bytes_per_body_byte=raw.input_limits.bytes_per_body_byte,
         ),
     )
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -1,6 +1,8 @@
 """Settings file of the node program, as the platform writes it."""
 
 import os
+import resource
+import sys
 from pathlib import Path
 from typing import Final
 
@@ -46,6 +48,8 @@
 class _Limits(msgspec.Struct):
     # A process that exceeds this is killed.
     memory_mb: float = 256.0
+    # Descriptors that a process may have open; absent: the limit of the system.
+    file_descriptors: int | None = None
 
 
 class _Store(msgspec.Struct):
@@ -102,5 +106,14 @@
         evacuation_limit_s=bounds.evacuation_ms / MS_PER_S,
         cold_overrun=bounds.cold_overrun,
         cold_slack=bounds.cold_slack,
+        file_descriptors=_descriptors(raw.limits.file_descriptors),
         options=load_options(),
     )
+
+
+def _descriptors(stated: int | None) -> int:
+    """Return the lower of the stated limit and that of the system."""
+    system, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if system == resource.RLIM_INFINITY:
+        system = sys.maxsize
+    return system if stated is None else min(stated, system)
--- a/gooseberryhall/transport/exchange.py
+++ b/gooseberryhall/transport/exchange.py
@@ -7,7 +7,7 @@
 
 from .const import MAX_BUFFERED_BYTES
 from .exceptions import TransportError
-from .memory import ResponseMemory
+from .memory import HeldBytes
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -43,7 +43,7 @@
 
     expected_id: bytes | None = None
     is_head_method: bool = False
-    memory: ResponseMemory | None = None
+    memory: HeldBytes | None = None
     on_head: Callable[[ResponseHead], None] = _do_nothing
     close: Callable[[], None] = _do_nothing
     set_reading: Callable[[bool], None] = _do_nothing
--- a/gooseberryhall/transport/memory.py
+++ b/gooseberryhall/transport/memory.py
@@ -1,51 +1,79 @@
-"""Limits the memory of all responses that are received at the same time."""
+"""Counts what is held in memory for others, and gives up what is too much."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 
-class HoldingExchange(Protocol):
-    """An exchange whose response is kept in memory."""
+class Holder(Protocol):
+    """Something that is received piece by piece and kept in memory."""
 
     @property
     def is_incomplete(self) -> bool:
-        """Return whether more of the response may arrive."""
+        """Return whether more of it may arrive."""
 
     def abort_for_memory(self) -> None:
         """Fail, close the connection and drop what was received."""
 
 
+def _do_nothing() -> None:
+    """Do nothing; the default callback."""
+
+
 @dataclass(slots=True)
-class ResponseMemory:
-    """Bytes of responses that were received and not passed on yet.
+class HeldBytes:
+    """Bytes of one kind that were received and not passed on yet.
 
-    Beyond the limit the largest incomplete response is given up. A server that sends
-    bytes without end is found in this way, and the requests at others go on.
+    Beyond the limit the largest incomplete holder is given up, the newest of several
+    that are as large. A peer that sends bytes without end is found in this way, and the
+    others go on. Without a limit nothing is given up here.
     """
 
-    limit_bytes: int
+    limit_bytes: int | None
     held_bytes: int = 0
-    _held: dict[HoldingExchange, int] = field(default_factory=dict)
+    # Called after bytes were added.
+    on_hold: Callable[[], None] = _do_nothing
+    _held: dict[Holder, int] = field(default_factory=dict)
 
-    def hold(self, exchange: HoldingExchange, size: int) -> None:
-        """Count bytes that an exchange has received."""
-        self._held[exchange] = self._held.get(exchange, 0) + size
+    def hold(self, holder: Holder, size: int) -> None:
+        """Count bytes that a holder has received."""
+        self._held[holder] = self._held.get(holder, 0) + size
         self.held_bytes += size
-        while self.held_bytes > self.limit_bytes:
-            largest = self._find_largest()
-            if largest is None:
-                return
-            largest.abort_for_memory()
-            self.release(largest)
-
-    def release(self, exchange: HoldingExchange, size: int | None = None) -> None:
-        """Stop to count bytes of an exchange, or all of them."""
-        held = self._held.pop(exchange, 0)
+        if self.limit_bytes is not None:
+            while self.held_bytes > self.limit_bytes and self.give_up_largest():
+                pass
+        self.on_hold()
+
+    def release(self, holder: Holder, size: int | None = None) -> None:
+        """Stop to count bytes of a holder, or all of them."""
+        held = self._held.pop(holder, 0)
         released = held if size is None else min(size, held)
         self.held_bytes -= released
         if held > released:
-            self._held[exchange] = held - released
+            self._held[holder] = held - released
+
+    def update(self, holder: Holder, size: int) -> None:
+        """Count this size for a holder instead of what was counted before."""
+        change = size - self._held.get(holder, 0)
+        if change > 0:
+            self.hold(holder, change)
+        elif change < 0:
+            self.release(holder, -change)
+
+    def size(self, holder: Holder) -> int:
+        """Return the bytes that are counted for a holder."""
+        return self._held.get(holder, 0)
 
-    def _find_largest(self) -> HoldingExchange | None:
-        incomplete = [exchange for exchange in self._held if exchange.is_incomplete]
-        return max(incomplete, key=self._held.__getitem__, default=None)
+    def give_up_largest(self, more_than_bytes: int = 0) -> bool:
+        """Give up the largest incomplete holder above a size, if there is one."""
+        incomplete = [
+            holder
+            for holder, size in reversed(self._held.items())
+            if size > more_than_bytes and holder.is_incomplete
+        ]
+        largest = max(incomplete, key=self._held.__getitem__, default=None)
+        if largest is None:
+            return False
+        largest.abort_for_memory()
+        self.release(largest)
+        return True
--- a/gooseberryhall/transport/pool.py
+++ b/gooseberryhall/transport/pool.py
@@ -17,6 +17,8 @@
     """Opens connections and keeps idle connections for reuse."""
 
     id_header: bytes
+    # Idle connections to all addresses together.
+    max_idle: int | None = None
     _idle: defaultdict[Address, list[ClientConnection]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -52,8 +54,16 @@
         if not conn.can_reuse(now_s) or len(idle) >= MAX_IDLE_PER_ADDRESS:
             conn.close()
             return
+        if self.max_idle is not None and self.idle_count >= self.max_idle:
+            conn.close()
+            return
         idle.append(conn)
 
+    @property
+    def idle_count(self) -> int:
+        """Return the number of idle connections."""
+        return sum(map(len, self._idle.values()))
+
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for conn in self._idle.pop(address, []):
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -22,6 +22,8 @@
 from gooseberryhall.gateway.backends import Backends
 from gooseberryhall.gateway.budget import RetryBudget
 from gooseberryhall.gateway.header_names import HeaderNames
+from gooseberryhall.gateway.held import create_budget
+from gooseberryhall.gateway.intake import Intake
 from gooseberryhall.gateway.metrics import GatewayMetrics
 from gooseberryhall.gateway.state import GatewayState
 from gooseberryhall.node.listeners import Listener, async_listen
@@ -41,6 +43,8 @@
     last_event_id=b"last-event-id",
     key_scheme=b"Key ",
 )
+MEMORY_BYTES = 256_000_000
+MAX_CONNECTIONS = 1000
 MODEL = Model("large", 2, 1.0, 1.0, 16.0, 1.6)
 ENGINE = EngineProfile(4, (MODEL,), 0.3, 6)
 
@@ -259,7 +263,9 @@
             stack,
             Address("127.0.0.1", 0),
             lambda conn, request: async_handle_request(state, conn, request),
-            Limits,
+            limits=Limits,
+            intake=Intake(create_budget(MEMORY_BYTES), state.metrics, MEMORY_BYTES),
+            max_connections=MAX_CONNECTIONS,
         )
         address = Address(*callers.server.sockets[0].getsockname()[:2])
         yield Gateway(state, address, servers, groups, callers)
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gooseberryhall.transport.memory import ResponseMemory
+from gooseberryhall.transport.memory import HeldBytes
 from tests.gateway.common import (
     ReceivedRequest,
     Script,
@@ -56,7 +56,7 @@
     sound = ScriptedServer("sound", _async_large)
     unsafe = route(idempotent=False, attempts=1, timeout_s=5.0)
     async with async_gateway((unsafe,), plain=(endless, sound)) as gateway:
-        memory = gateway.state.memory = ResponseMemory(LIMIT_BYTES)
+        memory = gateway.state.memory = HeldBytes(LIMIT_BYTES)
         in_trouble = gateway.servers.pop("endless")
         good = [asyncio.create_task(gateway.async_request()) for _ in range(3)]
         await async_until(lambda: len(sound.requests) == 3)
--- a/tests/transport/test_memory.py
+++ b/tests/transport/test_memory.py
@@ -10,12 +10,12 @@
 
 from gooseberryhall.transport.exceptions import TransportError
 from gooseberryhall.transport.exchange import Exchange, ResponseHead
-from gooseberryhall.transport.memory import ResponseMemory
+from gooseberryhall.transport.memory import HeldBytes
 
 
 def test_largest_response_is_given_up() -> None:
     """Guards against the loss of a sound response beside one without end."""
-    memory = ResponseMemory(1000)
+    memory = HeldBytes(1000)
     sound, endless = Exchange(memory=memory), Exchange(memory=memory)
     sound.receive_chunk(bytes(300))
     endless.receive_chunk(bytes(600))
@@ -27,7 +27,7 @@
 
 def test_complete_responses_are_not_given_up() -> None:
     """Guards against dropping a response that only has to be passed on."""
-    memory = ResponseMemory(1000)
+    memory = HeldBytes(1000)
     whole, other = Exchange(memory=memory), Exchange(memory=memory)
     whole.receive_chunk(bytes(900))
     whole.finish()
@@ -40,7 +40,7 @@
 @given(st.lists(st.tuples(st.integers(0, 4), st.integers(1, 400)), max_size=60))
 def test_held_bytes_never_exceed_the_limit(chunks: list[tuple[int, int]]) -> None:
     """Guards against bytes that are not counted, or counted after their release."""
-    memory = ResponseMemory(1000)
+    memory = HeldBytes(1000)
     exchanges = [Exchange(memory=memory) for _ in range(5)]
     for index, size in chunks:
         exchanges[index].receive_chunk(bytes(size))
@@ -51,7 +51,7 @@
 
 
 async def _async_abort_body(size: int) -> None:
-    exchange = Exchange(memory=ResponseMemory(size))
+    exchange = Exchange(memory=HeldBytes(size))
     reading = asyncio.create_task(exchange.async_read_body(2 * size))
     exchange.receive_head(ResponseHead(200, []))
     for _ in range(4):
