--- a/gooseberryhall/gateway/intake.py
+++ b/gooseberryhall/gateway/intake.py
@@ -49,20 +49,17 @@
     """A connection as the bounds see it."""
 
     @property
-    def is_incomplete(self) -> bool:
-        """Return whether a request is being received, and none is handled."""
+    def is_idle(self) -> bool:
+        """Return whether nothing is received, handled or sent, and nothing expected."""
 
     @property
-    def is_idle(self) -> bool:
-        """Return whether no request is received, queued or handled."""
+    def is_unserved(self) -> bool:
+        """Return whether no complete request waits for its response."""
 
     @property
     def since_s(self) -> float:
         """Return when the connection became idle, or when its request began."""
 
-    def abort(self) -> None:
-        """Close the connection at once."""
-
 
 class ReadingCaller(Protocol):
     """A connection whose caller may not take its response."""
@@ -108,7 +105,8 @@
 def choose_closed(connections: Iterable[_Conn]) -> _Conn | None:
     """Return the connection that is closed if there are too many.
 
-    The longest idle one, or else that of the oldest incomplete request.
+    The longest idle one, or else that of the oldest incomplete request. Connections
+    with complete requests are not closed.
     """
     idle: _Conn | None = None
     incomplete: _Conn | None = None
@@ -116,7 +114,7 @@
         if conn.is_idle:
             if idle is None or conn.since_s < idle.since_s:
                 idle = conn
-        elif conn.is_incomplete and (
+        elif conn.is_unserved and (
             incomplete is None or conn.since_s < incomplete.since_s
         ):
             incomplete = conn
--- a/gooseberryhall/gateway/response_writer.py
+++ b/gooseberryhall/gateway/response_writer.py
@@ -42,6 +42,7 @@
         # Whether a response was begun, and whether it is complete, too.
         self._responded = False
         self._responding = False
+        self._aborted = False
         self.closing = False
 
     @property
@@ -154,6 +155,12 @@
         self.write_body(body)
         self.end_response()
 
+    def abort(self) -> None:
+        """Abort the connection so that the response cannot appear complete."""
+        self._aborted = self.closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
     def abort_for_memory(self) -> None:
         """Do nothing; unsent responses are given up only if nobody takes them."""
 
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -22,7 +22,7 @@
 from gooseberryhall.gateway.backends import Backends
 from gooseberryhall.gateway.budget import RetryBudget
 from gooseberryhall.gateway.header_names import HeaderNames
-from gooseberryhall.gateway.held import create_budget
+from gooseberryhall.gateway.held import NodeBudget, create_budget
 from gooseberryhall.gateway.intake import Intake
 from gooseberryhall.gateway.metrics import GatewayMetrics
 from gooseberryhall.gateway.state import GatewayState
@@ -181,6 +181,7 @@
     servers: dict[str, BackendServer]
     groups: list[ServedGroup]
     callers: Listener
+    held: NodeBudget
 
     def prefer(self, server_id: str) -> None:
         """Make one server look less loaded than the others."""
@@ -259,13 +260,14 @@
             create_budget=lambda: RetryBudget(0.2, 10, 10),
         )
         stack.callback(state.pool.close)
+        intake = Intake(create_budget(MEMORY_BYTES), state.metrics, MEMORY_BYTES)
         callers = await async_listen(
             stack,
             Address("127.0.0.1", 0),
             lambda conn, request: async_handle_request(state, conn, request),
             limits=Limits,
-            intake=Intake(create_budget(MEMORY_BYTES), state.metrics, MEMORY_BYTES),
+            intake=intake,
             max_connections=MAX_CONNECTIONS,
         )
         address = Address(*callers.server.sockets[0].getsockname()[:2])
-        yield Gateway(state, address, servers, groups, callers)
+        yield Gateway(state, address, servers, groups, callers, intake.held)
--- a/tests/gateway/test_caller.py
+++ b/tests/gateway/test_caller.py
@@ -110,3 +110,56 @@
         writer.close()
     assert response.startswith(b"HTTP/1.1 200")
     assert b"Connection: close" in response
+
+
+async def _async_read_response(reader: asyncio.StreamReader) -> bytes:
+    return await asyncio.wait_for(reader.read(), 5)
+
+
+async def test_refusal_reaches_a_caller_that_still_sends() -> None:
+    """Guards against a reset connection instead of "has not run" and `Retry-After`."""
+    server = ScriptedServer("p1", _async_respond_later)
+    async with async_gateway((route(),), plain=(server,)) as gateway:
+        gateway.held.limit_bytes = 300_000
+        reader, writer = await _async_connect(gateway)
+        writer.write(b"POST /a/1 HTTP/1.1\r\ncontent-length: 1000000\r\n\r\n")
+        writer.write(bytes(999_999))
+        response = await _async_read_response(reader)
+        writer.close()
+        await async_until(lambda: not gateway.callers.connections)
+        assert response.startswith(b"HTTP/1.1 503")
+        assert b"retry-after" in response
+        assert gateway.held.held_bytes == 0
+    assert not server.requests
+
+
+async def test_request_at_a_server_survives_the_refusal_of_the_next_one() -> None:
+    """Guards against giving up a forwarded request for an incomplete one."""
+    server = ScriptedServer("p1", _async_respond_later)
+    async with async_gateway((route(),), plain=(server,)) as gateway:
+        gateway.held.limit_bytes = 300_000
+        reader, writer = await _async_connect(gateway)
+        writer.write(_request(1))
+        await async_until(lambda: bool(server.requests))
+        writer.write(b"POST /a/2 HTTP/1.1\r\ncontent-length: 1000000\r\n\r\n")
+        writer.write(bytes(200_000))
+        response = await _async_read_response(reader)
+        writer.close()
+    assert response.startswith(b"HTTP/1.1 200")
+    assert response.count(b"HTTP/1.1 503") == 1
+    assert len(server.requests) == 1
+
+
+async def test_memory_of_requests_is_released() -> None:
+    """Guards against a budget that fills up with requests that have ended."""
+    server = ScriptedServer("p1", _async_respond_later)
+    async with async_gateway((route(),), plain=(server,)) as gateway:
+        reader, writer = await _async_connect(gateway)
+        writer.write(b"".join(_request(number) for number in (1, 2, 3)))
+        await async_until(lambda: gateway.held.requests.held_bytes > 0)
+        writer.write(b"GET /a/4 HTTP/1.1\r\na: ")
+        await async_until(lambda: len(server.requests) == 2)
+        writer.close()
+        await async_until(lambda: not gateway.callers.connections)
+        await async_until(lambda: gateway.held.held_bytes == 0)
+        del reader
--- a/tests/platform/test_options.py
+++ b/tests/platform/test_options.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gooseberryhall.node.intake import create_bounds
 from gooseberryhall.node.options import DEFAULT_OPTIONS
 from gooseberryhall.platform.exceptions import PlatformSettingsError
 from gooseberryhall.platform.options import OPTIONS_VARIABLE, load_options
@@ -21,11 +22,14 @@
 def test_options_are_read(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against options that are ignored."""
     path = tmp_path / "options.json"
-    path.write_text('{"hedging": {"max_share": 0.05}, "input_limits": {}}')
+    path.write_text(
+        '{"hedging": {"max_share": 0.05}, "input_limits": {"body_ms": 9000}}'
+    )
     monkeypatch.setenv(OPTIONS_VARIABLE, str(path))
     options = load_options()
     assert options.hedging.max_share == 0.05
     assert options.input_limits.held_bytes is None
+    assert create_bounds(options.input_limits).max_body_s == 9
 
 
 @pytest.mark.parametrize(
