--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -94,9 +94,9 @@
 CONNECTION_MEMORY_SHARE: Final = 0.0625
 # Descriptors of listeners, datagrams, the store and orders.
 RESERVED_DESCRIPTORS: Final = 64
-# Of the others: callers take this share, their servers as much, and idle connections to
-# servers the rest.
-CONNECTION_DESCRIPTOR_SHARE: Final = 0.4
+# Callers take this share of the others. A request may be at two servers, and idle
+# connections to servers are kept.
+CONNECTION_DESCRIPTOR_SHARE: Final = 0.3
 MIN_CONNECTIONS: Final = 8
 # Connections to the listeners for readiness checks and metrics.
 MAX_SERVICE_CONNECTIONS: Final = 32
--- a/gooseberryhall/gateway/intake.py
+++ b/gooseberryhall/gateway/intake.py
@@ -81,7 +81,7 @@
 ) -> int:
     """Return how many callers may be connected; `lowered` can only lower it.
 
-    A caller's request may need another descriptor for its server, and idle connections
+    A caller's request needs further descriptors for its servers, and idle connections
     to servers are kept.
     """
     by_memory = int(memory_bytes * CONNECTION_MEMORY_SHARE) // CONNECTION_BYTES
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -97,6 +97,8 @@
     assert settings.zones == ("a", "b")
     assert settings.callers.port == 8227
     assert settings.stop_grace_s == 9.0
+    path.write_text(json.dumps({**SETTINGS, "limits": {"file_descriptors": 100}}))
+    assert load_settings().file_descriptors == 100
 
 
 def test_unusable_settings_are_refused(
