Echo the id of a request that is refused before it is complete

Cause: callers match answers by the id of the attempt, and refusals of requests that were not complete had none. Change: refusals carry the id if its header was received.

--- a/gooseberryhall/gateway/caller.py
+++ b/gooseberryhall/gateway/caller.py
@@ -53,8 +53,9 @@
         self._ending = False
         self._used = False
         self._opened_s = self.since_s
-        # Response to a request that was dropped while an earlier one is handled.
-        self._refusal: GatewayResponse | None = None
+        # Response to a request that was dropped while an earlier one is handled, and
+        # the id of that request.
+        self._refusal: tuple[GatewayResponse, bytes | None] | None = None
 
     @property
     def busy(self) -> bool:
@@ -138,12 +139,15 @@
 
         Requests that the caller sent before are still answered.
         """
+        self._refuse_for_memory(self._message.get(self._intake.id_header))
+
+    def _refuse_for_memory(self, request_id: bytes | None) -> None:
+        self._intake.count_refusal(InputRefusal.MEMORY)
         response = memory_response(self._intake.rng)
         if self._task is None and not self._requests:
-            self._reject(response, InputRefusal.MEMORY)
+            self._refuse(response, request_id)
             return
-        self._intake.count_refusal(InputRefusal.MEMORY)
-        self._refusal = response
+        self._refusal = (response, request_id)
         self._end_input()
         self._update_reading()
 
@@ -172,7 +176,7 @@
         held.requests.hold(self, size)
         if held.is_exhausted:
             held.requests.release(self, size)
-            self.abort_for_memory()
+            self._refuse_for_memory(request.get(self._intake.id_header))
             return
         self._requests.append((request, size))
         self._queued_bytes += size
@@ -226,7 +230,7 @@
             self._close()
             return
         if self._refusal is not None and not self._requests:
-            self._reject(self._refusal, None)
+            self._refuse(*self._refusal)
             return
         if not self._reading:
             self.since_s = self._loop.time()
@@ -242,6 +246,9 @@
             return
         if reason is not None:
             self._intake.count_refusal(reason)
+        self._refuse(response, self._message.get(self._intake.id_header))
+
+    def _refuse(self, response: GatewayResponse, request_id: bytes | None) -> None:
         self._end_input()
         self._clear_queue()
         if self._task is not None:
@@ -249,7 +256,7 @@
             self.abort()
             return
         self._keep_alive = False
-        self.respond(response, None, b"")
+        self.respond(response, request_id, self._intake.id_header)
         self._linger()
 
     def _linger(self) -> None:
--- a/gooseberryhall/gateway/incoming.py
+++ b/gooseberryhall/gateway/incoming.py
@@ -34,12 +34,12 @@
         self.headers.append((name.lower(), value))
         self.header_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
 
-    def number(self, name: bytes) -> int:
-        """Return the value of a numeric header, or 0."""
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header that was received."""
         for key, value in self.headers:
-            if key == name and value.isdigit() and len(value) <= _MAX_DIGITS:
-                return int(value)
-        return 0
+            if key == name:
+                return value
+        return None
 
     def body_limit_s(
         self, deadline_header: bytes, idle_timeout_s: float, max_s: float
@@ -49,7 +49,9 @@
         A caller that sends slowly has until its own deadline, if that is later than the
         idle timeout.
         """
-        deadline_s = self.number(deadline_header) / _MS_PER_S
+        value = self.get(deadline_header) or b""
+        is_number = value.isdigit() and len(value) <= _MAX_DIGITS
+        deadline_s = int(value) / _MS_PER_S if is_number else 0.0
         return max(idle_timeout_s, min(deadline_s, max_s))
 
     def held_bytes(self, unparsed_bytes: int) -> int:
--- a/gooseberryhall/gateway/intake.py
+++ b/gooseberryhall/gateway/intake.py
@@ -165,7 +165,8 @@
     held: NodeBudget
     metrics: GatewayMetrics
     memory_bytes: int
-    # Header with the time that a caller waits.
+    # Headers with the id of a request, and with the time that a caller waits.
+    id_header: bytes = b""
     deadline_header: bytes = b""
     bounds: InputBounds = InputBounds()
     rng: random.Random = field(default_factory=random.Random)
--- a/gooseberryhall/node/intake.py
+++ b/gooseberryhall/node/intake.py
@@ -1,6 +1,7 @@
 """Bounds of a node's input, from its settings and options."""
 
 from ..gateway.const import MAX_BODY_S, MAX_BYTES_PER_BODY_BYTE, MAX_UNREAD_S
+from ..gateway.header_names import HeaderNames
 from ..gateway.held import create_budget
 from ..gateway.intake import InputBounds, Intake
 from ..gateway.metrics import GatewayMetrics
@@ -22,7 +23,7 @@
 
 
 def create_intake(
-    settings: NodeSettings, metrics: GatewayMetrics, deadline_header: bytes
+    settings: NodeSettings, metrics: GatewayMetrics, names: HeaderNames
 ) -> Intake:
     """Return the state that the connections of all callers share."""
     limits = settings.options.input_limits
@@ -30,8 +31,9 @@
         create_budget(settings.memory_bytes, limits.held_bytes),
         metrics,
         settings.memory_bytes,
-        deadline_header,
-        create_bounds(limits),
+        id_header=names.request_id,
+        deadline_header=names.deadline_ms,
+        bounds=create_bounds(limits),
     )
 
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -88,7 +88,7 @@
             has_servers=lambda: bool(self.table.servers),
         )
         metrics = GatewayMetrics()
-        self.intake = create_intake(settings, metrics, adapter.header_names.deadline_ms)
+        self.intake = create_intake(settings, metrics, adapter.header_names)
         self.max_connections = max_connections(
             settings.memory_bytes,
             settings.file_descriptors,
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -260,7 +260,12 @@
             create_budget=lambda: RetryBudget(0.2, 10, 10),
         )
         stack.callback(state.pool.close)
-        intake = Intake(create_budget(MEMORY_BYTES), state.metrics, MEMORY_BYTES)
+        intake = Intake(
+            create_budget(MEMORY_BYTES),
+            state.metrics,
+            MEMORY_BYTES,
+            id_header=HEADER_NAMES.request_id,
+        )
         callers = await async_listen(
             stack,
             Address("127.0.0.1", 0),
--- a/tests/gateway/test_caller.py
+++ b/tests/gateway/test_caller.py
@@ -122,13 +122,16 @@
     async with async_gateway((route(),), plain=(server,)) as gateway:
         gateway.held.limit_bytes = 300_000
         reader, writer = await _async_connect(gateway)
-        writer.write(b"POST /a/1 HTTP/1.1\r\ncontent-length: 1000000\r\n\r\n")
+        writer.write(
+            b"POST /a/1 HTTP/1.1\r\nx-id: 8\r\ncontent-length: 1000000\r\n\r\n"
+        )
         writer.write(bytes(999_999))
         response = await _async_read_response(reader)
         writer.close()
         await async_until(lambda: not gateway.callers.connections)
         assert response.startswith(b"HTTP/1.1 503")
         assert b"retry-after" in response
+        assert b"x-id: 8\r\n" in response
         assert gateway.held.held_bytes == 0
     assert not server.requests
 
