--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -20,6 +20,8 @@
     latency: Histogram = field(init=False)
     evacuated_zones: Gauge = field(init=False)
     evacuation_redirects: Counter = field(init=False)
+    held_bytes: Gauge = field(init=False)
+    input_refusals: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -65,3 +67,13 @@
             "evacuated, by route.",
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "gooseberryhall_held_bytes",
+            "Bytes held for callers and servers, by kind.",
+            registry=self.registry,
+        )
+        self.input_refusals = Counter(
+            "gooseberryhall_input_refusals_total",
+            "Requests and connections outside the limits, by reason.",
+            registry=self.registry,
+        )
