Spread requests by expected places and limit queues by the objective

In a burst most groups are full, and the load that other nodes report is 0.15 to 0.45 s old. A group took 4 requests beyond its slots whatever their objective.

A group now takes beyond its slots as many requests as are expected to be in time, by the engine profile, corrected by the times that this node observes. Above the light load of the own zone, the group is drawn in proportion to its expected places, which include the slots that became free since the report. If there is less than one free slot for each node, a node uses its part of the places only, by its part of the traffic.

Tests run: tests/gateway, tests/admission, tests/platform, tests/node.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -17,7 +17,7 @@
 from .crashes import request_fingerprint
 from .models import CallerRequest, GatewayResponse
 from .plain import async_forward_plain
-from .prompt import shared_prompt_parts
+from .prompt import declared_tokens, shared_prompt_parts
 from .refusals import (
     crashing_request_response,
     outcome_unknown_response,
@@ -174,6 +174,8 @@
         return GatewayResponse(401, "unknown key")
     model = request.get(state.header_names.model)
     team_name = team.name if team else ""
+    timeout_s = min(_caller_timeout_s(state, request), route.timeout_s)
+    spent_s = state.observed.spent_s(route.name, route.timeout_s, timeout_s)
     return RequestContext(
         request=request,
         request_id=request_id,
@@ -185,8 +187,12 @@
             team_name, request.method, request.target, request.body
         ),
         prompt_parts=shared_prompt_parts(request.get(state.header_names.prompt_parts)),
-        deadline_s=request.received_s
-        + min(_caller_timeout_s(state, request), route.timeout_s),
+        deadline_s=request.received_s + timeout_s,
+        objective_s=request.received_s + route.latency_objective_s - spent_s,
+        tokens=declared_tokens(
+            request.get(state.header_names.token_count),
+            request.get(state.header_names.length_hint),
+        ),
     )
 
 
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -21,8 +21,6 @@
 GROUP_CHOICES: Final = 2
 # Load, as a share of the slots, up to which groups of the caller's zone go first.
 LOCAL_GROUP_LOAD: Final = 0.6
-# Requests that a group accepts beyond its slots.
-MAX_QUEUED_PER_GROUP: Final = 4
 # Share of the latency objective for which a request waits for a free group.
 GROUP_WAIT_SHARE: Final = 0.125
 # Time that a request waits on a node that has just started and does not know any server
@@ -70,6 +68,8 @@
 CAUSE_GOSSIP_SHARE: Final = 0.2
 # Prompt parts of a request that are taken into account.
 MAX_PROMPT_PARTS: Final = 16
+# Larger numbers of tokens in a header are not believed.
+MAX_DECLARED_TOKENS: Final = 1_000_000
 # Time in which the first request of a new connection arrives.
 FIRST_REQUEST_S: Final = 0.5
 # Maximum number of bytes that one read of a caller's connection returns. They may hold
--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -1,5 +1,6 @@
 """Context of a request while it is forwarded."""
 
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -37,6 +38,22 @@
     sends: int = 0
     # Sends that broke off, so that the request may have run.
     breaks: int = 0
+    # Event loop time until which an answer is in time.
+    objective_s: float = math.inf
+    # Tokens of the prompt, and expected tokens of the answer; None if not declared.
+    tokens: tuple[int, int] | None = None
+
+    @property
+    def kind(self) -> tuple[str, str | None]:
+        """Return the service and the model of the request."""
+        return (self.service, self.model)
+
+    def time_left_s(self, now_s: float) -> float:
+        """Return the time left to the objective; no limit holds once it has run.
+
+        The caller of a stream that broke off has events already, or may have.
+        """
+        return math.inf if self.ran_on or self.breaks else self.objective_s - now_s
 
     @property
     def traits(self) -> frozenset[str]:
--- a/gooseberryhall/gateway/header_names.py
+++ b/gooseberryhall/gateway/header_names.py
@@ -29,3 +29,6 @@
     last_event_id: bytes
     # Scheme of an Authorization header with an API key, including the trailing space.
     key_scheme: bytes
+    # Prompt tokens and maximum of output tokens, and the caller's guess of the output.
+    token_count: bytes = b""
+    length_hint: bytes = b""
--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -4,12 +4,14 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ..admission.choice import choose_by_places
+from ..admission.const import MAX_QUEUED_PER_GROUP
+from ..admission.share import Supply
 from .const import (
     CROSS_ZONE_LOAD_PENALTY,
     GROUP_CHOICES,
     LOCAL_GROUP_LOAD,
     MAX_PLAIN_LOAD,
-    MAX_QUEUED_PER_GROUP,
 )
 
 
@@ -29,6 +31,22 @@
     leaving: bool = False
     # Moving average of failed requests, from 0 to 1.
     failure_rate: float = 0.0
+    # Requests in flight from which on the server is full; None: a fixed number.
+    limit: int | None = None
+    # Further requests that it is expected to take; None if the times are unknown.
+    places: float | None = None
+    # Part of `in_flight` that this node sent.
+    own: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The server for a request, or when it is worth another look."""
+
+    candidate: Candidate | None = None
+    # Time until this node may use a place of a server that has one; None if it is
+    # unknown when there will be a place.
+    delay_s: float | None = None
 
 
 def _load(candidate: Candidate) -> float:
@@ -41,24 +59,57 @@
 ) -> Candidate | None:
     """Return the group for a request, or None if all are full or suspected.
 
-    A group accepts only `MAX_QUEUED_PER_GROUP` requests beyond its slots, because more
-    would delay the first tokens of all requests. Groups of the caller's zone are used
-    while they have room: traffic between zones is billed, and the load of a zone's own
-    groups is known best. A burst, or the loss of many groups in one zone, spreads to
-    all zones.
+    A group accepts only some requests beyond its slots, because more would delay the
+    first tokens of all requests. Groups of the caller's zone are used while they have
+    room: traffic between zones is billed, and the load of a zone's own groups is known
+    best. A burst, or the loss of many groups in one zone, spreads to all zones.
     """
     usable = [
         candidate
         for candidate in candidates
-        if not candidate.suspected
-        and candidate.in_flight < candidate.slots + MAX_QUEUED_PER_GROUP
+        if not candidate.suspected and accepts(candidate)
     ]
     preferred = [candidate for candidate in usable if not candidate.leaving] or usable
     local = [candidate for candidate in preferred if candidate.same_zone]
     chosen = _sample_least_loaded(local, rng)
     if chosen is not None and _load(chosen) < LOCAL_GROUP_LOAD:
         return chosen
-    return _sample_least_loaded(preferred, rng)
+    places = [_places(item) for item in preferred if item.places is not None]
+    if not places or len(places) < len(preferred):
+        return _sample_least_loaded(preferred, rng)
+    return preferred[choose_by_places(places, rng)]
+
+
+def accepts(candidate: Candidate) -> bool:
+    """Return whether a group is expected to take another request in time."""
+    limit = candidate.limit
+    if limit is None:
+        limit = candidate.slots + MAX_QUEUED_PER_GROUP
+    if candidate.in_flight < limit:
+        return True
+    return candidate.places is not None and candidate.places >= 1
+
+
+def _places(candidate: Candidate) -> float:
+    """Return the expected places, less a penalty for a group of another zone."""
+    places = candidate.places or 0.0
+    if candidate.same_zone:
+        return places
+    return places - CROSS_ZONE_LOAD_PENALTY * candidate.slots
+
+
+def measure_supply(candidates: Sequence[Candidate]) -> Supply | None:
+    """Return what the candidates take; None if the times of one are unknown."""
+    free, places, own, total = 0, 0.0, 0, 0
+    for candidate in candidates:
+        if candidate.places is None:
+            return None
+        own += candidate.own
+        total += candidate.in_flight
+        if not candidate.suspected:
+            free += max(0, candidate.slots - candidate.in_flight)
+            places += max(0.0, candidate.places)
+    return Supply(free, places, own, total)
 
 
 def _sample_least_loaded(
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -26,7 +26,9 @@
     is_server_failure,
     is_success,
     log_request,
+    record_complete,
     record_crash,
+    record_first_event,
     record_rejection,
     record_success,
     record_unsent,
@@ -96,6 +98,9 @@
             ctx.ran_on.append(server_id)
             head = await sent.exchange.async_read_head()
             body = await sent.exchange.async_read_body(MAX_RESPONSE_BYTES)
+            if is_success(state, head):
+                record_first_event(state, ctx, sent)
+                record_complete(state, ctx, sent)
     except ConnectFailedError as exc:
         record_unsent(ctx, server_id, exc)
         return None
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -39,6 +39,9 @@
     conn: ClientConnection
     # Records that the server sent something that is useful to the caller.
     record_progress: Callable[[], None]
+    sent_s: float = 0.0
+    # Whether the server seemed to have a free slot.
+    unqueued: bool = False
 
 
 @asynccontextmanager
@@ -85,7 +88,10 @@
             new_connection=not ctx.route.idempotent,
             may_send=lambda: state.may_send(server, loop.time()),
         )
-        yield SentRequest(server, exchange, conn, record_progress)
+        unqueued = state.backends.load(server.server_id) <= state.slots(server)
+        yield SentRequest(
+            server, exchange, conn, record_progress, loop.time(), unqueued
+        )
     except SendWithheldError:
         raise
     except ConnectFailedError:
@@ -229,6 +235,26 @@
     state.crashes.record_success(ctx.fingerprint, now_s, ctx.prompt_parts)
 
 
+def record_first_event(
+    state: GatewayState, ctx: RequestContext, sent: SentRequest
+) -> None:
+    """Record how long a server took for the first event or a complete answer."""
+    if sent.unqueued and ctx.sends == 1:
+        took_s = asyncio.get_running_loop().time() - sent.sent_s
+        profile = state.profile_times(ctx)
+        state.observed.record_first_event(ctx.kind, profile, took_s)
+
+
+def record_complete(
+    state: GatewayState, ctx: RequestContext, sent: SentRequest
+) -> None:
+    """Record for how long a request took a slot of a server."""
+    if sent.unqueued and ctx.sends == 1:
+        took_s = asyncio.get_running_loop().time() - sent.sent_s
+        profile = state.profile_times(ctx)
+        state.observed.record_complete(ctx.kind, profile, took_s)
+
+
 def log_request(
     event: LogEvent, message: str, ctx: RequestContext, **fields: Any
 ) -> None:
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -1,22 +1,37 @@
 """State of the request path of one node."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..admission.estimate import (
+    UNKNOWN_TIMES,
+    SlotTimes,
+    estimate_capacity,
+    profile_times,
+)
 from ..fleet.models import BackendServer, Configuration, ServedGroup
 from ..fleet.statements import NO_STATEMENT, ServerStatement, ServerStatements
 from ..transport.const import MAX_RESPONSE_BYTES
 from ..transport.exchange import ResponseHead
 from ..transport.memory import ResponseMemory
 from ..transport.pool import ConnectionPool
+from .allowances import Allowances
 from .backends import Backends
 from .budget import RetryBudget
 from .context import RequestContext
 from .crashes import CrashTracker
 from .header_names import HeaderNames
 from .metrics import GatewayMetrics
-from .placement import Candidate, choose_group, choose_server
+from .observed import ObservedTimes
+from .placement import (
+    Candidate,
+    Choice,
+    choose_group,
+    choose_server,
+    measure_supply,
+)
 from .stopping import Stopping
 
 
@@ -51,6 +66,14 @@
     on_leaving: Callable[[], None] = lambda: None
     # Whether this node or another has received requests from callers.
     traffic_seen: bool = False
+    observed: ObservedTimes = field(default_factory=ObservedTimes)
+    # Returns the number of live nodes, including this one.
+    node_count: Callable[[], int] = lambda: 1
+    allowances: Allowances = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the parts that use this state."""
+        self.allowances = Allowances(self.rng, self.node_count)
 
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
@@ -82,9 +105,26 @@
         choose = choose_group if self.is_grouped(ctx.service) else choose_server
         return choose(self.candidates(ctx, now_s), self.rng)
 
+    def choose(self, ctx: RequestContext, now_s: float) -> Choice:
+        """Choose a server for a request that can wait; it takes part in the sharing."""
+        candidates = self.candidates(ctx, now_s)
+        choose = choose_group if self.is_grouped(ctx.service) else choose_server
+        chosen = choose(candidates, self.rng)
+        if chosen is None:
+            return Choice()
+        supply = measure_supply(candidates)
+        if supply is not None:
+            delay_s = self.allowances.delay_s(ctx.kind, supply, now_s)
+            if delay_s != 0.0 and ctx.time_left_s(now_s) < math.inf:
+                return Choice(delay_s=delay_s)
+            self.allowances.spend(ctx.kind)
+        return Choice(chosen)
+
     def group_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups to which the request may be sent."""
         slots = self._group_slots(ctx.service)
+        times = self.observed.times(ctx.kind, self.profile_times(ctx))
+        time_left_s = ctx.time_left_s(now_s)
         candidates = []
         for group in self.groups():
             leader = group.leader
@@ -96,14 +136,21 @@
                 continue
             if leader.server_id in ctx.excluded_servers:
                 continue
+            in_flight = self.backends.load(leader.server_id)
+            peers = self.backends.peer_load.get(leader.server_id, 0)
+            usable = self.statements.usable_slots(leader, slots, now_s)
+            capacity = estimate_capacity(in_flight, peers, usable, times, time_left_s)
             candidates.append(
                 Candidate(
                     server_id=leader.server_id,
-                    in_flight=self.backends.load(leader.server_id),
-                    slots=self.statements.usable_slots(leader, slots, now_s),
+                    in_flight=in_flight,
+                    slots=usable,
                     same_zone=leader.zone == self.zone,
                     suspected=self.backends.is_suspected(leader.server_id, now_s),
                     leaving=group.leaving,
+                    limit=capacity.limit,
+                    places=capacity.places,
+                    own=in_flight - peers,
                 )
             )
         return candidates
@@ -125,6 +172,15 @@
             and server.server_id not in ctx.excluded_servers
         ]
 
+    def profile_times(self, ctx: RequestContext) -> SlotTimes:
+        """Return the expected times of a request by the configuration."""
+        cfg = self.configuration()
+        service = cfg.services.get(ctx.service) if cfg else None
+        if service is None or service.engine is None:
+            return UNKNOWN_TIMES
+        prompt_tokens = ctx.tokens[0] if ctx.tokens else None
+        return profile_times(service.engine, ctx.model, prompt_tokens)
+
     def soonest_return_s(self, ctx: RequestContext, now_s: float) -> float | None:
         """Return when the first server may get requests again.
 
@@ -148,6 +204,12 @@
             now_s,
         )
 
+    def slots(self, server: BackendServer) -> int:
+        """Return the number of requests that a server runs concurrently."""
+        if self.is_grouped(server.service):
+            return self._group_slots(server.service)
+        return max(1, server.slots)
+
     def _group_slots(self, service: str) -> int:
         cfg = self.configuration()
         service_cfg = cfg.services.get(service) if cfg else None
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -35,6 +35,8 @@
     is_success,
     log_request,
     record_break,
+    record_complete,
+    record_first_event,
     record_rejection,
     record_success,
     record_unsent,
@@ -191,7 +193,7 @@
     wait_until_s = loop.time() + ctx.route.latency_objective_s * GROUP_WAIT_SHARE
     while True:
         now_s = loop.time()
-        chosen = state.choose_candidate(ctx, now_s)
+        chosen = state.choose(ctx, now_s).candidate
         if chosen is not None:
             return state.servers().get(chosen.server_id)
         if now_s >= min(wait_until_s, ctx.deadline_s):
@@ -344,6 +346,8 @@
         events, source.events = source.events, b""
         if events:
             source.sent.record_progress()
+            if relay.answering_since_s is None:
+                record_first_event(state, ctx, source.sent)
             relay.record_events(ctx.deadline_s)
             if server_id not in ctx.ran_on:
                 ctx.ran_on.append(server_id)
@@ -353,6 +357,7 @@
     relay.begin()
     relay.conn.end_response()
     state.backends.record_result(server_id, failed=False)
+    record_complete(state, ctx, source.sent)
     record_success(state, ctx)
     return _Outcome.COMPLETE
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -352,6 +352,7 @@
             groups=lambda: self.table.groups,
             create_budget=self._create_budget,
             on_crash=self._apply_crash_causes,
+            node_count=lambda: 1 + len(self.peers.peers),
         )
 
     def _create_owner(self) -> ZoneOwner:
--- a/gooseberryhall/platform/headers.py
+++ b/gooseberryhall/platform/headers.py
@@ -16,4 +16,6 @@
     prompt_parts=b"x-prompt-prefix",
     last_event_id=b"last-event-id",
     key_scheme=b"Token ",
+    token_count=b"x-token-count",
+    length_hint=b"x-length-hint",
 )
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission."""
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -6,11 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gooseberryhall.admission.const import MAX_QUEUED_PER_GROUP
 from gooseberryhall.gateway.backends import Attempt, Backends
 from gooseberryhall.gateway.budget import RetryBudget
 from gooseberryhall.gateway.const import (
     GROUP_STALL_TIMEOUT_S,
-    MAX_QUEUED_PER_GROUP,
     SHARED_STALL_TIMEOUT_S,
 )
 from gooseberryhall.gateway.events import EventSplitter
