Send requests that can no longer be in time with a less urgent priority

A request whose objective has passed took a slot that one in time could have had: servers order their queues by X-Request-Priority, which did not depend on the time left.

Tests run: tests/gateway, tests/admission.

--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -84,6 +84,8 @@
 MIN_REMAINING_S: Final = 0.02
 DEFAULT_DEADLINE_S: Final = 30.0
 MAX_PRIORITY: Final = 9
+# Added to the priority of a route for requests that can no longer be in time.
+LATE_PRIORITY_STEP: Final = 5
 
 RETRY_AFTER_NO_GROUP_S: Final = 0.8
 RETRY_AFTER_BUSY_S: Final = 0.4
--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -8,7 +8,7 @@
 from ..transport.const import HOP_BY_HOP_HEADERS
 from ..transport.exchange import Headers
 from ..transport.request import encode_request
-from .const import MAX_PRIORITY
+from .const import LATE_PRIORITY_STEP, MAX_PRIORITY
 from .header_names import HeaderNames
 from .models import CallerRequest
 
@@ -70,11 +70,14 @@
         server: BackendServer,
         now_s: float,
         last_event_id: bytes | None,
+        *,
+        late: bool = False,
     ) -> bytes:
         """Return the bytes of the request for a server.
 
         Hop-by-hop headers and the caller's credentials are removed. `last_event_id`
-        replaces the caller's when a stream is resumed.
+        replaces the caller's when a stream is resumed. A request that is `late` is
+        queued behind those that can be in time.
         """
         dropped = HOP_BY_HOP_HEADERS | self._connection_options()
         dropped |= {
@@ -97,18 +100,26 @@
             headers.append((header_names.team, self.team.name.encode()))
         if last_event_id is not None:
             headers.append((header_names.last_event_id, last_event_id))
-        if self.request.get(header_names.priority) is None:
-            headers.append((header_names.priority, b"%d" % self._priority()))
+        if late:
+            headers = [item for item in headers if item[0] != header_names.priority]
+        if late or self.request.get(header_names.priority) is None:
+            priority = self._late_priority() if late else self.priority
+            headers.append((header_names.priority, b"%d" % priority))
         return encode_request(
             self.request.method, self.request.target, headers, self.request.body
         )
 
-    def _priority(self) -> int:
+    @property
+    def priority(self) -> int:
+        """Return the priority of the team, or else of the route; 0 is first."""
         priority = self.route.priority
         if self.team is not None and self.team.priority is not None:
             priority = self.team.priority
         return max(0, min(MAX_PRIORITY, priority))
 
+    def _late_priority(self) -> int:
+        return max(0, min(MAX_PRIORITY, self.route.priority + LATE_PRIORITY_STEP))
+
     def _connection_options(self) -> frozenset[bytes]:
         value = self.request.get(b"connection")
         if value is None:
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -77,7 +77,13 @@
     key = state.backends.start_attempt(server.server_id, attempt, loop.time())
     conn: ClientConnection | None = None
     try:
-        data = ctx.encode(state.header_names, server, loop.time(), last_event_id)
+        data = ctx.encode(
+            state.header_names,
+            server,
+            loop.time(),
+            last_event_id,
+            late=state.is_late(ctx, loop.time()),
+        )
         ctx.sends += 1
         # The server may close a reused connection at the same time. It would then be
         # unknown whether a request that must run at most once was run.
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -9,6 +9,7 @@
     UNKNOWN_TIMES,
     SlotTimes,
     estimate_capacity,
+    is_late,
     profile_times,
 )
 from ..fleet.models import BackendServer, Configuration, ServedGroup
@@ -123,7 +124,7 @@
     def group_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups to which the request may be sent."""
         slots = self._group_slots(ctx.service)
-        times = self.observed.times(ctx.kind, self.profile_times(ctx))
+        times = self.expected_times(ctx)
         time_left_s = ctx.time_left_s(now_s)
         candidates = []
         for group in self.groups():
@@ -172,6 +173,14 @@
             and server.server_id not in ctx.excluded_servers
         ]
 
+    def expected_times(self, ctx: RequestContext) -> SlotTimes:
+        """Return the expected times of a request, as far as this node knows."""
+        return self.observed.times(ctx.kind, self.profile_times(ctx))
+
+    def is_late(self, ctx: RequestContext, now_s: float) -> bool:
+        """Return whether a request can no longer be in time."""
+        return is_late(self.expected_times(ctx), ctx.time_left_s(now_s))
+
     def profile_times(self, ctx: RequestContext) -> SlotTimes:
         """Return the expected times of a request by the configuration."""
         cfg = self.configuration()
