Move the arithmetic of start-time fair queueing to the admission package

The request path of the node program needs the same order between teams as limits/.

Tests run: tests/limits, unchanged.

--- a/gooseberryhall/limits/queue.py
+++ b/gooseberryhall/limits/queue.py
@@ -1,11 +1,9 @@
-"""Weighted fair queue between teams (start-time fair queueing).
+"""Weighted fair queue between teams; each request costs 1 / weight.
 
-A request's start tag is the later of the virtual time and the finish tag of its team's
-previous request. Its finish tag is the start tag plus 1 / weight. The request with the
-lowest start tag is dispatched first, so that a team with many queued requests does not
-delay other teams.
+See `admission/fair_queue.py`.
 """
 
+from ..admission.fair_queue import advance, charge, next_start_tag, refund
 from ..requests.models import ModelRequest
 from .const import SERVICE_TIME_EWMA_WEIGHT
 from .state import LimitsState, QueuedRequest
@@ -13,8 +11,7 @@
 
 def enqueue(state: LimitsState, request: ModelRequest, now_s: float) -> None:
     """Add a request to the queue."""
-    start_tag = max(state.virtual_time, state.last_finish.get(request.team, 0.0))
-    state.last_finish[request.team] = start_tag + 1.0 / request.weight
+    start_tag = charge(state, request.team, 1.0 / request.weight)
     state.queued[request.request_id] = QueuedRequest(request, start_tag, now_s)
 
 
@@ -37,7 +34,7 @@
     """Remove a request from the queue and count it as running."""
     request = queued.request
     del state.queued[request.request_id]
-    state.virtual_time = max(state.virtual_time, queued.start_tag)
+    advance(state, queued.start_tag)
     state.running[request.team] = state.running.get(request.team, 0) + 1
 
 
@@ -58,13 +55,12 @@
     queued = state.queued.pop(request_id, None)
     if queued is None or queued.restarted:
         return
-    # The team's later requests must not be charged for a request that was not run.
     request = queued.request
+    others = (
+        other for other in state.queued.values() if other.request.team == request.team
+    )
     cost = 1.0 / request.weight
-    for other in state.queued.values():
-        if other.request.team == request.team and other.start_tag > queued.start_tag:
-            other.start_tag -= cost
-    state.last_finish[request.team] -= cost
+    refund(state, request.team, cost, queued.start_tag, others)
 
 
 def expected_wait_s(state: LimitsState, ahead: int) -> float:
@@ -83,7 +79,7 @@
 
 def requests_ahead(state: LimitsState, request: ModelRequest) -> int:
     """Return how many queued requests would be dispatched before a new one."""
-    start_tag = max(state.virtual_time, state.last_finish.get(request.team, 0.0))
+    start_tag = next_start_tag(state, request.team)
     return sum(1 for item in state.queued.values() if item.start_tag <= start_tag)
 
 
