Let requests wait for a server in order, and derive Retry-After

A stream polled for capacity every 10 ms, in no order; plain requests were refused at once when all servers were full; a rejected request was refused or sent behind newer ones; refusals had a fixed Retry-After.

Requests of both paths now wait in one queue for each service and model. The next one is tried when an attempt ends, when the routing table or the load of other nodes has changed, and when this node may use another place. The order is: can be in time, priority, share of the team by work, time left. A request that a server rejected keeps its place; the server counts as full for 0.3 s or until one of its requests ends, and may get the request again. A request waits an eighth of its objective, one that is late a quarter of its remaining time, 256 requests and 1 MB of bodies wait at most. Retry-After follows from the backlog and the measured rate of service, at most a third of the remaining time. A stop refuses all that wait. A node that has just started takes groups for half full.

--- a/gooseberryhall/admission/const.py
+++ b/gooseberryhall/admission/const.py
@@ -16,3 +16,29 @@
 QUEUE_SHARE: Final = 0.5
 # Weight of a candidate that accepts a request, but has no place after all penalties.
 MIN_PLACES: Final = 0.1
+
+# Waiting requests of a node, and the bytes of their bodies.
+MAX_WAITING_REQUESTS: Final = 256
+MAX_WAITING_BYTES: Final = 1_000_000
+# Share of the objective for which a request waits for a slot.
+WAIT_SHARE: Final = 0.125
+# Share of its remaining time for which a request that cannot be in time waits.
+LATE_WAIT_SHARE: Final = 0.25
+# A request whose expected wait is this many times as long as it may wait is refused at
+# once; the estimate is rough.
+HOPELESS_WAITS: Final = 2.0
+# Work of a request that does not declare its tokens.
+DEFAULT_WORK_TOKENS: Final = 500.0
+# Waiting requests that are tried when a slot may have become free. The first one may
+# have too little time for a queue that another one can use.
+MAX_TRIES: Final = 4
+MIN_RETRY_AFTER_S: Final = 0.05
+# Callers honour `Retry-After` up to this share of their remaining time.
+RETRY_AFTER_SHARE: Final = 1 / 3
+RATE_WINDOW_S: Final = 1.0
+# Time for which requests must have waited until the rate of service is that of the
+# servers.
+MIN_STEADY_S: Final = 0.3
+# A server that rejected a request counts as full for the age of the figures, unless one
+# of its requests ends.
+FULL_S: Final = FIGURES_AGE_S
--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -74,6 +74,8 @@
     state.metrics.requests.inc({"route": routed.route.name, "outcome": outcome})
     if response is None:
         return
+    if response.status == 503:  # noqa: PLR2004
+        state.metrics.refusals.inc({"reason": response.reason})
     if state.crashes.is_blocked(routed.traits):
         state.metrics.crash_refusals.inc({"route": routed.route.name})
     log_request(
@@ -82,6 +84,9 @@
         routed,
         status=response.status,
         retry_after_s=response.retry_after_s,
+        waited_s=round(routed.waited_s, 3),
+        expected_wait_s=round(routed.expected_wait_s, 3),
+        wait_end=routed.wait_end,
         sends=routed.sends,
         ran_on=routed.ran_on,
         parts=routed.prompt_parts,
--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..admission.const import FULL_S
 from ..transport.exceptions import ExchangeAbortedError
 from ..transport.exchange import Exchange
 from .const import (
@@ -68,6 +69,13 @@
     peer_load: dict[str, int] = field(default_factory=dict)
     # Time at which other nodes last observed progress, by server.
     peer_progress_s: dict[str, float] = field(default_factory=dict)
+    # Whether the load from other nodes is known; a node that has just started waits for
+    # the first announcement with traffic.
+    traffic_known: bool = True
+    # Called after an attempt has ended.
+    on_end: Callable[[], None] = lambda: None
+    # Servers that rejected a request because they are full, until a time.
+    _full_until_s: dict[str, float] = field(default_factory=dict)
     # When all servers that should send something were last silent.
     _shared_silence_s: float = float("-inf")
     _next_key: int = 0
@@ -78,6 +86,19 @@
         local = len(health.in_flight) if health else 0
         return local + self.peer_load.get(server_id, 0)
 
+    def own_load(self, server_id: str) -> int:
+        """Return this node's requests in flight at a server."""
+        health = self._health.get(server_id)
+        return len(health.in_flight) if health else 0
+
+    def mark_full(self, server_id: str, now_s: float) -> None:
+        """Record that a server rejected a request because it is full."""
+        self._full_until_s[server_id] = now_s + FULL_S
+
+    def is_full(self, server_id: str, now_s: float) -> bool:
+        """Return whether a server rejected a request, and nothing has changed since."""
+        return self._full_until_s.get(server_id, 0.0) > now_s
+
     def local_load(self) -> dict[str, int]:
         """Return this node's requests in flight by server."""
         return {
@@ -120,6 +141,8 @@
         """Remove an attempt that has ended."""
         health = self._health[server_id]
         health.in_flight.pop(key, None)
+        self._full_until_s.pop(server_id, None)
+        self.on_end()
 
     def record_progress(self, server_id: str, now_s: float) -> None:
         """Record that the server sent data for a request."""
@@ -204,6 +227,7 @@
         for server_id in list(self._health):
             if server_id not in server_ids and not self._health[server_id].in_flight:
                 del self._health[server_id]
+                self._full_until_s.pop(server_id, None)
 
     def _handle_stall(
         self, server_id: str, health: BackendHealth, now_s: float, silent_s: float
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -21,8 +21,6 @@
 GROUP_CHOICES: Final = 2
 # Load, as a share of the slots, up to which groups of the caller's zone go first.
 LOCAL_GROUP_LOAD: Final = 0.6
-# Share of the latency objective for which a request waits for a free group.
-GROUP_WAIT_SHARE: Final = 0.125
 # Time that a request waits on a node that has just started and does not know any server
 # yet, and the share of the time until its deadline that this may take at most.
 STARTUP_WAIT_S: Final = 0.8
--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass, field
 
+from ..admission.decision import Place, WaitEnd
 from ..fleet.models import BackendServer, Route, Team
 from ..transport.const import HOP_BY_HOP_HEADERS
 from ..transport.exchange import Headers
@@ -40,6 +41,11 @@
     breaks: int = 0
     # Event loop time until which an answer is in time.
     objective_s: float = math.inf
+    # Place among the waiting requests of this node, if it has waited.
+    place: Place | None = None
+    wait_end: WaitEnd | None = None
+    waited_s: float = 0.0
+    expected_wait_s: float = 0.0
     # Tokens of the prompt, and expected tokens of the answer; None if not declared.
     tokens: tuple[int, int] | None = None
 
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+WAIT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 
 
 @dataclass(slots=True)
@@ -18,6 +19,9 @@
     crash_refusals: Counter = field(init=False)
     statements: Counter = field(init=False)
     latency: Histogram = field(init=False)
+    waiting: Gauge = field(init=False)
+    waited: Histogram = field(init=False)
+    refusals: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -52,3 +56,19 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.waiting = Gauge(
+            "gooseberryhall_waiting_requests",
+            "Requests that wait for a server.",
+            registry=self.registry,
+        )
+        self.waited = Histogram(
+            "gooseberryhall_waited_seconds",
+            "Time for which requests waited for a server, by route.",
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "gooseberryhall_refusals_total",
+            "Requests refused with 503, by reason.",
+            registry=self.registry,
+        )
--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -80,11 +80,14 @@
     return preferred[choose_by_places(places, rng)]
 
 
-def accepts(candidate: Candidate) -> bool:
-    """Return whether a group is expected to take another request in time."""
+def accepts(candidate: Candidate, max_queued: int = MAX_QUEUED_PER_GROUP) -> bool:
+    """Return whether a server is expected to take another request in time.
+
+    Without known times it accepts `max_queued` requests beyond its slots.
+    """
     limit = candidate.limit
     if limit is None:
-        limit = candidate.slots + MAX_QUEUED_PER_GROUP
+        limit = candidate.slots + max_queued
     if candidate.in_flight < limit:
         return True
     return candidate.places is not None and candidate.places >= 1
@@ -136,15 +139,23 @@
     usable = [
         candidate
         for candidate in candidates
-        if candidate.in_flight < candidate.slots * MAX_PLAIN_LOAD
+        if accepts(candidate, int(candidate.slots * (MAX_PLAIN_LOAD - 1)))
     ]
     preferred = [candidate for candidate in usable if not candidate.suspected] or usable
     if not preferred:
         return None
-    return min(
+    best = min(
         preferred,
         key=lambda candidate: (
             _load(candidate) + candidate.failure_rate,
             rng.random(),
         ),
     )
+    places = [
+        _places(item) * (1 - item.failure_rate)
+        for item in preferred
+        if item.places is not None
+    ]
+    if _load(best) < LOCAL_GROUP_LOAD or len(places) < len(preferred):
+        return best
+    return preferred[choose_by_places(places, rng)]
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -11,14 +11,8 @@
 from .const import MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .models import GatewayResponse
-from .placement import choose_server
-from .refusals import (
-    busy_response,
-    no_group_response,
-    outcome_unknown_response,
-    paused_response,
-    timeout_response,
-)
+from .refusals import outcome_unknown_response, timeout_response
+from .refusing import unserved_response
 from .sending import (
     async_send,
     attempt_deadline_s,
@@ -44,7 +38,7 @@
     """Relay a server's response; return a generated response if there is none."""
     server_response: ServerResponse | None = None
     failure_response: GatewayResponse | None = None
-    while (server := _next_server(state, ctx)) is not None:
+    while (server := await _async_next_server(state, ctx)) is not None:
         result = await _async_attempt(state, ctx, server)
         if isinstance(result, GatewayResponse):
             failure_response = result
@@ -57,27 +51,29 @@
         return None
     if failure_response is not None:
         return failure_response
-    soonest_s = state.soonest_return_s(ctx, asyncio.get_running_loop().time())
-    if soonest_s is not None:
-        return paused_response(soonest_s, state.rng)
-    return busy_response(state.rng) if ctx.sends else no_group_response(state.rng)
+    return unserved_response(state, ctx)
 
 
-def _next_server(state: GatewayState, ctx: RequestContext) -> BackendServer | None:
+async def _async_next_server(
+    state: GatewayState, ctx: RequestContext
+) -> BackendServer | None:
     """Return the server for the next attempt, or None if there is none."""
-    now_s = asyncio.get_running_loop().time()
-    if ctx.rejections >= MAX_REJECTIONS or ctx.deadline_s - now_s < MIN_REMAINING_S:
+    loop = asyncio.get_running_loop()
+    if (
+        ctx.rejections >= MAX_REJECTIONS
+        or ctx.deadline_s - loop.time() < MIN_REMAINING_S
+    ):
         return None
     if ctx.ran_on and not ctx.is_retryable():
         return None
     if ctx.sends and state.crashes.is_blocked(ctx.traits):
         return None
-    chosen = choose_server(state.server_candidates(ctx, now_s), state.rng)
-    if chosen is None or (
-        ctx.sends and not state.budget(ctx.service).try_acquire(now_s)
+    server = await state.waiting.async_choose(ctx)
+    if server is None or (
+        ctx.sends and not state.budget(ctx.service).try_acquire(loop.time())
     ):
         return None
-    return state.servers().get(chosen.server_id)
+    return server
 
 
 async def _async_attempt(
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -1,7 +1,9 @@
 """Responses to requests that no server completed."""
 
 import random
+from typing import Final
 
+from ..admission.decision import WaitEnd, limit_retry_after_s
 from .const import (
     CRASH_RETENTION_S,
     RETRY_AFTER_BUSY_S,
@@ -11,22 +13,37 @@
 )
 from .models import GatewayResponse
 
+_BUSY_REASONS: Final[dict[WaitEnd | None, str]] = {
+    WaitEnd.HOPELESS: "all servers are full, and requests wait for longer",
+    WaitEnd.BOUNDS: "too many requests wait",
+}
 
-def no_group_response(rng: random.Random) -> GatewayResponse:
+
+def no_group_response(rng: random.Random, remaining_s: float) -> GatewayResponse:
     """Return a refusal because no group serves the model.
 
     A group usually serves again within a second, so `Retry-After` is short.
     """
+    delay_s = _add_jitter(RETRY_AFTER_NO_GROUP_S, rng)
     return GatewayResponse(
-        503, "no group serves now", _add_jitter(RETRY_AFTER_NO_GROUP_S, rng)
+        503, "no group serves now", limit_retry_after_s(delay_s, remaining_s)
     )
 
 
-def busy_response(rng: random.Random) -> GatewayResponse:
-    """Return a refusal because all servers are full."""
-    return GatewayResponse(
-        503, "all servers are full", _add_jitter(RETRY_AFTER_BUSY_S, rng)
-    )
+def busy_response(
+    rng: random.Random,
+    remaining_s: float,
+    drained_s: float | None = None,
+    wait_end: WaitEnd | None = None,
+) -> GatewayResponse:
+    """Return a refusal because all servers are full.
+
+    `drained_s` is the time after which they are expected to take the request.
+    """
+    if drained_s is None:
+        drained_s = _add_jitter(RETRY_AFTER_BUSY_S, rng)
+    reason = _BUSY_REASONS.get(wait_end, "all servers are full")
+    return GatewayResponse(503, reason, limit_retry_after_s(drained_s, remaining_s))
 
 
 def paused_response(soonest_s: float, rng: random.Random) -> GatewayResponse:
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -63,7 +63,13 @@
     def record_progress() -> None:
         state.backends.record_progress(server.server_id, loop.time())
 
+    rejected = False
+
     def on_head(head: ResponseHead) -> None:
+        nonlocal rejected
+        rejected = (
+            is_rejection(state, head) and head.status != _HTTP_MISDIRECTED_REQUEST
+        )
         record_progress()
         _record_statement(state, ctx, server, head)
 
@@ -106,6 +112,10 @@
     finally:
         exchange.release()
         state.backends.end_attempt(server.server_id, key)
+        if rejected:
+            # The places of this server were overestimated.
+            state.backends.mark_full(server.server_id, loop.time())
+            state.allowances.refund(ctx.kind)
         if conn is not None:
             state.pool.release(server.address, conn)
 
@@ -190,8 +200,13 @@
 
 
 def record_rejection(ctx: RequestContext, server_id: str, head: ResponseHead) -> None:
-    """Record that a server did not run the request."""
+    """Record that a server did not run the request.
+
+    A server that was full may get it later, when one of its requests has ended.
+    """
     ctx.rejections += 1
+    if head.status != _HTTP_MISDIRECTED_REQUEST:
+        ctx.excluded_servers.discard(server_id)
     log_request(
         LogEvent.REQUEST_REJECTED,
         "server did not run the request",
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..admission.const import FIGURES_AGE_S, MAX_QUEUED_PER_GROUP
 from ..admission.estimate import (
     UNKNOWN_TIMES,
     SlotTimes,
@@ -21,6 +22,7 @@
 from .allowances import Allowances
 from .backends import Backends
 from .budget import RetryBudget
+from .const import MAX_PLAIN_LOAD
 from .context import RequestContext
 from .crashes import CrashTracker
 from .header_names import HeaderNames
@@ -33,7 +35,8 @@
     choose_server,
     measure_supply,
 )
-from .stopping import Stopping
+from .stopping import Stopping, StopSchedule
+from .waiting import WaitingRequests
 
 
 @dataclass(slots=True)
@@ -71,10 +74,18 @@
     # Returns the number of live nodes, including this one.
     node_count: Callable[[], int] = lambda: 1
     allowances: Allowances = field(init=False)
+    waiting: WaitingRequests = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that use this state."""
         self.allowances = Allowances(self.rng, self.node_count)
+        self.waiting = WaitingRequests(self, self.metrics)
+        self.backends.on_end = self.waiting.wake
+
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Begin the planned stop; other nodes serve what waits."""
+        self.stopping.begin(schedule)
+        self.waiting.close()
 
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
@@ -113,7 +124,9 @@
         chosen = choose(candidates, self.rng)
         if chosen is None:
             return Choice()
-        supply = measure_supply(candidates)
+        # Figures that are older than a request takes a slot say little about places.
+        slot_s = self.expected_times(ctx).slot_s
+        supply = measure_supply(candidates) if slot_s > FIGURES_AGE_S else None
         if supply is not None:
             delay_s = self.allowances.delay_s(ctx.kind, supply, now_s)
             if delay_s != 0.0 and ctx.time_left_s(now_s) < math.inf:
@@ -121,6 +134,31 @@
             self.allowances.spend(ctx.kind)
         return Choice(chosen)
 
+    def find_server(self, choice: Choice) -> BackendServer | None:
+        """Return the server that was chosen."""
+        chosen = choice.candidate
+        return self.servers().get(chosen.server_id) if chosen else None
+
+    def is_unservable(self, ctx: RequestContext, now_s: float, limit_s: float) -> bool:
+        """Return whether no server can take a request within the limit."""
+        if self.candidates(ctx, now_s):
+            return False
+        if ctx.excluded_servers and not self.is_grouped(ctx.service):
+            return True
+        return (self.soonest_return_s(ctx, now_s) or 0.0) > limit_s
+
+    def _known_load(
+        self, server_id: str, slots: int, max_queued: int, now_s: float
+    ) -> tuple[int, int]:
+        """Return the requests in flight at a server, and the part of other nodes."""
+        own = self.backends.own_load(server_id)
+        if self.backends.is_full(server_id, now_s):
+            return max(self.backends.load(server_id), slots + max_queued), 0
+        peers = self.backends.peer_load.get(server_id, 0)
+        if not self.backends.traffic_known:
+            peers = max(peers, slots // 2 - own)
+        return own + peers, peers
+
     def group_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups to which the request may be sent."""
         slots = self._group_slots(ctx.service)
@@ -137,9 +175,10 @@
                 continue
             if leader.server_id in ctx.excluded_servers:
                 continue
-            in_flight = self.backends.load(leader.server_id)
-            peers = self.backends.peer_load.get(leader.server_id, 0)
             usable = self.statements.usable_slots(leader, slots, now_s)
+            in_flight, peers = self._known_load(
+                leader.server_id, usable, MAX_QUEUED_PER_GROUP, now_s
+            )
             capacity = estimate_capacity(in_flight, peers, usable, times, time_left_s)
             candidates.append(
                 Candidate(
@@ -151,27 +190,43 @@
                     leaving=group.leaving,
                     limit=capacity.limit,
                     places=capacity.places,
-                    own=in_flight - peers,
+                    own=self.backends.own_load(leader.server_id),
                 )
             )
         return candidates
 
     def server_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the plain servers to which the request may be sent."""
-        return [
-            Candidate(
-                server_id=server.server_id,
-                in_flight=self.backends.load(server.server_id),
-                slots=self.statements.usable_slots(server, max(1, server.slots), now_s),
-                same_zone=server.zone == self.zone,
-                suspected=self.backends.is_suspected(server.server_id, now_s),
-                failure_rate=self.backends.failure_rate(server.server_id),
+        times = self.expected_times(ctx)
+        time_left_s = ctx.time_left_s(now_s)
+        candidates = []
+        for server in self.servers().values():
+            if server.service != ctx.service or not self.may_send(server, now_s):
+                continue
+            if server.server_id in ctx.excluded_servers:
+                continue
+            slots = self.statements.usable_slots(server, max(1, server.slots), now_s)
+            max_queued = int(slots * (MAX_PLAIN_LOAD - 1))
+            in_flight, peers = self._known_load(
+                server.server_id, slots, max_queued, now_s
             )
-            for server in self.servers().values()
-            if server.service == ctx.service
-            and self.may_send(server, now_s)
-            and server.server_id not in ctx.excluded_servers
-        ]
+            capacity = estimate_capacity(
+                in_flight, peers, slots, times, time_left_s, max_queued=max_queued
+            )
+            candidates.append(
+                Candidate(
+                    server_id=server.server_id,
+                    in_flight=in_flight,
+                    slots=slots,
+                    same_zone=server.zone == self.zone,
+                    suspected=self.backends.is_suspected(server.server_id, now_s),
+                    failure_rate=self.backends.failure_rate(server.server_id),
+                    limit=capacity.limit,
+                    places=capacity.places,
+                    own=self.backends.own_load(server.server_id),
+                )
+            )
+        return candidates
 
     def expected_times(self, ctx: RequestContext) -> SlotTimes:
         """Return the expected times of a request, as far as this node knows."""
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -15,18 +15,16 @@
 )
 from ..transport.exchange import ResponseHead
 from .caller import CallerConnection
-from .const import CRASH_ONSET_S, GROUP_WAIT_SHARE, MAX_REJECTIONS, MIN_REMAINING_S
+from .const import CRASH_ONSET_S, MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .events import EventSplitter
 from .models import GatewayResponse
 from .refusals import (
-    busy_response,
     crashing_request_response,
-    no_group_response,
     outcome_unknown_response,
-    paused_response,
     timeout_response,
 )
+from .refusing import unserved_response
 from .sending import (
     SentRequest,
     async_send,
@@ -49,7 +47,6 @@
     async_wait_for_head,
 )
 
-_SERVER_POLL_PERIOD_S = 0.01
 _HTTP_REDIRECTION = 300
 
 
@@ -147,7 +144,7 @@
 ) -> BackendServer | None:
     """Return the server of the next attempt, or None if there can be none."""
     loop = asyncio.get_running_loop()
-    server = await _async_choose_server(state, ctx)
+    server = await state.waiting.async_choose(ctx)
     if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
         return None
     if state.crashes.is_blocked(ctx.traits):
@@ -176,29 +173,7 @@
         return outcome_unknown_response("the server broke off")
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=ctx.breaks > 0)
-    now_s = asyncio.get_running_loop().time()
-    if state.candidates(ctx, now_s):
-        return busy_response(state.rng)
-    soonest_s = state.soonest_return_s(ctx, now_s)
-    if soonest_s is not None:
-        return paused_response(soonest_s, state.rng)
-    return no_group_response(state.rng)
-
-
-async def _async_choose_server(
-    state: GatewayState, ctx: RequestContext
-) -> BackendServer | None:
-    """Choose a server; wait for a free one during a share of the latency objective."""
-    loop = asyncio.get_running_loop()
-    wait_until_s = loop.time() + ctx.route.latency_objective_s * GROUP_WAIT_SHARE
-    while True:
-        now_s = loop.time()
-        chosen = state.choose(ctx, now_s).candidate
-        if chosen is not None:
-            return state.servers().get(chosen.server_id)
-        if now_s >= min(wait_until_s, ctx.deadline_s):
-            return None
-        await asyncio.sleep(_SERVER_POLL_PERIOD_S)
+    return unserved_response(state, ctx)
 
 
 async def _async_attempt(
--- /dev/null
+++ b/gooseberryhall/gateway/waiting.py
@@ -0,0 +1,298 @@
+"""Requests of this node that wait for a server.
+
+Nothing polls: the next request is tried when an attempt ends, when the routing table or
+the traffic of other nodes has changed, and when this node may use another place.
+"""
+
+import asyncio
+import heapq
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ..admission.const import MAX_TRIES
+from ..admission.decision import (
+    OrderKey,
+    Place,
+    ServiceRate,
+    Verdict,
+    WaitEnd,
+    chance_key,
+    decide,
+    is_over_bounds,
+    order_key,
+    retry_after_s,
+    wait_limit_s,
+    work_tokens,
+)
+from ..admission.estimate import SlotTimes
+from ..admission.fair_queue import FairClock, advance, charge, refund
+from ..fleet.models import BackendServer
+from .const import MIN_REMAINING_S
+from .context import RequestContext
+from .metrics import GatewayMetrics
+from .observed import Kind
+from .placement import Choice
+
+# Added to the time at which a place may be used, so that rounding does not miss it.
+_TIMER_MARGIN_S = 0.001
+
+
+class Chooser(Protocol):
+    """What this module needs to know of the servers."""
+
+    def choose(self, ctx: RequestContext, now_s: float) -> Choice:
+        """Choose a server for a request now."""
+
+    def find_server(self, choice: Choice) -> BackendServer | None:
+        """Return the server that was chosen."""
+
+    def is_unservable(self, ctx: RequestContext, now_s: float, limit_s: float) -> bool:
+        """Return whether no server can take a request within the limit."""
+
+    def expected_times(self, ctx: RequestContext) -> SlotTimes:
+        """Return the expected times of a request."""
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    ctx: RequestContext
+    place: Place
+    future: asyncio.Future[BackendServer | None]
+
+
+@dataclass(slots=True)
+class _Pool:
+    """Waiting requests for one service and model."""
+
+    waiting: list[_Waiting] = field(default_factory=list)
+    clock: FairClock = field(default_factory=FairClock)
+    rate: ServiceRate = field(default_factory=ServiceRate)
+    timer: asyncio.TimerHandle | None = None
+
+    def remove(self, item: _Waiting, *, served: bool) -> None:
+        """Remove a request; its team is not charged if it was not served."""
+        if item not in self.waiting:
+            return
+        self.waiting.remove(item)
+        place = item.place
+        if served:
+            advance(self.clock, place.start_tag)
+        elif not place.returned:
+            others = (
+                other.place for other in self.waiting if other.place.team == place.team
+            )
+            refund(self.clock, place.team, place.work, place.start_tag, others)
+        if not self.waiting:
+            self.clock.reset()
+            self.rate.waiting_since_s = None
+            self.cancel_timer()
+
+    def cancel_timer(self) -> None:
+        """Cancel the next look at the places."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+@dataclass(slots=True)
+class WaitingRequests:
+    """Waiting requests by service and model."""
+
+    chooser: Chooser
+    metrics: GatewayMetrics
+    closed: bool = False
+    _pools: dict[Kind, _Pool] = field(default_factory=dict)
+    _count: int = 0
+    _size_bytes: int = 0
+    _scheduled: bool = False
+
+    async def async_choose(self, ctx: RequestContext) -> BackendServer | None:
+        """Return a server for a request; wait for one for a short time.
+
+        None if there is none in time. An attempt must be started without another pause,
+        as requests in flight tell the next one which slots are in use.
+        """
+        loop = asyncio.get_running_loop()
+        pool = self._pools.setdefault(ctx.kind, _Pool())
+        ctx.wait_end = None
+        if not pool.waiting:
+            server = self._try(pool, ctx, loop.time())
+            if server is not None:
+                return server
+        return await self._async_wait(pool, ctx)
+
+    def wake(self) -> None:
+        """Look for servers of waiting requests."""
+        if self._count and not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._dispatch)
+
+    def close(self) -> None:
+        """Refuse all waiting requests, and let none wait from now on."""
+        self.closed = True
+        for pool in self._pools.values():
+            for item in list(pool.waiting):
+                self._refuse(item, WaitEnd.STOPPED)
+
+    def retry_after_s(
+        self, ctx: RequestContext, now_s: float, spread: float
+    ) -> float | None:
+        """Return when the caller of a refused request should come back."""
+        pool = self._pools.get(ctx.kind)
+        if pool is None:
+            return None
+        return retry_after_s(
+            len(pool.waiting), pool.rate.per_s(now_s), ctx.deadline_s - now_s, spread
+        )
+
+    def _try(
+        self, pool: _Pool, ctx: RequestContext, now_s: float
+    ) -> BackendServer | None:
+        choice = self.chooser.choose(ctx, now_s)
+        server = self.chooser.find_server(choice)
+        if server is not None:
+            pool.rate.record(now_s)
+        elif choice.delay_s is not None:
+            pool.cancel_timer()
+            pool.timer = asyncio.get_running_loop().call_later(
+                choice.delay_s + _TIMER_MARGIN_S, self.wake
+            )
+        return server
+
+    async def _async_wait(
+        self, pool: _Pool, ctx: RequestContext
+    ) -> BackendServer | None:
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        place = self._create_place(ctx, now_s)
+        limit_s = wait_limit_s(
+            ctx.route.latency_objective_s,
+            ctx.deadline_s - now_s - MIN_REMAINING_S,
+            late=place.is_late(now_s),
+        )
+        ctx.expected_wait_s = self._expected_wait_s(pool, place, now_s)
+        if self.chooser.is_unservable(ctx, now_s, limit_s):
+            ctx.wait_end = WaitEnd.UNSERVABLE
+            return None
+        verdict = decide(
+            has_server=False,
+            wait_limit_s=0.0 if self.closed else limit_s,
+            expected_wait_s=ctx.expected_wait_s,
+        )
+        if verdict is Verdict.REFUSE:
+            ctx.wait_end = WaitEnd.STOPPED if self.closed else WaitEnd.HOPELESS
+            return None
+        item = _Waiting(ctx, place, loop.create_future())
+        self._add(pool, item, now_s)
+        try:
+            async with asyncio.timeout_at(now_s + limit_s):
+                await item.future
+        except TimeoutError:
+            if not item.future.cancelled():
+                return item.future.result()
+            # A server may be usable without an event, as after a pause.
+            server = self._try(pool, ctx, loop.time())
+            if server is None:
+                ctx.wait_end = WaitEnd.TIMED_OUT
+            return server
+        except asyncio.CancelledError:
+            # The server that it may just have got is free for another request.
+            self.wake()
+            raise
+        finally:
+            self._remove(pool, item, served=False)
+            waited_s = loop.time() - now_s
+            ctx.waited_s += waited_s
+            self.metrics.waited.observe({"route": ctx.route.name}, waited_s)
+        return item.future.result()
+
+    def _create_place(self, ctx: RequestContext, now_s: float) -> Place:
+        if ctx.place is not None:
+            ctx.place.returned = True
+            return ctx.place
+        first_event_s = self.chooser.expected_times(ctx).first_event_s
+        return Place(
+            team=ctx.team.name if ctx.team else "",
+            priority=ctx.priority,
+            work=work_tokens(ctx.tokens),
+            in_time_until_s=now_s + ctx.time_left_s(now_s) - first_event_s,
+            deadline_s=ctx.deadline_s,
+            size_bytes=len(ctx.request.body),
+            returned=ctx.sends > 0,
+        )
+
+    @staticmethod
+    def _expected_wait_s(pool: _Pool, place: Place, now_s: float) -> float:
+        key = order_key(place, now_s)
+        ahead = sum(1 for item in pool.waiting if order_key(item.place, now_s) < key)
+        return pool.rate.expected_wait_s(ahead, now_s)
+
+    def _add(self, pool: _Pool, item: _Waiting, now_s: float) -> None:
+        place = item.ctx.place = item.place
+        if not place.returned:
+            place.start_tag = charge(pool.clock, place.team, place.work)
+        if not pool.waiting:
+            pool.rate.waiting_since_s = now_s
+        pool.waiting.append(item)
+        self._count += 1
+        self._size_bytes += item.place.size_bytes
+        self.metrics.waiting.set({}, self._count)
+        while is_over_bounds(self._count, self._size_bytes):
+            self._refuse(self._find_worst(now_s), WaitEnd.BOUNDS)
+        if len(pool.waiting) > 1:
+            self.wake()
+
+    def _find_worst(self, now_s: float) -> _Waiting:
+        return max(
+            (item for pool in self._pools.values() for item in pool.waiting),
+            key=lambda item: chance_key(item.place, now_s),
+        )
+
+    def _refuse(self, item: _Waiting, reason: WaitEnd) -> None:
+        item.ctx.wait_end = reason
+        if not item.future.done():
+            item.future.set_result(None)
+        self._remove(self._pools[item.ctx.kind], item, served=False)
+
+    def _remove(self, pool: _Pool, item: _Waiting, *, served: bool) -> None:
+        if item not in pool.waiting:
+            return
+        pool.remove(item, served=served)
+        self._count -= 1
+        self._size_bytes -= item.place.size_bytes
+        self.metrics.waiting.set({}, self._count)
+
+    def _dispatch(self) -> None:
+        self._scheduled = False
+        now_s = asyncio.get_running_loop().time()
+        for pool in self._pools.values():
+            if pool.waiting and self._dispatch_next(pool, now_s):
+                # The attempt starts before the next call of the event loop.
+                self.wake()
+
+    def _dispatch_next(self, pool: _Pool, now_s: float) -> bool:
+        """Send the first request that has a server; return whether there is one."""
+
+        def key(item: _Waiting) -> OrderKey:
+            return order_key(item.place, now_s)
+
+        tried: list[Place] = []
+        for item in heapq.nsmallest(MAX_TRIES, pool.waiting, key=key):
+            if item.future.done():
+                continue
+            if any(_has_less_time(item.place, place, now_s) for place in tried):
+                continue
+            server = self._try(pool, item.ctx, now_s)
+            if server is not None:
+                item.future.set_result(server)
+                self._remove(pool, item, served=True)
+                return True
+            tried.append(item.place)
+        return False
+
+
+def _has_less_time(place: Place, other: Place, now_s: float) -> bool:
+    """Return whether a request needs a freer server than another one."""
+    if place.is_late(now_s):
+        return True
+    return not other.is_late(now_s) and place.in_time_until_s <= other.in_time_until_s
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -170,6 +170,7 @@
                 table.add(last, outdated=True)
         self.table = table
         apply_peer_traffic(self.gateway.backends, traffic)
+        self.gateway.waiting.wake()
 
     def _announcement_times_s(self, now_s: float) -> list[float] | None:
         """Return when the announcements of all zones were received.
@@ -342,7 +343,7 @@
             statements=adapter.statements,
             decode_statement=adapter.decode_statement,
             on_leaving=lambda: self.gossip.send(urgent=True),
-            backends=Backends(self._on_stall),
+            backends=Backends(self._on_stall, traffic_known=False),
             memory=ResponseMemory(
                 int(self.settings.memory_bytes * RESPONSE_MEMORY_SHARE)
             ),
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -116,7 +116,7 @@
         ends_s=killed_s - ANSWER_MARGIN_S,
         closes_s=killed_s - SHUTDOWN_MARGIN_S,
     )
-    node.gateway.stopping.begin(schedule)
+    node.gateway.begin_stop(schedule)
     _log_drain(LogEvent.DRAIN_STARTED, "planned stop began", node, callers)
     await asyncio.sleep(LOAD_BALANCER_DELAY_S)
     await async_stop_listening(callers.server)
--- a/gooseberryhall/node/traffic.py
+++ b/gooseberryhall/node/traffic.py
@@ -38,6 +38,8 @@
 
 def apply_peer_traffic(backends: Backends, traffic: dict[str, PeerTraffic]) -> None:
     """Pass the traffic of other nodes to placement and stall checks."""
+    if traffic:
+        backends.traffic_known = True
     backends.peer_load = {
         server_id: max(0, item.in_flight) for server_id, item in traffic.items()
     }
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -1,13 +1,21 @@
 """Tests of admission with scripted servers."""
 
 import asyncio
+import re
 
 import pytest
 
+from gooseberryhall.gateway.app import route_request
+from gooseberryhall.gateway.context import RequestContext
+from gooseberryhall.gateway.models import CallerRequest
+from gooseberryhall.gateway.stopping import StopSchedule
+from gooseberryhall.gossip.models import PeerTraffic
+from gooseberryhall.node.traffic import apply_peer_traffic
 from tests.gateway.common import (
     ReceivedRequest,
     ScriptedServer,
     async_gateway,
+    async_until,
     chunk,
     encode_response,
     event,
@@ -69,3 +77,91 @@
         response = await gateway.async_request()
     assert response.endswith(b"0\r\n\r\n")
     assert leaders[1].requests[0].headers["x-priority"] == "2"
+
+
+async def test_plain_request_waits_for_room() -> None:
+    """Guards against refusals while the servers are full for a moment."""
+    server = ScriptedServer("s1", _async_ok)
+    async with async_gateway((route(latency_objective_s=0.8),), (server,)) as gateway:
+        gateway.state.backends.peer_load = {"s1": 12}
+        request = asyncio.create_task(gateway.async_request())
+        await asyncio.sleep(0.03)
+        assert not request.done()
+        gateway.state.backends.peer_load = {}
+        gateway.state.waiting.wake()
+        response = await request
+    assert response.startswith(b"HTTP/1.1 200")
+
+
+async def test_request_that_was_rejected_is_sent_when_a_request_ends() -> None:
+    """Guards against the refusal of a request that its server could run soon.
+
+    Pattern: a burst in which the only server rejects requests for some milliseconds.
+    """
+    release = asyncio.Event()
+
+    async def async_run(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        if not release.is_set() and len(server.requests) > 1:
+            writer.write(encode_response(request, status=503, extra="x-not-run: 1\r\n"))
+            return
+        await release.wait()
+        writer.write(encode_response(request))
+
+    server = ScriptedServer("s1", async_run)
+    async with async_gateway((route(latency_objective_s=0.8),), (server,)) as gateway:
+        requests = [asyncio.create_task(gateway.async_request()) for _ in range(2)]
+        await async_until(lambda: len(server.requests) == 2)
+        await asyncio.sleep(0.03)
+        assert len(server.requests) == 2
+        release.set()
+        responses = await asyncio.gather(*requests)
+    assert all(response.startswith(b"HTTP/1.1 200") for response in responses)
+    assert len(server.requests) == 3
+
+
+async def test_refused_caller_keeps_most_of_its_time() -> None:
+    """Guards against a `Retry-After` that no caller honours."""
+    async with async_gateway((route(),), (ScriptedServer("s1", _async_ok),)) as gateway:
+        gateway.state.backends.peer_load = {"s1": 12}
+        response = await gateway.async_request("x-deadline: 300\r\n")
+    assert response.startswith(b"HTTP/1.1 503")
+    (value,) = re.findall(rb"retry-after: ([0-9.]+)", response)
+    assert 0.05 <= float(value) <= 0.1
+
+
+async def test_stop_refuses_waiting_streams() -> None:
+    """Guards against streams that wait at a node that stops."""
+    leader = ScriptedServer("a", _async_stream)
+    streaming = stream_route(latency_objective_s=4.0, timeout_s=4.0)
+    async with async_gateway((streaming,), (), (leader,)) as gateway:
+        gateway.state.backends.peer_load = {"a": 8}
+        request = asyncio.create_task(gateway.async_request())
+        await asyncio.sleep(0.03)
+        assert not request.done()
+        now_s = asyncio.get_running_loop().time()
+        gateway.state.begin_stop(StopSchedule(now_s + 1, now_s + 2, now_s + 3))
+        response = await request
+    assert response.startswith(b"HTTP/1.1 503")
+    assert b"this node is stopping" in response
+
+
+async def test_node_that_has_just_started_takes_groups_for_half_full() -> None:
+    """Guards against filling groups whose load a node does not know yet.
+
+    Pattern: all nodes restart and each believes that all groups are idle.
+    """
+    leader = ScriptedServer("a", _async_stream)
+    async with async_gateway((stream_route(),), (), (leader,)) as gateway:
+        state = gateway.state
+        state.backends.traffic_known = False
+        request = CallerRequest(
+            b"GET", b"/a/1", [(b"host", b"example"), (b"x-id", b"1")], b"", False, 0.0
+        )
+        request.headers.append((b"authorization", b"Key secret"))
+        ctx = route_request(state, state.configuration(), request)
+        assert isinstance(ctx, RequestContext)
+        assert [item.in_flight for item in state.candidates(ctx, 0.0)] == [2]
+        apply_peer_traffic(state.backends, {})
+        assert [item.in_flight for item in state.candidates(ctx, 0.0)] == [2]
+        apply_peer_traffic(state.backends, {"b": PeerTraffic(1)})
+        assert [item.in_flight for item in state.candidates(ctx, 0.0)] == [0]
