Split the waiting pools and the choice of servers into own modules

state.py and waiting.py had grown beyond one job. The state by kind is keyed by configured models only, so that callers cannot name many of them.

Tests run: tests/gateway, tests/admission, tests/node.

--- a/gooseberryhall/admission/decision.py
+++ b/gooseberryhall/admission/decision.py
@@ -89,6 +89,13 @@
     )
 
 
+def needs_more(place: Place, other: Place, now_s: float) -> bool:
+    """Return whether a request needs a freer server than another one."""
+    if place.is_late(now_s):
+        return True
+    return not other.is_late(now_s) and place.in_time_until_s <= other.in_time_until_s
+
+
 def chance_key(place: Place, now_s: float) -> tuple[bool, int, float]:
     """Return a key that is highest for the request with the least chance."""
     return (place.is_late(now_s), place.priority, -place.time_left_s(now_s))
--- a/gooseberryhall/admission/estimate.py
+++ b/gooseberryhall/admission/estimate.py
@@ -6,7 +6,7 @@
 """
 
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, NamedTuple
 
 from ..fleet.models import EngineProfile
 from .const import (
@@ -33,8 +33,7 @@
 UNKNOWN_TIMES: Final = SlotTimes()
 
 
-@dataclass(frozen=True, slots=True)
-class Capacity:
+class Capacity(NamedTuple):
     """What a server is expected to take from a request that is being placed."""
 
     # Requests in flight from which on it is full.
--- a/gooseberryhall/admission/share.py
+++ b/gooseberryhall/admission/share.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from .const import FIGURES_AGE_S
+from .const import FIGURES_AGE_S, SCARCE_SLOTS_PER_NODE
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,8 +24,8 @@
     total: int = 0
 
     def is_scarce(self, nodes: int) -> bool:
-        """Return whether there is less than one free slot for each node."""
-        return self.free < nodes
+        """Return whether there are too few free slots for all nodes."""
+        return self.free < SCARCE_SLOTS_PER_NODE * nodes
 
     def node_places(self, nodes: int) -> float:
         """Return this node's part of the places, by its part of the traffic.
--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -177,7 +177,9 @@
     team = _find_team(state, cfg, request)
     if cfg.has_teams and team is None and not route.anonymous:
         return GatewayResponse(401, "unknown key")
-    model = request.get(state.header_names.model)
+    header = request.get(state.header_names.model)
+    model = header.decode("latin-1") if header else None
+    service = choose_service(route, state.rng)
     team_name = team.name if team else ""
     timeout_s = min(_caller_timeout_s(state, request), route.timeout_s)
     spent_s = state.observed.spent_s(route.name, route.timeout_s, timeout_s)
@@ -185,15 +187,16 @@
         request=request,
         request_id=request_id,
         route=route,
-        service=choose_service(route, state.rng),
+        service=service,
         team=team,
-        model=model.decode("latin-1") if model else None,
+        model=model,
         fingerprint=request_fingerprint(
             team_name, request.method, request.target, request.body
         ),
         prompt_parts=shared_prompt_parts(request.get(state.header_names.prompt_parts)),
         deadline_s=request.received_s + timeout_s,
         objective_s=request.received_s + route.latency_objective_s - spent_s,
+        kind=_kind(cfg, service, model),
         tokens=declared_tokens(
             request.get(state.header_names.token_count),
             request.get(state.header_names.length_hint),
@@ -201,6 +204,19 @@
     )
 
 
+def _kind(
+    cfg: Configuration, service: str, model: str | None
+) -> tuple[str, str | None]:
+    """Return the service and the model if it is configured.
+
+    State is kept by kind, so a caller must not be able to name many of them.
+    """
+    found = cfg.services.get(service)
+    engine = found.engine if found else None
+    is_known = engine is not None and model is not None and engine.model(model)
+    return (service, model if is_known else None)
+
+
 def _find_team(
     state: GatewayState, cfg: Configuration, request: CallerRequest
 ) -> Team | None:
--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -91,6 +91,21 @@
         health = self._health.get(server_id)
         return len(health.in_flight) if health else 0
 
+    def known_load(
+        self, server_id: str, slots: int, max_queued: int, now_s: float
+    ) -> tuple[int, int]:
+        """Return the requests in flight at a server, and the part of other nodes.
+
+        A server that is full has `max_queued` requests beyond its slots.
+        """
+        own = self.own_load(server_id)
+        peers = self.peer_load.get(server_id, 0)
+        if server_id in self._full_until_s and self.is_full(server_id, now_s):
+            return max(own + peers, slots + max_queued), 0
+        if not self.traffic_known:
+            peers = max(peers, slots // 2 - own)
+        return own + peers, peers
+
     def mark_full(self, server_id: str, now_s: float) -> None:
         """Record that a server rejected a request because it is full."""
         self._full_until_s[server_id] = now_s + FULL_S
--- /dev/null
+++ b/gooseberryhall/gateway/choosing.py
@@ -0,0 +1,58 @@
+"""Chooses servers for requests that may wait."""
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..admission.const import FIGURES_AGE_S
+from ..admission.estimate import SlotTimes
+from ..fleet.models import BackendServer
+from .allowances import Allowances
+from .context import RequestContext
+from .placement import Choice, measure_supply
+
+if TYPE_CHECKING:
+    from .state import GatewayState
+
+
+@dataclass(slots=True)
+class ServerChooser:
+    """Chooses servers within the part of the places that this node may use."""
+
+    state: "GatewayState"
+    allowances: Allowances
+
+    def choose(self, ctx: RequestContext, now_s: float) -> Choice:
+        """Choose a server for a request now."""
+        candidates = self.state.candidates(ctx, now_s)
+        chosen = self.state.choose_from(ctx, candidates)
+        if chosen is None:
+            return Choice()
+        # Figures that are older than a request takes a slot say little about places.
+        if self.expected_times(ctx).slot_s <= FIGURES_AGE_S:
+            return Choice(chosen)
+        supply = measure_supply(candidates)
+        if supply is None:
+            return Choice(chosen)
+        delay_s = self.allowances.delay_s(ctx.kind, supply, now_s)
+        if delay_s != 0.0 and ctx.time_left_s(now_s) < math.inf:
+            return Choice(delay_s=delay_s)
+        self.allowances.spend(ctx.kind)
+        return Choice(chosen)
+
+    def find_server(self, choice: Choice) -> BackendServer | None:
+        """Return the server that was chosen."""
+        chosen = choice.candidate
+        return self.state.servers().get(chosen.server_id) if chosen else None
+
+    def is_unservable(self, ctx: RequestContext, now_s: float, limit_s: float) -> bool:
+        """Return whether no server can take a request within the limit."""
+        if self.state.candidates(ctx, now_s):
+            return False
+        if ctx.excluded_servers and not self.state.is_grouped(ctx.service):
+            return True
+        return (self.state.soonest_return_s(ctx, now_s) or 0.0) > limit_s
+
+    def expected_times(self, ctx: RequestContext) -> SlotTimes:
+        """Return the expected times of a request."""
+        return self.state.expected_times(ctx)
--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -41,6 +41,9 @@
     breaks: int = 0
     # Event loop time until which an answer is in time.
     objective_s: float = math.inf
+    # Service and model, as far as these are configured; requests of a kind compete for
+    # the same servers.
+    kind: tuple[str, str | None] = ("", None)
     # Place among the waiting requests of this node, if it has waited.
     place: Place | None = None
     wait_end: WaitEnd | None = None
@@ -49,11 +52,6 @@
     # Tokens of the prompt, and expected tokens of the answer; None if not declared.
     tokens: tuple[int, int] | None = None
 
-    @property
-    def kind(self) -> tuple[str, str | None]:
-        """Return the service and the model of the request."""
-        return (self.service, self.model)
-
     def time_left_s(self, now_s: float) -> float:
         """Return the time left to the objective; no limit holds once it has run.
 
--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -15,7 +15,8 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+# Not frozen, as one is created for each server whenever one is chosen.
+@dataclass(slots=True)
 class Candidate:
     """A server to which a request may be sent; for a group, its leader."""
 
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -1,11 +1,10 @@
 """State of the request path of one node."""
 
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..admission.const import FIGURES_AGE_S, MAX_QUEUED_PER_GROUP
+from ..admission.const import MAX_QUEUED_PER_GROUP
 from ..admission.estimate import (
     UNKNOWN_TIMES,
     SlotTimes,
@@ -22,19 +21,14 @@
 from .allowances import Allowances
 from .backends import Backends
 from .budget import RetryBudget
+from .choosing import ServerChooser
 from .const import MAX_PLAIN_LOAD
 from .context import RequestContext
 from .crashes import CrashTracker
 from .header_names import HeaderNames
 from .metrics import GatewayMetrics
 from .observed import ObservedTimes
-from .placement import (
-    Candidate,
-    Choice,
-    choose_group,
-    choose_server,
-    measure_supply,
-)
+from .placement import Candidate, choose_group, choose_server
 from .stopping import Stopping, StopSchedule
 from .waiting import WaitingRequests
 
@@ -79,7 +73,8 @@
     def __post_init__(self) -> None:
         """Create the parts that use this state."""
         self.allowances = Allowances(self.rng, self.node_count)
-        self.waiting = WaitingRequests(self, self.metrics)
+        chooser = ServerChooser(self, self.allowances)
+        self.waiting = WaitingRequests(chooser, self.metrics)
         self.backends.on_end = self.waiting.wake
 
     def begin_stop(self, schedule: StopSchedule) -> None:
@@ -114,50 +109,14 @@
 
     def choose_candidate(self, ctx: RequestContext, now_s: float) -> Candidate | None:
         """Choose a group or a plain server; None if none may take the request now."""
-        choose = choose_group if self.is_grouped(ctx.service) else choose_server
-        return choose(self.candidates(ctx, now_s), self.rng)
+        return self.choose_from(ctx, self.candidates(ctx, now_s))
 
-    def choose(self, ctx: RequestContext, now_s: float) -> Choice:
-        """Choose a server for a request that can wait; it takes part in the sharing."""
-        candidates = self.candidates(ctx, now_s)
+    def choose_from(
+        self, ctx: RequestContext, candidates: list[Candidate]
+    ) -> Candidate | None:
+        """Choose one of the candidates; None if none may take the request now."""
         choose = choose_group if self.is_grouped(ctx.service) else choose_server
-        chosen = choose(candidates, self.rng)
-        if chosen is None:
-            return Choice()
-        # Figures that are older than a request takes a slot say little about places.
-        slot_s = self.expected_times(ctx).slot_s
-        supply = measure_supply(candidates) if slot_s > FIGURES_AGE_S else None
-        if supply is not None:
-            delay_s = self.allowances.delay_s(ctx.kind, supply, now_s)
-            if delay_s != 0.0 and ctx.time_left_s(now_s) < math.inf:
-                return Choice(delay_s=delay_s)
-            self.allowances.spend(ctx.kind)
-        return Choice(chosen)
-
-    def find_server(self, choice: Choice) -> BackendServer | None:
-        """Return the server that was chosen."""
-        chosen = choice.candidate
-        return self.servers().get(chosen.server_id) if chosen else None
-
-    def is_unservable(self, ctx: RequestContext, now_s: float, limit_s: float) -> bool:
-        """Return whether no server can take a request within the limit."""
-        if self.candidates(ctx, now_s):
-            return False
-        if ctx.excluded_servers and not self.is_grouped(ctx.service):
-            return True
-        return (self.soonest_return_s(ctx, now_s) or 0.0) > limit_s
-
-    def _known_load(
-        self, server_id: str, slots: int, max_queued: int, now_s: float
-    ) -> tuple[int, int]:
-        """Return the requests in flight at a server, and the part of other nodes."""
-        own = self.backends.own_load(server_id)
-        if self.backends.is_full(server_id, now_s):
-            return max(self.backends.load(server_id), slots + max_queued), 0
-        peers = self.backends.peer_load.get(server_id, 0)
-        if not self.backends.traffic_known:
-            peers = max(peers, slots // 2 - own)
-        return own + peers, peers
+        return choose(candidates, self.rng)
 
     def group_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups to which the request may be sent."""
@@ -176,7 +135,7 @@
             if leader.server_id in ctx.excluded_servers:
                 continue
             usable = self.statements.usable_slots(leader, slots, now_s)
-            in_flight, peers = self._known_load(
+            in_flight, peers = self.backends.known_load(
                 leader.server_id, usable, MAX_QUEUED_PER_GROUP, now_s
             )
             capacity = estimate_capacity(in_flight, peers, usable, times, time_left_s)
@@ -207,7 +166,7 @@
                 continue
             slots = self.statements.usable_slots(server, max(1, server.slots), now_s)
             max_queued = int(slots * (MAX_PLAIN_LOAD - 1))
-            in_flight, peers = self._known_load(
+            in_flight, peers = self.backends.known_load(
                 server.server_id, slots, max_queued, now_s
             )
             capacity = estimate_capacity(
--- a/gooseberryhall/gateway/waiting.py
+++ b/gooseberryhall/gateway/waiting.py
@@ -5,33 +5,32 @@
 """
 
 import asyncio
-import heapq
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from ..admission.const import MAX_TRIES
 from ..admission.decision import (
-    OrderKey,
     Place,
-    ServiceRate,
     Verdict,
     WaitEnd,
     chance_key,
     decide,
     is_over_bounds,
+    needs_more,
     order_key,
     retry_after_s,
     wait_limit_s,
     work_tokens,
 )
 from ..admission.estimate import SlotTimes
-from ..admission.fair_queue import FairClock, advance, charge, refund
+from ..admission.fair_queue import charge
 from ..fleet.models import BackendServer
 from .const import MIN_REMAINING_S
 from .context import RequestContext
 from .metrics import GatewayMetrics
 from .observed import Kind
 from .placement import Choice
+from .waiting_pool import Pool, WaitingRequest
 
 # Added to the time at which a place may be used, so that rounding does not miss it.
 _TIMER_MARGIN_S = 0.001
@@ -53,47 +52,6 @@
         """Return the expected times of a request."""
 
 
-@dataclass(slots=True, eq=False)
-class _Waiting:
-    ctx: RequestContext
-    place: Place
-    future: asyncio.Future[BackendServer | None]
-
-
-@dataclass(slots=True)
-class _Pool:
-    """Waiting requests for one service and model."""
-
-    waiting: list[_Waiting] = field(default_factory=list)
-    clock: FairClock = field(default_factory=FairClock)
-    rate: ServiceRate = field(default_factory=ServiceRate)
-    timer: asyncio.TimerHandle | None = None
-
-    def remove(self, item: _Waiting, *, served: bool) -> None:
-        """Remove a request; its team is not charged if it was not served."""
-        if item not in self.waiting:
-            return
-        self.waiting.remove(item)
-        place = item.place
-        if served:
-            advance(self.clock, place.start_tag)
-        elif not place.returned:
-            others = (
-                other.place for other in self.waiting if other.place.team == place.team
-            )
-            refund(self.clock, place.team, place.work, place.start_tag, others)
-        if not self.waiting:
-            self.clock.reset()
-            self.rate.waiting_since_s = None
-            self.cancel_timer()
-
-    def cancel_timer(self) -> None:
-        """Cancel the next look at the places."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-
 @dataclass(slots=True)
 class WaitingRequests:
     """Waiting requests by service and model."""
@@ -101,7 +59,7 @@
     chooser: Chooser
     metrics: GatewayMetrics
     closed: bool = False
-    _pools: dict[Kind, _Pool] = field(default_factory=dict)
+    _pools: dict[Kind, Pool] = field(default_factory=dict)
     _count: int = 0
     _size_bytes: int = 0
     _scheduled: bool = False
@@ -113,10 +71,10 @@
         as requests in flight tell the next one which slots are in use.
         """
         loop = asyncio.get_running_loop()
-        pool = self._pools.setdefault(ctx.kind, _Pool())
+        pool = self._pools.setdefault(ctx.kind, Pool())
         ctx.wait_end = None
         if not pool.waiting:
-            server = self._try(pool, ctx, loop.time())
+            server, _ = self._try(pool, ctx, loop.time())
             if server is not None:
                 return server
         return await self._async_wait(pool, ctx)
@@ -146,21 +104,18 @@
         )
 
     def _try(
-        self, pool: _Pool, ctx: RequestContext, now_s: float
-    ) -> BackendServer | None:
+        self, pool: Pool, ctx: RequestContext, now_s: float
+    ) -> tuple[BackendServer | None, Choice]:
         choice = self.chooser.choose(ctx, now_s)
         server = self.chooser.find_server(choice)
         if server is not None:
             pool.rate.record(now_s)
         elif choice.delay_s is not None:
-            pool.cancel_timer()
-            pool.timer = asyncio.get_running_loop().call_later(
-                choice.delay_s + _TIMER_MARGIN_S, self.wake
-            )
-        return server
+            pool.start_timer(choice.delay_s + _TIMER_MARGIN_S, self.wake)
+        return server, choice
 
     async def _async_wait(
-        self, pool: _Pool, ctx: RequestContext
+        self, pool: Pool, ctx: RequestContext
     ) -> BackendServer | None:
         loop = asyncio.get_running_loop()
         now_s = loop.time()
@@ -182,7 +137,7 @@
         if verdict is Verdict.REFUSE:
             ctx.wait_end = WaitEnd.STOPPED if self.closed else WaitEnd.HOPELESS
             return None
-        item = _Waiting(ctx, place, loop.create_future())
+        item = WaitingRequest(ctx, place, loop.create_future())
         self._add(pool, item, now_s)
         try:
             async with asyncio.timeout_at(now_s + limit_s):
@@ -191,7 +146,7 @@
             if not item.future.cancelled():
                 return item.future.result()
             # A server may be usable without an event, as after a pause.
-            server = self._try(pool, ctx, loop.time())
+            server, _ = self._try(pool, ctx, loop.time())
             if server is None:
                 ctx.wait_end = WaitEnd.TIMED_OUT
             return server
@@ -222,12 +177,12 @@
         )
 
     @staticmethod
-    def _expected_wait_s(pool: _Pool, place: Place, now_s: float) -> float:
+    def _expected_wait_s(pool: Pool, place: Place, now_s: float) -> float:
         key = order_key(place, now_s)
         ahead = sum(1 for item in pool.waiting if order_key(item.place, now_s) < key)
         return pool.rate.expected_wait_s(ahead, now_s)
 
-    def _add(self, pool: _Pool, item: _Waiting, now_s: float) -> None:
+    def _add(self, pool: Pool, item: WaitingRequest, now_s: float) -> None:
         place = item.ctx.place = item.place
         if not place.returned:
             place.start_tag = charge(pool.clock, place.team, place.work)
@@ -242,19 +197,19 @@
         if len(pool.waiting) > 1:
             self.wake()
 
-    def _find_worst(self, now_s: float) -> _Waiting:
+    def _find_worst(self, now_s: float) -> WaitingRequest:
         return max(
             (item for pool in self._pools.values() for item in pool.waiting),
             key=lambda item: chance_key(item.place, now_s),
         )
 
-    def _refuse(self, item: _Waiting, reason: WaitEnd) -> None:
+    def _refuse(self, item: WaitingRequest, reason: WaitEnd) -> None:
         item.ctx.wait_end = reason
         if not item.future.done():
             item.future.set_result(None)
         self._remove(self._pools[item.ctx.kind], item, served=False)
 
-    def _remove(self, pool: _Pool, item: _Waiting, *, served: bool) -> None:
+    def _remove(self, pool: Pool, item: WaitingRequest, *, served: bool) -> None:
         if item not in pool.waiting:
             return
         pool.remove(item, served=served)
@@ -270,29 +225,18 @@
                 # The attempt starts before the next call of the event loop.
                 self.wake()
 
-    def _dispatch_next(self, pool: _Pool, now_s: float) -> bool:
+    def _dispatch_next(self, pool: Pool, now_s: float) -> bool:
         """Send the first request that has a server; return whether there is one."""
-
-        def key(item: _Waiting) -> OrderKey:
-            return order_key(item.place, now_s)
-
         tried: list[Place] = []
-        for item in heapq.nsmallest(MAX_TRIES, pool.waiting, key=key):
-            if item.future.done():
+        for item in pool.first(MAX_TRIES, now_s):
+            if any(needs_more(item.place, place, now_s) for place in tried):
                 continue
-            if any(_has_less_time(item.place, place, now_s) for place in tried):
-                continue
-            server = self._try(pool, item.ctx, now_s)
+            server, choice = self._try(pool, item.ctx, now_s)
             if server is not None:
                 item.future.set_result(server)
                 self._remove(pool, item, served=True)
                 return True
+            if choice.delay_s is not None:
+                return False
             tried.append(item.place)
         return False
-
-
-def _has_less_time(place: Place, other: Place, now_s: float) -> bool:
-    """Return whether a request needs a freer server than another one."""
-    if place.is_late(now_s):
-        return True
-    return not other.is_late(now_s) and place.in_time_until_s <= other.in_time_until_s
