--- a/gooseberryhall/admission/const.py
+++ b/gooseberryhall/admission/const.py
@@ -11,6 +11,9 @@
 PASSES_TO_FIRST_EVENT: Final = 1.5
 # Weight of a new sample in the moving averages of observed times.
 SAMPLE_WEIGHT: Final = 0.1
+# The same for samples below and above a value near the lowest tenth.
+LOW_FALL_WEIGHT: Final = 0.18
+LOW_RISE_WEIGHT: Final = 0.02
 # Part of the queue of a server that is counted as places. Nodes that use all of it
 # together, with figures that are late, overfill it.
 QUEUE_SHARE: Final = 0.5
--- a/gooseberryhall/admission/estimate.py
+++ b/gooseberryhall/admission/estimate.py
@@ -11,6 +11,8 @@
 from ..fleet.models import EngineProfile
 from .const import (
     FIGURES_AGE_S,
+    LOW_FALL_WEIGHT,
+    LOW_RISE_WEIGHT,
     MAX_QUEUED_PER_GROUP,
     PASSES_TO_FIRST_EVENT,
     QUEUE_SHARE,
@@ -68,13 +70,21 @@
     )
 
 
-def update_mean(mean: float | None, sample: float) -> float:
+def update_mean(mean: float, sample: float) -> float:
     """Return a moving average after another sample."""
-    if mean is None:
-        return sample
     return mean + SAMPLE_WEIGHT * (sample - mean)
 
 
+def update_low(low: float, sample: float) -> float:
+    """Return a moving value near the lowest tenth of the samples.
+
+    Some requests wait at a server whose slots seemed free. An average would take all
+    requests for late in a burst.
+    """
+    weight = LOW_RISE_WEIGHT if sample > low else LOW_FALL_WEIGHT
+    return low + weight * (sample - low)
+
+
 def expected_wait_s(in_flight: float, slots: int, slot_s: float) -> float:
     """Return the time until a new request gets a slot."""
     ahead = in_flight - slots + 1
--- a/gooseberryhall/gateway/observed.py
+++ b/gooseberryhall/gateway/observed.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from ..admission.estimate import UNKNOWN_TIMES, SlotTimes, update_mean
+from ..admission.estimate import UNKNOWN_TIMES, SlotTimes, update_low, update_mean
 
 # A service and a model; plain services have no model.
 Kind = tuple[str, str | None]
@@ -59,11 +59,22 @@
     def record_first_event(self, kind: Kind, profile: SlotTimes, took_s: float) -> None:
         """Record the time from sending a request to its first event or answer."""
         factors = self._factors[kind]
-        expected_s = profile.first_event_s if profile.slot_s > 0.0 else 1.0
-        factors.first_event = update_mean(factors.first_event, took_s / expected_s)
+        factor, prior = _relative(took_s, profile, profile.first_event_s)
+        earlier = prior if factors.first_event is None else factors.first_event
+        factors.first_event = update_low(earlier, factor)
 
     def record_complete(self, kind: Kind, profile: SlotTimes, took_s: float) -> None:
         """Record the time for which a complete answer took a slot."""
         factors = self._factors[kind]
-        expected_s = profile.slot_s if profile.slot_s > 0.0 else 1.0
-        factors.slot = update_mean(factors.slot, took_s / expected_s)
+        factor, prior = _relative(took_s, profile, profile.slot_s)
+        earlier = prior if factors.slot is None else factors.slot
+        factors.slot = update_mean(earlier, factor)
+
+
+def _relative(
+    took_s: float, profile: SlotTimes, expected_s: float
+) -> tuple[float, float]:
+    """Return a time relative to the expected one, and the factor to start from."""
+    if profile.slot_s > 0.0:
+        return took_s / expected_s, 1.0
+    return took_s, took_s
--- a/gooseberryhall/gateway/waiting.py
+++ b/gooseberryhall/gateway/waiting.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -135,6 +136,10 @@
             expected_wait_s=ctx.expected_wait_s,
         )
         if verdict is Verdict.REFUSE:
+            # Requests ahead of it may need a freer server than it does.
+            server, _ = self._try(pool, ctx, now_s)
+            if server is not None:
+                return server
             ctx.wait_end = WaitEnd.STOPPED if self.closed else WaitEnd.HOPELESS
             return None
         item = WaitingRequest(ctx, place, loop.create_future())
@@ -164,6 +169,8 @@
     def _create_place(self, ctx: RequestContext, now_s: float) -> Place:
         if ctx.place is not None:
             ctx.place.returned = True
+            if ctx.time_left_s(now_s) == math.inf:
+                ctx.place.in_time_until_s = math.inf
             return ctx.place
         first_event_s = self.chooser.expected_times(ctx).first_event_s
         return Place(
