--- a/gooseberryhall/admission/share.py
+++ b/gooseberryhall/admission/share.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from .const import FIGURES_AGE_S, SCARCE_SLOTS_PER_NODE
+from .const import FIGURES_AGE_S, MIN_SAVED_PLACES, SCARCE_SLOTS_PER_NODE
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +51,7 @@
         elapsed_s = min(FIGURES_AGE_S, now_s - self.updated_s)
         self.updated_s = now_s
         added = node_places * elapsed_s / FIGURES_AGE_S
-        self.tokens = min(max(1.0, node_places), self.tokens + added)
+        self.tokens = min(max(MIN_SAVED_PLACES, node_places), self.tokens + added)
 
     def spend(self) -> None:
         """Use a place, or what is left if servers have enough for all."""
