Log the expected wait for a slot, and refuse what has no time for an answer

The wait logged with a refusal was only that behind other requests of the node. It now includes the wait for a slot at the best server. A request whose rest of time is shorter than the expected time to its first event does not wait.

--- a/gooseberryhall/gateway/choosing.py
+++ b/gooseberryhall/gateway/choosing.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 from ..admission.const import FIGURES_AGE_S
-from ..admission.estimate import SlotTimes
+from ..admission.estimate import SlotTimes, expected_wait_s
 from ..fleet.models import BackendServer
 from .allowances import Allowances
 from .context import RequestContext
-from .placement import Choice, measure_supply
+from .placement import Choice, Outlook, measure_supply
 
 if TYPE_CHECKING:
     from .state import GatewayState
@@ -45,13 +45,20 @@
         chosen = choice.candidate
         return self.state.servers().get(chosen.server_id) if chosen else None
 
-    def is_unservable(self, ctx: RequestContext, now_s: float, limit_s: float) -> bool:
-        """Return whether no server can take a request within the limit."""
-        if self.state.candidates(ctx, now_s):
-            return False
+    def outlook(self, ctx: RequestContext, now_s: float) -> Outlook:
+        """Return whether servers may take a request, and the wait for a slot there."""
+        candidates = self.state.candidates(ctx, now_s)
+        if candidates:
+            slot_s = self.expected_times(ctx).slot_s
+            waits_s = [
+                expected_wait_s(item.in_flight, item.slots, slot_s)
+                for item in candidates
+            ]
+            return Outlook(usable=True, wait_s=min(waits_s))
         if ctx.excluded_servers and not self.state.is_grouped(ctx.service):
-            return True
-        return (self.state.soonest_return_s(ctx, now_s) or 0.0) > limit_s
+            return Outlook(usable=False, wait_s=math.inf)
+        pause_s = self.state.soonest_return_s(ctx, now_s)
+        return Outlook(usable=False, wait_s=pause_s or 0.0)
 
     def expected_times(self, ctx: RequestContext) -> SlotTimes:
         """Return the expected times of a request."""
--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from ..admission.choice import choose_by_places
 from ..admission.const import MAX_QUEUED_PER_GROUP
@@ -50,6 +51,15 @@
     delay_s: float | None = None
 
 
+class Outlook(NamedTuple):
+    """What a request that has to wait can expect."""
+
+    # Whether a server may take it when it has room.
+    usable: bool
+    # Time until a slot is free or the first pause ends, as far as it is known.
+    wait_s: float
+
+
 def _load(candidate: Candidate) -> float:
     load = candidate.in_flight / max(1, candidate.slots)
     return load if candidate.same_zone else load + CROSS_ZONE_LOAD_PENALTY
--- a/gooseberryhall/gateway/waiting.py
+++ b/gooseberryhall/gateway/waiting.py
@@ -30,7 +30,7 @@
 from .context import RequestContext
 from .metrics import GatewayMetrics
 from .observed import Kind
-from .placement import Choice
+from .placement import Choice, Outlook
 from .waiting_pool import Pool, WaitingRequest
 
 # Added to the time at which a place may be used, so that rounding does not miss it.
@@ -46,8 +46,8 @@
     def find_server(self, choice: Choice) -> BackendServer | None:
         """Return the server that was chosen."""
 
-    def is_unservable(self, ctx: RequestContext, now_s: float, limit_s: float) -> bool:
-        """Return whether no server can take a request within the limit."""
+    def outlook(self, ctx: RequestContext, now_s: float) -> Outlook:
+        """Return whether servers may take a request, and the wait for a slot there."""
 
     def expected_times(self, ctx: RequestContext) -> SlotTimes:
         """Return the expected times of a request."""
@@ -120,20 +120,23 @@
     ) -> BackendServer | None:
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        place = self._create_place(ctx, now_s)
+        first_event_s = self.chooser.expected_times(ctx).first_event_s
+        place = self._create_place(ctx, first_event_s, now_s)
         limit_s = wait_limit_s(
             ctx.route.latency_objective_s,
-            ctx.deadline_s - now_s - MIN_REMAINING_S,
+            ctx.deadline_s - now_s - max(MIN_REMAINING_S, first_event_s),
             late=place.is_late(now_s),
         )
-        ctx.expected_wait_s = self._expected_wait_s(pool, place, now_s)
-        if self.chooser.is_unservable(ctx, now_s, limit_s):
+        queue_wait_s = self._queue_wait_s(pool, place, now_s)
+        outlook = self.chooser.outlook(ctx, now_s)
+        ctx.expected_wait_s = min(queue_wait_s + outlook.wait_s, ctx.deadline_s - now_s)
+        if not outlook.usable and outlook.wait_s > limit_s:
             ctx.wait_end = WaitEnd.UNSERVABLE
             return None
         verdict = decide(
             has_server=False,
             wait_limit_s=0.0 if self.closed else limit_s,
-            expected_wait_s=ctx.expected_wait_s,
+            expected_wait_s=queue_wait_s,
         )
         if verdict is Verdict.REFUSE:
             # Requests ahead of it may need a freer server than it does.
@@ -166,13 +169,13 @@
             self.metrics.waited.observe({"route": ctx.route.name}, waited_s)
         return item.future.result()
 
-    def _create_place(self, ctx: RequestContext, now_s: float) -> Place:
+    @staticmethod
+    def _create_place(ctx: RequestContext, first_event_s: float, now_s: float) -> Place:
         if ctx.place is not None:
             ctx.place.returned = True
             if ctx.time_left_s(now_s) == math.inf:
                 ctx.place.in_time_until_s = math.inf
             return ctx.place
-        first_event_s = self.chooser.expected_times(ctx).first_event_s
         return Place(
             team=ctx.team.name if ctx.team else "",
             priority=ctx.priority,
@@ -184,7 +187,7 @@
         )
 
     @staticmethod
-    def _expected_wait_s(pool: Pool, place: Place, now_s: float) -> float:
+    def _queue_wait_s(pool: Pool, place: Place, now_s: float) -> float:
         key = order_key(place, now_s)
         ahead = sum(1 for item in pool.waiting if order_key(item.place, now_s) < key)
         return pool.rate.expected_wait_s(ahead, now_s)
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -10,7 +10,7 @@
 from gooseberryhall.gateway.context import RequestContext
 from gooseberryhall.gateway.metrics import GatewayMetrics
 from gooseberryhall.gateway.models import CallerRequest
-from gooseberryhall.gateway.placement import Candidate, Choice
+from gooseberryhall.gateway.placement import Candidate, Choice, Outlook
 from gooseberryhall.gateway.waiting import WaitingRequests
 from gooseberryhall.transport.address import Address
 from tests.gateway.common import route
@@ -24,7 +24,7 @@
     """One server with free slots, each of which is used once."""
 
     free: int = 0
-    unservable: bool = False
+    paused_s: float = 0.0
     order: list[bytes] = field(default_factory=list)
 
     def choose(self, ctx: RequestContext, _: float) -> Choice:
@@ -39,9 +39,9 @@
         """Return the server."""
         return SERVER if choice.candidate else None
 
-    def is_unservable(self, _: RequestContext, __: float, ___: float) -> bool:
-        """Return whether no server can take it."""
-        return self.unservable
+    def outlook(self, _: RequestContext, __: float) -> Outlook:
+        """Return what to expect."""
+        return Outlook(usable=not self.paused_s, wait_s=self.paused_s)
 
     def expected_times(self, _: RequestContext) -> SlotTimes:
         """Return short times."""
@@ -196,7 +196,11 @@
 
 async def test_unservable_request_is_refused_at_once() -> None:
     """Guards against holding a request that no server can take in time."""
-    waiting = WaitingRequests(_Slots(unservable=True), GatewayMetrics())
+    waiting = WaitingRequests(_Slots(paused_s=2.0), GatewayMetrics())
     ctx = _context("a")
     assert await waiting.async_choose(ctx) is None
     assert (ctx.wait_end, ctx.waited_s) == (WaitEnd.UNSERVABLE, 0.0)
+    waiting = WaitingRequests(_Slots(), GatewayMetrics())
+    ctx = _context("a", deadline_s=asyncio.get_running_loop().time() + 0.04)
+    assert await waiting.async_choose(ctx) is None
+    assert (ctx.wait_end, ctx.waited_s) == (WaitEnd.HOPELESS, 0.0)
