--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -165,3 +165,35 @@
         assert [item.in_flight for item in state.candidates(ctx, 0.0)] == [2]
         apply_peer_traffic(state.backends, {"b": PeerTraffic(1)})
         assert [item.in_flight for item in state.candidates(ctx, 0.0)] == [0]
+
+
+async def test_slots_go_to_streams_that_can_be_in_time() -> None:
+    """Guards against late streams that take the slots of those in time.
+
+    Pattern: callers come back after an outage while new ones arrive; a group has two
+    free slots.
+    """
+    order = []
+
+    async def async_serve(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        order.append(request.headers["x-priority"])
+        await asyncio.sleep(0.02)
+        writer.write(stream_head(request) + chunk(event(1)) + chunk(b""))
+
+    leader = ScriptedServer("a", async_serve)
+    streaming = stream_route(latency_objective_s=0.8, timeout_s=4.0)
+    async with async_gateway((streaming,), (), (leader,)) as gateway:
+        await gateway.async_request("x-deadline: 4000\r\n")
+        gateway.state.backends.peer_load = {"a": 2}
+        deadlines = (2000, 2000, 2000, 2000, 4000, 4000)
+        requests = [
+            gateway.async_request(f"x-deadline: {deadline}\r\n")
+            for deadline in deadlines
+        ]
+        responses = await asyncio.gather(*requests)
+    assert all(response.startswith(b"HTTP/1.1 200") for response in responses)
+    assert order[0] == "2"
+    assert order[1:5].count("2") == 2
+    assert order.count("6") == 4
