--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -17,7 +17,7 @@
 from .crashes import request_fingerprint
 from .models import CallerRequest, GatewayResponse
 from .plain import async_forward_plain
-from .prompt import shared_prompt_parts
+from .prompt import declared_tokens, shared_prompt_parts
 from .refusals import (
     crashing_request_response,
     evacuated_response,
@@ -75,6 +75,8 @@
     state.metrics.requests.inc({"route": routed.route.name, "outcome": outcome})
     if response is None:
         return
+    if response.status == 503:  # noqa: PLR2004
+        state.metrics.refusals.inc({"reason": response.reason})
     if state.crashes.is_blocked(routed.traits):
         state.metrics.crash_refusals.inc({"route": routed.route.name})
     log_request(
@@ -83,6 +85,9 @@
         routed,
         status=response.status,
         retry_after_s=response.retry_after_s,
+        waited_s=round(routed.waited_s, 3),
+        expected_wait_s=round(routed.expected_wait_s, 3),
+        wait_end=routed.wait_end,
         sends=routed.sends,
         ran_on=routed.ran_on,
         parts=routed.prompt_parts,
@@ -175,24 +180,46 @@
     team = _find_team(state, cfg, request)
     if cfg.has_teams and team is None and not route.anonymous:
         return GatewayResponse(401, "unknown key")
-    model = request.get(state.header_names.model)
+    header = request.get(state.header_names.model)
+    model = header.decode("latin-1") if header else None
+    service = choose_service(route, state.rng)
     team_name = team.name if team else ""
+    timeout_s = min(_caller_timeout_s(state, request), route.timeout_s)
+    spent_s = state.observed.spent_s(route.name, route.timeout_s, timeout_s)
     return RequestContext(
         request=request,
         request_id=request_id,
         route=route,
-        service=choose_service(route, state.rng),
+        service=service,
         team=team,
-        model=model.decode("latin-1") if model else None,
+        model=model,
         fingerprint=request_fingerprint(
             team_name, request.method, request.target, request.body
         ),
         prompt_parts=shared_prompt_parts(request.get(state.header_names.prompt_parts)),
-        deadline_s=request.received_s
-        + min(_caller_timeout_s(state, request), route.timeout_s),
+        deadline_s=request.received_s + timeout_s,
+        objective_s=request.received_s + route.latency_objective_s - spent_s,
+        kind=_kind(cfg, service, model),
+        tokens=declared_tokens(
+            request.get(state.header_names.token_count),
+            request.get(state.header_names.length_hint),
+        ),
     )
 
 
+def _kind(
+    cfg: Configuration, service: str, model: str | None
+) -> tuple[str, str | None]:
+    """Return the service and the model if it is configured.
+
+    State is kept by kind, so a caller must not be able to name many of them.
+    """
+    found = cfg.services.get(service)
+    engine = found.engine if found else None
+    is_known = engine is not None and model is not None and engine.model(model)
+    return (service, model if is_known else None)
+
+
 def _find_team(
     state: GatewayState, cfg: Configuration, request: CallerRequest
 ) -> Team | None:
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -21,10 +21,6 @@
 GROUP_CHOICES: Final = 2
 # Load, as a share of the slots, up to which groups of the caller's zone go first.
 LOCAL_GROUP_LOAD: Final = 0.6
-# Requests that a group accepts beyond its slots.
-MAX_QUEUED_PER_GROUP: Final = 4
-# Share of the latency objective for which a request waits for a free group.
-GROUP_WAIT_SHARE: Final = 0.125
 # Time that a request waits on a node that has just started and does not know any server
 # yet, and the share of the time until its deadline that this may take at most.
 STARTUP_WAIT_S: Final = 0.8
@@ -72,6 +68,8 @@
 CAUSE_GOSSIP_SHARE: Final = 0.2
 # Prompt parts of a request that are taken into account.
 MAX_PROMPT_PARTS: Final = 16
+# Larger numbers of tokens in a header are not believed.
+MAX_DECLARED_TOKENS: Final = 1_000_000
 # Time in which the first request of a new connection arrives.
 FIRST_REQUEST_S: Final = 0.5
 # Maximum number of bytes that one read of a caller's connection returns. They may hold
@@ -134,6 +132,8 @@
 MIN_REMAINING_S: Final = 0.02
 DEFAULT_DEADLINE_S: Final = 30.0
 MAX_PRIORITY: Final = 9
+# Added to the priority of a route for requests that can no longer be in time.
+LATE_PRIORITY_STEP: Final = 5
 
 RETRY_AFTER_NO_GROUP_S: Final = 0.8
 RETRY_AFTER_BUSY_S: Final = 0.4
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+WAIT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 
 
 @dataclass(slots=True)
@@ -22,6 +23,9 @@
     evacuation_redirects: Counter = field(init=False)
     held_bytes: Gauge = field(init=False)
     input_refusals: Counter = field(init=False)
+    waiting: Gauge = field(init=False)
+    waited: Histogram = field(init=False)
+    refusals: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -77,3 +81,19 @@
             "Requests and connections outside the limits, by reason.",
             registry=self.registry,
         )
+        self.waiting = Gauge(
+            "gooseberryhall_waiting_requests",
+            "Requests that wait for a server.",
+            registry=self.registry,
+        )
+        self.waited = Histogram(
+            "gooseberryhall_waited_seconds",
+            "Time for which requests waited for a server, by route.",
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "gooseberryhall_refusals_total",
+            "Requests refused with 503, by reason.",
+            registry=self.registry,
+        )
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -11,14 +11,8 @@
 from .const import MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .models import GatewayResponse
-from .refusals import (
-    busy_response,
-    evacuated_response,
-    no_group_response,
-    outcome_unknown_response,
-    paused_response,
-    timeout_response,
-)
+from .refusals import outcome_unknown_response, timeout_response
+from .refusing import unserved_response
 from .sending import (
     async_send,
     async_wait_until_released,
@@ -27,7 +21,9 @@
     is_server_failure,
     is_success,
     log_request,
+    record_complete,
     record_crash,
+    record_first_event,
     record_rejection,
     record_success,
     record_unsent,
@@ -56,13 +52,7 @@
         return None
     if failure_response is not None:
         return failure_response
-    now_s = asyncio.get_running_loop().time()
-    if state.is_evacuated(ctx, now_s):
-        return evacuated_response(state.rng)
-    soonest_s = state.soonest_return_s(ctx, now_s)
-    if soonest_s is not None:
-        return paused_response(soonest_s, state.rng)
-    return busy_response(state.rng) if ctx.sends else no_group_response(state.rng)
+    return unserved_response(state, ctx)
 
 
 async def _async_next_server(
@@ -70,19 +60,22 @@
 ) -> BackendServer | None:
     """Return the server for the next attempt, or None if there is none."""
     await async_wait_until_released(state, ctx)
-    now_s = asyncio.get_running_loop().time()
-    if ctx.rejections >= MAX_REJECTIONS or ctx.deadline_s - now_s < MIN_REMAINING_S:
+    loop = asyncio.get_running_loop()
+    if (
+        ctx.rejections >= MAX_REJECTIONS
+        or ctx.deadline_s - loop.time() < MIN_REMAINING_S
+    ):
         return None
     if ctx.ran_on and not ctx.is_retryable():
         return None
     if ctx.sends and state.crashes.is_blocked(ctx.traits):
         return None
-    chosen = state.choose_candidate(ctx, now_s)
-    if chosen is None or (
-        ctx.sends and not state.budget(ctx.service).try_acquire(now_s)
+    server = await state.waiting.async_choose(ctx)
+    if server is None or (
+        ctx.sends and not state.budget(ctx.service).try_acquire(loop.time())
     ):
         return None
-    return state.servers().get(chosen.server_id)
+    return server
 
 
 async def _async_attempt(
@@ -103,6 +96,9 @@
             ctx.ran_on.append(server_id)
             head = await sent.exchange.async_read_head()
             body = await sent.exchange.async_read_body(MAX_RESPONSE_BYTES)
+            if is_success(state, head):
+                record_first_event(state, ctx, sent)
+                record_complete(state, ctx, sent)
     except ConnectFailedError as exc:
         record_unsent(ctx, server_id, exc)
         return None
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -39,6 +39,9 @@
     conn: ClientConnection
     # Records that the server sent something that is useful to the caller.
     record_progress: Callable[[], None]
+    sent_s: float = 0.0
+    # Whether the server seemed to have a free slot.
+    unqueued: bool = False
 
 
 @asynccontextmanager
@@ -60,7 +63,13 @@
     def record_progress() -> None:
         state.backends.record_progress(server.server_id, loop.time())
 
+    rejected = False
+
     def on_head(head: ResponseHead) -> None:
+        nonlocal rejected
+        rejected = (
+            is_rejection(state, head) and head.status != _HTTP_MISDIRECTED_REQUEST
+        )
         record_progress()
         _record_statement(state, ctx, server, head)
 
@@ -74,7 +83,13 @@
     key = state.backends.start_attempt(server.server_id, attempt, loop.time())
     conn: ClientConnection | None = None
     try:
-        data = ctx.encode(state.header_names, server, loop.time(), last_event_id)
+        data = ctx.encode(
+            state.header_names,
+            server,
+            loop.time(),
+            last_event_id,
+            late=state.is_late(ctx, loop.time()),
+        )
         ctx.sends += 1
         # The server may close a reused connection at the same time. It would then be
         # unknown whether a request that must run at most once was run.
@@ -85,7 +100,10 @@
             new_connection=not ctx.route.idempotent,
             may_send=lambda: state.may_send(server, loop.time()),
         )
-        yield SentRequest(server, exchange, conn, record_progress)
+        unqueued = state.backends.load(server.server_id) <= state.slots(server)
+        yield SentRequest(
+            server, exchange, conn, record_progress, loop.time(), unqueued
+        )
     except SendWithheldError:
         raise
     except ConnectFailedError:
@@ -94,6 +112,10 @@
     finally:
         exchange.release()
         state.backends.end_attempt(server.server_id, key)
+        if rejected:
+            # The places of this server were overestimated.
+            state.backends.mark_full(server.server_id, loop.time())
+            state.allowances.refund(ctx.kind)
         if conn is not None:
             state.pool.release(server.address, conn)
 
@@ -191,8 +213,13 @@
 
 
 def record_rejection(ctx: RequestContext, server_id: str, head: ResponseHead) -> None:
-    """Record that a server did not run the request."""
+    """Record that a server did not run the request.
+
+    A server that was full may get it later, when one of its requests has ended.
+    """
     ctx.rejections += 1
+    if head.status != _HTTP_MISDIRECTED_REQUEST:
+        ctx.excluded_servers.discard(server_id)
     log_request(
         LogEvent.REQUEST_REJECTED,
         "server did not run the request",
@@ -242,6 +269,26 @@
     state.crashes.record_success(ctx.fingerprint, now_s, ctx.prompt_parts)
 
 
+def record_first_event(
+    state: GatewayState, ctx: RequestContext, sent: SentRequest
+) -> None:
+    """Record how long a server took for the first event or a complete answer."""
+    if sent.unqueued and ctx.sends == 1:
+        took_s = asyncio.get_running_loop().time() - sent.sent_s
+        profile = state.profile_times(ctx)
+        state.observed.record_first_event(ctx.kind, profile, took_s)
+
+
+def record_complete(
+    state: GatewayState, ctx: RequestContext, sent: SentRequest
+) -> None:
+    """Record for how long a request took a slot of a server."""
+    if sent.unqueued and ctx.sends == 1:
+        took_s = asyncio.get_running_loop().time() - sent.sent_s
+        profile = state.profile_times(ctx)
+        state.observed.record_complete(ctx.kind, profile, took_s)
+
+
 def log_request(
     event: LogEvent, message: str, ctx: RequestContext, **fields: Any
 ) -> None:
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -4,6 +4,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..admission.const import MAX_QUEUED_PER_GROUP
+from ..admission.estimate import (
+    UNKNOWN_TIMES,
+    SlotTimes,
+    estimate_capacity,
+    is_late,
+    profile_times,
+)
 from ..fleet.evacuation import Evacuations
 from ..fleet.models import BackendServer, Configuration, ServedGroup
 from ..fleet.statements import NO_STATEMENT, ServerStatement, ServerStatements
@@ -11,15 +19,20 @@
 from ..transport.exchange import ResponseHead
 from ..transport.memory import HeldBytes
 from ..transport.pool import ConnectionPool
+from .allowances import Allowances
 from .backends import Backends
 from .budget import RetryBudget
+from .choosing import ServerChooser
+from .const import MAX_PLAIN_LOAD
 from .context import RequestContext
 from .crashes import CrashTracker
 from .evacuated import direct_away, draw_share
 from .header_names import HeaderNames
 from .metrics import GatewayMetrics
+from .observed import ObservedTimes
 from .placement import Candidate, choose_group, choose_server
-from .stopping import Stopping
+from .stopping import Stopping, StopSchedule
+from .waiting import WaitingRequests
 
 
 @dataclass(slots=True)
@@ -64,6 +77,24 @@
             and self.evacuations.is_known
         )
 
+    observed: ObservedTimes = field(default_factory=ObservedTimes)
+    # Returns the number of live nodes, including this one.
+    node_count: Callable[[], int] = lambda: 1
+    allowances: Allowances = field(init=False)
+    waiting: WaitingRequests = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the parts that use this state."""
+        self.allowances = Allowances(self.rng, self.node_count)
+        chooser = ServerChooser(self, self.allowances)
+        self.waiting = WaitingRequests(chooser, self.metrics)
+        self.backends.on_end = self.waiting.wake
+
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Begin the planned stop; other nodes serve what waits."""
+        self.stopping.begin(schedule)
+        self.waiting.close()
+
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         if service not in self.budgets:
@@ -94,13 +125,18 @@
         return self.server_candidates(ctx, now_s)
 
     def choose_candidate(self, ctx: RequestContext, now_s: float) -> Candidate | None:
-        """Choose a group or a plain server; None if none may take the request now.
+        """Choose a group or a plain server; None if none may take the request now."""
+        return self.choose_from(ctx, self.candidates(ctx, now_s), now_s)
+
+    def choose_from(
+        self, ctx: RequestContext, candidates: list[Candidate], now_s: float
+    ) -> Candidate | None:
+        """Choose one of the candidates; None if none may take the request now.
 
         While the load of a zone is shifted, a request that is directed away from it
         uses it only if no other zone can take the request.
         """
         choose = choose_group if self.is_grouped(ctx.service) else choose_server
-        candidates = self.candidates(ctx, now_s)
         if not self.evacuations.active_zones():
             return choose(candidates, self.rng)
         # A request that was sent before goes elsewhere.
@@ -117,6 +153,8 @@
     def group_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups to which the request may be sent."""
         slots = self._group_slots(ctx.service)
+        times = self.expected_times(ctx)
+        time_left_s = ctx.time_left_s(now_s)
         candidates = []
         for group in self.groups():
             leader = group.leader
@@ -128,36 +166,77 @@
                 continue
             if leader.server_id in ctx.excluded_servers:
                 continue
+            usable = self.statements.usable_slots(leader, slots, now_s)
+            in_flight, peers = self.backends.known_load(
+                leader.server_id, usable, MAX_QUEUED_PER_GROUP, now_s
+            )
+            capacity = estimate_capacity(in_flight, peers, usable, times, time_left_s)
             candidates.append(
                 Candidate(
                     server_id=leader.server_id,
-                    in_flight=self.backends.load(leader.server_id),
-                    slots=self.statements.usable_slots(leader, slots, now_s),
+                    in_flight=in_flight,
+                    slots=usable,
                     same_zone=leader.zone == self.zone,
                     suspected=self.backends.is_suspected(leader.server_id, now_s),
                     leaving=group.leaving,
                     zone_share=self.evacuations.share(leader.zone, now_s),
+                    limit=capacity.limit,
+                    places=capacity.places,
+                    own=self.backends.own_load(leader.server_id),
                 )
             )
         return candidates
 
     def server_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the plain servers to which the request may be sent."""
-        return [
-            Candidate(
-                server_id=server.server_id,
-                in_flight=self.backends.load(server.server_id),
-                slots=self.statements.usable_slots(server, max(1, server.slots), now_s),
-                same_zone=server.zone == self.zone,
-                suspected=self.backends.is_suspected(server.server_id, now_s),
-                failure_rate=self.backends.failure_rate(server.server_id),
-                zone_share=self.evacuations.share(server.zone, now_s),
+        times = self.expected_times(ctx)
+        time_left_s = ctx.time_left_s(now_s)
+        candidates = []
+        for server in self.servers().values():
+            if server.service != ctx.service or not self.may_send(server, now_s):
+                continue
+            if server.server_id in ctx.excluded_servers:
+                continue
+            slots = self.statements.usable_slots(server, max(1, server.slots), now_s)
+            max_queued = int(slots * (MAX_PLAIN_LOAD - 1))
+            in_flight, peers = self.backends.known_load(
+                server.server_id, slots, max_queued, now_s
             )
-            for server in self.servers().values()
-            if server.service == ctx.service
-            and self.may_send(server, now_s)
-            and server.server_id not in ctx.excluded_servers
-        ]
+            capacity = estimate_capacity(
+                in_flight, peers, slots, times, time_left_s, max_queued=max_queued
+            )
+            candidates.append(
+                Candidate(
+                    server_id=server.server_id,
+                    in_flight=in_flight,
+                    slots=slots,
+                    same_zone=server.zone == self.zone,
+                    suspected=self.backends.is_suspected(server.server_id, now_s),
+                    failure_rate=self.backends.failure_rate(server.server_id),
+                    limit=capacity.limit,
+                    places=capacity.places,
+                    own=self.backends.own_load(server.server_id),
+                    zone_share=self.evacuations.share(server.zone, now_s),
+                )
+            )
+        return candidates
+
+    def expected_times(self, ctx: RequestContext) -> SlotTimes:
+        """Return the expected times of a request, as far as this node knows."""
+        return self.observed.times(ctx.kind, self.profile_times(ctx))
+
+    def is_late(self, ctx: RequestContext, now_s: float) -> bool:
+        """Return whether a request can no longer be in time."""
+        return is_late(self.expected_times(ctx), ctx.time_left_s(now_s))
+
+    def profile_times(self, ctx: RequestContext) -> SlotTimes:
+        """Return the expected times of a request by the configuration."""
+        cfg = self.configuration()
+        service = cfg.services.get(ctx.service) if cfg else None
+        if service is None or service.engine is None:
+            return UNKNOWN_TIMES
+        prompt_tokens = ctx.tokens[0] if ctx.tokens else None
+        return profile_times(service.engine, ctx.model, prompt_tokens)
 
     def soonest_return_s(self, ctx: RequestContext, now_s: float) -> float | None:
         """Return when the first server may get requests again.
@@ -201,6 +280,12 @@
             self.evacuations.may_send(zone, now_s) for zone in zones
         )
 
+    def slots(self, server: BackendServer) -> int:
+        """Return the number of requests that a server runs concurrently."""
+        if self.is_grouped(server.service):
+            return self._group_slots(server.service)
+        return max(1, server.slots)
+
     def _group_slots(self, service: str) -> int:
         cfg = self.configuration()
         service_cfg = cfg.services.get(service) if cfg else None
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -194,6 +194,7 @@
                 table.add(last, outdated=True)
         self.table = table
         apply_peer_traffic(self.gateway.backends, traffic)
+        self.gateway.waiting.wake()
 
     def _announcement_times_s(self, now_s: float) -> list[float] | None:
         """Return when the announcements of all zones were received.
@@ -372,7 +373,7 @@
             statements=adapter.statements,
             decode_statement=adapter.decode_statement,
             on_leaving=lambda: self.gossip.send(urgent=True),
-            backends=Backends(self._on_stall),
+            backends=Backends(self._on_stall, traffic_known=False),
             memory=self.intake.held.responses,
             metrics=metrics,
             configuration=lambda: self.configuration.current,
@@ -381,6 +382,7 @@
             create_budget=self._create_budget,
             on_crash=self._apply_crash_causes,
             evacuations=self.evacuations,
+            node_count=lambda: 1 + len(self.peers.peers),
         )
 
     def _create_owner(self) -> ZoneOwner:
