Remove expired requests from the retry budget when one is counted

Cause: times of requests were removed only when a retry was asked for, so that a service without retries kept the times of all its requests. Change: they are removed when a request is counted, too; request_count returns the requests within the window, for limits that are a share of them. Result: the new test fails without the change (100 times kept) and passes with it; tests/gateway/test_decisions.py: 23 passed.

--- a/gooseberryhall/gateway/budget.py
+++ b/gooseberryhall/gateway/budget.py
@@ -22,13 +22,17 @@
     def record_request(self, now_s: float) -> None:
         """Count a request from a caller."""
         self._request_times_s.append(now_s)
+        # A service without retries would otherwise keep the times of all its requests.
+        self._remove_expired(now_s)
+
+    def request_count(self, now_s: float) -> int:
+        """Return the number of requests within the window."""
+        self._remove_expired(now_s)
+        return len(self._request_times_s)
 
     def has_capacity(self, now_s: float) -> bool:
         """Return whether a retry is allowed."""
-        window_start_s = now_s - self.window_s
-        for times in (self._request_times_s, self._retry_times_s):
-            while times and times[0] < window_start_s:
-                times.popleft()
+        self._remove_expired(now_s)
         return (
             len(self._retry_times_s)
             < self.ratio * len(self._request_times_s) + self.slack
@@ -40,3 +44,10 @@
             return False
         self._retry_times_s.append(now_s)
         return True
+
+    def _remove_expired(self, now_s: float) -> None:
+        """Remove what happened before the window."""
+        window_start_s = now_s - self.window_s
+        for times in (self._request_times_s, self._retry_times_s):
+            while times and times[0] < window_start_s:
+                times.popleft()
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -265,3 +265,11 @@
     assert stalled == []
     backends.check_stalls({"h", "k"}, 2.2 + SHARED_STALL_TIMEOUT_S)
     assert stalled == ["h", "k"]
+
+
+def test_budget_does_not_keep_the_times_of_all_requests() -> None:
+    """Guards against memory that grows while nothing is sent again."""
+    budget = RetryBudget(0.1, 1.0, 10.0)
+    for second in range(100):
+        budget.record_request(float(second))
+    assert len(budget._request_times_s) == 11
