Send second copies of slow idempotent requests to plain services

Cause: a few slow answers degrade the latency, and operators accept some extra work for requests that may be repeated. Off unless max_share is above 0.

--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -90,3 +90,15 @@
 # Callers of a node that stops can go to another node at once.
 RETRY_AFTER_STOPPING_S: Final = 0.05
 RETRY_AFTER_JITTER: Final = 0.5
+
+# Answers of a route without which the delay of a second copy is not known.
+MIN_HEDGE_ANSWERS: Final = 50
+# An answer that is late by less than this may only be late in this process.
+MIN_HEDGE_DELAY_S: Final = 0.005
+# Time and number of answers after which a new period of latencies begins.
+HEDGE_PERIOD_S: Final = 60.0
+HEDGE_PERIOD_ANSWERS: Final = 200
+# Relative error of the quantiles of latencies.
+LATENCY_ACCURACY: Final = 0.02
+# No second copies are sent for this long after a server rejected a request.
+HEDGE_REJECTION_S: Final = 1.0
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -18,6 +18,8 @@
     crash_refusals: Counter = field(init=False)
     statements: Counter = field(init=False)
     latency: Histogram = field(init=False)
+    hedges: Counter = field(init=False)
+    hedges_withheld: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -52,3 +54,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.hedges = Counter(
+            "gooseberryhall_hedges_total",
+            "Second copies of requests by route and event: sent, won, cancelled.",
+            registry=self.registry,
+        )
+        self.hedges_withheld = Counter(
+            "gooseberryhall_hedges_withheld_total",
+            "Second copies that were not sent, by route and reason.",
+            registry=self.registry,
+        )
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -1,6 +1,8 @@
 """Forwards requests to plain services."""
 
 import asyncio
+from collections.abc import Sequence
+from functools import partial
 
 from ..fleet.models import BackendServer
 from ..telemetry.catalogue import LogEvent
@@ -19,6 +21,7 @@
     paused_response,
     timeout_response,
 )
+from .second_copy import HedgedRequest, async_run_copies, may_hedge
 from .sending import (
     async_send,
     attempt_deadline_s,
@@ -34,6 +37,8 @@
 from .state import GatewayState
 
 ServerResponse = tuple[ResponseHead, bytes]
+# None if the request was not run.
+AttemptResult = ServerResponse | GatewayResponse | None
 
 
 async def async_forward_plain(
@@ -43,7 +48,7 @@
     server_response: ServerResponse | None = None
     failure_response: GatewayResponse | None = None
     while (server := _next_server(state, ctx)) is not None:
-        result = await _async_attempt(state, ctx, server)
+        result = await _async_run(state, ctx, server)
         if isinstance(result, GatewayResponse):
             failure_response = result
         elif result is not None:
@@ -78,9 +83,34 @@
     return state.servers().get(chosen.server_id)
 
 
+async def _async_run(
+    state: GatewayState, ctx: RequestContext, server: BackendServer
+) -> AttemptResult:
+    """Run the request at a server, and beside it at another one if it is hedged."""
+    hedging = state.hedging
+    if hedging is None or not may_hedge(ctx):
+        return await _async_attempt(state, ctx, server)
+    attempt = partial(_async_attempt, state, ctx)
+    request = HedgedRequest(state, hedging, ctx)
+    return _final_result(await async_run_copies(request, server, attempt, _is_answer))
+
+
+def _is_answer(result: AttemptResult) -> bool:
+    """Return whether a result is an answer for the caller, and not a failure."""
+    return isinstance(result, tuple) and not is_server_failure(result[0])
+
+
+def _final_result(results: Sequence[AttemptResult]) -> AttemptResult:
+    """Return an answer, or else the first failure; one of a server goes first."""
+    answers = [result for result in results if _is_answer(result)]
+    responses = [result for result in results if isinstance(result, tuple)]
+    failures = [result for result in results if result is not None]
+    return next(iter((*answers, *responses, *failures)), None)
+
+
 async def _async_attempt(
     state: GatewayState, ctx: RequestContext, server: BackendServer
-) -> ServerResponse | GatewayResponse | None:
+) -> AttemptResult:
     """Send the request to a server and classify the result.
 
     Returns the server's response, a generated response if the request may have run, or
@@ -121,7 +151,7 @@
 
 def _classify(
     state: GatewayState, ctx: RequestContext, server_id: str, response: ServerResponse
-) -> ServerResponse | GatewayResponse | None:
+) -> AttemptResult:
     head = response[0]
     if is_rejection(state, head):
         ctx.ran_on.remove(server_id)
--- /dev/null
+++ b/gooseberryhall/gateway/second_copy.py
@@ -0,0 +1,193 @@
+"""Runs a second copy of a request beside the first one.
+
+The first answer wins; the connection of the other copy is closed at once.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from ..fleet.models import BackendServer
+from ..telemetry.catalogue import LogEvent
+from .context import RequestContext
+from .hedging import (
+    HedgeConditions,
+    HedgePlan,
+    HedgeTiming,
+    Hedging,
+    WithheldReason,
+    decide_hedge,
+    free_candidates,
+    plan_hedge,
+)
+from .placement import choose_server
+from .sending import log_request
+from .state import GatewayState
+
+_Result = TypeVar("_Result")
+# Sends the request to a server and returns the result. Cancelling it closes the
+# connection to the server, whose result then does not count.
+Attempt = Callable[[BackendServer], Coroutine[Any, Any, _Result]]
+
+
+def may_hedge(ctx: RequestContext) -> bool:
+    """Return whether the route allows that a request runs on two servers."""
+    return ctx.route.idempotent and ctx.route.attempts > 1
+
+
+@dataclass(frozen=True, slots=True)
+class HedgedRequest:
+    """A request of which a second copy may be sent."""
+
+    state: GatewayState
+    hedging: Hedging
+    ctx: RequestContext
+
+
+async def async_run_copies(
+    request: HedgedRequest,
+    server: BackendServer,
+    attempt: Attempt[_Result],
+    is_answer: Callable[[_Result], bool],
+) -> list[_Result]:
+    """Run a request at a server, and a second copy at another one if that is due.
+
+    Returns the first answer, or the results of all copies in the order in which they
+    ended if there is no answer.
+    """
+    hedging, ctx = request.hedging, request.ctx
+    now_s = asyncio.get_running_loop().time()
+    timing = HedgeTiming(
+        started_s=now_s,
+        objective_s=ctx.request.received_s + ctx.route.latency_objective_s,
+        deadline_s=ctx.deadline_s,
+    )
+    estimate = hedging.latencies[ctx.route.name].estimate(hedging.quantile, now_s)
+    plan = plan_hedge(timing, estimate)
+    if isinstance(plan, WithheldReason):
+        _record_withheld(request, plan)
+        result = await attempt(server)
+        if is_answer(result):
+            _record_latency(request, timing)
+        return [result]
+    copies = [asyncio.create_task(attempt(server))]
+    try:
+        await asyncio.wait(copies, timeout=plan.due_s - now_s)
+        if not copies[0].done():
+            other = _acquire_server(request, server, timing, plan)
+            if other is not None:
+                copies.append(asyncio.create_task(attempt(other)))
+        return await _async_first_answer(request, timing, copies, is_answer)
+    finally:
+        _record_cancelled(request, copies)
+        await _async_cancel(copies)
+
+
+async def _async_first_answer(
+    request: HedgedRequest,
+    timing: HedgeTiming,
+    copies: list[asyncio.Task[_Result]],
+    is_answer: Callable[[_Result], bool],
+) -> list[_Result]:
+    """Return the first answer, or all results if there is none."""
+    results = []
+    pending = list(copies)
+    while pending:
+        await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for copy in [copy for copy in pending if copy.done()]:
+            pending.remove(copy)
+            result = copy.result()
+            if not is_answer(result):
+                results.append(result)
+                continue
+            if copy is copies[0] or copies[0] in pending:
+                # A first copy that is given up was at least as slow as this. Without
+                # it the quantile would fall with each second copy that wins.
+                _record_latency(request, timing)
+            if len(copies) > 1:
+                _record_answer(request, is_second=copy is not copies[0])
+            return [result]
+    return results
+
+
+def _acquire_server(
+    request: HedgedRequest,
+    current: BackendServer,
+    timing: HedgeTiming,
+    plan: HedgePlan,
+) -> BackendServer | None:
+    """Return the server of a second copy that is due; None if it is withheld."""
+    state, hedging, ctx = request.state, request.hedging, request.ctx
+    now_s = asyncio.get_running_loop().time()
+    free = free_candidates(state.server_candidates(ctx, now_s))
+    chosen = choose_server(free, state.rng)
+    other = state.servers().get(chosen.server_id) if chosen else None
+    crashed = state.crashes.crashed_servers(ctx.fingerprint)
+    conditions = HedgeConditions(
+        stopping=state.stopping.schedule is not None,
+        crashes_servers=bool(crashed) or state.crashes.is_blocked(ctx.traits),
+        attempt_left=len({*ctx.ran_on, current.server_id}) < ctx.route.attempts,
+        overloaded=hedging.was_rejected(ctx.service, now_s),
+        server_free=other is not None,
+    )
+    reason = decide_hedge(now_s, timing, plan, conditions)
+    if reason is None:
+        budget = state.budget(ctx.service)
+        reason = hedging.share(ctx.service).try_acquire(budget, now_s)
+    if reason is not None or other is None:
+        _record_withheld(request, reason or WithheldReason.NO_SERVER)
+        return None
+    state.metrics.hedges.inc({"route": ctx.route.name, "event": "sent"})
+    log_request(
+        LogEvent.HEDGE_SENT,
+        "answer is late, a second copy of the request is sent",
+        ctx,
+        first=current.server_id,
+        server=other.server_id,
+        after_s=round(now_s - timing.started_s, 3),
+    )
+    return other
+
+
+def _record_latency(request: HedgedRequest, timing: HedgeTiming) -> None:
+    now_s = asyncio.get_running_loop().time()
+    latencies = request.hedging.latencies[request.ctx.route.name]
+    latencies.record(now_s - timing.started_s, now_s)
+
+
+def _record_withheld(request: HedgedRequest, reason: WithheldReason) -> None:
+    labels = {"route": request.ctx.route.name, "reason": str(reason)}
+    request.state.metrics.hedges_withheld.inc(labels)
+
+
+def _record_answer(request: HedgedRequest, *, is_second: bool) -> None:
+    """Record which of two copies was answered first."""
+    if is_second:
+        labels = {"route": request.ctx.route.name, "event": "won"}
+        request.state.metrics.hedges.inc(labels)
+    log_request(
+        LogEvent.HEDGE_ENDED,
+        "one of two copies was answered first",
+        request.ctx,
+        answered="second" if is_second else "first",
+        on=request.ctx.ran_on,
+    )
+
+
+def _record_cancelled(
+    request: HedgedRequest, copies: Sequence[asyncio.Task[Any]]
+) -> None:
+    """Record that the second copy is given up before it has ended."""
+    if len(copies) > 1 and not copies[1].done():
+        labels = {"route": request.ctx.route.name, "event": "cancelled"}
+        request.state.metrics.hedges.inc(labels)
+
+
+async def _async_cancel(copies: Sequence[asyncio.Task[Any]]) -> None:
+    """End the copies that have not ended, which closes their connections."""
+    pending = [copy for copy in copies if not copy.done()]
+    for copy in pending:
+        copy.cancel()
+    if pending:
+        await asyncio.wait(pending)
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -63,6 +63,8 @@
     def on_head(head: ResponseHead) -> None:
         record_progress()
         _record_statement(state, ctx, server, head)
+        if state.hedging is not None and is_full(state, head):
+            state.hedging.record_rejection(ctx.service, loop.time())
 
     exchange = Exchange(
         expected_id=ctx.request_id,
@@ -151,6 +153,11 @@
     )
 
 
+def is_full(state: GatewayState, head: ResponseHead) -> bool:
+    """Return whether the server rejected the request because of its load."""
+    return head.status != _HTTP_MISDIRECTED_REQUEST and is_rejection(state, head)
+
+
 def is_success(state: GatewayState, head: ResponseHead) -> bool:
     """Return whether this is a successful response with a server's signature."""
     return (
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -15,6 +15,7 @@
 from .context import RequestContext
 from .crashes import CrashTracker
 from .header_names import HeaderNames
+from .hedging import Hedging
 from .metrics import GatewayMetrics
 from .placement import Candidate, choose_group, choose_server
 from .stopping import Stopping
@@ -51,6 +52,8 @@
     on_leaving: Callable[[], None] = lambda: None
     # Whether this node or another has received requests from callers.
     traffic_seen: bool = False
+    # Second copies of requests; None if they are switched off.
+    hedging: Hedging | None = None
 
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -19,6 +19,7 @@
     RETRY_SLACK_SHARE,
     STALL_CHECK_PERIOD_S,
 )
+from ..gateway.hedging import create_hedging
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
@@ -335,6 +336,7 @@
             probe_group(zone, leader)
 
     def _create_gateway(self, adapter: PlatformAdapter) -> GatewayState:
+        hedging = self.settings.options.hedging
         return GatewayState(
             zone=self.settings.zone,
             header_names=adapter.header_names,
@@ -352,6 +354,7 @@
             groups=lambda: self.table.groups,
             create_budget=self._create_budget,
             on_crash=self._apply_crash_causes,
+            hedging=create_hedging(hedging.max_share, hedging.quantile),
         )
 
     def _create_owner(self) -> ZoneOwner:
