--- a/tests/gateway/test_second_copies.py
+++ b/tests/gateway/test_second_copies.py
@@ -109,6 +109,17 @@
         assert events == [1, 1, 0]
 
 
+async def test_copy_that_wins_does_not_shorten_the_delay() -> None:
+    """Guards against ever more copies, because slow answers are not counted."""
+    async with _async_hedging(_Silent(), _answer(b"two", 0.1)) as (gateway, *_):
+        await gateway.async_request()
+        assert gateway.state.hedging is not None
+        now_s = asyncio.get_running_loop().time()
+        estimate = gateway.state.hedging.latencies["r"].estimate(1.0, now_s)
+        assert estimate is not None
+        assert estimate.late_s > 0.1
+
+
 async def test_first_copy_may_answer_after_the_second_was_sent() -> None:
     """Guards against dropping the first answer because a second copy is out."""
     silent = _Silent()
@@ -182,8 +193,9 @@
 
 async def test_caller_that_leaves_ends_both_copies() -> None:
     """Guards against servers that work on for a caller who is gone."""
-    silent = _Silent()
-    async with _async_hedging(silent, silent) as (gateway, first, second):
+    silent, patient = _Silent(), route(timeout_s=30.0)
+    hedging = _async_hedging(silent, silent, routes=(patient,))
+    async with hedging as (gateway, first, second):
         request = asyncio.create_task(gateway.async_request())
         await async_until(lambda: bool(first.requests and second.requests))
         request.cancel()
--- a/tests/platform/test_options.py
+++ b/tests/platform/test_options.py
@@ -6,7 +6,13 @@
 
 from gooseberryhall.node.options import DEFAULT_OPTIONS
 from gooseberryhall.platform.exceptions import PlatformSettingsError
-from gooseberryhall.platform.options import OPTIONS_VARIABLE, load_options
+from gooseberryhall.platform.options import (
+    OPTIONS_VARIABLE,
+    decode_options,
+    load_options,
+)
+
+ROOT = Path(__file__).parents[2]
 
 
 def test_features_are_off_without_an_options_file(
@@ -47,3 +53,9 @@
     monkeypatch.setenv(OPTIONS_VARIABLE, str(path))
     with pytest.raises(PlatformSettingsError, match=reason):
         load_options()
+
+
+def test_example_can_be_read() -> None:
+    """Guards against an example with which the node does not start."""
+    options = decode_options((ROOT / "deploy/options.example.json").read_bytes())
+    assert options.hedging.max_share > 0
