Send second copies of streams whose first event is late

Cause: a late first event is a late answer, too, and the code for silent groups already asks another server while the first one keeps the stream. Change: gateway/second_stream.py reserves a server with a free slot when the first event is late and lets takeover.py ask it. The head of a response and a failure of the first server do not end the wait for the copy; the server that loses has not failed. Nothing changes while hedging is off.

--- a/gooseberryhall/gateway/second_copy.py
+++ b/gooseberryhall/gateway/second_copy.py
@@ -21,7 +21,7 @@
     free_candidates,
     plan_hedge,
 )
-from .placement import choose_server
+from .placement import choose_group, choose_server
 from .sending import log_request
 from .state import GatewayState
 
@@ -56,31 +56,23 @@
     Returns the first answer, or the results of all copies in the order in which they
     ended if there is no answer.
     """
-    hedging, ctx = request.hedging, request.ctx
-    now_s = asyncio.get_running_loop().time()
-    timing = HedgeTiming(
-        started_s=now_s,
-        objective_s=ctx.request.received_s + ctx.route.latency_objective_s,
-        deadline_s=ctx.deadline_s,
-    )
-    estimate = hedging.latencies[ctx.route.name].estimate(hedging.quantile, now_s)
-    plan = plan_hedge(timing, estimate)
-    if isinstance(plan, WithheldReason):
-        _record_withheld(request, plan)
+    timing, plan = plan_copy(request)
+    if plan is None:
         result = await attempt(server)
         if is_answer(result):
-            _record_latency(request, timing)
+            record_latency(request, timing)
         return [result]
     copies = [asyncio.create_task(attempt(server))]
     try:
-        await asyncio.wait(copies, timeout=plan.due_s - now_s)
+        await asyncio.wait(copies, timeout=plan.due_s - timing.started_s)
         if not copies[0].done():
-            other = _acquire_server(request, server, timing, plan)
+            other = acquire_server(request, server, timing, plan)
             if other is not None:
                 copies.append(asyncio.create_task(attempt(other)))
         return await _async_first_answer(request, timing, copies, is_answer)
     finally:
-        _record_cancelled(request, copies)
+        if len(copies) > 1 and not copies[1].done():
+            record_event(request, "cancelled")
         await _async_cancel(copies)
 
 
@@ -104,14 +96,31 @@
             if copy is copies[0] or copies[0] in pending:
                 # A first copy that is given up was at least as slow as this. Without
                 # it the quantile would fall with each second copy that wins.
-                _record_latency(request, timing)
+                record_latency(request, timing)
             if len(copies) > 1:
-                _record_answer(request, is_second=copy is not copies[0])
+                record_answer(request, is_second=copy is not copies[0])
             return [result]
     return results
 
 
-def _acquire_server(
+def plan_copy(request: HedgedRequest) -> tuple[HedgeTiming, HedgePlan | None]:
+    """Return the times of a request that is sent now, and when a copy is due."""
+    hedging, ctx = request.hedging, request.ctx
+    now_s = asyncio.get_running_loop().time()
+    timing = HedgeTiming(
+        started_s=now_s,
+        objective_s=ctx.request.received_s + ctx.route.latency_objective_s,
+        deadline_s=ctx.deadline_s,
+    )
+    estimate = hedging.latencies[ctx.route.name].estimate(hedging.quantile, now_s)
+    plan = plan_hedge(timing, estimate)
+    if isinstance(plan, WithheldReason):
+        _record_withheld(request, plan)
+        return timing, None
+    return timing, plan
+
+
+def acquire_server(
     request: HedgedRequest,
     current: BackendServer,
     timing: HedgeTiming,
@@ -120,8 +129,8 @@
     """Return the server of a second copy that is due; None if it is withheld."""
     state, hedging, ctx = request.state, request.hedging, request.ctx
     now_s = asyncio.get_running_loop().time()
-    free = free_candidates(state.server_candidates(ctx, now_s))
-    chosen = choose_server(free, state.rng)
+    choose = choose_group if state.is_grouped(ctx.service) else choose_server
+    chosen = choose(free_candidates(state.candidates(ctx, now_s)), state.rng)
     other = state.servers().get(chosen.server_id) if chosen else None
     crashed = state.crashes.crashed_servers(ctx.fingerprint)
     conditions = HedgeConditions(
@@ -138,7 +147,7 @@
     if reason is not None or other is None:
         _record_withheld(request, reason or WithheldReason.NO_SERVER)
         return None
-    state.metrics.hedges.inc({"route": ctx.route.name, "event": "sent"})
+    record_event(request, "sent")
     log_request(
         LogEvent.HEDGE_SENT,
         "answer is late, a second copy of the request is sent",
@@ -150,7 +159,8 @@
     return other
 
 
-def _record_latency(request: HedgedRequest, timing: HedgeTiming) -> None:
+def record_latency(request: HedgedRequest, timing: HedgeTiming) -> None:
+    """Record the latency of an answer that has arrived now."""
     now_s = asyncio.get_running_loop().time()
     latencies = request.hedging.latencies[request.ctx.route.name]
     latencies.record(now_s - timing.started_s, now_s)
@@ -161,11 +171,16 @@
     request.state.metrics.hedges_withheld.inc(labels)
 
 
-def _record_answer(request: HedgedRequest, *, is_second: bool) -> None:
+def record_event(request: HedgedRequest, event: str) -> None:
+    """Count what became of a second copy."""
+    labels = {"route": request.ctx.route.name, "event": event}
+    request.state.metrics.hedges.inc(labels)
+
+
+def record_answer(request: HedgedRequest, *, is_second: bool) -> None:
     """Record which of two copies was answered first."""
     if is_second:
-        labels = {"route": request.ctx.route.name, "event": "won"}
-        request.state.metrics.hedges.inc(labels)
+        record_event(request, "won")
     log_request(
         LogEvent.HEDGE_ENDED,
         "one of two copies was answered first",
@@ -175,15 +190,6 @@
     )
 
 
-def _record_cancelled(
-    request: HedgedRequest, copies: Sequence[asyncio.Task[Any]]
-) -> None:
-    """Record that the second copy is given up before it has ended."""
-    if len(copies) > 1 and not copies[1].done():
-        labels = {"route": request.ctx.route.name, "event": "cancelled"}
-        request.state.metrics.hedges.inc(labels)
-
-
 async def _async_cancel(copies: Sequence[asyncio.Task[Any]]) -> None:
     """End the copies that have not ended, which closes their connections."""
     pending = [copy for copy in copies if not copy.done()]
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -27,6 +27,7 @@
     paused_response,
     timeout_response,
 )
+from .second_stream import FirstEvent, watch_first_event
 from .sending import (
     SentRequest,
     async_send,
@@ -79,6 +80,8 @@
     timeout: asyncio.Timeout | None = None
     # The group that goes on with the stream.
     successor: Successor | None = None
+    # The first event of the stream while it is waited for, if requests are hedged.
+    first_event: FirstEvent | None = None
 
     def begin(self) -> bool:
         """Send the head to the caller; return False if that was done before."""
@@ -91,6 +94,8 @@
     def raise_if_moved(self) -> None:
         """Raise `TransportError` if another group goes on with the stream."""
         if self.successor is not None:
+            if self.first_event is not None and self.successor.is_second_copy:
+                self.first_event.record(is_second=True)
             raise ExchangeAbortedError("the group is silent, another one goes on")
 
     def record_events(self, deadline_s: float) -> None:
@@ -98,6 +103,8 @@
         if self.answering_since_s is not None:
             return
         self.answering_since_s = asyncio.get_running_loop().time()
+        if self.first_event is not None:
+            self.first_event.record()
         if self.timeout is not None:
             self.timeout.reschedule(deadline_s)
 
@@ -270,6 +277,10 @@
         return _Outcome.TIMED_OUT
     except TransportError as exc:
         relay.splitter.discard_partial()
+        if relay.successor is not None and relay.successor.is_second_copy:
+            # The server was late, which is no failure.
+            ctx.ran_on.append(server_id)
+            return _Outcome.MOVED
         if server_id not in ctx.ran_on and not ctx.route.idempotent:
             ctx.ran_on.append(server_id)
         record_break(
@@ -314,6 +325,20 @@
     sent: SentRequest,
 ) -> _Outcome:
     source = StreamSource(sent.server, sent, relay.splitter)
+    if relay.started:
+        return await _async_relay_response(state, ctx, relay, source)
+    with watch_first_event(state, ctx, source, relay.timeout) as first_event:
+        relay.first_event = first_event
+        return await _async_relay_response(state, ctx, relay, source)
+
+
+async def _async_relay_response(
+    state: GatewayState,
+    ctx: RequestContext,
+    relay: _RelayedResponse,
+    source: StreamSource,
+) -> _Outcome:
+    sent = source.sent
     relay.successor = await async_wait_for_head(
         state, ctx, source, started=relay.started
     )
--- a/gooseberryhall/gateway/takeover.py
+++ b/gooseberryhall/gateway/takeover.py
@@ -44,6 +44,8 @@
     # Complete events that were not relayed yet.
     events: bytes = b""
     ended: bool = False
+    # The server of a second copy that is due or running; see `second_stream`.
+    second: BackendServer | None = None
 
     async def async_read(self) -> None:
         """Read what has arrived. Raises `TransportError`."""
@@ -67,6 +69,8 @@
     head: ResponseHead
     # Ends the request at this group.
     stack: AsyncExitStack
+    # Whether it runs a second copy, so that the first server is only late.
+    is_second_copy: bool = False
 
 
 async def async_wait_for_head(
@@ -80,7 +84,7 @@
     exchange = source.sent.exchange
     while not await exchange.async_wait_for_data():
         opening = _async_open(state, ctx, source, started=started)
-        successor = await _async_first(source, asyncio.create_task(opening))
+        successor = await _async_first(state, source, asyncio.create_task(opening))
         if successor is not None:
             return successor
     return None
@@ -94,18 +98,18 @@
     See `async_wait_for_head`. Raises `TransportError`.
     """
     while not source.has_news:
-        if await source.sent.exchange.async_wait_for_data():
+        if source.second is None and await source.sent.exchange.async_wait_for_data():
             await source.async_read()
             continue
         opening = _async_open(state, ctx, source, started=started)
-        successor = await _async_first(source, asyncio.create_task(opening))
+        successor = await _async_first(state, source, asyncio.create_task(opening))
         if successor is not None:
             return successor
     return None
 
 
 async def _async_first(
-    source: StreamSource, opening: asyncio.Task[Successor | None]
+    state: GatewayState, source: StreamSource, opening: asyncio.Task[Successor | None]
 ) -> Successor | None:
     """Return the successor if it answers before the silent server goes on."""
     exchange = source.sent.exchange
@@ -119,7 +123,7 @@
                 )
             finally:
                 await _async_cancel(waiting)
-            if exchange.error is not None:
+            if exchange.error is not None or _has_failed(state, source):
                 # The silent server broke off, so the other one is not given up.
                 await asyncio.wait({opening})
             elif (
@@ -133,13 +137,25 @@
     return None
 
 
+def _has_failed(state: GatewayState, source: StreamSource) -> bool:
+    """Return whether a server answered with a failure while a second copy runs."""
+    head = source.sent.exchange.head
+    return (
+        source.second is not None and head is not None and not is_success(state, head)
+    )
+
+
 async def _async_goes_on(source: StreamSource) -> bool:
     """Return whether a server that was silent has sent something useful.
 
     Single bytes that complete no event are not.
     """
     if not source.sent.exchange.head_read:
-        return True
+        if source.second is None:
+            return True
+        # The server of a second copy may send its first event sooner.
+        await source.sent.exchange.async_read_head()
+        return False
     await source.async_read()
     return source.has_news
 
@@ -169,6 +185,8 @@
     state: GatewayState, ctx: RequestContext, source: StreamSource, *, started: bool
 ) -> Successor | None:
     """Return the first group that goes on with the stream; None if none does now."""
+    if source.second is not None:
+        return await _async_open_second(state, ctx, source, source.second)
     current = source.server.server_id
     while ctx.rejections < MAX_REJECTIONS and _may_run_elsewhere(ctx, current):
         server = _acquire_server(state, ctx)
@@ -189,6 +207,37 @@
     return None
 
 
+async def _async_open_second(
+    state: GatewayState,
+    ctx: RequestContext,
+    source: StreamSource,
+    server: BackendServer,
+) -> Successor | None:
+    """Send a second copy; return None if its server does not go on with the stream."""
+    server_id = server.server_id
+    ctx.excluded_servers.add(server_id)
+    own = EventSplitter(source.splitter.last_event_id, source.splitter.event_count)
+    try:
+        successor = await _async_ask(state, ctx, server, own, started=False)
+    except ConnectFailedError as exc:
+        record_unsent(ctx, server_id, exc)
+        return None
+    except TransportError as exc:
+        is_crash = isinstance(exc, ConnectionBrokenError)
+        record_break(state, ctx, server_id, exc, is_crash=is_crash)
+        return None
+    except asyncio.CancelledError:
+        # The server may have begun to run it.
+        ctx.ran_on.append(server_id)
+        state.metrics.hedges.inc({"route": ctx.route.name, "event": "cancelled"})
+        raise
+    finally:
+        source.second = None
+    if successor is not None:
+        successor.is_second_copy = True
+    return successor
+
+
 def _acquire_server(state: GatewayState, ctx: RequestContext) -> BackendServer | None:
     """Return a server to ask, for which the retry budget has a place."""
     now_s = asyncio.get_running_loop().time()
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -21,7 +21,9 @@
 from gooseberryhall.gateway.app import async_handle_request
 from gooseberryhall.gateway.backends import Backends
 from gooseberryhall.gateway.budget import RetryBudget
+from gooseberryhall.gateway.const import MIN_HEDGE_ANSWERS
 from gooseberryhall.gateway.header_names import HeaderNames
+from gooseberryhall.gateway.hedging import Hedging
 from gooseberryhall.gateway.metrics import GatewayMetrics
 from gooseberryhall.gateway.state import GatewayState
 from gooseberryhall.node.listeners import Listener, async_listen
@@ -263,3 +265,29 @@
         )
         address = Address(*callers.server.sockets[0].getsockname()[:2])
         yield Gateway(state, address, servers, groups, callers)
+
+
+@asynccontextmanager
+async def async_hedging_gateway(
+    used: Route, first: Script, second: Script
+) -> AsyncIterator[tuple[Gateway, ScriptedServer, ScriptedServer]]:
+    """Run a gateway that sends a second copy to the second server after 20 ms."""
+    servers = ScriptedServer("s1", first), ScriptedServer("s2", second)
+    grouped = used.targets[0].service == "engine"
+    plain, leaders = ((), servers) if grouped else (servers, ())
+    async with async_gateway((used,), plain, leaders) as gateway:
+        hedging = gateway.state.hedging = Hedging(1.0, 0.95)
+        now_s = asyncio.get_running_loop().time()
+        for _ in range(MIN_HEDGE_ANSWERS):
+            hedging.latencies["r"].record(0.02, now_s)
+        gateway.prefer("s1")
+        yield gateway, *servers
+
+
+def hedge_events(gateway: Gateway) -> list[float]:
+    """Return how many second copies were sent, won and were cancelled."""
+    values = gateway.state.metrics.hedges.values
+    return [
+        float(values.get({"route": "r", "event": name}, 0))
+        for name in ("sent", "won", "cancelled")
+    ]
--- a/tests/gateway/test_second_copies.py
+++ b/tests/gateway/test_second_copies.py
@@ -1,14 +1,13 @@
 """Tests of second copies of requests to plain services."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
 from gooseberryhall.fleet.models import Route
 from gooseberryhall.gateway.budget import RetryBudget
-from gooseberryhall.gateway.const import MIN_HEDGE_ANSWERS
 from gooseberryhall.gateway.crashes import request_fingerprint
 from gooseberryhall.gateway.hedging import Hedging
 from gooseberryhall.gateway.stopping import StopSchedule
@@ -16,10 +15,10 @@
     Gateway,
     ReceivedRequest,
     Script,
-    ScriptedServer,
-    async_gateway,
+    async_hedging_gateway,
     async_until,
     encode_response,
+    hedge_events,
     route,
 )
 
@@ -55,32 +54,6 @@
         self.closed += 1
 
 
-@asynccontextmanager
-async def _async_hedging(
-    first: Script,
-    second: Script,
-    *,
-    routes: tuple[Route, ...] = (route(),),
-    budget: RetryBudget | None = None,
-) -> AsyncIterator[tuple[Gateway, ScriptedServer, ScriptedServer]]:
-    """Run a gateway that sends a second copy to the second server after 20 ms."""
-    servers = ScriptedServer("s1", first), ScriptedServer("s2", second)
-    async with async_gateway(routes, servers) as gateway:
-        hedging = gateway.state.hedging = Hedging(1.0, 0.95)
-        now_s = asyncio.get_running_loop().time()
-        for _ in range(MIN_HEDGE_ANSWERS):
-            hedging.latencies["r"].record(0.02, now_s)
-        if budget is not None:
-            gateway.state.create_budget = lambda: budget
-        gateway.prefer("s1")
-        yield gateway, *servers
-
-
-def _count(gateway: Gateway, event: str) -> float:
-    labels = {"route": "r", "event": event}
-    return float(gateway.state.metrics.hedges.values.get(labels, 0))
-
-
 def _withheld(gateway: Gateway, reason: str) -> float:
     labels = {"route": "r", "reason": reason}
     return float(gateway.state.metrics.hedges_withheld.values.get(labels, 0))
@@ -89,7 +62,11 @@
 async def test_second_copy_answers_for_a_slow_server() -> None:
     """Guards against a slow answer, a mixed answer and a loser that goes on."""
     silent = _Silent()
-    async with _async_hedging(silent, _answer(b"two", 0)) as (gateway, slow, fast):
+    async with async_hedging_gateway(route(), silent, _answer(b"two", 0)) as (
+        gateway,
+        slow,
+        fast,
+    ):
         response = await gateway.async_request("x-deadline: 900\r\n")
         await async_until(lambda: silent.closed == 1)
         assert response.startswith(b"HTTP/1.1 200")
@@ -105,13 +82,15 @@
         assert not pool._idle.get(slow.address)
         assert len(pool._idle[fast.address]) == 1
         assert len(gateway.state.budget("plain")._retry_times_s) == 1
-        events = [_count(gateway, event) for event in ("sent", "won", "cancelled")]
-        assert events == [1, 1, 0]
+        assert hedge_events(gateway) == [1, 1, 0]
 
 
 async def test_copy_that_wins_does_not_shorten_the_delay() -> None:
     """Guards against ever more copies, because slow answers are not counted."""
-    async with _async_hedging(_Silent(), _answer(b"two", 0.1)) as (gateway, *_):
+    async with async_hedging_gateway(route(), _Silent(), _answer(b"two", 0.1)) as (
+        gateway,
+        *_,
+    ):
         await gateway.async_request()
         assert gateway.state.hedging is not None
         now_s = asyncio.get_running_loop().time()
@@ -123,21 +102,27 @@
 async def test_first_copy_may_answer_after_the_second_was_sent() -> None:
     """Guards against dropping the first answer because a second copy is out."""
     silent = _Silent()
-    async with _async_hedging(_answer(b"one", 0.1), silent) as (gateway, *_):
+    async with async_hedging_gateway(route(), _answer(b"one", 0.1), silent) as (
+        gateway,
+        *_,
+    ):
         response = await gateway.async_request()
         await async_until(lambda: silent.closed == 1)
         assert response.endswith(b"one")
         assert gateway.state.backends.failure_rate("s2") == 0
-        events = [_count(gateway, event) for event in ("sent", "won", "cancelled")]
-        assert events == [1, 0, 1]
+        assert hedge_events(gateway) == [1, 0, 1]
 
 
 async def test_fast_answer_has_no_second_copy() -> None:
     """Guards against extra requests when nothing is late."""
-    async with _async_hedging(_answer(b"one", 0), _Silent()) as (gateway, _, other):
+    async with async_hedging_gateway(route(), _answer(b"one", 0), _Silent()) as (
+        gateway,
+        _,
+        other,
+    ):
         assert (await gateway.async_request()).endswith(b"one")
         assert not other.requests
-        assert _count(gateway, "sent") == 0
+        assert hedge_events(gateway) == [0, 0, 0]
 
 
 @pytest.mark.parametrize(
@@ -151,7 +136,11 @@
 async def test_failure_of_one_copy_does_not_end_the_request(failing: Script) -> None:
     """Guards against a failure for the caller while another server is answering."""
     good = _answer(b"good", 0.15)
-    async with _async_hedging(failing, good) as (gateway, first, second):
+    async with async_hedging_gateway(route(), failing, good) as (
+        gateway,
+        first,
+        second,
+    ):
         response = await gateway.async_request()
         assert response.startswith(b"HTTP/1.1 200")
         assert response.endswith(b"good")
@@ -161,7 +150,11 @@
 async def test_first_failure_is_relayed_if_both_copies_fail() -> None:
     """Guards against a generated or a mixed response when both servers failed."""
     bad = _answer(b"one", 0.15, status=500), _answer(b"two", 0.05, status=502)
-    async with _async_hedging(*bad) as (gateway, first, second):
+    async with async_hedging_gateway(route(), *bad) as (gateway, first, second):
+        # Another server at the same address, which must get no third copy.
+        third = replace(gateway.servers["s2"], server_id="s3")
+        gateway.servers["s3"] = third
+        gateway.prefer("s1")
         response = await gateway.async_request()
         assert response.startswith(b"HTTP/1.1 502")
         assert b"x-signature: two" in response
@@ -172,7 +165,7 @@
 async def test_rejection_by_both_copies_is_a_refusal() -> None:
     """Guards against a final error for a request that no server ran."""
     full = _answer(b"full", 0.05, status=503, extra=REJECTION)
-    async with _async_hedging(full, full) as (gateway, *_):
+    async with async_hedging_gateway(route(), full, full) as (gateway, *_):
         response = await gateway.async_request()
         assert response.startswith(b"HTTP/1.1 503")
         assert b"retry-after" in response
@@ -186,7 +179,7 @@
 ) -> None:
     """Guards against a command that runs twice because its answer is late."""
     slow = _answer(b"one", 0.1)
-    async with _async_hedging(slow, _Silent(), routes=(unsafe,)) as (gateway, _, other):
+    async with async_hedging_gateway(unsafe, slow, _Silent()) as (gateway, _, other):
         assert (await gateway.async_request()).endswith(b"one")
         assert not other.requests
 
@@ -194,14 +187,14 @@
 async def test_caller_that_leaves_ends_both_copies() -> None:
     """Guards against servers that work on for a caller who is gone."""
     silent, patient = _Silent(), route(timeout_s=30.0)
-    hedging = _async_hedging(silent, silent, routes=(patient,))
+    hedging = async_hedging_gateway(patient, silent, silent)
     async with hedging as (gateway, first, second):
         request = asyncio.create_task(gateway.async_request())
         await async_until(lambda: bool(first.requests and second.requests))
         request.cancel()
         await async_until(lambda: silent.closed == 2)
         await async_until(lambda: gateway.state.backends.local_load() == {})
-        assert _count(gateway, "cancelled") == 1
+        assert hedge_events(gateway) == [1, 0, 1]
 
 
 def _reject(gateway: Gateway) -> None:
@@ -225,6 +218,10 @@
     gateway.state.crashes.record_crash(fingerprint, "other", now_s)
 
 
+def _exhaust(gateway: Gateway) -> None:
+    gateway.state.budgets["plain"] = RetryBudget(0.0, 0.0, 10.0)
+
+
 def _restart(gateway: Gateway) -> None:
     gateway.state.hedging = Hedging(1.0, 0.95)
 
@@ -237,33 +234,28 @@
         (_stop, "stopping"),
         (_crash, "crashes"),
         (_restart, "no_latencies"),
+        (_exhaust, "budget"),
     ],
 )
 async def test_second_copy_is_withheld(
     prepare: Callable[[Gateway], None], reason: str
 ) -> None:
-    """Guards against copies that add to an overload, a crash loop or a stop."""
+    """Guards against copies in an overload, at a stop or beyond a budget."""
     slow = _answer(b"one", 0.1)
-    async with _async_hedging(slow, _Silent()) as (gateway, _, other):
+    async with async_hedging_gateway(route(), slow, _Silent()) as (gateway, _, other):
         prepare(gateway)
         assert (await gateway.async_request()).endswith(b"one")
         assert not other.requests
         assert _withheld(gateway, reason) == 1
 
 
-async def test_exhausted_retry_budget_withholds_the_copy() -> None:
-    """Guards against copies beyond the retry budget of the deployment."""
-    slow, budget = _answer(b"one", 0.1), RetryBudget(0.0, 0.0, 10.0)
-    async with _async_hedging(slow, _Silent(), budget=budget) as (gateway, _, other):
-        assert (await gateway.async_request()).endswith(b"one")
-        assert not other.requests
-        assert _withheld(gateway, "budget") == 1
-
-
 async def test_rejection_by_a_server_is_noticed() -> None:
     """Guards against copies while the servers of a service are full."""
     full = _answer(b"full", 0, status=503, extra=REJECTION)
-    async with _async_hedging(full, _answer(b"two", 0.1)) as (gateway, *_):
+    async with async_hedging_gateway(route(), full, _answer(b"two", 0.1)) as (
+        gateway,
+        *_,
+    ):
         assert (await gateway.async_request()).endswith(b"two")
         assert _withheld(gateway, "overload") == 1
 
@@ -271,7 +263,11 @@
 async def test_no_second_copy_without_the_option() -> None:
     """Guards against a change for deployments that did not switch hedging on."""
     slow = _answer(b"one", 0.1)
-    async with _async_hedging(slow, _Silent()) as (gateway, first, other):
+    async with async_hedging_gateway(route(), slow, _Silent()) as (
+        gateway,
+        first,
+        other,
+    ):
         gateway.state.hedging = None
         assert (await gateway.async_request()).endswith(b"one")
         assert len(first.requests) == 1
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -3,9 +3,20 @@
 import asyncio
 from dataclasses import replace
 
+from gooseberryhall.fleet.statements import NO_STATEMENT, ServerStatements
 from gooseberryhall.gossip.messages import ServerTraffic
-from tests.fleet.common import server
-from tests.node.common import SETTINGS, StartedNode, create_announcement
+from gooseberryhall.node.directory import PlatformAdapter
+from gooseberryhall.node.node import Node
+from gooseberryhall.node.options import HedgingOptions, NodeOptions
+from tests.fleet.common import FakeEngines, server
+from tests.gateway.common import HEADER_NAMES
+from tests.node.common import (
+    SETTINGS,
+    FakeDirectory,
+    FakeLeases,
+    StartedNode,
+    create_announcement,
+)
 
 
 async def test_announcement_of_the_owner_defines_the_routes(
@@ -116,3 +127,21 @@
     started.node.tick()
     assert started.node.table.leaders() == {"h1"}
     assert "p1" not in started.node.table.servers
+
+
+async def test_requests_are_hedged_only_with_the_option() -> None:
+    """Guards against an option without effect, and against an effect without it."""
+    adapter = PlatformAdapter(
+        HEADER_NAMES,
+        FakeDirectory(),
+        FakeLeases(),
+        FakeEngines(),
+        ServerStatements(),
+        lambda _: NO_STATEMENT,
+    )
+    assert Node(SETTINGS, adapter, incarnation=1).gateway.hedging is None
+    options = NodeOptions(HedgingOptions(max_share=0.1, quantile=0.9))
+    settings = replace(SETTINGS, options=options)
+    hedging = Node(settings, adapter, incarnation=1).gateway.hedging
+    assert hedging is not None
+    assert (hedging.max_share, hedging.quantile) == (0.1, 0.9)
