Count the share of second copies over a minute

A node of a large deployment gets four requests of a plain service in the ten seconds of the retry budget, so that a share of 5% never allowed a copy there. The share now holds for any 60 s on each node; requests are counted by the share itself.

tests/gateway/test_hedging.py and the tests of second copies pass (74).

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -99,6 +99,8 @@
         return stopping_response(state.rng)
     now_s = asyncio.get_running_loop().time()
     state.budget(ctx.service).record_request(now_s)
+    if state.hedging is not None:
+        state.hedging.share(ctx.service).record_request(now_s)
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=False)
     try:
--- a/gooseberryhall/gateway/budget.py
+++ b/gooseberryhall/gateway/budget.py
@@ -25,11 +25,6 @@
         # A service without retries would otherwise keep the times of all its requests.
         self._remove_expired(now_s)
 
-    def request_count(self, now_s: float) -> int:
-        """Return the number of requests within the window."""
-        self._remove_expired(now_s)
-        return len(self._request_times_s)
-
     def has_capacity(self, now_s: float) -> bool:
         """Return whether a retry is allowed."""
         self._remove_expired(now_s)
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -102,3 +102,6 @@
 LATENCY_ACCURACY: Final = 0.02
 # No second copies are sent for this long after a server rejected a request.
 HEDGE_REJECTION_S: Final = 1.0
+# Window in which second copies stay within the operator's share. It is long, so that a
+# node with few requests can send a copy at all.
+HEDGE_SHARE_WINDOW_S: Final = 60.0
--- a/gooseberryhall/gateway/hedging.py
+++ b/gooseberryhall/gateway/hedging.py
@@ -18,6 +18,7 @@
     HEDGE_PERIOD_ANSWERS,
     HEDGE_PERIOD_S,
     HEDGE_REJECTION_S,
+    HEDGE_SHARE_WINDOW_S,
     LATENCY_ACCURACY,
     MIN_HEDGE_ANSWERS,
     MIN_HEDGE_DELAY_S,
@@ -105,24 +106,34 @@
 class HedgeShare:
     """Limits second copies of one service to a share of its requests.
 
-    Copies and requests are counted over the window of the retry budget, so that the
-    copies never exceed the share within any window.
+    The copies never exceed the share within any window of `HEDGE_SHARE_WINDOW_S`.
     """
 
     max_share: float
+    _request_times_s: deque[float] = field(default_factory=deque)
     _copy_times_s: deque[float] = field(default_factory=deque)
 
-    def has_capacity(self, budget: RetryBudget, now_s: float) -> bool:
+    def record_request(self, now_s: float) -> None:
+        """Count a request of the service."""
+        self._request_times_s.append(now_s)
+        self._remove_expired(now_s)
+
+    def has_capacity(self, now_s: float) -> bool:
         """Return whether the share allows a copy."""
-        window_start_s = now_s - budget.window_s
-        while self._copy_times_s and self._copy_times_s[0] < window_start_s:
-            self._copy_times_s.popleft()
-        allowed = self.max_share * budget.request_count(now_s)
+        self._remove_expired(now_s)
+        allowed = self.max_share * len(self._request_times_s)
         return len(self._copy_times_s) + 1 <= allowed
 
+    def _remove_expired(self, now_s: float) -> None:
+        """Remove what happened before the window."""
+        window_start_s = now_s - HEDGE_SHARE_WINDOW_S
+        for times in (self._request_times_s, self._copy_times_s):
+            while times and times[0] < window_start_s:
+                times.popleft()
+
     def try_acquire(self, budget: RetryBudget, now_s: float) -> WithheldReason | None:
         """Count a copy here and in the retry budget, or return why it is withheld."""
-        if not self.has_capacity(budget, now_s):
+        if not self.has_capacity(now_s):
             return WithheldReason.SHARE
         if not budget.try_acquire(now_s):
             return WithheldReason.BUDGET
