--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -107,6 +107,8 @@
     if state.is_evacuated(ctx, now_s):
         return evacuated_response(state.rng)
     state.budget(ctx.service).record_request(now_s)
+    if state.hedging is not None:
+        state.hedging.share(ctx.service).record_request(now_s)
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=False)
     try:
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -26,6 +26,8 @@
     waiting: Gauge = field(init=False)
     waited: Histogram = field(init=False)
     refusals: Counter = field(init=False)
+    hedges: Counter = field(init=False)
+    hedges_withheld: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -97,3 +99,13 @@
             "Requests refused with 503, by reason.",
             registry=self.registry,
         )
+        self.hedges = Counter(
+            "gooseberryhall_hedges_total",
+            "Second copies of requests by route and event: sent, won, cancelled.",
+            registry=self.registry,
+        )
+        self.hedges_withheld = Counter(
+            "gooseberryhall_hedges_withheld_total",
+            "Second copies that were not sent, by route and reason.",
+            registry=self.registry,
+        )
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -28,6 +28,7 @@
 from .crashes import CrashTracker
 from .evacuated import direct_away, draw_share
 from .header_names import HeaderNames
+from .hedging import Hedging
 from .metrics import GatewayMetrics
 from .observed import ObservedTimes
 from .placement import Candidate, choose_group, choose_server
@@ -64,19 +65,12 @@
     on_leaving: Callable[[], None] = lambda: None
     # Whether this node or another has received requests from callers.
     traffic_seen: bool = False
+    # Second copies of requests; None if they are switched off.
+    hedging: Hedging | None = None
     evacuations: Evacuations = field(default_factory=Evacuations)
     # Returns whether nothing may be sent, because this process was paused and may not
     # have heard yet which zones are evacuated.
     is_held: Callable[[], bool] = lambda: False
-
-    def is_started(self) -> bool:
-        """Return whether this node knows what it needs to send requests."""
-        return (
-            self.configuration() is not None
-            and bool(self.servers())
-            and self.evacuations.is_known
-        )
-
     observed: ObservedTimes = field(default_factory=ObservedTimes)
     # Returns the number of live nodes, including this one.
     node_count: Callable[[], int] = lambda: 1
@@ -90,6 +84,14 @@
         self.waiting = WaitingRequests(chooser, self.metrics)
         self.backends.on_end = self.waiting.wake
 
+    def is_started(self) -> bool:
+        """Return whether this node knows what it needs to send requests."""
+        return (
+            self.configuration() is not None
+            and bool(self.servers())
+            and self.evacuations.is_known
+        )
+
     def begin_stop(self, schedule: StopSchedule) -> None:
         """Begin the planned stop; other nodes serve what waits."""
         self.stopping.begin(schedule)
--- a/gooseberryhall/gateway/waiting.py
+++ b/gooseberryhall/gateway/waiting.py
@@ -80,6 +80,11 @@
                 return server
         return await self._async_wait(pool, ctx)
 
+    def has_waiting(self, kind: Kind) -> bool:
+        """Return whether requests of a kind wait."""
+        pool = self._pools.get(kind)
+        return pool is not None and bool(pool.waiting)
+
     def wake(self) -> None:
         """Look for servers of waiting requests."""
         if self._count and not self._scheduled:
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -19,6 +19,7 @@
     RETRY_SLACK_SHARE,
     STALL_CHECK_PERIOD_S,
 )
+from ..gateway.hedging import create_hedging
 from ..gateway.intake import max_connections
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
@@ -364,6 +365,7 @@
     def _create_gateway(
         self, adapter: PlatformAdapter, metrics: GatewayMetrics
     ) -> GatewayState:
+        hedging = self.settings.options.hedging
         return GatewayState(
             zone=self.settings.zone,
             header_names=adapter.header_names,
@@ -383,6 +385,7 @@
             on_crash=self._apply_crash_causes,
             evacuations=self.evacuations,
             node_count=lambda: 1 + len(self.peers.peers),
+            hedging=create_hedging(hedging.max_share, hedging.quantile),
         )
 
     def _create_owner(self) -> ZoneOwner:
