Limit the requests to cold servers by grants of the zone's owner

A server that starts, or becomes cold again, under traffic has no load, so that all nodes send to it at the same moment. The owner of its zone now announces the remaining cold time and a threshold of ranks; only the few nodes that pass it send, each a few requests in a window of 1.1 s, counted when written. Services without a cold time are served as before.

--- /dev/null
+++ b/gooseberryhall/fleet/cold.py
@@ -0,0 +1,270 @@
+"""Limits the requests to cold servers. Pure functions without input, output or a clock.
+
+Addresses a load pattern in which a server starts, or becomes cold again, under traffic:
+all nodes see a server without load and send to it at the same time. The owner of the
+zone lets a few nodes send a few requests each; docs/design/cold-servers.md proves the
+bound for all nodes together. All times are of the clock that counts suspended time.
+"""
+
+import hashlib
+from collections import deque
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from functools import lru_cache
+from typing import Final
+
+from .models import BackendServer, ColdGrant, Configuration
+
+# Time after which a grant ends if the owner does not repeat it.
+GRANT_TTL_S: Final = 1.0
+# Period in which a node sends the number of requests of its grant. It exceeds a second
+# because requests that are delayed on their way arrive closer together.
+SEND_WINDOW_S: Final = 1.1
+# A grant may be used later than its lifetime after it was issued, by the delay of the
+# datagram and a pause of the node that is too short to be noticed.
+GRANT_DELAY_S: Final = 0.6
+# Without a pause a node observes the clock more often than this.
+PAUSE_LIMIT_S: Final = 0.4
+# Datagrams that waited in the socket during a pause are read within this time.
+HOLD_AFTER_PAUSE_S: Final = 0.4
+# Age of what a record or announcement states of a server: records are written every
+# 1.2 s, and the owner announces them up to 0.45 s later.
+STATE_LAG_S: Final = 1.7
+# Time in which a server gets back all its slots after it was cold.
+SLOTS_RETURN_S: Final = 1.0
+# Requests of one node in a window if enough nodes are live.
+USUAL_REQUESTS: Final = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """Limits of the cold servers of one service."""
+
+    # Time for which a server is cold after a start.
+    start_s: float
+    # Requests that a cold server tolerates in a second.
+    requests_per_s: float
+    # All nodes together must not send more than the rate times the factor, plus the
+    # constant, within any second.
+    overrun: float
+    slack: float
+
+    @property
+    def budget(self) -> int:
+        """Return the requests in a window that one selection of nodes may send.
+
+        Two owners may select different nodes, so a selection gets half of the bound.
+        Rates below 1 are kept by a longer window.
+        """
+        bound = self.requests_per_s * self.overrun + self.slack
+        return int(min(max(1.0, self.requests_per_s), bound / 2))
+
+    @property
+    def window_s(self) -> float:
+        """Return the period in which a node sends the requests of its grant."""
+        return SEND_WINDOW_S / min(1.0, self.requests_per_s)
+
+    @property
+    def holding_s(self) -> float:
+        """Return for how long a grant may still have an effect on a server."""
+        return GRANT_TTL_S + GRANT_DELAY_S + self.window_s
+
+
+def cold_limits(
+    cfg: Configuration | None, overrun: float, slack: float
+) -> dict[str, ColdLimit]:
+    """Return the limits of the services whose servers are cold after a start."""
+    services = cfg.services.values() if cfg is not None else ()
+    return {
+        service.name: ColdLimit(
+            service.cold_start_s, service.cold_requests_per_s, overrun, slack
+        )
+        for service in services
+        if service.cold_start_s > 0 and service.cold_requests_per_s > 0
+    }
+
+
+@dataclass(frozen=True, slots=True)
+class StatedCold:
+    """What a server said of its cold time in an answer."""
+
+    left_s: float
+    # Time since the answer arrived.
+    age_s: float
+
+
+def cold_left_s(
+    server: BackendServer,
+    start_s: float,
+    now_s: float,
+    *,
+    first_seen_s: float | None = None,
+    stated: StatedCold | None = None,
+    restored_s: float | None = None,
+) -> float:
+    """Return for how long a server is still cold; 0 if it is warm.
+
+    `first_seen_s` is set if the incarnation was first seen after traffic had begun,
+    `restored_s` if the server's zone was restored after an evacuation. Both count until
+    a record or announcement that is certainly newer. An answer is newer than what
+    arrived before it, and perhaps than what arrived shortly after it.
+    """
+    if server.cold_remaining_s is None:
+        state_age_s = float("inf")
+        left_s = 0.0 if first_seen_s is None else first_seen_s + start_s - now_s
+    else:
+        state_age_s = now_s - server.arrived_s
+        left_s = server.cold_remaining_s - state_age_s
+    if stated is not None:
+        if stated.age_s <= state_age_s:
+            left_s = stated.left_s
+        elif stated.age_s <= state_age_s + STATE_LAG_S:
+            left_s = max(left_s, stated.left_s)
+    if restored_s is not None and now_s - restored_s <= state_age_s + STATE_LAG_S:
+        left_s = max(left_s, restored_s + start_s - now_s)
+    return max(0.0, left_s)
+
+
+@lru_cache(maxsize=1 << 16)
+def rank(server_id: str, node: str) -> int:
+    """Return the 16-bit rank of a node for a server; lower ranks are selected first."""
+    data = f"{server_id}\0{node}".encode()
+    return int.from_bytes(hashlib.blake2b(data, digest_size=2).digest())
+
+
+def choose_grant(
+    server_id: str,
+    known: Collection[str],
+    live: Collection[str],
+    held: dict[str, int],
+    budget: int,
+) -> tuple[int, int] | None:
+    """Return a threshold of ranks and the requests of each node that passes it.
+
+    `known` are all nodes that may receive the announcement, so also those that are not
+    heard; `live` are those of them that are. `held` are earlier grants that may still
+    be used, with their requests. These and the new grants stay within the budget.
+    """
+    ranked = sorted((rank(server_id, node), node) for node in known)
+    best: tuple[int, int] | None = None
+    best_capacity = 0
+    for requests in sorted(range(1, budget + 1), key=lambda n: abs(n - USUAL_REQUESTS)):
+        passing = _passing(ranked, held, requests, budget)
+        if not passing:
+            continue
+        capacity = requests * sum(1 for _, node in passing if node in live)
+        if capacity > best_capacity:
+            best, best_capacity = (passing[-1][0], requests), capacity
+        if requests == USUAL_REQUESTS and capacity == budget // requests * requests:
+            break
+    return best
+
+
+def _passing(
+    ranked: list[tuple[int, str]], held: dict[str, int], requests: int, budget: int
+) -> list[tuple[int, str]]:
+    """Return the longest start of the ranked nodes that stays within the budget."""
+    total = sum(held.values())
+    passing = 0
+    for index, (value, node) in enumerate(ranked):
+        total += max(0, requests - held.get(node, 0))
+        if total > budget:
+            break
+        # Nodes with the same rank pass together.
+        if index + 1 == len(ranked) or ranked[index + 1][0] != value:
+            passing = index + 1
+    return ranked[:passing]
+
+
+@dataclass(slots=True)
+class GrantLedger:
+    """Grants of an owner that may still be used, by server and node."""
+
+    # When a grant of this many requests was last issued to a node.
+    _issued_s: dict[str, dict[tuple[str, int], float]] = field(default_factory=dict)
+
+    def issue(
+        self,
+        server_id: str,
+        known: Collection[str],
+        live: Collection[str],
+        limit: ColdLimit,
+        now_s: float,
+    ) -> tuple[int, int] | None:
+        """Choose and record the grants of a server; see `choose_grant`."""
+        issued_s = self._issued_s.setdefault(server_id, {})
+        held: dict[str, int] = {}
+        for (node, requests), at_s in list(issued_s.items()):
+            if now_s - at_s > limit.holding_s:
+                del issued_s[node, requests]
+            else:
+                held[node] = max(requests, held.get(node, 0))
+        grant = choose_grant(server_id, known, live, held, limit.budget)
+        if grant is not None:
+            threshold, requests = grant
+            for node in known:
+                if rank(server_id, node) <= threshold:
+                    issued_s[node, requests] = now_s
+        return grant
+
+    def retain(self, server_ids: Collection[str]) -> None:
+        """Forget the servers that are no longer listed."""
+        for server_id in list(self._issued_s):
+            if server_id not in server_ids:
+                del self._issued_s[server_id]
+
+
+@dataclass(slots=True)
+class SendWindow:
+    """Times of the requests that this node wrote to servers."""
+
+    _sent_s: dict[str, deque[float]] = field(default_factory=dict)
+
+    def record(self, server_id: str, limit: ColdLimit, now_s: float) -> None:
+        """Record that a request was written."""
+        sent_s = self._sent_s.setdefault(server_id, deque())
+        _drop_until(sent_s, now_s - limit.window_s)
+        sent_s.append(now_s)
+
+    def count(self, server_id: str, limit: ColdLimit, now_s: float) -> int:
+        """Return the number of requests in the window that ends now."""
+        sent_s = self._sent_s.get(server_id)
+        if sent_s is None:
+            return 0
+        _drop_until(sent_s, now_s - limit.window_s)
+        return len(sent_s)
+
+    def retain(self, server_ids: Collection[str]) -> None:
+        """Forget the servers that are no longer listed."""
+        for server_id in list(self._sent_s):
+            if server_id not in server_ids:
+                del self._sent_s[server_id]
+
+
+def _drop_until(times_s: deque[float], oldest_s: float) -> None:
+    while times_s and times_s[0] < oldest_s:
+        times_s.popleft()
+
+
+def may_use_grant(
+    grant: ColdGrant | None,
+    server_id: str,
+    node: str,
+    zone: str,
+    *,
+    sent: int,
+    valid_from_s: float,
+    now_s: float,
+) -> bool:
+    """Return whether a node of a zone may send one more request to a cold server.
+
+    `sent` is the number of requests in its window. Grants that arrived before
+    `valid_from_s` may have waited in the socket while the process was paused.
+    """
+    if grant is None or grant.zone != zone or grant.arrived_s < valid_from_s:
+        return False
+    if now_s - grant.arrived_s >= GRANT_TTL_S or rank(server_id, node) > (
+        grant.threshold
+    ):
+        return False
+    return sent < grant.requests
--- a/gooseberryhall/fleet/models.py
+++ b/gooseberryhall/fleet/models.py
@@ -36,6 +36,22 @@
         return (self.epoch, _MEMBER_STATE_ORDER[self.state])
 
 
+@dataclass(frozen=True, slots=True)
+class ColdGrant:
+    """Permission of some nodes to send to a cold server, as its zone's owner gives it.
+
+    A node of the zone may use it if its rank for the server is at most the threshold.
+    """
+
+    threshold: int
+    # Requests that a node may send in a window.
+    requests: int
+    # Zone of the nodes; that of the owner.
+    zone: str
+    # Arrival on the clock of this node that counts suspended time.
+    arrived_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class BackendServer:
     """State of one incarnation of a backend server, as it last reported it."""
@@ -57,6 +73,12 @@
     membership: Membership | None = None
     # Number of the heartbeat that wrote the record; grows within an incarnation.
     heartbeat: int = 0
+    # Time for which the server was still cold when this state arrived; None if unknown.
+    cold_remaining_s: float | None = None
+    # Arrival on the clock of this node that counts suspended time.
+    arrived_s: float = 0.0
+    # Set if the server is cold and the owner of its zone lets nodes send to it.
+    cold_grant: ColdGrant | None = None
 
     @property
     def incarnation_tag(self) -> int:
--- a/gooseberryhall/fleet/statements.py
+++ b/gooseberryhall/fleet/statements.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from .cold import StatedCold
 from .models import BackendServer
 
 # A peer repeats that a server leaves for as long as it knows the server. If it stops,
@@ -15,6 +16,8 @@
 # Time in which a server gets back its full share of requests after a pause, so that the
 # callers of all nodes do not return at once.
 RETURN_S: Final = 1.0
+# A record that is newer than a stated cold time has arrived by then.
+STATED_LIFETIME_S: Final = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +30,8 @@
     pause_s: float | None = None
     # Values that state nothing, because they are malformed.
     unusable: tuple[bytes, ...] = ()
+    # Time for which the server is still cold; None if not stated.
+    cold_s: float | None = None
 
 
 NO_STATEMENT: Final = ServerStatement()
@@ -46,6 +51,8 @@
     _paused_until_s: dict[str, float] = field(default_factory=dict)
     # When these servers were last listed.
     _listed_s: dict[str, float] = field(default_factory=dict)
+    # Last stated cold time: tag of the incarnation, its end and time of arrival.
+    _cold: dict[str, tuple[int, float, float]] = field(default_factory=dict)
 
     def record(
         self, server: BackendServer, statement: ServerStatement, now_s: float
@@ -60,8 +67,18 @@
             earlier_s = self._paused_until_s.get(server.server_id, 0.0)
             changed = changed or earlier_s <= now_s
             self._paused_until_s[server.server_id] = max(until_s, earlier_s)
+        if statement.cold_s is not None:
+            until_s = now_s + statement.cold_s
+            self._cold[server.server_id] = (server.incarnation_tag, until_s, now_s)
         return changed
 
+    def stated_cold(self, server: BackendServer, now_s: float) -> StatedCold | None:
+        """Return what this incarnation of a server last said of its cold time."""
+        stated = self._cold.get(server.server_id)
+        if stated is None or stated[0] != server.incarnation_tag:
+            return None
+        return StatedCold(max(0.0, stated[1] - now_s), now_s - stated[2])
+
     def record_hints(self, leaving: dict[str, int], now_s: float) -> None:
         """Record the incarnations of which a peer says that they leave."""
         for server_id, tag in leaving.items():
@@ -121,6 +138,9 @@
         for server_id, paused_until_s in list(self._paused_until_s.items()):
             if paused_until_s + RETURN_S <= now_s:
                 del self._paused_until_s[server_id]
+        for server_id, (_, until_s, arrived_s) in list(self._cold.items()):
+            if max(until_s, arrived_s + STATED_LIFETIME_S) <= now_s:
+                del self._cold[server_id]
 
     def _said_leaving(self, server: BackendServer) -> bool:
         return self._leaving.get(server.server_id) == server.incarnation_tag
--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -62,6 +62,16 @@
             or current.heartbeat > server.heartbeat
         ):
             return
+        if (current.started_at_ms, current.heartbeat) == (
+            server.started_at_ms,
+            server.heartbeat,
+        ):
+            # The cold time counts from the first arrival of this record.
+            server = replace(
+                server,
+                cold_remaining_s=current.cold_remaining_s,
+                arrived_s=current.arrived_s,
+            )
         if self._is_stale(server.membership, current, now_s):
             last_report = self._last_reports[server.server_id]
             if now_s - last_report.time_s >= REPORT_PRECEDENCE_S:
@@ -161,6 +171,9 @@
         if membership and self._has_left(server_id, started_at_ms, membership, now_s):
             self._contradicted.add(server_id)
             membership = None
+        if started_at_ms > current.started_at_ms:
+            # The cold time in the record is that of an earlier incarnation.
+            current = replace(current, cold_remaining_s=None)
         self.servers[server_id] = replace(
             current,
             started_at_ms=started_at_ms,
--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -37,6 +37,8 @@
     sends: int = 0
     # Sends that broke off, so that the request may have run.
     breaks: int = 0
+    # Servers that did not get the request because they are cold.
+    withheld_servers: set[str] = field(default_factory=set)
 
     @property
     def traits(self) -> frozenset[str]:
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
 
@@ -18,6 +18,8 @@
     crash_refusals: Counter = field(init=False)
     statements: Counter = field(init=False)
     latency: Histogram = field(init=False)
+    cold_servers: Gauge = field(init=False)
+    cold_withheld: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -52,3 +54,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.cold_servers = Gauge(
+            "gooseberryhall_cold_servers",
+            "Servers that take requests and are cold, as this node knows.",
+            registry=self.registry,
+        )
+        self.cold_withheld = Counter(
+            "gooseberryhall_cold_withheld_total",
+            "Requests that were not sent to a server because it is cold.",
+            registry=self.registry,
+        )
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -14,6 +14,7 @@
 from .placement import choose_server
 from .refusals import (
     busy_response,
+    cold_response,
     no_group_response,
     outcome_unknown_response,
     paused_response,
@@ -55,9 +56,13 @@
         return None
     if failure_response is not None:
         return failure_response
-    soonest_s = state.soonest_return_s(ctx, asyncio.get_running_loop().time())
+    now_s = asyncio.get_running_loop().time()
+    soonest_s = state.soonest_return_s(ctx, now_s)
     if soonest_s is not None:
         return paused_response(soonest_s, state.rng)
+    warm_s = state.soonest_warm_s(ctx, now_s)
+    if warm_s is not None:
+        return cold_response(warm_s, state.rng)
     return busy_response(state.rng) if ctx.sends else no_group_response(state.rng)
 
 
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -78,13 +78,18 @@
         ctx.sends += 1
         # The server may close a reused connection at the same time. It would then be
         # unknown whether a request that must run at most once was run.
-        conn = await state.pool.async_send_request(
-            server.address,
-            data,
-            exchange,
-            new_connection=not ctx.route.idempotent,
-            may_send=lambda: state.may_send(server, loop.time()),
-        )
+        state.cold.start_placing(server)
+        try:
+            conn = await state.pool.async_send_request(
+                server.address,
+                data,
+                exchange,
+                new_connection=not ctx.route.idempotent,
+                may_send=lambda: state.may_send(server, loop.time()),
+                on_sent=lambda: state.cold.record_sent(server),
+            )
+        finally:
+            state.cold.end_placing(server)
         yield SentRequest(server, exchange, conn, record_progress)
     except SendWithheldError:
         raise
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -12,6 +12,7 @@
 from ..transport.pool import ConnectionPool
 from .backends import Backends
 from .budget import RetryBudget
+from .cold import ColdServers
 from .context import RequestContext
 from .crashes import CrashTracker
 from .header_names import HeaderNames
@@ -51,6 +52,8 @@
     on_leaving: Callable[[], None] = lambda: None
     # Whether this node or another has received requests from callers.
     traffic_seen: bool = False
+    # Cold servers, and the requests that this node may send them.
+    cold: ColdServers = field(default_factory=ColdServers)
 
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
@@ -69,7 +72,33 @@
 
         All requests pass this check, when a server is chosen and before they are sent.
         """
-        return self.statements.may_send(server, now_s)
+        if not self.statements.may_send(server, now_s):
+            return False
+        # The server may have become cold since it was chosen.
+        current = self.servers().get(server.server_id, server)
+        if self.cold.may_send(current):
+            return True
+        self.metrics.cold_withheld.inc({})
+        return False
+
+    def may_place(
+        self, ctx: RequestContext, server: BackendServer, now_s: float
+    ) -> bool:
+        """Return whether a server may be chosen for a request."""
+        if not self.statements.may_send(server, now_s):
+            return False
+        if self.cold.may_send(server, placing=True):
+            return True
+        # A request that waits asks again and again, and is counted once.
+        if server.server_id not in ctx.withheld_servers:
+            ctx.withheld_servers.add(server.server_id)
+            self.metrics.cold_withheld.inc({})
+        return False
+
+    def usable_slots(self, server: BackendServer, slots: int, now_s: float) -> int:
+        """Return how many slots of a server may be used, after a pause or cold time."""
+        usable = self.statements.usable_slots(server, slots, now_s)
+        return min(usable, self.cold.usable_slots(server, slots))
 
     def candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups or plain servers to which the request may be sent."""
@@ -90,17 +119,17 @@
             leader = group.leader
             if leader.service != ctx.service:
                 continue
-            if not self.may_send(leader, now_s):
-                continue
             if ctx.model is not None and group.model != ctx.model:
                 continue
             if leader.server_id in ctx.excluded_servers:
                 continue
+            if not self.may_place(ctx, leader, now_s):
+                continue
             candidates.append(
                 Candidate(
                     server_id=leader.server_id,
                     in_flight=self.backends.load(leader.server_id),
-                    slots=self.statements.usable_slots(leader, slots, now_s),
+                    slots=self.usable_slots(leader, slots, now_s),
                     same_zone=leader.zone == self.zone,
                     suspected=self.backends.is_suspected(leader.server_id, now_s),
                     leaving=group.leaving,
@@ -114,15 +143,15 @@
             Candidate(
                 server_id=server.server_id,
                 in_flight=self.backends.load(server.server_id),
-                slots=self.statements.usable_slots(server, max(1, server.slots), now_s),
+                slots=self.usable_slots(server, max(1, server.slots), now_s),
                 same_zone=server.zone == self.zone,
                 suspected=self.backends.is_suspected(server.server_id, now_s),
                 failure_rate=self.backends.failure_rate(server.server_id),
             )
             for server in self.servers().values()
             if server.service == ctx.service
-            and self.may_send(server, now_s)
             and server.server_id not in ctx.excluded_servers
+            and self.may_place(ctx, server, now_s)
         ]
 
     def soonest_return_s(self, ctx: RequestContext, now_s: float) -> float | None:
@@ -130,6 +159,25 @@
 
         None if there is none, or if one may get requests now.
         """
+        return self.statements.soonest_return_s(
+            [
+                server
+                for server in self._servers_for(ctx)
+                if not self.statements.is_leaving(server, now_s)
+            ],
+            now_s,
+        )
+
+    def soonest_warm_s(self, ctx: RequestContext, now_s: float) -> float | None:
+        """Return when the first server is warm; None unless all are cold."""
+        left_s = [
+            self.cold.left_s(server)
+            for server in self._servers_for(ctx)
+            if not self.statements.is_leaving(server, now_s)
+        ]
+        return min(left_s, default=0.0) or None
+
+    def _servers_for(self, ctx: RequestContext) -> list[BackendServer]:
         if self.is_grouped(ctx.service):
             servers = [
                 group.leader
@@ -138,15 +186,7 @@
             ]
         else:
             servers = list(self.servers().values())
-        return self.statements.soonest_return_s(
-            [
-                server
-                for server in servers
-                if server.service == ctx.service
-                and not self.statements.is_leaving(server, now_s)
-            ],
-            now_s,
-        )
+        return [server for server in servers if server.service == ctx.service]
 
     def _group_slots(self, service: str) -> int:
         cfg = self.configuration()
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -21,6 +21,7 @@
 from .models import GatewayResponse
 from .refusals import (
     busy_response,
+    cold_response,
     crashing_request_response,
     no_group_response,
     outcome_unknown_response,
@@ -180,6 +181,9 @@
     soonest_s = state.soonest_return_s(ctx, now_s)
     if soonest_s is not None:
         return paused_response(soonest_s, state.rng)
+    warm_s = state.soonest_warm_s(ctx, now_s)
+    if warm_s is not None:
+        return cold_response(warm_s, state.rng)
     return no_group_response(state.rng)
 
 
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -1,15 +1,17 @@
 """Messages between nodes and their encoding as datagrams."""
 
 import io
-from dataclasses import dataclass, field
+import math
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import cbor2
 
 from ..exceptions import InvalidInputError
-from ..fleet.models import BackendServer, ServedGroup
+from ..fleet.models import BackendServer, ColdGrant, ServedGroup
 from ..gateway.models import CrashReport
 from ..transport.address import MAX_PORT, create_address
+from .const import MS_PER_S
 
 
 class GossipError(InvalidInputError):
@@ -40,6 +42,8 @@
     successors: tuple[str, ...] = ()
     # Owners of other zones, so that a node that starts finds them.
     other_owners: tuple[str, ...] = ()
+    # Whether the owner states which servers are cold.
+    cold_known: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,8 +103,11 @@
     )
 
 
-def decode(data: bytes) -> Gossip:
-    """Decode a datagram. Raises `GossipError`."""
+def decode(data: bytes, now_s: float = 0.0) -> Gossip:
+    """Decode a datagram that arrived at `now_s`. Raises `GossipError`.
+
+    `now_s` is of the clock that counts suspended time.
+    """
     try:
         values: Any = cbor2.load(io.BytesIO(data))
         return Gossip(
@@ -114,7 +121,9 @@
             store_lost=bool(values[7]),
             traffic=_decode_traffic(values[8]),
             stalled_leaders=tuple(_require_text(value) for value in values[9]),
-            announcement=_decode_announcement(values[10])
+            announcement=_decode_announcement(
+                values[10], _require_text(values[1]), now_s
+            )
             if values[10] is not None
             else None,
             # Nodes of an earlier version do not send the fields after the servers.
@@ -192,25 +201,38 @@
         _encode_traffic(announcement.traffic),
         list(announcement.successors),
         list(announcement.other_owners),
+        *([True] if announcement.cold_known else []),
     ]
 
 
-def _decode_announcement(values: Any) -> ZoneAnnouncement:
+def _decode_announcement(
+    values: Any, owner_zone: str, now_s: float
+) -> ZoneAnnouncement:
     zone = _require_text(values[0])
+    cold_known = any(bool(value) for value in values[7:8])
+
+    def decode_server(server: Any) -> BackendServer:
+        decoded = _decode_server(server, zone, now_s)
+        if not cold_known:
+            return decoded
+        remaining_s, grant = _decode_cold(server[7:], owner_zone, now_s)
+        return replace(decoded, cold_remaining_s=remaining_s, cold_grant=grant)
+
     return ZoneAnnouncement(
         zone=zone,
         term=int(values[1]),
         groups=tuple(
             ServedGroup(
-                _require_text(group[0]), _decode_server(group[2], zone), bool(group[1])
+                _require_text(group[0]), decode_server(group[2]), bool(group[1])
             )
             for group in values[2]
         ),
-        servers=tuple(_decode_server(server, zone) for server in values[3]),
+        servers=tuple(decode_server(server) for server in values[3]),
         traffic=_decode_traffic(values[4]),
         # Nodes of an earlier version do not send the next two fields.
         successors=_decode_names(values[5:6]),
         other_owners=_decode_names(values[6:7]),
+        cold_known=cold_known,
     )
 
 
@@ -228,10 +250,33 @@
         server.leaving,
         server.slots,
         server.incarnation_tag,
+        *_encode_cold(server),
     ]
 
 
-def _decode_server(values: Any, zone: str) -> BackendServer:
+def _encode_cold(server: BackendServer) -> list[int]:
+    """Return the cold time in ms and the grant; nothing for a warm server."""
+    if not server.cold_remaining_s:
+        return []
+    remaining_ms = math.ceil(server.cold_remaining_s * MS_PER_S)
+    grant = server.cold_grant
+    if grant is None:
+        return [remaining_ms]
+    return [remaining_ms, grant.threshold, grant.requests]
+
+
+def _decode_cold(
+    values: list[Any], owner_zone: str, now_s: float
+) -> tuple[float, ColdGrant | None]:
+    if not values:
+        return 0.0, None
+    remaining_s = int(values[0]) / MS_PER_S
+    if not values[1:]:
+        return remaining_s, None
+    return remaining_s, ColdGrant(int(values[1]), int(values[2]), owner_zone, now_s)
+
+
+def _decode_server(values: Any, zone: str, now_s: float) -> BackendServer:
     return BackendServer(
         server_id=_require_text(values[0]),
         service=_require_text(values[1]),
@@ -241,6 +286,7 @@
         slots=int(values[5]),
         # Nodes of an earlier version do not send the tag.
         started_at_ms=int(values[6]) if values[6:] else 0,
+        arrived_s=now_s,
     )
 
 
--- a/gooseberryhall/gossip/peers.py
+++ b/gooseberryhall/gossip/peers.py
@@ -145,6 +145,18 @@
         )
         return tuple(names[:SUCCESSORS])
 
+    def zone_nodes(self, now_s: float) -> tuple[set[str], set[str]]:
+        """Return all known nodes of this node's zone, and those that are live.
+
+        Nodes that are listed without a zone may be of this zone.
+        """
+        known = {
+            peer.name for peer in self.peers.values() if peer.zone in {self.zone, ""}
+        }
+        known.add(self.node_name)
+        live = {peer.name for peer, _ in self._live_peers(now_s)}
+        return known, live.intersection(known) | {self.node_name}
+
     def contention_rank(self, zone: str, now_s: float) -> int:
         """Return how many nodes of this node's zone contend before this node.
 
--- a/gooseberryhall/gossip/service.py
+++ b/gooseberryhall/gossip/service.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from ..core.clock import now_s as boot_time_s
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from .const import BATCH_DATAGRAMS, BATCH_PAUSE_S, MAX_DATAGRAM_BYTES
@@ -41,7 +42,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str | object, int]) -> None:
         """Decode and apply a datagram of a peer."""
         try:
-            gossip = decode(data)
+            gossip = decode(data, boot_time_s())
         except GossipError as exc:
             log_event(
                 _LOGGER,
--- a/gooseberryhall/node/const.py
+++ b/gooseberryhall/node/const.py
@@ -35,6 +35,8 @@
 # because the peer may have received it a moment earlier.
 PEER_VERSION_GRACE_S: Final = 0.4
 CONFIGURATION_RETRY_DELAY_S: Final = 0.5
+# Time in which a new owner has heard the nodes of its zone, several periods of gossip.
+PEERS_KNOWN_S: Final = 1.0
 # If more than this share of the records disappears at once, they lapsed during a store
 # outage.
 LAPSED_SHARE: Final = 0.3
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import replace
 
 from ..core.tasks import TaskSet
+from ..fleet.cold import ColdLimit, cold_limits
 from ..fleet.const import UNRESPONSIVE_BACKOFF_S
 from ..fleet.controller import probe_group, reconcile
 from ..fleet.guard import GuardedEngines
-from ..fleet.models import BackendServer
+from ..fleet.models import BackendServer, Configuration
+from ..fleet.statements import ServerStatements
 from ..fleet.zone import ZoneState
 from ..gateway.backends import Backends, Stall
 from ..gateway.budget import RetryBudget
+from ..gateway.cold import ColdServers
 from ..gateway.const import (
     CAUSE_GOSSIP_SHARE,
     MAX_CHECK_DELAY_S,
@@ -29,6 +33,7 @@
 from ..transport.memory import ResponseMemory
 from ..transport.pool import ConnectionPool
 from .configuration import ConfigurationFollower
+from .const import PEERS_KNOWN_S
 from .directory import PlatformAdapter
 from .owner import RunInZone, ZoneOwner
 from .registration import async_register
@@ -72,6 +77,11 @@
         self._crash_causes: list[frozenset[str]] = []
         # Leaders of stalled groups, and the time until which peers are notified.
         self._stalled_leaders: dict[str, float] = {}
+        # Limits of cold servers by service, with what they were derived from.
+        self._cold_limits: dict[str, ColdLimit] = {}
+        self._cold_limits_of: tuple[Configuration | None, NodeSettings] | None = None
+        # When this node acquired its zones.
+        self._owned_since_s: dict[str, float] = {}
         self.configuration = ConfigurationFollower(
             adapter.directory,
             self.tasks.create,
@@ -124,6 +134,7 @@
         self.servers.update_demand()
         self.servers.remove_lapsed()
         self._update_table()
+        self._update_cold()
         for zone in list(self.owner.zones.values()):
             reconcile(zone)
         if self._announcement_requested:
@@ -203,8 +214,45 @@
             ),
             successors=self.peers.successors(zone, self._loop.time()),
             other_owners=tuple(sorted(self.peers.live_owners(self._loop.time()))),
+            describe_cold=self._create_cold_description(state),
         )
 
+    def _create_cold_description(
+        self, zone: ZoneState
+    ) -> Callable[[BackendServer], BackendServer] | None:
+        """Return a function that adds cold times and grants to servers of a zone.
+
+        None if servers are never cold. An owner that a peer superseded grants nothing.
+        """
+        if not self._limits_by_service():
+            return None
+        now_s = self._loop.time()
+        known, live = self.peers.zone_nodes(now_s)
+        if now_s - self._owned_since_s.get(zone.name, now_s) < PEERS_KNOWN_S:
+            # Nodes report to their owner, so a new one has not heard all of them yet.
+            live = known
+        received = self.peers.fresh_announcement(zone.name, now_s)
+        superseded = received is not None and received.announcement.term > zone.term
+        return lambda server: self.gateway.cold.describe(
+            server, known, live, may_grant=not superseded
+        )
+
+    def _limits_by_service(self) -> dict[str, ColdLimit]:
+        cfg, settings = self.configuration.current, self.settings
+        known = self._cold_limits_of
+        if known is None or known[0] is not cfg or known[1] is not settings:
+            self._cold_limits = cold_limits(
+                cfg, settings.cold_overrun, settings.cold_slack
+            )
+            self._cold_limits_of = (cfg, settings)
+        return self._cold_limits
+
+    def _update_cold(self) -> None:
+        """Notice cold servers; without limits there are none."""
+        if self._limits_by_service():
+            count = self.gateway.cold.update(self.table.servers.values())
+            self.gateway.metrics.cold_servers.set({}, count)
+
     def _announce_unowned_zone(self, zone: str) -> ZoneAnnouncement:
         service = self.configuration.engine_service
         return create_announcement(
@@ -243,6 +291,7 @@
         self.gateway.crashes.remove_expired(now_s)
         listed = self.table.servers.keys() | self.servers.view.servers.keys()
         self._statements.retain(listed, now_s)
+        self.gateway.cold.retain(listed)
         for leader, until_s in list(self._stalled_leaders.items()):
             if until_s <= now_s:
                 del self._stalled_leaders[leader]
@@ -286,6 +335,7 @@
 
     def receive_gossip(self, gossip: Gossip) -> None:
         """Apply a message of a peer."""
+        self.gateway.cold.observe_clock()
         if gossip.traffic_seen:
             self.gateway.traffic_seen = True
         self._statements.record_hints(gossip.leaving, self._loop.time())
@@ -352,6 +402,16 @@
             groups=lambda: self.table.groups,
             create_budget=self._create_budget,
             on_crash=self._apply_crash_causes,
+            cold=self._create_cold_servers(adapter.statements),
+        )
+
+    def _create_cold_servers(self, statements: ServerStatements) -> ColdServers:
+        return ColdServers(
+            node=self.settings.node,
+            zone=self.settings.zone,
+            limit=lambda service: self._limits_by_service().get(service),
+            stated=lambda server: statements.stated_cold(server, self._loop.time()),
+            traffic_seen=lambda: self.gateway.traffic_seen,
         )
 
     def _create_owner(self) -> ZoneOwner:
@@ -382,6 +442,7 @@
         service = self.configuration.engine_service
         if service is None:
             return None
+        self._owned_since_s[name] = self._loop.time()
         zone = ZoneState(
             name=name,
             service=service.name,
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -59,11 +59,13 @@
     is_leaving: Callable[[BackendServer], bool] = lambda server: server.leaving,
     successors: tuple[str, ...] = (),
     other_owners: tuple[str, ...] = (),
+    describe_cold: Callable[[BackendServer], BackendServer] | None = None,
 ) -> ZoneAnnouncement:
     """Return an announcement of a zone's open groups and plain servers.
 
     `traffic` returns the traffic to a server by its id, `is_leaving` whether it leaves,
-    by its record or its own words.
+    by its record or its own words. `describe_cold` returns a server with its cold time
+    and grant; None if the owner states none.
     """
     served = [
         group
@@ -76,6 +78,9 @@
         for server in view.servers.values()
         if server.zone == zone and server.service != grouped_service
     ]
+    if describe_cold is not None:
+        served = [replace(item, leader=describe_cold(item.leader)) for item in served]
+        plain = [describe_cold(server) for server in plain]
     ids = [group.leader.server_id for group in served]
     ids += [server.server_id for server in plain]
     all_traffic = {server_id: traffic(server_id) for server_id in ids}
@@ -87,6 +92,7 @@
         {key: item for key, item in all_traffic.items() if item.in_flight},
         successors,
         other_owners,
+        cold_known=describe_cold is not None,
     )
 
 
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from ..core.clock import now_s as boot_time_s
 from ..fleet.models import BackendServer, Configuration
 from ..node.directory import ConfigurationListener, NodeRecord, ServerListener
 from ..telemetry.catalogue import LogEvent
@@ -186,7 +187,7 @@
     if row.value is None:
         return None
     try:
-        return decode_server_record(row.key, row.value)
+        return decode_server_record(row.key, row.value, boot_time_s())
     except RowFormatError as exc:
         log_event(_LOGGER, LogEvent.ROW_REFUSED, str(exc), level=logging.WARNING)
         return None
--- a/gooseberryhall/platform/servers.py
+++ b/gooseberryhall/platform/servers.py
@@ -16,6 +16,9 @@
 _Natural = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
 # Ids are sent as the value of a header.
 _SERVER_ID_PATTERN: Final = re.compile(r"[!-~]{1,200}")
+# Longer cold times are taken for this one.
+MAX_COLD_MS: Final = 600_000.0
+_MS_PER_S: Final = 1000
 
 
 class _Model(msgspec.Struct):
@@ -70,8 +73,10 @@
     slowdown: float
 
 
-def decode_server_record(server_id: str, data: bytes) -> BackendServer:
-    """Decode a server record. Raises `RowFormatError`."""
+def decode_server_record(
+    server_id: str, data: bytes, now_s: float = 0.0
+) -> BackendServer:
+    """Decode a server record that arrived at `now_s`. Raises `RowFormatError`."""
     if not _SERVER_ID_PATTERN.fullmatch(server_id):
         raise RowFormatError(f"not the id of a server: {server_id!r}")
     raw = decode_json(data, _ServerRecord, f"server {server_id}")
@@ -92,6 +97,8 @@
         last_model=raw.models[0].name if raw.models else None,
         membership=_decode_membership(raw.group),
         heartbeat=raw.sequence,
+        cold_remaining_s=min(max(0.0, raw.cold_remaining_ms), MAX_COLD_MS) / _MS_PER_S,
+        arrived_s=now_s,
     )
 
 
--- a/gooseberryhall/transport/client.py
+++ b/gooseberryhall/transport/client.py
@@ -51,21 +51,23 @@
             and now_s - self._idle_since_s < self._idle_timeout_s
         )
 
-    def start(self, exchange: Exchange, data: bytes) -> None:
+    def start(self, exchange: Exchange, data: bytes) -> bool:
         """Send a request and pass its response to `exchange`.
 
         Nothing is sent if the exchange was aborted while the connection was opened.
+        Returns whether the request was written.
         """
         if exchange.error is not None:
-            return
+            return False
         self._exchange = exchange
         self._overhead_bytes = 0
         exchange.close = self.close
         exchange.set_reading = self._set_reading
         if self.closed or self._transport is None:
             exchange.fail(ConnectionBrokenError("connection is closed"))
-            return
+            return False
         self._transport.write(data)
+        return True
 
     def close(self) -> None:
         """Abort the connection and discard a response in progress."""
--- a/gooseberryhall/transport/pool.py
+++ b/gooseberryhall/transport/pool.py
@@ -30,11 +30,13 @@
         new_connection: bool = False,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         may_send: Callable[[], bool] = lambda: True,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> ClientConnection:
         """Send an encoded request and return its connection.
 
         With `new_connection` no idle connection is reused. `may_send` is asked when the
-        connection is open. Raises `ConnectFailedError` if nothing was sent.
+        connection is open, `on_sent` is called when the request was written. Raises
+        `ConnectFailedError` if nothing was sent.
         """
         conn = None if new_connection else self._pop_idle(address)
         if conn is None:
@@ -42,7 +44,8 @@
         if not may_send():
             self.release(address, conn)
             raise SendWithheldError(f"{address} must get no request now")
-        conn.start(exchange, data)
+        if conn.start(exchange, data):
+            on_sent()
         return conn
 
     def release(self, address: Address, conn: ClientConnection) -> None:
