--- a/gooseberryhall/fleet/cold.py
+++ b/gooseberryhall/fleet/cold.py
@@ -98,20 +98,20 @@
     start_s: float,
     now_s: float,
     *,
-    first_seen_s: float | None = None,
+    cold_until_s: float = 0.0,
     stated: StatedCold | None = None,
     restored_s: float | None = None,
 ) -> float:
     """Return for how long a server is still cold; 0 if it is warm.
 
-    `first_seen_s` is set if the incarnation was first seen after traffic had begun,
-    `restored_s` if the server's zone was restored after an evacuation. Both count until
-    a record or announcement that is certainly newer. An answer is newer than what
-    arrived before it, and perhaps than what arrived shortly after it.
+    `cold_until_s` is assumed of a server whose state has no cold time. `restored_s` is
+    set if the server's zone was restored after an evacuation; it counts until a record
+    or announcement that is certainly newer. An answer is newer than what arrived before
+    it, and perhaps than what arrived shortly after it.
     """
     if server.cold_remaining_s is None:
         state_age_s = float("inf")
-        left_s = 0.0 if first_seen_s is None else first_seen_s + start_s - now_s
+        left_s = cold_until_s - now_s
     else:
         state_age_s = now_s - server.arrived_s
         left_s = server.cold_remaining_s - state_age_s
@@ -148,14 +148,15 @@
     ranked = sorted((rank(server_id, node), node) for node in known)
     best: tuple[int, int] | None = None
     best_capacity = 0
-    for requests in sorted(range(1, budget + 1), key=lambda n: abs(n - USUAL_REQUESTS)):
+    usual = max(USUAL_REQUESTS, budget // max(1, len(live)))
+    for requests in sorted(range(1, budget + 1), key=lambda n: abs(n - usual)):
         passing = _passing(ranked, held, requests, budget)
         if not passing:
             continue
         capacity = requests * sum(1 for _, node in passing if node in live)
         if capacity > best_capacity:
             best, best_capacity = (passing[-1][0], requests), capacity
-        if requests == USUAL_REQUESTS and capacity == budget // requests * requests:
+        if requests == usual and capacity == budget // usual * usual:
             break
     return best
 
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -94,6 +94,8 @@
     summary_logged_s: float = 0.0
     last_reconcile_s: float = 0.0
     hold_until_s: float = 0.0
+    # When this node acquired the zone, on the clock of the event loop.
+    acquired_s: float = 0.0
 
     def open_groups(self) -> list[Group]:
         """Return the groups that serve."""
--- a/gooseberryhall/gateway/cold.py
+++ b/gooseberryhall/gateway/cold.py
@@ -50,8 +50,8 @@
     _window: SendWindow = field(default_factory=SendWindow)
     # Requests that were placed at a server and are not written yet.
     _placed: Counter[str] = field(default_factory=Counter)
-    # Incarnation tag of each server, and when it was first seen if traffic had begun.
-    _first_seen: dict[str, tuple[int, float | None]] = field(default_factory=dict)
+    # Incarnation tag of each server, and the end of its cold time as last known.
+    _known: dict[str, tuple[int, float]] = field(default_factory=dict)
     # Servers that were cold at the last update, and when others became warm.
     _cold: set[str] = field(default_factory=set)
     _warm_s: dict[str, float] = field(default_factory=dict)
@@ -77,7 +77,7 @@
             server,
             limit.start_s,
             now_s,
-            first_seen_s=self._see(server, now_s),
+            cold_until_s=self._see(server, limit, now_s),
             stated=self.stated(server),
             restored_s=self.restored_s(server.zone),
         )
@@ -122,8 +122,13 @@
             self._window.record(server.server_id, limit, self.clock())
 
     def usable_slots(self, server: BackendServer, slots: int) -> int:
-        """Return how many slots may be used; they return gradually."""
+        """Return how many slots may be used; after the cold time they return gradually.
+
+        While a server is cold, the number of its requests in a window is limited.
+        """
         if server.server_id in self._cold:
+            if self.left_s(server):
+                return slots
             share = 0.0
         elif server.server_id in self._warm_s:
             warm_s = self.clock() - self._warm_s[server.server_id]
@@ -195,18 +200,23 @@
         """Forget the servers that are no longer listed."""
         self._ledger.retain(server_ids)
         self._window.retain(server_ids)
-        for server_id in list(self._first_seen):
+        for server_id in list(self._known):
             if server_id not in server_ids:
-                del self._first_seen[server_id]
-
-    def _see(self, server: BackendServer, now_s: float) -> float | None:
-        """Return when this incarnation was first seen, if traffic had begun."""
-        seen = self._first_seen.get(server.server_id)
-        if seen is None or seen[0] != server.incarnation_tag:
-            first_s = now_s if self.traffic_seen() else None
-            seen = (server.incarnation_tag, first_s)
-            self._first_seen[server.server_id] = seen
-        return seen[1]
+                del self._known[server_id]
+
+    def _see(self, server: BackendServer, limit: ColdLimit, now_s: float) -> float:
+        """Record what is known of an incarnation; return the end of its cold time.
+
+        One that is first seen after traffic has begun may just have started.
+        """
+        tag = server.incarnation_tag
+        known = self._known.get(server.server_id)
+        if server.cold_remaining_s is not None:
+            known = (tag, server.arrived_s + server.cold_remaining_s)
+        elif known is None or known[0] != tag:
+            known = (tag, now_s + limit.start_s if self.traffic_seen() else 0.0)
+        self._known[server.server_id] = known
+        return known[1]
 
     def _is_granted(self, server: BackendServer, now_s: float) -> bool:
         return may_use_grant(
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 from dataclasses import replace
 
 from ..core.tasks import TaskSet
-from ..fleet.cold import ColdLimit, cold_limits
 from ..fleet.const import UNRESPONSIVE_BACKOFF_S
 from ..fleet.controller import probe_group, reconcile
 from ..fleet.guard import GuardedEngines
-from ..fleet.models import BackendServer, Configuration
+from ..fleet.models import BackendServer
 from ..fleet.statements import ServerStatements
 from ..fleet.zone import ZoneState
 from ..gateway.backends import Backends, Stall
@@ -32,8 +30,8 @@
 from ..telemetry.logs import log_event
 from ..transport.memory import ResponseMemory
 from ..transport.pool import ConnectionPool
+from .cold import ColdLimits, create_description
 from .configuration import ConfigurationFollower
-from .const import PEERS_KNOWN_S
 from .directory import PlatformAdapter
 from .owner import RunInZone, ZoneOwner
 from .registration import async_register
@@ -77,16 +75,14 @@
         self._crash_causes: list[frozenset[str]] = []
         # Leaders of stalled groups, and the time until which peers are notified.
         self._stalled_leaders: dict[str, float] = {}
-        # Limits of cold servers by service, with what they were derived from.
-        self._cold_limits: dict[str, ColdLimit] = {}
-        self._cold_limits_of: tuple[Configuration | None, NodeSettings] | None = None
-        # When this node acquired its zones.
-        self._owned_since_s: dict[str, float] = {}
         self.configuration = ConfigurationFollower(
             adapter.directory,
             self.tasks.create,
             lambda: self.is_owner or not self.peers.announcements,
         )
+        self._cold_limits = ColdLimits(
+            lambda: self.configuration.current, lambda: self.settings
+        )
         self.owner = self._create_owner()
         self.servers = ServerFollower(
             adapter.directory,
@@ -214,42 +210,16 @@
             ),
             successors=self.peers.successors(zone, self._loop.time()),
             other_owners=tuple(sorted(self.peers.live_owners(self._loop.time()))),
-            describe_cold=self._create_cold_description(state),
-        )
-
-    def _create_cold_description(
-        self, zone: ZoneState
-    ) -> Callable[[BackendServer], BackendServer] | None:
-        """Return a function that adds cold times and grants to servers of a zone.
-
-        None if servers are never cold. An owner that a peer superseded grants nothing.
-        """
-        if not self._limits_by_service():
-            return None
-        now_s = self._loop.time()
-        known, live = self.peers.zone_nodes(now_s)
-        if now_s - self._owned_since_s.get(zone.name, now_s) < PEERS_KNOWN_S:
-            # Nodes report to their owner, so a new one has not heard all of them yet.
-            live = known
-        received = self.peers.fresh_announcement(zone.name, now_s)
-        superseded = received is not None and received.announcement.term > zone.term
-        return lambda server: self.gateway.cold.describe(
-            server, known, live, may_grant=not superseded
-        )
-
-    def _limits_by_service(self) -> dict[str, ColdLimit]:
-        cfg, settings = self.configuration.current, self.settings
-        known = self._cold_limits_of
-        if known is None or known[0] is not cfg or known[1] is not settings:
-            self._cold_limits = cold_limits(
-                cfg, settings.cold_overrun, settings.cold_slack
+            describe_cold=create_description(
+                self.gateway.cold, self.peers, state, self._loop.time()
             )
-            self._cold_limits_of = (cfg, settings)
-        return self._cold_limits
+            if self._cold_limits.by_service()
+            else None,
+        )
 
     def _update_cold(self) -> None:
         """Notice cold servers; without limits there are none."""
-        if self._limits_by_service():
+        if self._cold_limits.by_service():
             count = self.gateway.cold.update(self.table.servers.values())
             self.gateway.metrics.cold_servers.set({}, count)
 
@@ -409,7 +379,7 @@
         return ColdServers(
             node=self.settings.node,
             zone=self.settings.zone,
-            limit=lambda service: self._limits_by_service().get(service),
+            limit=lambda service: self._cold_limits.by_service().get(service),
             stated=lambda server: statements.stated_cold(server, self._loop.time()),
             traffic_seen=lambda: self.gateway.traffic_seen,
         )
@@ -442,7 +412,6 @@
         service = self.configuration.engine_service
         if service is None:
             return None
-        self._owned_since_s[name] = self._loop.time()
         zone = ZoneState(
             name=name,
             service=service.name,
@@ -460,6 +429,7 @@
             zone_count=len(self.settings.zones),
             statements=self._statements,
             traffic_progress_s=self.gateway.backends.latest_progress_s,
+            acquired_s=self._loop.time(),
         )
         return zone
 
