--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -111,6 +111,9 @@
     assert cold_left_s(newer, 3.0, 12.1, restored_s=10.2) == 0.0
 
 
+COLD = server("s1", cold_remaining_s=500.0, arrived_s=100.0)
+
+
 @dataclass(slots=True)
 class Zone:
     """Nodes of a zone, two of which may be owners, and their requests to a server."""
@@ -123,7 +126,7 @@
     # Last datagram that waits for a frozen node; None for nodes that run.
     waiting: dict[int, BackendServer | None] = field(default_factory=dict)
     arrivals_s: list[float] = field(default_factory=list)
-    cold: BackendServer = server("s1", cold_remaining_s=500.0, arrived_s=100.0)
+    cold: BackendServer = COLD
 
     def __post_init__(self) -> None:
         """Create nodes that have no grant."""
@@ -204,18 +207,20 @@
 
 @pytest.mark.parametrize("owners", [1, 2])
 @given(
-    per_s=st.sampled_from([0.5, 1.0, 1.5, 3.0, 14.0, 40.0]),
-    overrun=st.sampled_from([1.0, 1.5]),
-    slack=st.sampled_from([0.0, 5.0]),
+    limit=st.builds(
+        ColdLimit,
+        st.just(3.0),
+        st.sampled_from([0.5, 1.0, 1.5, 3.0, 14.0, 40.0]),
+        st.sampled_from([1.0, 1.5]),
+        st.sampled_from([0.0, 5.0]),
+    ),
     size=st.integers(2, 8),
     steps=_STEPS,
 )
 @settings(max_examples=150, deadline=None, derandomize=True)
 def test_bound_holds_whatever_nodes_know(
     owners: int,
-    per_s: float,
-    overrun: float,
-    slack: float,
+    limit: ColdLimit,
     size: int,
     steps: list[tuple[str, int, int, int, float]],
 ) -> None:
@@ -224,7 +229,7 @@
     Two owners know different nodes at any moment, nodes are cut off, freeze and wake up
     with an old announcement, and requests are delayed by up to 0.1 s.
     """
-    zone = Zone(ColdLimit(3.0, per_s, overrun, slack), size)
+    zone = Zone(limit, size)
     for kind, number, first_mask, second_mask, seconds in steps:
         zone.advance(seconds)
         if kind == "announce":
@@ -234,8 +239,8 @@
                 zone.send(index, number, (first_mask >> index & 1) * 0.1)
         else:
             zone.toggle_freeze(number % size)
-    bound = per_s * overrun + slack
-    one_owner = min(bound, max(1.0, per_s))
+    bound = limit.requests_per_s * limit.overrun + limit.slack
+    one_owner = min(bound, max(1.0, limit.requests_per_s))
     assert zone.most_in_a_second() <= (one_owner if owners == 1 else bound)
 
 
@@ -305,7 +310,7 @@
 
 
 def test_server_without_a_state_stays_cold_as_last_known() -> None:
-    """Guards against an earlier version of the owner that does not tell cold servers."""
+    """Guards against an owner of an earlier version that tells no cold times."""
     zone, node = _granted_node()
     node.update([zone.views[0]])
     untold = replace(zone.views[0], cold_remaining_s=None, cold_grant=None)
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -73,3 +73,30 @@
     view.apply_record(server("a", started_at_ms=2), 0.0)
     view.apply_record(server("a", started_at_ms=1, membership=READY, heartbeat=9), 1.0)
     assert view.servers["a"].membership is None
+
+
+def test_cold_time_counts_from_the_first_arrival_of_a_record() -> None:
+    """Guards against a server that stays cold because its record is read again."""
+    view = FleetView()
+    record = server("a", heartbeat=3, cold_remaining_s=2.0, arrived_s=5.0)
+    view.apply_record(record, 5.0)
+    view.apply_record(replace(record, arrived_s=6.0), 6.0)
+    assert view.servers["a"].arrived_s == 5.0
+    later = replace(record, heartbeat=4, cold_remaining_s=1.0, arrived_s=6.0)
+    view.apply_record(later, 6.0)
+    assert view.servers["a"] == later
+
+
+def test_record_of_an_earlier_incarnation_tells_no_cold_time() -> None:
+    """Guards against a restarted server that its old record makes look warm."""
+    view = FleetView()
+    view.apply_record(server("a", cold_remaining_s=0.0, arrived_s=5.0), 5.0)
+    view.apply_report(
+        "a",
+        started_at_ms=2,
+        membership=None,
+        staged=frozenset(),
+        last_model=None,
+        now_s=6.0,
+    )
+    assert view.servers["a"].cold_remaining_s is None
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gooseberryhall.fleet.models import BackendServer, ServedGroup
+from gooseberryhall.fleet.models import BackendServer, ColdGrant, ServedGroup
 from gooseberryhall.gateway.models import CrashReport
 from gooseberryhall.gossip.const import (
     BATCH_DATAGRAMS,
@@ -397,3 +397,44 @@
     owned = _gossip("n1", announcement=ZoneAnnouncement("z", 2))
     assert _due_names(peers, 10.1, owned) == {"p-z", "p-y"}
     assert _due_names(peers, 10.1 + UNHEARD_NODE_PERIOD_S, owned) == {"p-z"}
+
+
+COLD = replace(
+    LEADER,
+    cold_remaining_s=1.25,
+    arrived_s=50.0,
+    cold_grant=ColdGrant(300, 2, "z", 50.0),
+)
+WARM = replace(LEADER, cold_remaining_s=0.0, arrived_s=50.0)
+
+
+def _announce_servers(
+    *servers: BackendServer, cold_known: bool = True
+) -> ZoneAnnouncement:
+    """Return an announcement with plain servers and a group of the first one."""
+    groups = (ServedGroup("m", servers[0]),)
+    return ZoneAnnouncement("z", 3, groups, servers, cold_known=cold_known)
+
+
+def test_cold_times_and_grants_are_stamped_with_their_arrival() -> None:
+    """Guards against cold servers that a node takes for warm, or for granted."""
+    withheld = replace(COLD, server_id="s2", cold_grant=None)
+    announcement = _announce_servers(COLD, withheld, replace(WARM, server_id="s3"))
+    gossip = _gossip(announcement=announcement)
+    assert decode(encode(gossip), 50.0) == gossip
+
+
+def test_earlier_versions_exchange_announcements_of_cold_servers() -> None:
+    """Guards against datagrams that are refused while nodes are updated in turn."""
+    values = cbor2.loads(encode(_gossip(announcement=_announce_servers(COLD))))
+    earlier = cbor2.loads(
+        encode(_gossip(announcement=_announce_servers(LEADER, cold_known=False)))
+    )
+    # Earlier nodes read this many values of an announcement and of a server.
+    assert values[10][:2] == earlier[10][:2]
+    assert values[10][3][0][:7] == earlier[10][3][0]
+    assert len(earlier[10]) == 7
+    # An earlier owner tells nothing, which does not mean that a server is warm.
+    decoded = decode(cbor2.dumps(earlier)).announcement
+    assert decoded is not None
+    assert decoded.servers[0].cold_remaining_s is None
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -298,3 +298,15 @@
     assert (
         decode_server_record("i-1", json.dumps(SERVER_RECORD).encode()).heartbeat == 4
     )
+
+
+@pytest.mark.parametrize(
+    ("stated_ms", "remaining_s"), [(1250, 1.25), (-1, 0.0), (1e300, 600.0)]
+)
+def test_cold_time_counts_from_the_arrival_of_the_record(
+    stated_ms: float, remaining_s: float
+) -> None:
+    """Guards against a cold server that gets the usual load, or none for ever."""
+    record = json.dumps({**SERVER_RECORD, "cold_remaining_ms": stated_ms}).encode()
+    server = decode_server_record("i-1", record, 40.0)
+    assert (server.cold_remaining_s, server.arrived_s) == (remaining_s, 40.0)
--- a/tests/platform/test_statements.py
+++ b/tests/platform/test_statements.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gooseberryhall.fleet.statements import NO_STATEMENT
-from gooseberryhall.platform.statements import MAX_PAUSE_S, decode_statement
+from gooseberryhall.platform.statements import MAX_COLD_S, MAX_PAUSE_S, decode_statement
 from gooseberryhall.transport.exchange import Headers, ResponseHead
 
 
@@ -60,3 +60,24 @@
     """Guards against a pause for an answer that turned nothing away."""
     head = ResponseHead(429, [(b"retry-after", b"3")])
     assert decode_statement(head) is NO_STATEMENT
+
+
+@pytest.mark.parametrize(
+    ("values", "cold_s", "unusable"),
+    [
+        ([b"1500"], 1.5, 0),
+        ([b"0"], 0.0, 0),
+        ([b"12.5", b"3000"], 3.0, 0),
+        ([b"9" * 9], MAX_COLD_S, 0),
+        ([b"-1"], None, 1),
+        ([b""], None, 1),
+    ],
+)
+def test_cold_time_is_a_bounded_number_of_milliseconds(
+    values: list[bytes], cold_s: float | None, unusable: int
+) -> None:
+    """Guards against a cold server that is taken for warm, or for cold without end."""
+    headers: Headers = [(b"x-cold-milliseconds", value) for value in values]
+    statement = decode_statement(ResponseHead(200, headers))
+    assert statement.cold_s == cold_s
+    assert len(statement.unusable) == unusable
