Look at cold servers only when requests are placed at them

Each candidate of each request was checked in full. An owner that a peer superseded grants nothing; a test covers it. Refusals because all servers are cold ask to retry after a window.

--- a/gooseberryhall/fleet/cold.py
+++ b/gooseberryhall/fleet/cold.py
@@ -22,7 +22,7 @@
 SEND_WINDOW_S: Final = 1.1
 # A grant may be used later than its lifetime after it was issued, by the delay of the
 # datagram and a pause of the node that is too short to be noticed.
-GRANT_DELAY_S: Final = 0.6
+GRANT_DELAY_S: Final = 1.0
 # Without a pause a node observes the clock more often than this.
 PAUSE_LIMIT_S: Final = 0.4
 # Datagrams that waited in the socket during a pause are read within this time.
--- a/gooseberryhall/gateway/cold.py
+++ b/gooseberryhall/gateway/cold.py
@@ -85,8 +85,13 @@
     def may_send(self, server: BackendServer, *, placing: bool = False) -> bool:
         """Return whether a request may be sent to a server now.
 
-        With `placing`, requests that are about to be written count as sent.
+        With `placing`, requests that are about to be written count as sent, and servers
+        that were warm at the last update are not looked at again. All candidates of all
+        requests are asked in this way, and the answer is checked before the request is
+        written.
         """
+        if placing and server.server_id not in self._cold:
+            return True
         limit = self.limit(server.service)
         if limit is None:
             return True
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -60,9 +60,9 @@
     soonest_s = state.soonest_return_s(ctx, now_s)
     if soonest_s is not None:
         return paused_response(soonest_s, state.rng)
-    warm_s = state.soonest_warm_s(ctx, now_s)
-    if warm_s is not None:
-        return cold_response(warm_s, state.rng)
+    retry_s = state.cold_retry_s(ctx, now_s)
+    if retry_s is not None:
+        return cold_response(retry_s, state.rng)
     return busy_response(state.rng) if ctx.sends else no_group_response(state.rng)
 
 
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -39,9 +39,9 @@
     )
 
 
-def cold_response(soonest_s: float, rng: random.Random) -> GatewayResponse:
+def cold_response(retry_s: float, rng: random.Random) -> GatewayResponse:
     """Return a refusal because all servers are cold and get no more requests now."""
-    return GatewayResponse(503, "all servers are cold", _add_jitter(soonest_s, rng))
+    return GatewayResponse(503, "all servers are cold", _add_jitter(retry_s, rng))
 
 
 def stopping_response(rng: random.Random) -> GatewayResponse:
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..fleet.cold import SEND_WINDOW_S
 from ..fleet.models import BackendServer, Configuration, ServedGroup
 from ..fleet.statements import NO_STATEMENT, ServerStatement, ServerStatements
 from ..transport.const import MAX_RESPONSE_BYTES
@@ -168,14 +169,17 @@
             now_s,
         )
 
-    def soonest_warm_s(self, ctx: RequestContext, now_s: float) -> float | None:
-        """Return when the first server is warm; None unless all are cold."""
+    def cold_retry_s(self, ctx: RequestContext, now_s: float) -> float | None:
+        """Return when to try again if all servers are cold, else None.
+
+        Cold servers get more requests after each window.
+        """
         left_s = [
             self.cold.left_s(server)
             for server in self._servers_for(ctx)
             if not self.statements.is_leaving(server, now_s)
         ]
-        return min(left_s, default=0.0) or None
+        return min([*left_s, SEND_WINDOW_S]) or None if left_s else None
 
     def _servers_for(self, ctx: RequestContext) -> list[BackendServer]:
         if self.is_grouped(ctx.service):
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -219,9 +219,10 @@
 
     def _update_cold(self) -> None:
         """Notice cold servers; without limits there are none."""
-        if self._cold_limits.by_service():
-            count = self.gateway.cold.update(self.table.servers.values())
-            self.gateway.metrics.cold_servers.set({}, count)
+        limits = self._cold_limits.by_service()
+        servers = self.table.servers.values() if limits else ()
+        count = self.gateway.cold.update(servers)
+        self.gateway.metrics.cold_servers.set({}, count)
 
     def _announce_unowned_zone(self, zone: str) -> ZoneAnnouncement:
         service = self.configuration.engine_service
--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -284,6 +284,7 @@
 def test_requests_that_are_placed_take_the_room_of_others() -> None:
     """Guards against many requests that are placed at a server and sent elsewhere."""
     zone, node = _granted_node()
+    node.update(zone.views)
     for _ in range(13):
         assert node.may_send(zone.views[0], placing=True)
         node.start_placing(zone.views[0])
--- a/tests/gateway/test_cold.py
+++ b/tests/gateway/test_cold.py
@@ -50,6 +50,7 @@
         arrived_s=now_s,
         cold_grant=ColdGrant(0xFFFF, requests, "z", now_s) if requests else None,
     )
+    gateway.state.cold.update(gateway.servers.values())
 
 
 async def test_cold_server_gets_the_granted_requests_and_others_the_rest() -> None:
--- a/tests/node/test_cold.py
+++ b/tests/node/test_cold.py
@@ -238,3 +238,21 @@
         zone.addresses.pop(0)
         await zone.async_run(0.4, 20)
     assert zone.received_s == []
+
+
+async def test_owner_that_a_peer_superseded_grants_nothing() -> None:
+    """Guards against a frozen owner that goes on to select nodes when it wakes up."""
+    async with _async_zone(2) as (zone, server):
+        zone.list_server(_record(server.address, 1, cold_remaining_ms=COLD_S * 1000))
+        first, second = zone.nodes
+        first.owner.become_owner("z", 1)
+        assert _announced(first).cold_grant is not None
+        second.owner.become_owner("z", 2)
+        second.gossip.send(urgent=True)
+        withheld = _announced(first)
+    assert withheld.cold_grant is None
+    assert withheld.cold_remaining_s
+
+
+def _announced(node: Node) -> BackendServer:
+    return node._announce_owned_zone("z").servers[0]
