Encode cold servers only if the owner states them

A record may hold a cold time although the configuration sets no limit; the datagrams of such deployments stay as they were. The encoding moves to a module of its own. Tests of gossip, docs and cold nodes pass.

--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -1,17 +1,16 @@
 """Messages between nodes and their encoding as datagrams."""
 
 import io
-import math
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 import cbor2
 
 from ..exceptions import InvalidInputError
-from ..fleet.models import BackendServer, ColdGrant, ServedGroup
+from ..fleet.models import BackendServer, ServedGroup
 from ..gateway.models import CrashReport
 from ..transport.address import MAX_PORT, create_address
-from .const import MS_PER_S
+from .cold import decode_cold, encode_cold
 
 
 class GossipError(InvalidInputError):
@@ -190,14 +189,18 @@
 
 
 def _encode_announcement(announcement: ZoneAnnouncement) -> list[Any]:
+    def encode_server(server: BackendServer) -> list[Any]:
+        cold = encode_cold(server) if announcement.cold_known else []
+        return [*_encode_server(server), *cold]
+
     return [
         announcement.zone,
         announcement.term,
         [
-            [group.model, group.leaving, _encode_server(group.leader)]
+            [group.model, group.leaving, encode_server(group.leader)]
             for group in announcement.groups
         ],
-        [_encode_server(server) for server in announcement.servers],
+        [encode_server(server) for server in announcement.servers],
         _encode_traffic(announcement.traffic),
         list(announcement.successors),
         list(announcement.other_owners),
@@ -215,7 +218,7 @@
         decoded = _decode_server(server, zone, now_s)
         if not cold_known:
             return decoded
-        remaining_s, grant = _decode_cold(server[7:], owner_zone, now_s)
+        remaining_s, grant = decode_cold(server[7:], owner_zone, now_s)
         return replace(decoded, cold_remaining_s=remaining_s, cold_grant=grant)
 
     return ZoneAnnouncement(
@@ -250,32 +253,9 @@
         server.leaving,
         server.slots,
         server.incarnation_tag,
-        *_encode_cold(server),
     ]
 
 
-def _encode_cold(server: BackendServer) -> list[int]:
-    """Return the cold time in ms and the grant; nothing for a warm server."""
-    if not server.cold_remaining_s:
-        return []
-    remaining_ms = math.ceil(server.cold_remaining_s * MS_PER_S)
-    grant = server.cold_grant
-    if grant is None:
-        return [remaining_ms]
-    return [remaining_ms, grant.threshold, grant.requests]
-
-
-def _decode_cold(
-    values: list[Any], owner_zone: str, now_s: float
-) -> tuple[float, ColdGrant | None]:
-    if not values:
-        return 0.0, None
-    remaining_s = int(values[0]) / MS_PER_S
-    if not values[1:]:
-        return remaining_s, None
-    return remaining_s, ColdGrant(int(values[1]), int(values[2]), owner_zone, now_s)
-
-
 def _decode_server(values: Any, zone: str, now_s: float) -> BackendServer:
     return BackendServer(
         server_id=_require_text(values[0]),
