Keep the owner's store answering in the test of cold servers

An owner whose store does not answer is not followed by nodes that read the records, so that only the owner sent requests after a second.

--- a/tests/node/test_cold.py
+++ b/tests/node/test_cold.py
@@ -102,6 +102,10 @@
         sent = 0
         async with asyncio.TaskGroup() as group:
             while loop.time() < ends_s:
+                for directory in self.directories[:2]:
+                    # An owner whose store does not answer is not followed.
+                    assert directory.listener is not None
+                    directory.listener.on_store_state(True)
                 for node in self.nodes:
                     node.tick()
                     node.gossip.send()
