Consider only useful numbers of requests when nodes are selected

With a budget of hundreds of requests each selection tried every number. Now those that divide the budget among the known nodes, and those of earlier grants, are tried. Tests of cold servers and docs pass.

--- a/gooseberryhall/fleet/cold.py
+++ b/gooseberryhall/fleet/cold.py
@@ -149,7 +149,16 @@
     best: tuple[int, int] | None = None
     best_capacity = 0
     usual = max(USUAL_REQUESTS, budget // max(1, len(live)))
-    for requests in sorted(range(1, budget + 1), key=lambda n: abs(n - usual)):
+    # Earlier grants leave most room for the same number.
+    numbers = {
+        1,
+        usual,
+        *held.values(),
+        *(budget // n for n in range(1, 1 + len(known))),
+    }
+    for requests in sorted(numbers, key=lambda number: abs(number - usual)):
+        if not 0 < requests <= budget:
+            continue
         passing = _passing(ranked, held, requests, budget)
         if not passing:
             continue
