--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -52,6 +52,9 @@
     # Tokens of the prompt, and expected tokens of the answer; None if not declared.
     tokens: tuple[int, int] | None = None
 
+    # Servers that did not get the request because they are cold.
+    withheld_servers: set[str] = field(default_factory=set)
+
     def time_left_s(self, now_s: float) -> float:
         """Return the time left to the objective; no limit holds once it has run.
 
--- a/gooseberryhall/gateway/hedging.py
+++ b/gooseberryhall/gateway/hedging.py
@@ -224,6 +224,7 @@
         for candidate in candidates
         if not candidate.suspected
         and not candidate.leaving
+        and not candidate.cold
         and candidate.in_flight < candidate.slots
     ]
 
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -28,6 +28,8 @@
     refusals: Counter = field(init=False)
     hedges: Counter = field(init=False)
     hedges_withheld: Counter = field(init=False)
+    cold_servers: Gauge = field(init=False)
+    cold_withheld: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -109,3 +111,13 @@
             "Second copies that were not sent, by route and reason.",
             registry=self.registry,
         )
+        self.cold_servers = Gauge(
+            "gooseberryhall_cold_servers",
+            "Servers that take requests and are cold, as this node knows.",
+            registry=self.registry,
+        )
+        self.cold_withheld = Counter(
+            "gooseberryhall_cold_withheld_total",
+            "Requests that were not sent to a server because it is cold.",
+            registry=self.registry,
+        )
--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -36,6 +36,8 @@
     # Share of the usual traffic of the server's zone that may still be sent there; less
     # than 1 while the zone is evacuated.
     zone_share: float = 1.0
+    # The server gets few requests for some time after its start.
+    cold: bool = False
     # Requests in flight from which on the server is full; None: a fixed number.
     limit: int | None = None
     # Further requests that it is expected to take; None if the times are unknown.
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -73,6 +73,11 @@
     )
 
 
+def cold_response(retry_s: float, rng: random.Random) -> GatewayResponse:
+    """Return a refusal because all servers are cold and get no more requests now."""
+    return GatewayResponse(503, "all servers are cold", _add_jitter(retry_s, rng))
+
+
 def stopping_response(rng: random.Random) -> GatewayResponse:
     """Return a refusal because this node stops; another node can serve the request."""
     return GatewayResponse(
--- a/gooseberryhall/gateway/refusing.py
+++ b/gooseberryhall/gateway/refusing.py
@@ -7,6 +7,7 @@
 from .models import GatewayResponse
 from .refusals import (
     busy_response,
+    cold_response,
     evacuated_response,
     no_group_response,
     paused_response,
@@ -30,6 +31,9 @@
     soonest_s = state.soonest_return_s(ctx, now_s)
     if soonest_s is not None:
         return paused_response(soonest_s, state.rng)
+    retry_s = state.cold_retry_s(ctx, now_s)
+    if retry_s is not None:
+        return cold_response(retry_s, state.rng)
     if ctx.sends and not state.is_grouped(ctx.service):
         return busy_response(state.rng, remaining_s)
     return no_group_response(state.rng, remaining_s)
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -12,6 +12,7 @@
     is_late,
     profile_times,
 )
+from ..fleet.cold import SEND_WINDOW_S
 from ..fleet.evacuation import Evacuations
 from ..fleet.models import BackendServer, Configuration, ServedGroup
 from ..fleet.statements import NO_STATEMENT, ServerStatement, ServerStatements
@@ -23,6 +24,7 @@
 from .backends import Backends
 from .budget import RetryBudget
 from .choosing import ServerChooser
+from .cold import ColdServers
 from .const import MAX_PLAIN_LOAD
 from .context import RequestContext
 from .crashes import CrashTracker
@@ -65,6 +67,8 @@
     on_leaving: Callable[[], None] = lambda: None
     # Whether this node or another has received requests from callers.
     traffic_seen: bool = False
+    # Cold servers, and the requests that this node may send them.
+    cold: ColdServers = field(default_factory=ColdServers)
     # Second copies of requests; None if they are switched off.
     hedging: Hedging | None = None
     evacuations: Evacuations = field(default_factory=Evacuations)
@@ -114,6 +118,36 @@
 
         All requests pass this check, when a server is chosen and before they are sent.
         """
+        if not self._takes_requests(server, now_s):
+            return False
+        # The server may have become cold since it was chosen.
+        current = self.servers().get(server.server_id, server)
+        if self.cold.may_send(current):
+            return True
+        self.metrics.cold_withheld.inc({})
+        return False
+
+    def may_place(
+        self, ctx: RequestContext, server: BackendServer, now_s: float
+    ) -> bool:
+        """Return whether a server may be chosen for a request."""
+        if not self._takes_requests(server, now_s):
+            return False
+        if self.cold.may_send(server, placing=True):
+            return True
+        # A request that waits asks again and again, and is counted once.
+        if server.server_id not in ctx.withheld_servers:
+            ctx.withheld_servers.add(server.server_id)
+            self.metrics.cold_withheld.inc({})
+        return False
+
+    def usable_slots(self, server: BackendServer, slots: int, now_s: float) -> int:
+        """Return how many slots of a server may be used, after a pause or cold time."""
+        usable = self.statements.usable_slots(server, slots, now_s)
+        return min(usable, self.cold.usable_slots(server, slots))
+
+    def _takes_requests(self, server: BackendServer, now_s: float) -> bool:
+        """Return whether requests may be sent to a server if it is not cold."""
         return (
             self.statements.may_send(server, now_s)
             and self.evacuations.may_send(server.zone, now_s)
@@ -162,13 +196,13 @@
             leader = group.leader
             if leader.service != ctx.service:
                 continue
-            if not self.may_send(leader, now_s):
-                continue
             if ctx.model is not None and group.model != ctx.model:
                 continue
             if leader.server_id in ctx.excluded_servers:
                 continue
-            usable = self.statements.usable_slots(leader, slots, now_s)
+            if not self.may_place(ctx, leader, now_s):
+                continue
+            usable = self.usable_slots(leader, slots, now_s)
             in_flight, peers = self.backends.known_load(
                 leader.server_id, usable, MAX_QUEUED_PER_GROUP, now_s
             )
@@ -182,6 +216,7 @@
                     suspected=self.backends.is_suspected(leader.server_id, now_s),
                     leaving=group.leaving,
                     zone_share=self.evacuations.share(leader.zone, now_s),
+                    cold=self.cold.is_cold(leader.server_id),
                     limit=capacity.limit,
                     places=capacity.places,
                     own=self.backends.own_load(leader.server_id),
@@ -195,11 +230,13 @@
         time_left_s = ctx.time_left_s(now_s)
         candidates = []
         for server in self.servers().values():
-            if server.service != ctx.service or not self.may_send(server, now_s):
+            if server.service != ctx.service:
                 continue
             if server.server_id in ctx.excluded_servers:
                 continue
-            slots = self.statements.usable_slots(server, max(1, server.slots), now_s)
+            if not self.may_place(ctx, server, now_s):
+                continue
+            slots = self.usable_slots(server, max(1, server.slots), now_s)
             max_queued = int(slots * (MAX_PLAIN_LOAD - 1))
             in_flight, peers = self.backends.known_load(
                 server.server_id, slots, max_queued, now_s
@@ -219,6 +256,7 @@
                     places=capacity.places,
                     own=self.backends.own_load(server.server_id),
                     zone_share=self.evacuations.share(server.zone, now_s),
+                    cold=self.cold.is_cold(server.server_id),
                 )
             )
         return candidates
@@ -245,30 +283,28 @@
 
         None if there is none, or if one may get requests now.
         """
-        if self.is_grouped(ctx.service):
-            servers = [
-                group.leader
-                for group in self.groups()
-                if ctx.model is None or group.model == ctx.model
-            ]
-        else:
-            servers = list(self.servers().values())
         return self.statements.soonest_return_s(
             [
                 server
-                for server in servers
-                if server.service == ctx.service
-                and not self.statements.is_leaving(server, now_s)
+                for server in self._servers_for(ctx)
+                if not self.statements.is_leaving(server, now_s)
             ],
             now_s,
         )
 
-    def is_evacuated(self, ctx: RequestContext, now_s: float) -> bool:
-        """Return whether all servers for a request are in zones that are cut off."""
-        if not self.evacuations.active_zones() or not self.evacuations.is_known:
-            return False
-        if self.evacuations.all_cut_off(now_s):
-            return True
+    def cold_retry_s(self, ctx: RequestContext, now_s: float) -> float | None:
+        """Return when to try again if all servers are cold, else None.
+
+        Cold servers get more requests after each window.
+        """
+        left_s = [
+            self.cold.left_s(server)
+            for server in self._servers_for(ctx)
+            if not self.statements.is_leaving(server, now_s)
+        ]
+        return min([*left_s, SEND_WINDOW_S]) or None if left_s else None
+
+    def _servers_for(self, ctx: RequestContext) -> list[BackendServer]:
         if self.is_grouped(ctx.service):
             servers = [
                 group.leader
@@ -277,7 +313,15 @@
             ]
         else:
             servers = list(self.servers().values())
-        zones = {server.zone for server in servers if server.service == ctx.service}
+        return [server for server in servers if server.service == ctx.service]
+
+    def is_evacuated(self, ctx: RequestContext, now_s: float) -> bool:
+        """Return whether all servers for a request are in zones that are cut off."""
+        if not self.evacuations.active_zones() or not self.evacuations.is_known:
+            return False
+        if self.evacuations.all_cut_off(now_s):
+            return True
+        zones = {server.zone for server in self._servers_for(ctx)}
         return bool(zones) and not any(
             self.evacuations.may_send(zone, now_s) for zone in zones
         )
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -1,7 +1,7 @@
 """Messages between nodes and their encoding as datagrams."""
 
 import io
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import cbor2
@@ -11,6 +11,7 @@
 from ..fleet.models import BackendServer, ServedGroup
 from ..gateway.models import CrashReport
 from ..transport.address import MAX_PORT, create_address
+from .cold import decode_cold, encode_cold
 from .const import MS_PER_S
 
 
@@ -42,6 +43,8 @@
     successors: tuple[str, ...] = ()
     # Owners of other zones, so that a node that starts finds them.
     other_owners: tuple[str, ...] = ()
+    # Whether the owner states which servers are cold.
+    cold_known: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,8 +107,11 @@
     )
 
 
-def decode(data: bytes) -> Gossip:
-    """Decode a datagram. Raises `GossipError`."""
+def decode(data: bytes, now_s: float = 0.0) -> Gossip:
+    """Decode a datagram that arrived at `now_s`. Raises `GossipError`.
+
+    `now_s` is of the clock that counts suspended time.
+    """
     try:
         values: Any = cbor2.load(io.BytesIO(data))
         return Gossip(
@@ -119,7 +125,9 @@
             store_lost=bool(values[7]),
             traffic=_decode_traffic(values[8]),
             stalled_leaders=tuple(_require_text(value) for value in values[9]),
-            announcement=_decode_announcement(values[10])
+            announcement=_decode_announcement(
+                values[10], _require_text(values[1]), now_s
+            )
             if values[10] is not None
             else None,
             # Nodes of an earlier version do not send the fields after the servers.
@@ -212,36 +220,53 @@
 
 
 def _encode_announcement(announcement: ZoneAnnouncement) -> list[Any]:
+    def encode_server(server: BackendServer) -> list[Any]:
+        cold = encode_cold(server) if announcement.cold_known else []
+        return [*_encode_server(server), *cold]
+
     return [
         announcement.zone,
         announcement.term,
         [
-            [group.model, group.leaving, _encode_server(group.leader)]
+            [group.model, group.leaving, encode_server(group.leader)]
             for group in announcement.groups
         ],
-        [_encode_server(server) for server in announcement.servers],
+        [encode_server(server) for server in announcement.servers],
         _encode_traffic(announcement.traffic),
         list(announcement.successors),
         list(announcement.other_owners),
+        *([True] if announcement.cold_known else []),
     ]
 
 
-def _decode_announcement(values: Any) -> ZoneAnnouncement:
+def _decode_announcement(
+    values: Any, owner_zone: str, now_s: float
+) -> ZoneAnnouncement:
     zone = _require_text(values[0])
+    cold_known = any(bool(value) for value in values[7:8])
+
+    def decode_server(server: Any) -> BackendServer:
+        decoded = _decode_server(server, zone, now_s)
+        if not cold_known:
+            return decoded
+        remaining_s, grant = decode_cold(server[7:], owner_zone, now_s)
+        return replace(decoded, cold_remaining_s=remaining_s, cold_grant=grant)
+
     return ZoneAnnouncement(
         zone=zone,
         term=int(values[1]),
         groups=tuple(
             ServedGroup(
-                _require_text(group[0]), _decode_server(group[2], zone), bool(group[1])
+                _require_text(group[0]), decode_server(group[2]), bool(group[1])
             )
             for group in values[2]
         ),
-        servers=tuple(_decode_server(server, zone) for server in values[3]),
+        servers=tuple(decode_server(server) for server in values[3]),
         traffic=_decode_traffic(values[4]),
         # Nodes of an earlier version do not send the next two fields.
         successors=_decode_names(values[5:6]),
         other_owners=_decode_names(values[6:7]),
+        cold_known=cold_known,
     )
 
 
@@ -262,7 +287,7 @@
     ]
 
 
-def _decode_server(values: Any, zone: str) -> BackendServer:
+def _decode_server(values: Any, zone: str, now_s: float) -> BackendServer:
     return BackendServer(
         server_id=_require_text(values[0]),
         service=_require_text(values[1]),
@@ -272,6 +297,7 @@
         slots=int(values[5]),
         # Nodes of an earlier version do not send the tag.
         started_at_ms=int(values[6]) if values[6:] else 0,
+        arrived_s=now_s,
     )
 
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -4,15 +4,18 @@
 import logging
 from dataclasses import replace
 
+from ..core.clock import now_s as boot_time_s
 from ..core.tasks import TaskSet
 from ..fleet.const import UNRESPONSIVE_BACKOFF_S
 from ..fleet.controller import probe_group, reconcile
 from ..fleet.evacuation import Evacuations
 from ..fleet.guard import GuardedEngines
 from ..fleet.models import BackendServer
+from ..fleet.statements import ServerStatements
 from ..fleet.zone import ZoneState
 from ..gateway.backends import Backends, Stall
 from ..gateway.budget import RetryBudget
+from ..gateway.cold import ColdServers
 from ..gateway.const import (
     CAUSE_GOSSIP_SHARE,
     MAX_CHECK_DELAY_S,
@@ -29,6 +32,7 @@
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from ..transport.pool import ConnectionPool
+from .cold import ColdLimits, create_description
 from .configuration import ConfigurationFollower
 from .directory import PlatformAdapter
 from .evacuation import EvacuationFollower
@@ -98,6 +102,9 @@
             lambda: self.is_owner or not self.peers.announcements,
             self.evacuation.apply_rows,
         )
+        self._cold_limits = ColdLimits(
+            lambda: self.configuration.current, lambda: self.settings
+        )
         self.owner = self._create_owner()
         self.servers = ServerFollower(
             adapter.directory,
@@ -149,6 +156,7 @@
         self.servers.update_demand()
         self.servers.remove_lapsed()
         self._update_table()
+        self._update_cold()
         for zone in list(self.owner.zones.values()):
             reconcile(zone)
         if self._announcement_requested:
@@ -229,8 +237,20 @@
             ),
             successors=self.peers.successors(zone, self._loop.time()),
             other_owners=tuple(sorted(self.peers.live_owners(self._loop.time()))),
+            describe_cold=create_description(
+                self.gateway.cold, self.peers, state, self._loop.time()
+            )
+            if self._cold_limits.by_service()
+            else None,
         )
 
+    def _update_cold(self) -> None:
+        """Notice cold servers; without limits there are none."""
+        limits = self._cold_limits.by_service()
+        servers = self.table.servers.values() if limits else ()
+        count = self.gateway.cold.update(servers)
+        self.gateway.metrics.cold_servers.set({}, count)
+
     def _announce_unowned_zone(self, zone: str) -> ZoneAnnouncement:
         service = self.configuration.engine_service
         return create_announcement(
@@ -269,6 +289,7 @@
         self.gateway.crashes.remove_expired(now_s)
         listed = self.table.servers.keys() | self.servers.view.servers.keys()
         self._statements.retain(listed, now_s)
+        self.gateway.cold.retain(listed)
         for leader, until_s in list(self._stalled_leaders.items()):
             if until_s <= now_s:
                 del self._stalled_leaders[leader]
@@ -313,6 +334,7 @@
 
     def receive_gossip(self, gossip: Gossip) -> None:
         """Apply a message of a peer."""
+        self.gateway.cold.observe_clock()
         if gossip.traffic_seen:
             self.gateway.traffic_seen = True
         self.evacuation.apply_peer(gossip.evacuations)
@@ -386,8 +408,26 @@
             evacuations=self.evacuations,
             node_count=lambda: 1 + len(self.peers.peers),
             hedging=create_hedging(hedging.max_share, hedging.quantile),
+            cold=self._create_cold_servers(adapter.statements),
+        )
+
+    def _create_cold_servers(self, statements: ServerStatements) -> ColdServers:
+        return ColdServers(
+            node=self.settings.node,
+            zone=self.settings.zone,
+            limit=lambda service: self._cold_limits.by_service().get(service),
+            stated=lambda server: statements.stated_cold(server, self._loop.time()),
+            traffic_seen=lambda: self.gateway.traffic_seen,
+            restored_s=self._restored_s,
         )
 
+    def _restored_s(self, zone: str) -> float | None:
+        """Return when a zone was restored, on the clock that counts suspended time."""
+        ended_s = self.evacuations.restored_s(zone)
+        if ended_s is None:
+            return None
+        return boot_time_s() - (self._loop.time() - ended_s)
+
     def _create_owner(self) -> ZoneOwner:
         return ZoneOwner(
             settings=self.settings,
@@ -439,6 +479,7 @@
             statements=self._statements,
             traffic_progress_s=self.gateway.backends.latest_progress_s,
             is_evacuated=lambda: self.evacuations.is_active(name),
+            acquired_s=self._loop.time(),
         )
         return zone
 
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -133,6 +133,7 @@
         Candidate("full", 4, 4, True),
         Candidate("suspected", 0, 4, True, suspected=True),
         Candidate("leaving", 0, 4, True, leaving=True),
+        Candidate("cold", 0, 4, True, cold=True),
     ]
     assert free_candidates([*others, free]) == [free]
 
