--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -62,6 +62,7 @@
 
     def record_progress() -> None:
         state.backends.record_progress(server.server_id, loop.time())
+        state.zone_failures.record_progress(server.zone)
 
     rejected = False
 
@@ -115,6 +116,7 @@
         raise
     except ConnectFailedError:
         state.backends.mark_unreachable(server.server_id, loop.time())
+        state.zone_failures.record_failure(server.zone, server.server_id, loop.time())
         raise
     finally:
         exchange.release()
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -36,6 +36,7 @@
 from .placement import Candidate, choose_group, choose_server
 from .stopping import Stopping, StopSchedule
 from .waiting import WaitingRequests
+from .zone_failures import ZoneFailures
 
 
 @dataclass(slots=True)
@@ -75,6 +76,7 @@
     # Returns whether nothing may be sent, because this process was paused and may not
     # have heard yet which zones are evacuated.
     is_held: Callable[[], bool] = lambda: False
+    zone_failures: ZoneFailures = field(default_factory=ZoneFailures)
     observed: ObservedTimes = field(default_factory=ObservedTimes)
     # Returns the number of live nodes, including this one.
     node_count: Callable[[], int] = lambda: 1
@@ -154,6 +156,12 @@
             and not self.is_held()
         )
 
+    def _is_suspected(self, server: BackendServer, now_s: float) -> bool:
+        """Return whether a server, or all servers of its zone, seem out of reach."""
+        return self.backends.is_suspected(
+            server.server_id, now_s
+        ) or self.zone_failures.is_suspected(server.zone, now_s)
+
     def candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups or plain servers to which the request may be sent."""
         if self.is_grouped(ctx.service):
@@ -213,7 +221,7 @@
                     in_flight=in_flight,
                     slots=usable,
                     same_zone=leader.zone == self.zone,
-                    suspected=self.backends.is_suspected(leader.server_id, now_s),
+                    suspected=self._is_suspected(leader, now_s),
                     leaving=group.leaving,
                     zone_share=self.evacuations.share(leader.zone, now_s),
                     cold=self.cold.is_cold(leader.server_id),
@@ -250,7 +258,7 @@
                     in_flight=in_flight,
                     slots=slots,
                     same_zone=server.zone == self.zone,
-                    suspected=self.backends.is_suspected(server.server_id, now_s),
+                    suspected=self._is_suspected(server, now_s),
                     failure_rate=self.backends.failure_rate(server.server_id),
                     limit=capacity.limit,
                     places=capacity.places,
