Draw groups from all of them under load

Nodes drew only from the groups that looked as if they had room. A request now draws from all groups in proportion to their places, and waits if the one that it drew is full. A node saves one place in place of three.

--- a/gooseberryhall/admission/const.py
+++ b/gooseberryhall/admission/const.py
@@ -24,7 +24,7 @@
 # slot that looks free to all of them is mostly taken.
 SCARCE_SLOTS_PER_NODE: Final = 0.25
 # Places that a node may save, as requests do not come evenly.
-MIN_SAVED_PLACES: Final = 3.0
+MIN_SAVED_PLACES: Final = 1.0
 # Waiting requests of a node, and the bytes of their bodies.
 MAX_WAITING_REQUESTS: Final = 256
 MAX_WAITING_BYTES: Final = 1_000_000
--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -79,21 +79,23 @@
     first tokens of all requests. Groups of the caller's zone are used while they have
     room: traffic between zones is billed, and the load of a zone's own groups is known
     best. A burst, or the loss of many groups in one zone, spreads to all zones.
+
+    Under load a group is drawn from all, also from the full ones: if all nodes drew
+    from the few that look as if they had room, these would get all requests at once.
     """
-    usable = [
-        candidate
-        for candidate in candidates
-        if not candidate.suspected and accepts(candidate)
-    ]
-    preferred = [candidate for candidate in usable if not candidate.leaving] or usable
-    local = [candidate for candidate in preferred if candidate.same_zone]
+    serving = [candidate for candidate in candidates if not candidate.suspected]
+    staying = [candidate for candidate in serving if not candidate.leaving]
+    drawn = staying if any(map(accepts, staying)) else serving
+    usable = [candidate for candidate in drawn if accepts(candidate)]
+    local = [candidate for candidate in usable if candidate.same_zone]
     chosen = _sample_least_loaded(local, rng)
     if chosen is not None and _load(chosen) < LOCAL_GROUP_LOAD:
         return chosen
-    places = [_places(item) for item in preferred if item.places is not None]
-    if not places or len(places) < len(preferred):
-        return _sample_least_loaded(preferred, rng)
-    return preferred[choose_by_places(places, rng)]
+    places = [_places(item) for item in drawn if item.places is not None]
+    if not places or len(places) < len(drawn):
+        return _sample_least_loaded(usable, rng)
+    chosen = drawn[choose_by_places(places, rng)]
+    return chosen if accepts(chosen) else None
 
 
 def accepts(candidate: Candidate, max_queued: int = MAX_QUEUED_PER_GROUP) -> bool:
