Let the soak evacuate zones, crowd nodes and let records lapse

The soak had no evacuated zone, no cold server, no caller outside the limits and no server that loses the store. Peaks of requests at cold servers are recorded, and break a promise once COLD_PROMISED is set.

--- a/standins/soak/const.py
+++ b/standins/soak/const.py
@@ -35,6 +35,9 @@
 SLOW_GROUP_S: Final = 1.0
 # Pause of all servers in a series of stops that overlap.
 SERVER_PAUSE_S: Final = 0.6
+# Time without heartbeats of servers that lose the store; their records lapse after
+# MISSED_HEARTBEATS_LIMIT heartbeats.
+LAPSE_S: Final = 3.0
 STOPPED_NODES: Final = 2
 STOP_INTERVAL_S: Final = 1.0
 # Prompt parts that requests share; one of them crashes servers that answer.
@@ -56,6 +59,16 @@
 PAUSE_SLACK_S: Final = 0.5
 MAX_ARRIVALS_IN_PAUSE: Final = 2
 RESPONSE_SLACK_S: Final = 0.5
+EVACUATION_LIMIT_S: Final = 3.0
+COLD_START_S: Final = 2.0
+COLD_PER_S: Final = 3.0
+COLD_OVERRUN: Final = 1.5
+COLD_SLACK: Final = 1.5
+COLD_LIMIT: Final = COLD_PER_S * COLD_OVERRUN + COLD_SLACK
+# Whether too many requests at a cold server break a promise; they are always counted.
+COLD_PROMISED: Final[bool] = False
+MEMORY_MB: Final = 160
+MAX_BODY_BYTES: Final = 4194304
 RECOVERY_LIMIT_S: Final = 12.0
 GRACE_PERIOD_S: Final = 8.0
 # Allows for the transfer from node to server and for late timers of this process.
--- a/standins/soak/environment.py
+++ b/standins/soak/environment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import re
 from collections.abc import Iterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
@@ -16,7 +17,12 @@
 from ..row_store import RowStore
 from .const import (
     CALLER_PORT,
+    COLD_OVERRUN,
+    COLD_PER_S,
+    COLD_SLACK,
+    COLD_START_S,
     DELAY_PERIOD_S,
+    EVACUATION_LIMIT_S,
     FORMATION_S,
     GRACE_PERIOD_S,
     GROUP_SIZE,
@@ -26,6 +32,7 @@
     KEY,
     LAG_LIMIT_S,
     LOAD_S,
+    MEMORY_MB,
     MISSED_HEARTBEATS_LIMIT,
     MODEL,
     MODEL_SERVERS_PER_ZONE,
@@ -41,11 +48,12 @@
     ZONES,
 )
 from .http import async_read_head, encode_message
-from .records import Records
+from .records import Promise, Records
 from .server import Server
 
 MS_PER_S = 1000
 NS_PER_S = 1e9
+KB_PER_MB = 1024
 READY_LIMIT_S = 1.0
 REFUSING = ROOT / "standins" / "refusing_kernel"
 SETTINGS_VARIABLE = "GOOSEBERRYHALL_SETTINGS"
@@ -84,6 +92,13 @@
     return int(fields[1]) / NS_PER_S
 
 
+def read_peak_memory_mb(pid: int) -> int:
+    """Return the most resident memory that a process has had."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    found = re.search(r"VmHWM:\s*(\d+)", status)
+    return int(found[1]) // KB_PER_MB if found else 0
+
+
 @dataclass(slots=True)
 class Environment:
     """All parts of a soak, which faults can disturb."""
@@ -141,7 +156,13 @@
             },
             "internal_port_range": INTERNAL_PORTS,
             "platform": {"address": f"127.0.0.1:{store_port}"},
-            "bounds": {"grace_period_s": GRACE_PERIOD_S},
+            "bounds": {
+                "grace_period_s": GRACE_PERIOD_S,
+                "evacuation_ms": EVACUATION_LIMIT_S * MS_PER_S,
+                "cold_overrun": COLD_OVERRUN,
+                "cold_slack": COLD_SLACK,
+            },
+            "limits": {"memory_mb": MEMORY_MB},
         }
         path.write_text(json.dumps(settings))
         environment = {SETTINGS_VARIABLE: str(path)}
@@ -161,6 +182,9 @@
                 if not node.process.is_running:
                     continue
                 pid = node.process.pid
+                peak_mb = read_peak_memory_mb(pid)
+                name = f"peak memory of {node.name}"
+                self.records.record_peak(name, peak_mb, MEMORY_MB, Promise.MEMORY)
                 delay_s = read_run_delay_s(pid)
                 if delay_s - delays_s.get(pid, delay_s) > LAG_LIMIT_S:
                     self.records.mark_disturbed(node.name)
@@ -174,6 +198,9 @@
         server_id = f"i-{next(self._ids)}"
         server = Server(server_id, service, zone, self.records, self.servers)
         await server.async_start()
+        # Servers that start before the nodes are warm.
+        if self.nodes:
+            server.cold_until_s = self.records.now_s() + COLD_START_S
         self.servers[server_id] = server
         self._write_server_record(server)
         return server
@@ -190,6 +217,7 @@
     def mark_leaving(self, server: Server) -> None:
         """Mark a server as leaving in its record."""
         server.leaving_s = self.records.now_s()
+        server.lapsed_until_s = 0.0
         self._write_server_record(server)
 
     def live_servers(self, service: str) -> list[Server]:
@@ -214,14 +242,20 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             for server in list(self.servers.values()):
-                if server.is_running:
+                server_id = server.server_id
+                is_lapsed = server.lapsed_until_s > self.records.now_s()
+                if server.is_running and not is_lapsed:
+                    self._missed_s.pop(server_id, None)
                     self._write_server_record(server)
                     continue
-                server_id = server.server_id
                 missed_s = self._missed_s.get(server_id, 0.0) + HEARTBEAT_INTERVAL_S
                 self._missed_s[server_id] = missed_s
-                if missed_s >= MISSED_HEARTBEATS_LIMIT * HEARTBEAT_INTERVAL_S:
+                if missed_s < MISSED_HEARTBEATS_LIMIT * HEARTBEAT_INTERVAL_S:
+                    continue
+                if not server.is_running:
                     self._remove_server(server)
+                elif self.store.rows["servers", server_id][0] is not None:
+                    self.store.put("servers", server_id, None)
 
     async def _async_stop_servers(self) -> None:
         for server in list(self.servers.values()):
@@ -271,12 +305,13 @@
             "formation_ms": FORMATION_S * MS_PER_S,
             "loads_at_once": 4,
         }
+        cold = {"cold_start_s": COLD_START_S, "cold_per_s": COLD_PER_S}
         return {
             "version": self.version,
             "routes": routes,
             "services": [
-                {"name": MODEL_SERVICE, "engine": engine},
-                {"name": PLAIN_SERVICE},
+                {"name": MODEL_SERVICE, "engine": engine, **cold},
+                {"name": PLAIN_SERVICE, **cold},
             ],
             "tenants": [{"name": TEAM, "api_keys": [KEY]}],
         }
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -12,16 +12,22 @@
     CALLER_PERIOD_S,
     CONFIG_LIMIT_S,
     DRAIN_LIMIT_S,
+    EVACUATION_LIMIT_S,
     GRACE_PERIOD_S,
+    LAPSE_S,
     MODEL_SERVICE,
     PLAIN_SERVICE,
     STABILITY_WINDOW_S,
+    ZONES,
 )
+from .crowd import async_check_crowd
 from .environment import Environment, SoakNode
+from .evacuation import async_check_used, remove_evacuation, write_evacuation
 from .records import STORE, Promise
 from .server import Server
 
 MEAN_INTERVAL_S = 0.7
+MEAN_LATER_INTERVAL_S = 2.5
 RESTART_S = (0.1, 1.5)
 STOP_SLACK_S = 1.5
 
@@ -39,13 +45,17 @@
 def plan_faults(rng: random.Random, length_s: float) -> list[Fault]:
     """Return a random series of faults, which may overlap."""
     faults: list[Fault] = []
-    at_s = 0.0
-    while True:
-        at_s += rng.expovariate(1 / MEAN_INTERVAL_S)
-        if at_s > length_s:
-            return faults
-        kind = rng.choice(sorted(INJECTORS))
-        faults.append(Fault(kind, round(at_s, 3), rng.uniform(0.2, 4.0), rng.random()))
+    # Kinds that were added later follow, so that a seed keeps its former faults.
+    for kinds, mean_interval_s in (
+        (sorted(INJECTORS.keys() - LATER_KINDS), MEAN_INTERVAL_S),
+        (sorted(LATER_KINDS), MEAN_LATER_INTERVAL_S),
+    ):
+        at_s = rng.expovariate(1 / mean_interval_s)
+        while at_s <= length_s:
+            kind, for_s = rng.choice(kinds), rng.uniform(0.2, 4.0)
+            faults.append(Fault(kind, round(at_s, 3), for_s, rng.random()))
+            at_s += rng.expovariate(1 / mean_interval_s)
+    return faults
 
 
 async def async_inject(env: Environment, callers: Callers, faults: list[Fault]) -> None:
@@ -109,7 +119,7 @@
 
 async def _async_stop(env: Environment, callers: Callers, fault: Fault) -> None:
     """Stop a node as planned, and start it again."""
-    await async_stop_node(env, callers, _select_node(env, fault), _all_parts(env))
+    await async_stop_node(env, callers, _select_node(env, fault), all_parts(env))
 
 
 async def async_stop_node(
@@ -154,7 +164,8 @@
     env.records.mark_disturbed(node.name)
 
 
-def _all_parts(env: Environment) -> list[str]:
+def all_parts(env: Environment) -> list[str]:
+    """Return the names of all parts that faults disturb."""
     return [STORE, *(node.name for node in env.nodes), *env.servers, "servers"]
 
 
@@ -298,6 +309,35 @@
         server.lost_response_ratio = 0.0
 
 
+async def _async_lapse(env: Environment, _: Callers, fault: Fault) -> None:
+    """Let a member server lose the store while it serves on."""
+    server = _select_server(env, fault, MODEL_SERVICE)
+    server.lapsed_until_s = env.records.now_s() + LAPSE_S + fault.for_s
+
+
+# Callers and the operator
+
+
+async def _async_crowd(env: Environment, callers: Callers, fault: Fault) -> None:
+    async with asyncio.TaskGroup() as tasks:
+        for node in env.nodes:
+            tasks.create_task(async_check_crowd(env, callers, node, fault.for_s))
+
+
+async def _async_evacuate(env: Environment, _: Callers, fault: Fault) -> None:
+    """Evacuate a zone, or all one after the other, and restore them."""
+    first = int(2 * fault.choice * len(ZONES))
+    zones = [ZONES[first // 2], *ZONES[:: -1 if first // 2 else 1]][: 1 + first % 2]
+    for zone in zones:
+        write_evacuation(env, zone)
+        await asyncio.sleep(fault.for_s / 2)
+    await asyncio.sleep(EVACUATION_LIMIT_S)
+    for zone in zones:
+        remove_evacuation(env, zone)
+        await asyncio.sleep(fault.for_s / 2)
+    await async_check_used(env, zones)
+
+
 # Configuration
 
 
@@ -317,10 +357,13 @@
     "ask for pause": _async_ask_for_pause,
     "crash model server": _async_crash_model_server,
     "crash plain server": _async_crash_plain_server,
+    "crowd": _async_crowd,
     "cut store": _async_disconnect_store,
     "drain": _async_drain,
+    "evacuate": _async_evacuate,
     "kill": _async_kill,
     "kill many": _async_kill_many,
+    "lapse": _async_lapse,
     "link": _async_disturb_links,
     "lose orders": _async_lose_order_responses,
     "pause": _async_pause,
@@ -333,3 +376,4 @@
     "store refuses": _async_store_refuses,
     "store slow": _async_store_slow,
 }
+LATER_KINDS = frozenset({"crowd", "evacuate", "lapse"})
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from .const import LAG_LIMIT_S, LAG_PERIOD_S, STABILITY_WINDOW_S
+from .const import (
+    LAG_LIMIT_S,
+    LAG_PERIOD_S,
+    STABILITY_WINDOW_S,
+)
 
 STORE = "store"
 
@@ -28,6 +32,12 @@
     SLOW_GROUP = "a stream whose group is slow is not cut"
     PROMPT_CRASHES = "a prompt part that crashes servers is refused after a few crashes"
     SOUND_PROMPTS = "sound requests are served beside those that crash servers"
+    EVACUATION = "an evacuated zone gets no requests"
+    ZONE_RESTORED = "a restored zone gets requests"
+    COLD = "a cold server gets few requests"
+    CROWD = "callers outside the limits neither end a node nor stop its answers"
+    MEMORY = "a node stays within its memory"
+    LAPSE = "a stream is not cut because the record of a server lapses"
     RECOVERY = "all nodes serve again after the faults"
 
 
@@ -57,6 +67,10 @@
     outcomes: Counter[str] = field(default_factory=Counter)
     # Servers that crashed as they began to answer a prompt.
     prompt_crashes: int = 0
+    # When the store acknowledged the evacuation of each evacuated zone.
+    evacuated_s: dict[str, float] = field(default_factory=dict)
+    # Zones and services whose servers got requests since they were last restored.
+    used: set[tuple[str, str]] = field(default_factory=set)
     violations: list[Violation] = field(default_factory=list)
     # Time until which each part is, or last was, disturbed.
     disturbed_until_s: dict[str, float] = field(default_factory=dict)
@@ -91,6 +105,16 @@
         if command and len(runs) > 1:
             self.record_violation(Promise.AT_MOST_ONCE, f"{attempt_id} ran at {runs}")
 
+    def record_peak(
+        self, name: str, value: int, limit: float, promise: Promise | None
+    ) -> None:
+        """Record the highest value, which breaks a promise if it is over the limit."""
+        if value <= self.outcomes[name]:
+            return
+        self.outcomes[name] = value
+        if promise is not None and value > limit:
+            self.record_violation(promise, f"{name}: {value}")
+
     def check_not_run(self) -> None:
         """Check that no request ran whose response states that it did not run."""
         for attempt_id, status in self.not_run.items():
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -14,6 +14,8 @@
     CRASHING_REQUESTS,
     FAULTS_S,
     GRACE_PERIOD_S,
+    GROUP_SIZE,
+    LAPSE_S,
     MAX_PROMPT_CRASHES,
     MIN_SOUND_SHARE,
     MODEL_SERVICE,
@@ -21,13 +23,14 @@
     SERVER_PAUSE_S,
     SHARED_PART,
     SLOW_GROUP_S,
+    STALL_S,
     START_LIMIT_S,
     STOP_INTERVAL_S,
     STOPPED_NODES,
     ZONES,
 )
 from .environment import Environment
-from .faults import Fault, async_inject, async_stop_node, plan_faults
+from .faults import Fault, all_parts, async_inject, async_stop_node, plan_faults
 from .records import Promise, Records, Violation
 
 POLL_S = 0.1
@@ -73,6 +76,7 @@
         with suppress(asyncio.CancelledError):
             await callers_task
         await async_check_slow_groups(env, callers)
+        await async_check_lapses(env, callers)
         await async_check_stops(env, callers)
         await async_check_crashing_prompts(env, callers)
         env.records.check_not_run()
@@ -97,6 +101,24 @@
         env.records.record_violation(Promise.SLOW_GROUP, f"{outcomes}")
 
 
+async def async_check_lapses(env: Environment, callers: Callers) -> None:
+    """Let the records of members lapse during streams; nothing may be cut by it.
+
+    Groups that earlier faults broke are gone after `STALL_S`.
+    """
+    await asyncio.sleep(STALL_S)
+    before = _count_cut(env)
+    load = asyncio.create_task(callers.async_run())
+    for server in env.live_servers(MODEL_SERVICE)[::GROUP_SIZE]:
+        server.lapsed_until_s = env.records.now_s() + LAPSE_S
+    await asyncio.sleep(LAPSE_S + 1.0)
+    load.cancel()
+    await asyncio.wait({load})
+    undisturbed = env.records.is_undisturbed(*all_parts(env), for_s=LAPSE_S + STALL_S)
+    if undisturbed and (cut := _count_cut(env) - before):
+        env.records.record_violation(Promise.LAPSE, f"{cut} answers cut")
+
+
 async def async_check_stops(env: Environment, callers: Callers) -> None:
     """Stop two nodes so that the stops overlap, while all servers pause now and then.
 
--- a/standins/soak/server.py
+++ b/standins/soak/server.py
@@ -4,15 +4,18 @@
 import json
 import random
 import time
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import Any
 
 from ..proxy import FaultProxy
 from .const import (
     ARRIVAL_SLACK_S,
+    COLD_LIMIT,
+    COLD_PROMISED,
     CRASHING_PART,
     DRAIN_LIMIT_S,
+    EVACUATION_LIMIT_S,
     EVENT_INTERVAL_S,
     FORMATION_S,
     LOAD_S,
@@ -87,6 +90,11 @@
     paused_until_s: float = 0.0
     # Since then answers say that the server leaves, while its record does not.
     says_leaving: bool = False
+    # Until then the server is cold; the arrivals are those of the last second of it.
+    cold_until_s: float = 0.0
+    cold_arrivals: deque[float] = field(default_factory=deque)
+    # Until then the server cannot write its record.
+    lapsed_until_s: float = 0.0
     # Until then requests are turned away with a pause.
     full_until_s: float = 0.0
     # When nodes passed on an answer that said that the server leaves, and until when
@@ -142,9 +150,14 @@
             "domain": f"{self.zone}-d1",
             "models": [{"name": self.last_model}] if self.last_model else [],
             "staged": [self.staged] if self.staged else [],
+            "cold_remaining_ms": self.cold_remaining_s() * 1000,
             "group": group,
         }
 
+    def cold_remaining_s(self) -> float:
+        """Return the time until the server is warm."""
+        return max(0.0, self.cold_until_s - self.records.now_s())
+
     def is_whole(self, membership: Membership) -> bool:
         """Return whether every member is running and still belongs to the group."""
         for member in membership.members:
@@ -181,7 +194,9 @@
             self._reject(message, 421, writer)
         elif message.path == "/v1/report":
             content = json.dumps({**self.server_record(), "pace": 1.0}).encode()
-            writer.write(encode_message(f"HTTP/1.1 200 {_REASON_PHRASE}", {}, content))
+            cold = {"x-cold-milliseconds": str(round(self.cold_remaining_s() * 1000))}
+            head = f"HTTP/1.1 200 {_REASON_PHRASE}"
+            writer.write(encode_message(head, cold, content))
         elif message.path == "/v1/order":
             self._handle_order(json.loads(body), writer)
         else:
@@ -226,6 +241,25 @@
             )
             self.records.record_violation(Promise.DRAIN, text)
 
+    def _check_arrival(self, message: Message) -> None:
+        """Check a request that is not answered 421."""
+        attempt_id = message.headers["x-attempt-id"]
+        node = self.records.node_by_attempt.get(attempt_id, "")
+        now_s = self.records.now_s()
+        self.records.used.add((self.zone, self.service))
+        if now_s < self.cold_until_s:
+            self.cold_arrivals.append(now_s)
+            while now_s - self.cold_arrivals[0] >= 1.0:
+                self.cold_arrivals.popleft()
+            promise = Promise.COLD if COLD_PROMISED else None
+            count = len(self.cold_arrivals)
+            self.records.record_peak("peak of cold servers", count, COLD_LIMIT, promise)
+        since_s = self.records.evacuated_s.get(self.zone, now_s)
+        late_s = now_s - since_s - EVACUATION_LIMIT_S - ARRIVAL_SLACK_S
+        if late_s > 0 and self.records.is_undisturbed(node, STORE, self.server_id):
+            text = f"{attempt_id} from {node} reached {self.zone} {late_s:.2f} s late"
+            self.records.record_violation(Promise.EVACUATION, text)
+
     def _check_statements(self, message: Message) -> None:
         """Check that a node obeys what this server said in its answers."""
         node = self.records.node_by_attempt.get(message.headers["x-attempt-id"], "")
@@ -250,6 +284,7 @@
             self.records.record_violation(Promise.PAUSE, text)
 
     def _ask_for_pause(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        self._check_arrival(message)
         node = self.records.node_by_attempt.get(message.headers["x-attempt-id"], "")
         now_s = self.records.now_s()
         _, until_s = self.told_pause_s.get(node, (0.0, 0.0))
@@ -272,6 +307,7 @@
     async def _async_handle_plain(
         self, message: Message, writer: asyncio.StreamWriter
     ) -> None:
+        self._check_arrival(message)
         attempt_id = message.headers["x-attempt-id"]
         command = message.start_line.startswith("POST")
         self.records.record_run(attempt_id, self.server_id, command=command)
@@ -289,6 +325,7 @@
         if membership is None or not is_leader or membership.state != "open":
             self._reject(message, 421, writer)
             return
+        self._check_arrival(message)
         if len(self.running_streams) >= SLOTS:
             self._reject(message, 503, writer)
             return
--- a/tests/standins/soak/test_promises.py
+++ b/tests/standins/soak/test_promises.py
@@ -11,9 +11,12 @@
 
 import pytest
 
+from standins.soak import server as server_module
 from standins.soak.callers import Attempt, Callers, RequestKind
 from standins.soak.const import (
+    COLD_LIMIT,
     DRAIN_LIMIT_S,
+    EVACUATION_LIMIT_S,
     KEY,
     MAX_ARRIVALS_IN_PAUSE,
     MODEL_SERVICE,
@@ -21,12 +24,24 @@
     ROUTE_TIMEOUT_S,
     TEAM,
 )
-from standins.soak.environment import Environment, SoakNode, read_run_delay_s
+from standins.soak.crowd import async_check_crowd
+from standins.soak.environment import (
+    Environment,
+    SoakNode,
+    read_peak_memory_mb,
+    read_run_delay_s,
+)
+from standins.soak.evacuation import (
+    async_check_used,
+    remove_evacuation,
+    write_evacuation,
+)
 from standins.soak.faults import INJECTORS, Fault, plan_faults
 from standins.soak.http import Message
 from standins.soak.records import Promise, Records
 from standins.soak.run import (
     async_check_crashing_prompts,
+    async_check_lapses,
     async_check_slow_groups,
     async_check_stops,
     async_wait_serving,
@@ -327,6 +342,95 @@
     assert _promises(records) == expected
 
 
+async def test_request_in_an_evacuated_zone_is_found(records: Records) -> None:
+    """Guards against missed late requests, and against reports for disturbed nodes."""
+    records.started_s -= 20
+    records.node_by_attempt["a1"] = NODE.name
+    server, request = _server(records), Message("GET /read/1 HTTP/1.1", HEADERS)
+    records.evacuated_s["z1"] = records.now_s() - EVACUATION_LIMIT_S
+    server._check_arrival(request)
+    records.evacuated_s["z1"] -= 0.5
+    records.mark_disturbed(NODE.name)
+    server._check_arrival(request)
+    assert _promises(records) == []
+    records.disturbed_until_s.clear()
+    server._check_arrival(request)
+    assert _promises(records) == [Promise.EVACUATION]
+
+
+async def test_restored_zone_without_requests_is_found(records: Records) -> None:
+    """Guards against zones whose servers get no requests after a restoration."""
+    async with AsyncExitStack() as stack:
+        env = Environment(Path(), records, stack)
+        server = _server(records)
+        for evacuated, service, expected in (
+            (True, PLAIN_SERVICE, []),
+            (False, PLAIN_SERVICE, [Promise.ZONE_RESTORED]),
+            (False, MODEL_SERVICE, [Promise.ZONE_RESTORED]),
+        ):
+            (write_evacuation if evacuated else remove_evacuation)(env, "z1")
+            for server.service in {PLAIN_SERVICE, service}:
+                server._check_arrival(Message("GET /read/1 HTTP/1.1", HEADERS))
+            await async_check_used(env, ["z1"], 0.1)
+            assert _promises(records) == expected
+
+
+@pytest.mark.parametrize(("cold_s", "expected"), [(-1, []), (1, [Promise.COLD])])
+async def test_many_requests_at_a_cold_server_are_found(
+    records: Records,
+    monkeypatch: pytest.MonkeyPatch,
+    cold_s: float,
+    expected: list[Promise],
+) -> None:
+    """Guards against missed load of cold servers, and reports of warm ones."""
+    monkeypatch.setattr(server_module, "COLD_PROMISED", True)
+    server = _server(records, cold_until_s=records.now_s() + cold_s)
+    for _ in range(int(COLD_LIMIT) + 1):
+        assert _promises(records) == []
+        server._check_arrival(Message("GET /read/1 HTTP/1.1", HEADERS))
+    assert _promises(records) == expected
+
+
+@pytest.mark.parametrize(
+    ("code", "outcome", "expected"),
+    [(None, "200", 0), (0, "503", 0), (None, "503", 1), (-9, "200", 1)],
+)
+async def test_node_that_a_crowd_overloads_is_found(
+    records: Records, code: int | None, outcome: str, expected: int
+) -> None:
+    """Guards against a missed end of a node, and against missing answers."""
+    records.started_s -= 20
+    node: Any = FakeNode()
+    node.host, node.popen = "127.9.0.1", SimpleNamespace(poll=lambda: code)
+    async with AsyncExitStack() as stack:
+        env = Environment(Path(), records, stack)
+        callers = cast("Callers", FakeCallers(outcome))
+        await async_check_crowd(env, callers, node, 0.5 - ROUTE_TIMEOUT_S)
+    assert _promises(records) == [Promise.CROWD] * expected
+
+
+async def test_node_beyond_its_memory_is_found(records: Records) -> None:
+    """Guards against missed memory of a node, and against an unread file."""
+    peak_mb = read_peak_memory_mb(os.getpid())
+    for limit_mb, expected in ((peak_mb, []), (peak_mb - 1, [Promise.MEMORY])):
+        records.outcomes.clear()
+        records.record_peak("memory", peak_mb, limit_mb, Promise.MEMORY)
+        assert _promises(records) == expected
+
+
+@pytest.mark.parametrize(("cut", "expected"), [(False, []), (True, [Promise.LAPSE])])
+async def test_stream_that_a_lapse_cuts_is_found(
+    records: Records, *, cut: bool, expected: list[Promise]
+) -> None:
+    """Guards against missed cuts of streams whose members lose the store."""
+    records.started_s -= 20
+    async with AsyncExitStack() as stack:
+        env = Environment(Path(), records, stack)
+        fake = FakeLoad(env) if cut else FakeCallers("200")
+        await async_check_lapses(env, cast("Callers", fake))
+    assert _promises(records) == expected
+
+
 def test_time_without_processor_is_measured() -> None:
     """Guards against time checks that never notice that the machine is too busy."""
     assert read_run_delay_s(os.getpid()) > 0
