--- a/standins/soak/const.py
+++ b/standins/soak/const.py
@@ -35,8 +35,7 @@
 SLOW_GROUP_S: Final = 1.0
 # Pause of all servers in a series of stops that overlap.
 SERVER_PAUSE_S: Final = 0.6
-# Time without heartbeats of servers that lose the store; their records lapse after
-# MISSED_HEARTBEATS_LIMIT heartbeats.
+# Servers lose the store for longer than it takes their records to lapse.
 LAPSE_S: Final = 3.0
 STOPPED_NODES: Final = 2
 STOP_INTERVAL_S: Final = 1.0
