--- a/standins/soak/crowd.py
+++ b/standins/soak/crowd.py
@@ -10,7 +10,7 @@
 from .environment import Environment, SoakNode
 from .records import STORE, Promise
 
-BODIES = 36
+BODIES = 48
 HEADS = 8
 HEAD_PIECES = 1000
 PIECE = bytes(1 << 17)
