Check the requests at cold servers in the soak

Cold servers are limited now, so the count of requests in a second, which was only recorded, breaks a promise above cold_per_s x cold_overrun + cold_slack.

--- a/standins/soak/const.py
+++ b/standins/soak/const.py
@@ -64,8 +64,6 @@
 COLD_OVERRUN: Final = 1.5
 COLD_SLACK: Final = 1.5
 COLD_LIMIT: Final = COLD_PER_S * COLD_OVERRUN + COLD_SLACK
-# Whether too many requests at a cold server break a promise; they are always counted.
-COLD_PROMISED: Final[bool] = False
 MEMORY_MB: Final = 160
 MAX_BODY_BYTES: Final = 4194304
 RECOVERY_LIMIT_S: Final = 12.0
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -102,13 +102,13 @@
             self.record_violation(Promise.AT_MOST_ONCE, f"{attempt_id} ran at {runs}")
 
     def record_peak(
-        self, name: str, value: int, limit: float, promise: Promise | None
+        self, name: str, value: int, limit: float, promise: Promise
     ) -> None:
         """Record the highest value, which breaks a promise if it is over the limit."""
         if value <= self.outcomes[name]:
             return
         self.outcomes[name] = value
-        if promise is not None and value > limit:
+        if value > limit:
             self.record_violation(promise, f"{name}: {value}")
 
     def check_not_run(self) -> None:
--- a/standins/soak/server.py
+++ b/standins/soak/server.py
@@ -12,7 +12,6 @@
 from .const import (
     ARRIVAL_SLACK_S,
     COLD_LIMIT,
-    COLD_PROMISED,
     CRASHING_PART,
     DRAIN_LIMIT_S,
     EVACUATION_LIMIT_S,
@@ -249,9 +248,10 @@
             self.cold_arrivals.append(now_s)
             while now_s - self.cold_arrivals[0] >= 1.0:
                 self.cold_arrivals.popleft()
-            promise = Promise.COLD if COLD_PROMISED else None
             count = len(self.cold_arrivals)
-            self.records.record_peak("peak of cold servers", count, COLD_LIMIT, promise)
+            self.records.record_peak(
+                "peak of cold servers", count, COLD_LIMIT, Promise.COLD
+            )
         since_s = self.records.evacuated_s.get(self.zone, now_s)
         late_s = now_s - since_s - EVACUATION_LIMIT_S - ARRIVAL_SLACK_S
         if late_s > 0 and self.records.is_undisturbed(node, STORE, self.server_id):
--- a/tests/standins/soak/test_promises.py
+++ b/tests/standins/soak/test_promises.py
@@ -11,7 +11,6 @@
 
 import pytest
 
-from standins.soak import server as server_module
 from standins.soak.callers import Attempt, Callers, RequestKind
 from standins.soak.const import (
     COLD_LIMIT,
@@ -373,13 +372,9 @@
 
 @pytest.mark.parametrize(("cold_s", "expected"), [(-1, []), (1, [Promise.COLD])])
 async def test_many_requests_at_a_cold_server_are_found(
-    records: Records,
-    monkeypatch: pytest.MonkeyPatch,
-    cold_s: float,
-    expected: list[Promise],
+    records: Records, cold_s: float, expected: list[Promise]
 ) -> None:
     """Guards against missed load of cold servers, and reports of warm ones."""
-    monkeypatch.setattr(server_module, "COLD_PROMISED", True)
     server = _server(records, cold_until_s=records.now_s() + cold_s)
     for _ in range(int(COLD_LIMIT) + 1):
         assert _promises(records) == []
