Give models servers by the requests in flight

The configuration states each model's share of the work at the start. When the mix changes, groups of one model were full while servers of another were idle.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -32,6 +32,7 @@
     if profile is None or _is_on_hold(zone):
         return
     now_s = asyncio.get_running_loop().time()
+    profile = _apply_demand(zone, profile, now_s)
     _probe_contradicted(zone)
     _adopt_groups(zone, profile, now_s)
     for managed in list(zone.groups.values()):
@@ -40,6 +41,19 @@
     _plan_orders(zone, profile, now_s)
 
 
+def _apply_demand(
+    zone: ZoneState, profile: EngineProfile, now_s: float
+) -> EngineProfile:
+    """Return the profile with the models' shares of the servers by demand."""
+    if not zone.traffic_seen():
+        return profile
+    server_count = sum(
+        1 for server in zone.view.servers.values() if server.service == zone.service
+    )
+    zone.demand.update(profile, zone.requests_in_flight(), server_count, now_s)
+    return zone.demand.apply(profile)
+
+
 def probe_group(zone: ZoneState, leader_id: str) -> None:
     """Probe the members of the group whose leader stalled."""
     now_s = asyncio.get_running_loop().time()
