--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -45,6 +45,9 @@
     leaving_since_s: float | None = None
     dissolved_s: float = 0.0
     probed_s: float = 0.0
+    # When members without a record were last probed, and whether they are now.
+    lapsed_probed_s: float = 0.0
+    probing_lapsed: bool = False
     # Members that left while the leader was unresponsive.
     released: set[str] = field(default_factory=set)
 
@@ -91,6 +94,9 @@
     reserved: set[str] = field(default_factory=set)
     # When this node last received data for a request from any server.
     traffic_progress_s: Callable[[], float] = lambda: 0.0
+    # Returns whether the zone is evacuated; its servers then get neither work nor
+    # probes, and open groups stay as they are.
+    is_evacuated: Callable[[], bool] = lambda: False
     # When a server last answered an order or a probe of this owner.
     answered_s: float = 0.0
     epoch_count: int = 0
@@ -98,6 +104,8 @@
     summary_logged_s: float = 0.0
     last_reconcile_s: float = 0.0
     hold_until_s: float = 0.0
+    # When this node acquired the zone, on the clock of the event loop.
+    acquired_s: float = 0.0
 
     def open_groups(self) -> list[Group]:
         """Return the groups that serve."""
@@ -185,6 +193,11 @@
         """Return when any server last answered this node."""
         return max(self.answered_s, self.traffic_progress_s())
 
+    def require_not_evacuated(self) -> None:
+        """Raise `FormationError` if the zone is evacuated."""
+        if self.is_evacuated():
+            raise FormationError(f"{self.name} is evacuated")
+
     def require_server(self, server_id: str) -> BackendServer:
         """Return a server. Raises `FormationError` if it no longer exists."""
         server = self.view.servers.get(server_id)
--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -17,9 +17,10 @@
 from .crashes import request_fingerprint
 from .models import CallerRequest, GatewayResponse
 from .plain import async_forward_plain
-from .prompt import shared_prompt_parts
+from .prompt import declared_tokens, shared_prompt_parts
 from .refusals import (
     crashing_request_response,
+    evacuated_response,
     outcome_unknown_response,
     stopping_response,
 )
@@ -74,6 +75,8 @@
     state.metrics.requests.inc({"route": routed.route.name, "outcome": outcome})
     if response is None:
         return
+    if response.status == 503:  # noqa: PLR2004
+        state.metrics.refusals.inc({"reason": response.reason})
     if state.crashes.is_blocked(routed.traits):
         state.metrics.crash_refusals.inc({"route": routed.route.name})
     log_request(
@@ -82,6 +85,9 @@
         routed,
         status=response.status,
         retry_after_s=response.retry_after_s,
+        waited_s=round(routed.waited_s, 3),
+        expected_wait_s=round(routed.expected_wait_s, 3),
+        wait_end=routed.wait_end,
         sends=routed.sends,
         ran_on=routed.ran_on,
         parts=routed.prompt_parts,
@@ -98,7 +104,11 @@
         state.stopping.outcomes[StopOutcome.REFUSED] += 1
         return stopping_response(state.rng)
     now_s = asyncio.get_running_loop().time()
+    if state.is_evacuated(ctx, now_s):
+        return evacuated_response(state.rng)
     state.budget(ctx.service).record_request(now_s)
+    if state.hedging is not None:
+        state.hedging.share(ctx.service).record_request(now_s)
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=False)
     try:
@@ -147,11 +157,11 @@
 async def _async_wait_until_started(
     state: GatewayState, request: CallerRequest
 ) -> None:
-    """Wait until this node knows the configuration and servers, for a short time."""
+    """Wait for a short time until this node knows what it needs to send requests."""
     loop = asyncio.get_running_loop()
     wait_s = startup_wait_s(_caller_timeout_s(state, request))
     while loop.time() < request.received_s + wait_s:
-        if state.configuration() is not None and state.servers():
+        if state.is_started():
             return
         await asyncio.sleep(STARTUP_POLL_S)
 
@@ -172,24 +182,46 @@
     team = _find_team(state, cfg, request)
     if cfg.has_teams and team is None and not route.anonymous:
         return GatewayResponse(401, "unknown key")
-    model = request.get(state.header_names.model)
+    header = request.get(state.header_names.model)
+    model = header.decode("latin-1") if header else None
+    service = choose_service(route, state.rng)
     team_name = team.name if team else ""
+    timeout_s = min(_caller_timeout_s(state, request), route.timeout_s)
+    spent_s = state.observed.spent_s(route.name, route.timeout_s, timeout_s)
     return RequestContext(
         request=request,
         request_id=request_id,
         route=route,
-        service=choose_service(route, state.rng),
+        service=service,
         team=team,
-        model=model.decode("latin-1") if model else None,
+        model=model,
         fingerprint=request_fingerprint(
             team_name, request.method, request.target, request.body
         ),
         prompt_parts=shared_prompt_parts(request.get(state.header_names.prompt_parts)),
-        deadline_s=request.received_s
-        + min(_caller_timeout_s(state, request), route.timeout_s),
+        deadline_s=request.received_s + timeout_s,
+        objective_s=request.received_s + route.latency_objective_s - spent_s,
+        kind=_kind(cfg, service, model),
+        tokens=declared_tokens(
+            request.get(state.header_names.token_count),
+            request.get(state.header_names.length_hint),
+        ),
     )
 
 
+def _kind(
+    cfg: Configuration, service: str, model: str | None
+) -> tuple[str, str | None]:
+    """Return the service and the model if it is configured.
+
+    State is kept by kind, so a caller must not be able to name many of them.
+    """
+    found = cfg.services.get(service)
+    engine = found.engine if found else None
+    is_known = engine is not None and model is not None and engine.model(model)
+    return (service, model if is_known else None)
+
+
 def _find_team(
     state: GatewayState, cfg: Configuration, request: CallerRequest
 ) -> Team | None:
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -21,15 +21,13 @@
 GROUP_CHOICES: Final = 2
 # Load, as a share of the slots, up to which groups of the caller's zone go first.
 LOCAL_GROUP_LOAD: Final = 0.6
-# Requests that a group accepts beyond its slots.
-MAX_QUEUED_PER_GROUP: Final = 4
-# Share of the latency objective for which a request waits for a free group.
-GROUP_WAIT_SHARE: Final = 0.125
 # Time that a request waits on a node that has just started and does not know any server
 # yet, and the share of the time until its deadline that this may take at most.
 STARTUP_WAIT_S: Final = 0.8
 STARTUP_WAIT_SHARE: Final = 0.25
 STARTUP_POLL_S: Final = 0.01
+# Period in which requests ask whether a node that was paused may send again.
+HOLD_POLL_S: Final = 0.01
 # Added to the load, as a share of the slots, of servers in other zones.
 CROSS_ZONE_LOAD_PENALTY: Final = 0.1
 # Rejections by servers after which a request is refused.
@@ -70,6 +68,8 @@
 CAUSE_GOSSIP_SHARE: Final = 0.2
 # Prompt parts of a request that are taken into account.
 MAX_PROMPT_PARTS: Final = 16
+# Larger numbers of tokens in a header are not believed.
+MAX_DECLARED_TOKENS: Final = 1_000_000
 # Time in which the first request of a new connection arrives.
 FIRST_REQUEST_S: Final = 0.5
 # Maximum number of bytes that one read of a caller's connection returns. They may hold
@@ -80,13 +80,80 @@
 # Share of the memory of the process that responses may take while they are received. A
 # body that is complete is copied once, and other state takes the rest.
 RESPONSE_MEMORY_SHARE: Final = 0.125
+# Share for all that the node holds for others: requests, responses, what callers have
+# not read, and connections. The program takes a third of the smallest VM; the rest is
+# for copies, the kernel's buffers and the allocator.
+HELD_MEMORY_SHARE: Final = 0.25
+# Reserve for small requests, as a share of the limit, and the largest such request.
+SMALL_REQUEST_SHARE: Final = 0.125
+MAX_SMALL_REQUEST_BYTES: Final = 64 * 1024
+# Objects of a header in memory, besides its characters.
+HEADER_BYTES: Final = 160
+# Objects and kernel structures of an open connection.
+CONNECTION_BYTES: Final = 8 * 1024
+CONNECTION_MEMORY_SHARE: Final = 0.0625
+# Descriptors of listeners, datagrams, the store and orders.
+RESERVED_DESCRIPTORS: Final = 64
+# Callers take this share of the others. A request may be at two servers, and idle
+# connections to servers are kept.
+CONNECTION_DESCRIPTOR_SHARE: Final = 0.3
+MIN_CONNECTIONS: Final = 8
+# Connections to the listeners for readiness checks and metrics.
+MAX_SERVICE_CONNECTIONS: Final = 32
+# Receive buffers of all connections together, as a share of the memory; above it each
+# gets less than the system gives by default.
+RECEIVE_MEMORY_SHARE: Final = 0.125
+RECEIVE_BUFFER_BYTES: Final = 128 * 1024
+MIN_RECEIVE_BUFFER_BYTES: Final = 8 * 1024
+# The system's default grows to megabytes, which are not counted.
+SEND_BUFFER_BYTES: Final = 128 * 1024
+# Time after which a caller that takes nothing is given up while too much
+# is held.
+MAX_UNREAD_S: Final = 1.0
+# Time in which a caller can read a refusal, and bytes that are dropped meanwhile. An
+# earlier close resets the connection, and the refusal may be lost.
+LINGER_S: Final = 1.0
+MAX_DROPPED_BYTES: Final = 1024 * 1024
+# Longest time for a body, if its request has a later deadline.
+MAX_BODY_S: Final = 60.0
+# Bytes received for each byte of a body. A chunk of one byte takes six.
+MAX_BYTES_PER_BODY_BYTE: Final = 8
+# Parts of bodies in one read that are not paced, the time that the parser takes for a
+# part, and the share of all time for such reads.
+FREE_PARTS: Final = 512
+PART_COST_S: Final = 0.000_000_3
+PARTS_TIME_SHARE: Final = 0.25
+# Complete requests of a connection that wait for an earlier one, in bytes; above it the
+# connection is not read.
+MAX_PIPELINED_BYTES: Final = 64 * 1024
+# Period of the check for callers that do not read, and of the metrics of input.
+INTAKE_CHECK_PERIOD_S: Final = 0.25
 # Remaining time below which a request is not sent.
 MIN_REMAINING_S: Final = 0.02
 DEFAULT_DEADLINE_S: Final = 30.0
 MAX_PRIORITY: Final = 9
+# Added to the priority of a route for requests that can no longer be in time.
+LATE_PRIORITY_STEP: Final = 5
 
 RETRY_AFTER_NO_GROUP_S: Final = 0.8
 RETRY_AFTER_BUSY_S: Final = 0.4
+# An evacuation lasts long; callers return once, in case it ends.
+RETRY_AFTER_EVACUATED_S: Final = 1.0
 # Callers of a node that stops can go to another node at once.
 RETRY_AFTER_STOPPING_S: Final = 0.05
 RETRY_AFTER_JITTER: Final = 0.5
+
+# Answers of a route without which the delay of a second copy is not known.
+MIN_HEDGE_ANSWERS: Final = 50
+# An answer that is late by less than this may only be late in this process.
+MIN_HEDGE_DELAY_S: Final = 0.005
+# Time and number of answers after which a new period of latencies begins.
+HEDGE_PERIOD_S: Final = 60.0
+HEDGE_PERIOD_ANSWERS: Final = 200
+# Relative error of the quantiles of latencies.
+LATENCY_ACCURACY: Final = 0.02
+# No second copies are sent for this long after a server rejected a request.
+HEDGE_REJECTION_S: Final = 1.0
+# Window in which second copies stay within the operator's share. It is long, so that a
+# node with few requests can send a copy at all.
+HEDGE_SHARE_WINDOW_S: Final = 60.0
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+WAIT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 
 
 @dataclass(slots=True)
@@ -18,6 +19,17 @@
     crash_refusals: Counter = field(init=False)
     statements: Counter = field(init=False)
     latency: Histogram = field(init=False)
+    evacuated_zones: Gauge = field(init=False)
+    evacuation_redirects: Counter = field(init=False)
+    held_bytes: Gauge = field(init=False)
+    input_refusals: Counter = field(init=False)
+    waiting: Gauge = field(init=False)
+    waited: Histogram = field(init=False)
+    refusals: Counter = field(init=False)
+    hedges: Counter = field(init=False)
+    hedges_withheld: Counter = field(init=False)
+    cold_servers: Gauge = field(init=False)
+    cold_withheld: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -52,3 +64,60 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.evacuated_zones = Gauge(
+            "gooseberryhall_evacuated_zones",
+            "Availability zones that are evacuated.",
+            registry=self.registry,
+        )
+        self.evacuation_redirects = Counter(
+            "gooseberryhall_evacuation_redirects_total",
+            "Times that a server of another zone was chosen because a zone is "
+            "evacuated, by route.",
+            registry=self.registry,
+        )
+        self.held_bytes = Gauge(
+            "gooseberryhall_held_bytes",
+            "Bytes held for callers and servers, by kind.",
+            registry=self.registry,
+        )
+        self.input_refusals = Counter(
+            "gooseberryhall_input_refusals_total",
+            "Requests and connections outside the limits, by reason.",
+            registry=self.registry,
+        )
+        self.waiting = Gauge(
+            "gooseberryhall_waiting_requests",
+            "Requests that wait for a server.",
+            registry=self.registry,
+        )
+        self.waited = Histogram(
+            "gooseberryhall_waited_seconds",
+            "Time for which requests waited for a server, by route.",
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "gooseberryhall_refusals_total",
+            "Requests refused with 503, by reason.",
+            registry=self.registry,
+        )
+        self.hedges = Counter(
+            "gooseberryhall_hedges_total",
+            "Second copies of requests by route and event: sent, won, cancelled.",
+            registry=self.registry,
+        )
+        self.hedges_withheld = Counter(
+            "gooseberryhall_hedges_withheld_total",
+            "Second copies that were not sent, by route and reason.",
+            registry=self.registry,
+        )
+        self.cold_servers = Gauge(
+            "gooseberryhall_cold_servers",
+            "Servers that take requests and are cold, as this node knows.",
+            registry=self.registry,
+        )
+        self.cold_withheld = Counter(
+            "gooseberryhall_cold_withheld_total",
+            "Requests that were not sent to a server because it is cold.",
+            registry=self.registry,
+        )
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -1,6 +1,8 @@
 """Forwards requests to plain services."""
 
 import asyncio
+from collections.abc import Sequence
+from functools import partial
 
 from ..fleet.models import BackendServer
 from ..telemetry.catalogue import LogEvent
@@ -11,22 +13,20 @@
 from .const import MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .models import GatewayResponse
-from .placement import choose_server
-from .refusals import (
-    busy_response,
-    no_group_response,
-    outcome_unknown_response,
-    paused_response,
-    timeout_response,
-)
+from .refusals import outcome_unknown_response, timeout_response
+from .refusing import unserved_response
+from .second_copy import HedgedRequest, async_run_copies, may_hedge
 from .sending import (
     async_send,
+    async_wait_until_released,
     attempt_deadline_s,
     is_rejection,
     is_server_failure,
     is_success,
     log_request,
+    record_complete,
     record_crash,
+    record_first_event,
     record_rejection,
     record_success,
     record_unsent,
@@ -34,6 +34,8 @@
 from .state import GatewayState
 
 ServerResponse = tuple[ResponseHead, bytes]
+# None if the request was not run.
+AttemptResult = ServerResponse | GatewayResponse | None
 
 
 async def async_forward_plain(
@@ -42,8 +44,8 @@
     """Relay a server's response; return a generated response if there is none."""
     server_response: ServerResponse | None = None
     failure_response: GatewayResponse | None = None
-    while (server := _next_server(state, ctx)) is not None:
-        result = await _async_attempt(state, ctx, server)
+    while (server := await _async_next_server(state, ctx)) is not None:
+        result = await _async_run(state, ctx, server)
         if isinstance(result, GatewayResponse):
             failure_response = result
         elif result is not None:
@@ -55,32 +57,60 @@
         return None
     if failure_response is not None:
         return failure_response
-    soonest_s = state.soonest_return_s(ctx, asyncio.get_running_loop().time())
-    if soonest_s is not None:
-        return paused_response(soonest_s, state.rng)
-    return busy_response(state.rng) if ctx.sends else no_group_response(state.rng)
+    return unserved_response(state, ctx)
 
 
-def _next_server(state: GatewayState, ctx: RequestContext) -> BackendServer | None:
+async def _async_next_server(
+    state: GatewayState, ctx: RequestContext
+) -> BackendServer | None:
     """Return the server for the next attempt, or None if there is none."""
-    now_s = asyncio.get_running_loop().time()
-    if ctx.rejections >= MAX_REJECTIONS or ctx.deadline_s - now_s < MIN_REMAINING_S:
+    await async_wait_until_released(state, ctx)
+    loop = asyncio.get_running_loop()
+    if (
+        ctx.rejections >= MAX_REJECTIONS
+        or ctx.deadline_s - loop.time() < MIN_REMAINING_S
+    ):
         return None
     if ctx.ran_on and not ctx.is_retryable():
         return None
     if ctx.sends and state.crashes.is_blocked(ctx.traits):
         return None
-    chosen = choose_server(state.server_candidates(ctx, now_s), state.rng)
-    if chosen is None or (
-        ctx.sends and not state.budget(ctx.service).try_acquire(now_s)
+    server = await state.waiting.async_choose(ctx)
+    if server is None or (
+        ctx.sends and not state.budget(ctx.service).try_acquire(loop.time())
     ):
         return None
-    return state.servers().get(chosen.server_id)
+    return server
+
+
+async def _async_run(
+    state: GatewayState, ctx: RequestContext, server: BackendServer
+) -> AttemptResult:
+    """Run the request at a server, and beside it at another one if it is hedged."""
+    hedging = state.hedging
+    if hedging is None or not may_hedge(ctx):
+        return await _async_attempt(state, ctx, server)
+    attempt = partial(_async_attempt, state, ctx)
+    request = HedgedRequest(state, hedging, ctx)
+    return _final_result(await async_run_copies(request, server, attempt, _is_answer))
+
+
+def _is_answer(result: AttemptResult) -> bool:
+    """Return whether a result is an answer for the caller, and not a failure."""
+    return isinstance(result, tuple) and not is_server_failure(result[0])
+
+
+def _final_result(results: Sequence[AttemptResult]) -> AttemptResult:
+    """Return an answer, or else the first failure; one of a server goes first."""
+    answers = [result for result in results if _is_answer(result)]
+    responses = [result for result in results if isinstance(result, tuple)]
+    failures = [result for result in results if result is not None]
+    return next(iter((*answers, *responses, *failures)), None)
 
 
 async def _async_attempt(
     state: GatewayState, ctx: RequestContext, server: BackendServer
-) -> ServerResponse | GatewayResponse | None:
+) -> AttemptResult:
     """Send the request to a server and classify the result.
 
     Returns the server's response, a generated response if the request may have run, or
@@ -96,6 +126,9 @@
             ctx.ran_on.append(server_id)
             head = await sent.exchange.async_read_head()
             body = await sent.exchange.async_read_body(MAX_RESPONSE_BYTES)
+            if is_success(state, head):
+                record_first_event(state, ctx, sent)
+                record_complete(state, ctx, sent)
     except ConnectFailedError as exc:
         record_unsent(ctx, server_id, exc)
         return None
@@ -121,7 +154,7 @@
 
 def _classify(
     state: GatewayState, ctx: RequestContext, server_id: str, response: ServerResponse
-) -> ServerResponse | GatewayResponse | None:
+) -> AttemptResult:
     head = response[0]
     if is_rejection(state, head):
         ctx.ran_on.remove(server_id)
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -18,7 +18,7 @@
 )
 from ..transport.exchange import Exchange, ResponseHead
 from .backends import Attempt
-from .const import FIRST_ATTEMPT_SHARE
+from .const import FIRST_ATTEMPT_SHARE, HOLD_POLL_S
 from .context import RequestContext
 from .state import GatewayState
 
@@ -39,6 +39,9 @@
     conn: ClientConnection
     # Records that the server sent something that is useful to the caller.
     record_progress: Callable[[], None]
+    sent_s: float = 0.0
+    # Whether the server seemed to have a free slot.
+    unqueued: bool = False
 
 
 @asynccontextmanager
@@ -59,10 +62,19 @@
 
     def record_progress() -> None:
         state.backends.record_progress(server.server_id, loop.time())
+        state.zone_failures.record_progress(server.zone)
+
+    rejected = False
 
     def on_head(head: ResponseHead) -> None:
+        nonlocal rejected
+        rejected = (
+            is_rejection(state, head) and head.status != _HTTP_MISDIRECTED_REQUEST
+        )
         record_progress()
         _record_statement(state, ctx, server, head)
+        if state.hedging is not None and is_full(state, head):
+            state.hedging.record_rejection(ctx.service, loop.time())
 
     exchange = Exchange(
         expected_id=ctx.request_id,
@@ -74,30 +86,62 @@
     key = state.backends.start_attempt(server.server_id, attempt, loop.time())
     conn: ClientConnection | None = None
     try:
-        data = ctx.encode(state.header_names, server, loop.time(), last_event_id)
+        data = ctx.encode(
+            state.header_names,
+            server,
+            loop.time(),
+            last_event_id,
+            late=state.is_late(ctx, loop.time()),
+        )
         ctx.sends += 1
         # The server may close a reused connection at the same time. It would then be
         # unknown whether a request that must run at most once was run.
-        conn = await state.pool.async_send_request(
-            server.address,
-            data,
-            exchange,
-            new_connection=not ctx.route.idempotent,
-            may_send=lambda: state.may_send(server, loop.time()),
+        state.cold.start_placing(server)
+        try:
+            conn = await state.pool.async_send_request(
+                server.address,
+                data,
+                exchange,
+                new_connection=not ctx.route.idempotent,
+                may_send=lambda: state.may_send(server, loop.time()),
+                on_sent=lambda: state.cold.record_sent(server),
+            )
+        finally:
+            state.cold.end_placing(server)
+        unqueued = state.backends.load(server.server_id) <= state.slots(server)
+        yield SentRequest(
+            server, exchange, conn, record_progress, loop.time(), unqueued
         )
-        yield SentRequest(server, exchange, conn, record_progress)
     except SendWithheldError:
         raise
     except ConnectFailedError:
         state.backends.mark_unreachable(server.server_id, loop.time())
+        state.zone_failures.record_failure(server.zone, server.server_id, loop.time())
         raise
     finally:
         exchange.release()
         state.backends.end_attempt(server.server_id, key)
+        if rejected:
+            # The places of this server were overestimated.
+            state.backends.mark_full(server.server_id, loop.time())
+            state.allowances.refund(ctx.kind)
         if conn is not None:
             state.pool.release(server.address, conn)
 
 
+async def async_wait_until_released(state: GatewayState, ctx: RequestContext) -> None:
+    """Wait while nothing may be sent because this process was paused.
+
+    A request that is refused meanwhile, or a stream that is given up, could go on at
+    another server a moment later.
+    """
+    loop = asyncio.get_running_loop()
+    while loop.time() < ctx.deadline_s:
+        if not state.is_held():
+            return
+        await asyncio.sleep(HOLD_POLL_S)
+
+
 def _record_statement(
     state: GatewayState, ctx: RequestContext, server: BackendServer, head: ResponseHead
 ) -> None:
@@ -151,6 +195,11 @@
     )
 
 
+def is_full(state: GatewayState, head: ResponseHead) -> bool:
+    """Return whether the server rejected the request because of its load."""
+    return head.status != _HTTP_MISDIRECTED_REQUEST and is_rejection(state, head)
+
+
 def is_success(state: GatewayState, head: ResponseHead) -> bool:
     """Return whether this is a successful response with a server's signature."""
     return (
@@ -178,8 +227,13 @@
 
 
 def record_rejection(ctx: RequestContext, server_id: str, head: ResponseHead) -> None:
-    """Record that a server did not run the request."""
+    """Record that a server did not run the request.
+
+    A server that was full may get it later, when one of its requests has ended.
+    """
     ctx.rejections += 1
+    if head.status != _HTTP_MISDIRECTED_REQUEST:
+        ctx.excluded_servers.discard(server_id)
     log_request(
         LogEvent.REQUEST_REJECTED,
         "server did not run the request",
@@ -229,6 +283,26 @@
     state.crashes.record_success(ctx.fingerprint, now_s, ctx.prompt_parts)
 
 
+def record_first_event(
+    state: GatewayState, ctx: RequestContext, sent: SentRequest
+) -> None:
+    """Record how long a server took for the first event or a complete answer."""
+    if sent.unqueued and ctx.sends == 1:
+        took_s = asyncio.get_running_loop().time() - sent.sent_s
+        profile = state.profile_times(ctx)
+        state.observed.record_first_event(ctx.kind, profile, took_s)
+
+
+def record_complete(
+    state: GatewayState, ctx: RequestContext, sent: SentRequest
+) -> None:
+    """Record for how long a request took a slot of a server."""
+    if sent.unqueued and ctx.sends == 1:
+        took_s = asyncio.get_running_loop().time() - sent.sent_s
+        profile = state.profile_times(ctx)
+        state.observed.record_complete(ctx.kind, profile, took_s)
+
+
 def log_request(
     event: LogEvent, message: str, ctx: RequestContext, **fields: Any
 ) -> None:
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -15,26 +15,28 @@
 )
 from ..transport.exchange import ResponseHead
 from .caller import CallerConnection
-from .const import CRASH_ONSET_S, GROUP_WAIT_SHARE, MAX_REJECTIONS, MIN_REMAINING_S
+from .const import CRASH_ONSET_S, MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .events import EventSplitter
 from .models import GatewayResponse
 from .refusals import (
-    busy_response,
     crashing_request_response,
-    no_group_response,
     outcome_unknown_response,
-    paused_response,
     timeout_response,
 )
+from .refusing import unserved_response
+from .second_stream import FirstEvent, watch_first_event
 from .sending import (
     SentRequest,
     async_send,
+    async_wait_until_released,
     attempt_deadline_s,
     is_rejection,
     is_success,
     log_request,
     record_break,
+    record_complete,
+    record_first_event,
     record_rejection,
     record_success,
     record_unsent,
@@ -47,7 +49,6 @@
     async_wait_for_head,
 )
 
-_SERVER_POLL_PERIOD_S = 0.01
 _HTTP_REDIRECTION = 300
 
 
@@ -79,6 +80,8 @@
     timeout: asyncio.Timeout | None = None
     # The group that goes on with the stream.
     successor: Successor | None = None
+    # The first event of the stream while it is waited for, if requests are hedged.
+    first_event: FirstEvent | None = None
 
     def begin(self) -> bool:
         """Send the head to the caller; return False if that was done before."""
@@ -91,6 +94,8 @@
     def raise_if_moved(self) -> None:
         """Raise `TransportError` if another group goes on with the stream."""
         if self.successor is not None:
+            if self.first_event is not None and self.successor.is_second_copy:
+                self.first_event.record(is_second=True)
             raise ExchangeAbortedError("the group is silent, another one goes on")
 
     def record_events(self, deadline_s: float) -> None:
@@ -98,6 +103,8 @@
         if self.answering_since_s is not None:
             return
         self.answering_since_s = asyncio.get_running_loop().time()
+        if self.first_event is not None:
+            self.first_event.record()
         if self.timeout is not None:
             self.timeout.reschedule(deadline_s)
 
@@ -145,7 +152,8 @@
 ) -> BackendServer | None:
     """Return the server of the next attempt, or None if there can be none."""
     loop = asyncio.get_running_loop()
-    server = await _async_choose_server(state, ctx)
+    await async_wait_until_released(state, ctx)
+    server = await state.waiting.async_choose(ctx)
     if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
         return None
     if state.crashes.is_blocked(ctx.traits):
@@ -174,29 +182,7 @@
         return outcome_unknown_response("the server broke off")
     if state.crashes.is_blocked(ctx.traits):
         return crashing_request_response(may_have_run=ctx.breaks > 0)
-    now_s = asyncio.get_running_loop().time()
-    if state.candidates(ctx, now_s):
-        return busy_response(state.rng)
-    soonest_s = state.soonest_return_s(ctx, now_s)
-    if soonest_s is not None:
-        return paused_response(soonest_s, state.rng)
-    return no_group_response(state.rng)
-
-
-async def _async_choose_server(
-    state: GatewayState, ctx: RequestContext
-) -> BackendServer | None:
-    """Choose a server; wait for a free one during a share of the latency objective."""
-    loop = asyncio.get_running_loop()
-    wait_until_s = loop.time() + ctx.route.latency_objective_s * GROUP_WAIT_SHARE
-    while True:
-        now_s = loop.time()
-        chosen = state.choose_candidate(ctx, now_s)
-        if chosen is not None:
-            return state.servers().get(chosen.server_id)
-        if now_s >= min(wait_until_s, ctx.deadline_s):
-            return None
-        await asyncio.sleep(_SERVER_POLL_PERIOD_S)
+    return unserved_response(state, ctx)
 
 
 async def _async_attempt(
@@ -270,6 +256,10 @@
         return _Outcome.TIMED_OUT
     except TransportError as exc:
         relay.splitter.discard_partial()
+        if relay.successor is not None and relay.successor.is_second_copy:
+            # The server was late, which is no failure.
+            ctx.ran_on.append(server_id)
+            return _Outcome.MOVED
         if server_id not in ctx.ran_on and not ctx.route.idempotent:
             ctx.ran_on.append(server_id)
         record_break(
@@ -314,6 +304,20 @@
     sent: SentRequest,
 ) -> _Outcome:
     source = StreamSource(sent.server, sent, relay.splitter)
+    if relay.started:
+        return await _async_relay_response(state, ctx, relay, source)
+    with watch_first_event(state, ctx, source, relay.timeout) as first_event:
+        relay.first_event = first_event
+        return await _async_relay_response(state, ctx, relay, source)
+
+
+async def _async_relay_response(
+    state: GatewayState,
+    ctx: RequestContext,
+    relay: _RelayedResponse,
+    source: StreamSource,
+) -> _Outcome:
+    sent = source.sent
     relay.successor = await async_wait_for_head(
         state, ctx, source, started=relay.started
     )
@@ -344,6 +348,8 @@
         events, source.events = source.events, b""
         if events:
             source.sent.record_progress()
+            if relay.answering_since_s is None:
+                record_first_event(state, ctx, source.sent)
             relay.record_events(ctx.deadline_s)
             if server_id not in ctx.ran_on:
                 ctx.ran_on.append(server_id)
@@ -353,6 +359,7 @@
     relay.begin()
     relay.conn.end_response()
     state.backends.record_result(server_id, failed=False)
+    record_complete(state, ctx, source.sent)
     record_success(state, ctx)
     return _Outcome.COMPLETE
 
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -4,21 +4,26 @@
 import logging
 from dataclasses import replace
 
+from ..core.clock import now_s as boot_time_s
 from ..core.tasks import TaskSet
 from ..fleet.const import UNRESPONSIVE_BACKOFF_S
 from ..fleet.controller import probe_group, reconcile
+from ..fleet.evacuation import Evacuations
 from ..fleet.guard import GuardedEngines
 from ..fleet.models import BackendServer
+from ..fleet.statements import ServerStatements
 from ..fleet.zone import ZoneState
 from ..gateway.backends import Backends, Stall
 from ..gateway.budget import RetryBudget
+from ..gateway.cold import ColdServers
 from ..gateway.const import (
     CAUSE_GOSSIP_SHARE,
     MAX_CHECK_DELAY_S,
-    RESPONSE_MEMORY_SHARE,
     RETRY_SLACK_SHARE,
     STALL_CHECK_PERIOD_S,
 )
+from ..gateway.hedging import create_hedging
+from ..gateway.intake import max_connections
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
@@ -26,10 +31,12 @@
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
-from ..transport.memory import ResponseMemory
 from ..transport.pool import ConnectionPool
+from .cold import ColdLimits, create_description
 from .configuration import ConfigurationFollower
 from .directory import PlatformAdapter
+from .evacuation import EvacuationFollower
+from .intake import create_intake
 from .owner import RunInZone, ZoneOwner
 from .registration import async_register
 from .servers import ServerFollower
@@ -77,10 +84,31 @@
         self._crash_causes: list[frozenset[str]] = []
         # Leaders of stalled groups, and the time until which peers are notified.
         self._stalled_leaders: dict[str, float] = {}
+        self.evacuations = Evacuations(settings.evacuation_limit_s, settings.zones)
+        metrics = GatewayMetrics()
+        self.intake = create_intake(settings, metrics, adapter.header_names)
+        self.max_connections = max_connections(
+            settings.memory_bytes,
+            settings.file_descriptors,
+            settings.options.input_limits.connections,
+        )
+        self.gateway = self._create_gateway(adapter, metrics)
+        self.evacuation = EvacuationFollower(
+            self.evacuations,
+            metrics,
+            servers=lambda: self.table.servers,
+            local_load=self.gateway.backends.local_load,
+            on_change=self._request_announcement,
+        )
+        self.gateway.is_held = self.evacuation.is_held
         self.configuration = ConfigurationFollower(
             adapter.directory,
             self.tasks.create,
             lambda: self.is_owner or not self.peers.announcements,
+            self.evacuation.apply_rows,
+        )
+        self._cold_limits = ColdLimits(
+            lambda: self.configuration.current, lambda: self.settings
         )
         self.owner = self._create_owner()
         self.servers = ServerFollower(
@@ -92,12 +120,15 @@
             without_owner_s=self.owner.without_owner_s,
             has_servers=lambda: bool(self.table.servers),
         )
-        self.gateway = self._create_gateway(adapter)
 
     @property
     def ready(self) -> bool:
         """Return whether the node can route requests."""
-        return self.configuration.current is not None and bool(self.table.servers)
+        return (
+            self.configuration.current is not None
+            and bool(self.table.servers)
+            and self.evacuations.is_known
+        )
 
     @property
     def is_owner(self) -> bool:
@@ -126,9 +157,11 @@
 
     def tick(self) -> None:
         """Update the routing table and reconcile the owned zones."""
+        self.evacuation.tick()
         self.servers.update_demand()
         self.servers.remove_lapsed()
         self._update_table()
+        self._update_cold()
         for zone in list(self.owner.zones.values()):
             reconcile(zone)
         if self._announcement_requested:
@@ -175,6 +208,7 @@
                 table.add(last, outdated=True)
         self.table = table
         apply_peer_traffic(self.gateway.backends, traffic)
+        self.gateway.waiting.wake()
 
     def _announcement_times_s(self, now_s: float) -> list[float] | None:
         """Return when the announcements of all zones were received.
@@ -208,8 +242,20 @@
             ),
             successors=self.peers.successors(zone, self._loop.time()),
             other_owners=tuple(sorted(self.peers.live_owners(self._loop.time()))),
+            describe_cold=create_description(
+                self.gateway.cold, self.peers, state, self._loop.time()
+            )
+            if self._cold_limits.by_service()
+            else None,
         )
 
+    def _update_cold(self) -> None:
+        """Notice cold servers; without limits there are none."""
+        limits = self._cold_limits.by_service()
+        servers = self.table.servers.values() if limits else ()
+        count = self.gateway.cold.update(servers)
+        self.gateway.metrics.cold_servers.set({}, count)
+
     def _announce_unowned_zone(self, zone: str) -> ZoneAnnouncement:
         service = self.configuration.engine_service
         return create_announcement(
@@ -248,6 +294,7 @@
         self.gateway.crashes.remove_expired(now_s)
         listed = self.table.servers.keys() | self.servers.view.servers.keys()
         self._statements.retain(listed, now_s)
+        self.gateway.cold.retain(listed)
         for leader, until_s in list(self._stalled_leaders.items()):
             if until_s <= now_s:
                 del self._stalled_leaders[leader]
@@ -287,12 +334,15 @@
             traffic=self._reported_traffic,
             stalled_leaders=tuple(self._stalled_leaders),
             announcement=announcement,
+            evacuations=self.evacuation.told(),
         )
 
     def receive_gossip(self, gossip: Gossip) -> None:
         """Apply a message of a peer."""
+        self.gateway.cold.observe_clock()
         if gossip.traffic_seen:
             self.gateway.traffic_seen = True
+        self.evacuation.apply_peer(gossip.evacuations)
         self._statements.record_hints(gossip.leaving, self._loop.time())
         self.gateway.crashes.merge(gossip.crashes, gossip.harmless, self._loop.time())
         self._apply_crash_causes()
@@ -339,26 +389,50 @@
         for zone in self.owner.zones.values():
             probe_group(zone, leader)
 
-    def _create_gateway(self, adapter: PlatformAdapter) -> GatewayState:
+    def _create_gateway(
+        self, adapter: PlatformAdapter, metrics: GatewayMetrics
+    ) -> GatewayState:
+        hedging = self.settings.options.hedging
         return GatewayState(
             zone=self.settings.zone,
             header_names=adapter.header_names,
-            pool=ConnectionPool(adapter.header_names.request_id),
+            pool=ConnectionPool(
+                adapter.header_names.request_id, max_idle=self.max_connections // 2
+            ),
             statements=adapter.statements,
             decode_statement=adapter.decode_statement,
             on_leaving=lambda: self.gossip.send(urgent=True),
-            backends=Backends(self._on_stall),
-            memory=ResponseMemory(
-                int(self.settings.memory_bytes * RESPONSE_MEMORY_SHARE)
-            ),
-            metrics=GatewayMetrics(),
+            backends=Backends(self._on_stall, traffic_known=False),
+            memory=self.intake.held.responses,
+            metrics=metrics,
             configuration=lambda: self.configuration.current,
             servers=lambda: self.table.servers,
             groups=lambda: self.table.groups,
             create_budget=self._create_budget,
             on_crash=self._apply_crash_causes,
+            evacuations=self.evacuations,
+            node_count=lambda: 1 + len(self.peers.peers),
+            hedging=create_hedging(hedging.max_share, hedging.quantile),
+            cold=self._create_cold_servers(adapter.statements),
         )
 
+    def _create_cold_servers(self, statements: ServerStatements) -> ColdServers:
+        return ColdServers(
+            node=self.settings.node,
+            zone=self.settings.zone,
+            limit=lambda service: self._cold_limits.by_service().get(service),
+            stated=lambda server: statements.stated_cold(server, self._loop.time()),
+            traffic_seen=lambda: self.gateway.traffic_seen,
+            restored_s=self._restored_s,
+        )
+
+    def _restored_s(self, zone: str) -> float | None:
+        """Return when a zone was restored, on the clock that counts suspended time."""
+        ended_s = self.evacuations.restored_s(zone)
+        if ended_s is None:
+            return None
+        return boot_time_s() - (self._loop.time() - ended_s)
+
     def _create_owner(self) -> ZoneOwner:
         return ZoneOwner(
             settings=self.settings,
@@ -393,11 +467,17 @@
             term=term,
             view=self.servers.view,
             engines=GuardedEngines(
-                self._engines, lambda: zone.last_reconcile_s, self._is_paused
+                self._engines,
+                lambda: zone.last_reconcile_s,
+                self._is_paused,
+                lambda: self.evacuations.is_active(name),
             ),
             profile=lambda: self.configuration.profile,
             other_zone_groups=lambda: count_groups(self.table.groups, name),
             requests_in_flight=self._requests_by_model,
+            other_zone_groups=lambda: count_groups(
+                self.table.groups, {name, *self.evacuations.active_zones()}
+            ),
             traffic_seen=lambda: self.gateway.traffic_seen,
             on_change=self._request_announcement,
             on_superseded=lambda: self.owner.verify_lease(name),
@@ -405,6 +485,8 @@
             zone_count=len(self.settings.zones),
             statements=self._statements,
             traffic_progress_s=self.gateway.backends.latest_progress_s,
+            is_evacuated=lambda: self.evacuations.is_active(name),
+            acquired_s=self._loop.time(),
         )
         return zone
 
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -1,6 +1,6 @@
 """Routing table: the groups and servers that this node can send requests to."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from ..fleet.models import BackendServer, Group, ServedGroup
@@ -59,11 +59,13 @@
     is_leaving: Callable[[BackendServer], bool] = lambda server: server.leaving,
     successors: tuple[str, ...] = (),
     other_owners: tuple[str, ...] = (),
+    describe_cold: Callable[[BackendServer], BackendServer] | None = None,
 ) -> ZoneAnnouncement:
     """Return an announcement of a zone's open groups and plain servers.
 
     `traffic` returns the traffic to a server by its id, `is_leaving` whether it leaves,
-    by its record or its own words.
+    by its record or its own words. `describe_cold` returns a server with its cold time
+    and grant; None if the owner states none.
     """
     served = [
         group
@@ -76,6 +78,9 @@
         for server in view.servers.values()
         if server.zone == zone and server.service != grouped_service
     ]
+    if describe_cold is not None:
+        served = [replace(item, leader=describe_cold(item.leader)) for item in served]
+        plain = [describe_cold(server) for server in plain]
     ids = [group.leader.server_id for group in served]
     ids += [server.server_id for server in plain]
     all_traffic = {server_id: traffic(server_id) for server_id in ids}
@@ -87,6 +92,7 @@
         {key: item for key, item in all_traffic.items() if item.in_flight},
         successors,
         other_owners,
+        cold_known=describe_cold is not None,
     )
 
 
@@ -106,18 +112,19 @@
     leader = view.servers.get(group.leader)
     if leader is None or leader.zone != zone:
         return None
-    members = [view.servers.get(member) for member in group.members]
-    leaving = any(member is None or is_leaving(member) for member in members)
+    # The owner keeps a group while a member without a record answers probes.
+    members = [view.servers[name] for name in group.members if name in view.servers]
+    leaving = any(map(is_leaving, members))
     return ServedGroup(group.model, _with_leaving(leader, is_leaving), leaving)
 
 
 def count_groups(
-    groups: Sequence[ServedGroup], excluded_zone: str
+    groups: Sequence[ServedGroup], excluded_zones: Collection[str]
 ) -> dict[str, dict[str, int]]:
-    """Return the number of groups by zone and model, except for one zone."""
+    """Return the number of groups by zone and model, except for some zones."""
     counts: dict[str, dict[str, int]] = {}
     for group in groups:
-        if group.leader.zone == excluded_zone:
+        if group.leader.zone in excluded_zones:
             continue
         models = counts.setdefault(group.leader.zone, {})
         models[group.model] = models.get(group.model, 0) + 1
--- a/gooseberryhall/transport/pool.py
+++ b/gooseberryhall/transport/pool.py
@@ -17,6 +17,8 @@
     """Opens connections and keeps idle connections for reuse."""
 
     id_header: bytes
+    # Idle connections to all addresses together.
+    max_idle: int | None = None
     _idle: defaultdict[Address, list[ClientConnection]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -30,11 +32,13 @@
         new_connection: bool = False,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         may_send: Callable[[], bool] = lambda: True,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> ClientConnection:
         """Send an encoded request and return its connection.
 
         With `new_connection` no idle connection is reused. `may_send` is asked when the
-        connection is open. Raises `ConnectFailedError` if nothing was sent.
+        connection is open, `on_sent` is called when the request was written. Raises
+        `ConnectFailedError` if nothing was sent.
         """
         conn = None if new_connection else self._pop_idle(address)
         if conn is None:
@@ -42,7 +46,8 @@
         if not may_send():
             self.release(address, conn)
             raise SendWithheldError(f"{address} must get no request now")
-        conn.start(exchange, data)
+        if conn.start(exchange, data):
+            on_sent()
         return conn
 
     def release(self, address: Address, conn: ClientConnection) -> None:
@@ -52,8 +57,16 @@
         if not conn.can_reuse(now_s) or len(idle) >= MAX_IDLE_PER_ADDRESS:
             conn.close()
             return
+        if self.max_idle is not None and self.idle_count >= self.max_idle:
+            conn.close()
+            return
         idle.append(conn)
 
+    @property
+    def idle_count(self) -> int:
+        """Return the number of idle connections."""
+        return sum(map(len, self._idle.values()))
+
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for conn in self._idle.pop(address, []):
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -21,7 +21,11 @@
 from gooseberryhall.gateway.app import async_handle_request
 from gooseberryhall.gateway.backends import Backends
 from gooseberryhall.gateway.budget import RetryBudget
+from gooseberryhall.gateway.const import MIN_HEDGE_ANSWERS
 from gooseberryhall.gateway.header_names import HeaderNames
+from gooseberryhall.gateway.hedging import Hedging
+from gooseberryhall.gateway.held import NodeBudget, create_budget
+from gooseberryhall.gateway.intake import Intake
 from gooseberryhall.gateway.metrics import GatewayMetrics
 from gooseberryhall.gateway.state import GatewayState
 from gooseberryhall.node.listeners import Listener, async_listen
@@ -41,6 +45,8 @@
     last_event_id=b"last-event-id",
     key_scheme=b"Key ",
 )
+MEMORY_BYTES = 256_000_000
+MAX_CONNECTIONS = 1000
 MODEL = Model("large", 2, 1.0, 1.0, 16.0, 1.6)
 ENGINE = EngineProfile(4, (MODEL,), 0.3, 6)
 
@@ -177,6 +183,7 @@
     servers: dict[str, BackendServer]
     groups: list[ServedGroup]
     callers: Listener
+    held: NodeBudget
 
     def prefer(self, server_id: str) -> None:
         """Make one server look less loaded than the others."""
@@ -255,11 +262,45 @@
             create_budget=lambda: RetryBudget(0.2, 10, 10),
         )
         stack.callback(state.pool.close)
+        intake = Intake(
+            create_budget(MEMORY_BYTES),
+            state.metrics,
+            MEMORY_BYTES,
+            id_header=HEADER_NAMES.request_id,
+        )
         callers = await async_listen(
             stack,
             Address("127.0.0.1", 0),
             lambda conn, request: async_handle_request(state, conn, request),
-            Limits,
+            limits=Limits,
+            intake=intake,
+            max_connections=MAX_CONNECTIONS,
         )
         address = Address(*callers.server.sockets[0].getsockname()[:2])
-        yield Gateway(state, address, servers, groups, callers)
+        yield Gateway(state, address, servers, groups, callers, intake.held)
+
+
+@asynccontextmanager
+async def async_hedging_gateway(
+    used: Route, first: Script, second: Script
+) -> AsyncIterator[tuple[Gateway, ScriptedServer, ScriptedServer]]:
+    """Run a gateway that sends a second copy to the second server after 20 ms."""
+    servers = ScriptedServer("s1", first), ScriptedServer("s2", second)
+    grouped = used.targets[0].service == "engine"
+    plain, leaders = ((), servers) if grouped else (servers, ())
+    async with async_gateway((used,), plain, leaders) as gateway:
+        hedging = gateway.state.hedging = Hedging(1.0, 0.95)
+        now_s = asyncio.get_running_loop().time()
+        for _ in range(MIN_HEDGE_ANSWERS):
+            hedging.latencies["r"].record(0.02, now_s)
+        gateway.prefer("s1")
+        yield gateway, *servers
+
+
+def hedge_events(gateway: Gateway) -> list[float]:
+    """Return how many second copies were sent, won and were cancelled."""
+    values = gateway.state.metrics.hedges.values
+    return [
+        float(values.get({"route": "r", "event": name}, 0))
+        for name in ("sent", "won", "cancelled")
+    ]
