--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -473,7 +473,6 @@
                 lambda: self.evacuations.is_active(name),
             ),
             profile=lambda: self.configuration.profile,
-            other_zone_groups=lambda: count_groups(self.table.groups, name),
             requests_in_flight=self._requests_by_model,
             other_zone_groups=lambda: count_groups(
                 self.table.groups, {name, *self.evacuations.active_zones()}
