Count the last records of unlisted members when a group leaves

A member that said that it leaves and then removed its record was no longer counted as leaving while it answered probes: its group got new requests and was not replaced. A member without a record that had asked for a pause was probed, although the guard sends it nothing, and its group was dissolved as if the member had not answered.

The owner and the announcement now take the last record of a member that was removed lately, and a paused member is not probed.

The new cases of tests/fleet/test_controller.py (2) and tests/node/test_owner.py (1) failed before; both files pass.

--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -152,7 +152,8 @@
         return
     servers = zone.view.servers
     lapsed = [member for member in managed.group.members if member not in servers]
-    members = [servers[name] for name in managed.group.members if name in servers]
+    # A member that said that it leaves may remove its record before it stops.
+    members = zone.view.last_records(managed.group.members)
     leaves = managed.group.leader in lapsed or any(map(zone.is_leaving, members))
     if lapsed and now_s - managed.lapsed_probed_s >= GROUP_PROBE_PERIOD_S:
         managed.lapsed_probed_s = now_s
--- a/gooseberryhall/fleet/members.py
+++ b/gooseberryhall/fleet/members.py
@@ -143,7 +143,8 @@
     found = [zone.view.removed_server(member) for member in lapsed]
     try:
         for server in found:
-            if server is None:
+            # A server that asked for a pause is not asked, so it cannot answer.
+            if server is None or zone.is_paused(server):
                 continue
             report = await _async_fetch_report(zone, server)
             if report is None or not _is_member(report, server, managed.group):
@@ -165,13 +166,8 @@
 
 async def async_probe_members(zone: ZoneState, managed: ManagedGroup) -> None:
     """Mark the members of a stalled group as unresponsive if two probes fail."""
-    found = [
-        zone.view.servers.get(member) or zone.view.removed_server(member)
-        for member in managed.group.members
-    ]
-    members = [server for server in found if server is not None]
     async with asyncio.TaskGroup() as tasks:
-        for server in members:
+        for server in zone.view.last_records(managed.group.members):
             tasks.create_task(_async_probe_member(zone, server))
 
 
--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -161,6 +161,13 @@
         removed = self._removed.get(server_id)
         return removed[0] if removed else None
 
+    def last_records(self, server_ids: Iterable[str]) -> list[BackendServer]:
+        """Return the records of servers, also of those that were removed lately."""
+        found = [
+            self.servers.get(key) or self.removed_server(key) for key in server_ids
+        ]
+        return [server for server in found if server is not None]
+
     def apply_report(
         self,
         server_id: str,
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -113,8 +113,7 @@
     if leader is None or leader.zone != zone:
         return None
     # The owner keeps a group while a member without a record answers probes.
-    members = [view.servers[name] for name in group.members if name in view.servers]
-    leaving = any(map(is_leaving, members))
+    leaving = any(map(is_leaving, view.last_records(group.members)))
     return ServedGroup(group.model, _with_leaving(leader, is_leaving), leaving)
 
 
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -9,6 +9,7 @@
 from gooseberryhall.fleet.controller import probe_group, reconcile
 from gooseberryhall.fleet.lifecycle import dissolve_group
 from gooseberryhall.fleet.models import Group, Membership, MemberState
+from gooseberryhall.fleet.statements import ServerStatement
 from gooseberryhall.fleet.view import REPORT_PRECEDENCE_S
 from gooseberryhall.fleet.zone import ZoneState
 from tests.fleet.common import FakeEngines, FakeZone, server
@@ -157,6 +158,42 @@
     await zone.async_stop()
 
 
+async def test_group_is_replaced_if_a_leaving_member_is_unlisted() -> None:
+    """Guards against a member that leaves, removes its record and counts as staying."""
+    zone = _zone()
+    state = await _async_form_groups_with_spares(zone)
+    zone.traffic = True
+    large = _group_of(state, "large")
+    fake = zone.engines.servers[large.members[1]]
+    fake.record = replace(fake.record, leaving=True)
+    zone.list_servers()
+    reconcile(state)
+    zone.list_servers(large.members[1])
+    reconcile(state)
+    assert state.groups[large.name, large.epoch].leaving_since_s is not None
+    await zone.async_stop()
+
+
+async def test_paused_member_without_a_record_keeps_its_group() -> None:
+    """Guards against a member that is lost because it may not be asked."""
+    zone = _zone()
+    state = await _async_form_groups_with_spares(zone)
+    zone.traffic = True
+    large = _group_of(state, "large")
+    member = large.members[1]
+    record = state.view.servers[member]
+    now_s = asyncio.get_running_loop().time()
+    state.statements.record(record, ServerStatement(pause_s=30.0), now_s)
+    # The guard of the engine client sends no requests to a paused server.
+    zone.engines.servers[member].reachable = False
+    zone.list_servers(member)
+    for _ in range(20):
+        reconcile(state)
+        await asyncio.sleep(0.01)
+    assert large in state.open_groups()
+    await zone.async_stop()
+
+
 async def test_new_owner_keeps_complete_groups() -> None:
     """Guards against a change of owner that interrupts groups that serve."""
     zone = _zone(5)
--- a/tests/node/test_owner.py
+++ b/tests/node/test_owner.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from gooseberryhall.fleet.const import FIRST_ANNOUNCEMENT_S
 from gooseberryhall.fleet.models import Group, Membership, MemberState
 from gooseberryhall.fleet.view import FleetView
@@ -157,16 +159,22 @@
     assert announcement.sequence > crashes.sequence
 
 
-def test_group_whose_member_lost_its_record_takes_its_part_of_the_load() -> None:
+@pytest.mark.parametrize("leaving", [False, True])
+def test_group_whose_member_lost_its_record_takes_its_part_of_the_load(
+    leaving: bool,
+) -> None:
     """Guards against idle groups beside full ones when many records lapse.
 
     In a burst, 8 of 24 groups had 1 to 11 requests in flight and the others up to 36.
+    Also guards against load on a group whose member leaves and removed its record.
     """
     view = FleetView()
     members = ("h1", "h2")
     for rank, name in enumerate(members):
         membership = Membership("g", 1, rank, MemberState.OPEN)
         record = server(name, membership=membership, last_model="m")
+        if name == "h2":
+            record = replace(record, leaving=leaving)
         view.apply_record(record, 0.0)
     view.remove_server("h2", 1.0)
     announcement = create_zone_announcement(
@@ -178,4 +186,4 @@
         traffic=lambda _: ServerTraffic(0),
     )
     (group,) = announcement.groups
-    assert not group.leaving
+    assert group.leaving is leaving
