--- a/gooseberryhall/fleet/cold.py
+++ b/gooseberryhall/fleet/cold.py
@@ -23,10 +23,11 @@
 # A grant may be used later than its lifetime after it was issued, by the delay of the
 # datagram and a pause of the node that is too short to be noticed.
 GRANT_DELAY_S: Final = 1.0
-# Without a pause a node observes the clock more often than this.
-PAUSE_LIMIT_S: Final = 0.4
-# Datagrams that waited in the socket during a pause are read within this time.
-HOLD_AFTER_PAUSE_S: Final = 0.4
+# A longer time between two observations of the clock shows a pause of the process.
+CLOCK_GAP_LIMIT_S: Final = 0.4
+# Time after a pause in which grants are void: datagrams that waited in the socket may
+# be read then.
+GRANT_HOLD_S: Final = 0.4
 # Age of what a record or announcement states of a server: records are written every
 # 1.2 s, and the owner announces them up to 0.45 s later.
 STATE_LAG_S: Final = 1.7
--- a/gooseberryhall/gateway/cold.py
+++ b/gooseberryhall/gateway/cold.py
@@ -7,8 +7,8 @@
 
 from ..core.clock import now_s as boot_time_s
 from ..fleet.cold import (
-    HOLD_AFTER_PAUSE_S,
-    PAUSE_LIMIT_S,
+    CLOCK_GAP_LIMIT_S,
+    GRANT_HOLD_S,
     SLOTS_RETURN_S,
     ColdLimit,
     GrantLedger,
@@ -62,8 +62,11 @@
     def observe_clock(self) -> float:
         """Return the time; after a pause of this process, discard earlier grants."""
         now_s = self.clock()
-        if self._observed_s is not None and now_s - self._observed_s > PAUSE_LIMIT_S:
-            self._valid_from_s = now_s + HOLD_AFTER_PAUSE_S
+        if (
+            self._observed_s is not None
+            and now_s - self._observed_s > CLOCK_GAP_LIMIT_S
+        ):
+            self._valid_from_s = now_s + GRANT_HOLD_S
         self._observed_s = now_s
         return now_s
 
--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from gooseberryhall.fleet.cold import (
+    GRANT_HOLD_S,
     GRANT_TTL_S,
-    HOLD_AFTER_PAUSE_S,
     STATE_LAG_S,
     ColdLimit,
     GrantLedger,
@@ -268,7 +268,7 @@
     zone.toggle_freeze(0)
     assert not node.may_send(zone.views[0])
     for _ in range(2):
-        zone.advance(HOLD_AFTER_PAUSE_S / 2 + 0.01)
+        zone.advance(GRANT_HOLD_S / 2 + 0.01)
         assert not node.may_send(zone.views[0])
     zone.receive(0, zone.views[0])
     assert node.may_send(zone.views[0])
