Date stated cold times by the clock that counts suspended time

What a server stated in an answer was dated by the event loop, which stands still while the VM is suspended, and compared with records dated by the boot clock. After a suspension an old answer 'warm' counted as newer than a later record or announcement that the server is cold, so it got requests without a grant.

--- a/gooseberryhall/fleet/statements.py
+++ b/gooseberryhall/fleet/statements.py
@@ -1,9 +1,10 @@
 """What servers say of themselves in their answers, and which of them may get work."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
+from ..core.clock import now_s as boot_time_s
 from .cold import StatedCold
 from .models import BackendServer
 
@@ -44,6 +45,8 @@
     Incarnations are compared by their tag, which peers know, too.
     """
 
+    # Clock of cold times. It counts suspended time, as that of server records does.
+    clock: Callable[[], float] = boot_time_s
     # Tags of the incarnations that said that they leave.
     _leaving: dict[str, int] = field(default_factory=dict)
     # The same from peers, with the time until which the hint holds.
@@ -68,15 +71,17 @@
             changed = changed or earlier_s <= now_s
             self._paused_until_s[server.server_id] = max(until_s, earlier_s)
         if statement.cold_s is not None:
-            until_s = now_s + statement.cold_s
-            self._cold[server.server_id] = (server.incarnation_tag, until_s, now_s)
+            arrived_s = self.clock()
+            until_s = arrived_s + statement.cold_s
+            self._cold[server.server_id] = (server.incarnation_tag, until_s, arrived_s)
         return changed
 
-    def stated_cold(self, server: BackendServer, now_s: float) -> StatedCold | None:
+    def stated_cold(self, server: BackendServer) -> StatedCold | None:
         """Return what this incarnation of a server last said of its cold time."""
         stated = self._cold.get(server.server_id)
         if stated is None or stated[0] != server.incarnation_tag:
             return None
+        now_s = self.clock()
         return StatedCold(max(0.0, stated[1] - now_s), now_s - stated[2])
 
     def record_hints(self, leaving: dict[str, int], now_s: float) -> None:
@@ -138,8 +143,9 @@
         for server_id, paused_until_s in list(self._paused_until_s.items()):
             if paused_until_s + RETURN_S <= now_s:
                 del self._paused_until_s[server_id]
+        cold_now_s = self.clock()
         for server_id, (_, until_s, arrived_s) in list(self._cold.items()):
-            if max(until_s, arrived_s + STATED_LIFETIME_S) <= now_s:
+            if max(until_s, arrived_s + STATED_LIFETIME_S) <= cold_now_s:
                 del self._cold[server_id]
 
     def _said_leaving(self, server: BackendServer) -> bool:
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -416,7 +416,7 @@
             node=self.settings.node,
             zone=self.settings.zone,
             limit=lambda service: self._cold_limits.by_service().get(service),
-            stated=lambda server: statements.stated_cold(server, self._loop.time()),
+            stated=statements.stated_cold,
             traffic_seen=lambda: self.gateway.traffic_seen,
             restored_s=self._restored_s,
         )
--- a/tests/fleet/test_statements.py
+++ b/tests/fleet/test_statements.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from gooseberryhall.fleet.cold import StatedCold
 from gooseberryhall.fleet.statements import (
     HINT_LIFETIME_S,
     RETURN_S,
@@ -103,3 +104,17 @@
     statements.retain({"s0"}, 21.0 + UNLISTED_LIFETIME_S)
     assert statements.leaving().keys() == {"s0"}
     assert statements.may_send(server("s1"), 60.0)
+
+
+def test_stated_cold_time_ages_while_the_vm_is_suspended() -> None:
+    """Guards against an old answer that counts as newer than a later server record.
+
+    Records are dated by the clock that counts suspended time; an answer dated by the
+    event loop looked younger than a record that arrived after it.
+    """
+    boot_s = [100.0]
+    statements = ServerStatements(clock=lambda: boot_s[0])
+    statements.record(S1, ServerStatement(cold_s=0.0), 10.0)
+    # The VM is suspended, so the clock of the event loop stands still.
+    boot_s[0] += 5.0
+    assert statements.stated_cold(S1) == StatedCold(left_s=0.0, age_s=5.0)
--- a/tests/gateway/test_cold.py
+++ b/tests/gateway/test_cold.py
@@ -32,12 +32,11 @@
 def _limit_cold_servers(gateway: Gateway) -> None:
     """Let the gateway know the limits of cold servers."""
     state = gateway.state
-    loop = asyncio.get_running_loop()
     state.cold = ColdServers(
         "n1",
         "z",
         lambda _: _LIMIT,
-        lambda server: state.statements.stated_cold(server, loop.time()),
+        state.statements.stated_cold,
     )
 
 
