Move the selection of nodes for cold servers to a module of its own

No change of behaviour; tests/fleet, tests/gossip, tests/platform, tests/node/test_cold.py, tests/gateway/test_cold.py, tests/test_docs.py and tests/test_catalogue.py pass.

--- a/gooseberryhall/gateway/cold.py
+++ b/gooseberryhall/gateway/cold.py
@@ -11,12 +11,11 @@
     GRANT_HOLD_S,
     SLOTS_RETURN_S,
     ColdLimit,
-    GrantLedger,
     SendWindow,
     StatedCold,
     cold_left_s,
-    may_use_grant,
 )
+from ..fleet.grants import GrantLedger, may_use_grant
 from ..fleet.models import BackendServer, ColdGrant
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -11,12 +11,10 @@
     GRANT_TTL_S,
     STATE_LAG_S,
     ColdLimit,
-    GrantLedger,
     StatedCold,
-    choose_grant,
     cold_left_s,
-    rank,
 )
+from gooseberryhall.fleet.grants import GrantLedger, choose_grant, rank
 from gooseberryhall.fleet.models import BackendServer, ColdGrant
 from gooseberryhall.gateway.cold import ColdServers
 from tests.fleet.common import server
