--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -7,16 +7,14 @@
 from hypothesis import strategies as st
 
 from gooseberryhall.fleet.cold import (
+    GRANT_HOLD_S,
     GRANT_TTL_S,
-    HOLD_AFTER_PAUSE_S,
     STATE_LAG_S,
     ColdLimit,
-    GrantLedger,
     StatedCold,
-    choose_grant,
     cold_left_s,
-    rank,
 )
+from gooseberryhall.fleet.grants import GrantLedger, choose_grant, rank
 from gooseberryhall.fleet.models import BackendServer, ColdGrant
 from gooseberryhall.gateway.cold import ColdServers
 from tests.fleet.common import server
@@ -268,7 +266,7 @@
     zone.toggle_freeze(0)
     assert not node.may_send(zone.views[0])
     for _ in range(2):
-        zone.advance(HOLD_AFTER_PAUSE_S / 2 + 0.01)
+        zone.advance(GRANT_HOLD_S / 2 + 0.01)
         assert not node.may_send(zone.views[0])
     zone.receive(0, zone.views[0])
     assert node.may_send(zone.views[0])
