Try the servers of a zone if no other zone seems within reach

Two failed connections within 0.6 s made all groups of a deployment's only zone suspected, and requests were refused although sound groups were left. Settings with a negative evacuation limit or negative limits of cold servers are refused.

The new cases of tests/gateway/test_zone_failures.py and tests/platform/test_decoding.py failed before.

--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -158,9 +158,13 @@
 
     def _is_suspected(self, server: BackendServer, now_s: float) -> bool:
         """Return whether a server, or all servers of its zone, seem out of reach."""
-        return self.backends.is_suspected(
-            server.server_id, now_s
-        ) or self.zone_failures.is_suspected(server.zone, now_s)
+        if self.backends.is_suspected(server.server_id, now_s):
+            return True
+        if not self.zone_failures.is_suspected(server.zone, now_s):
+            return False
+        # If no zone seems within reach, the servers are tried one by one.
+        zones = {other.zone for other in self.servers().values()}
+        return not all(self.zone_failures.is_suspected(zone, now_s) for zone in zones)
 
     def candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
         """Return the groups or plain servers to which the request may be sent."""
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -4,7 +4,7 @@
 import resource
 import sys
 from pathlib import Path
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
@@ -21,6 +21,9 @@
 METRICS_PORT: Final = 9464
 
 
+_NotNegative = Annotated[float, msgspec.Meta(ge=0.0)]
+
+
 class _Listen(msgspec.Struct):
     # Address for requests of callers.
     frontend: str
@@ -38,11 +41,11 @@
     retry_budget_slack: float = 130.0
     # Time after which an evacuated zone must get no requests; 0 if zones are not
     # evacuated.
-    evacuation_ms: float = 0.0
+    evacuation_ms: _NotNegative = 0.0
     # A cold server must not get more requests in a second than its rate times the
     # factor, plus the constant.
-    cold_overrun: float = 1.0
-    cold_slack: float = 0.0
+    cold_overrun: _NotNegative = 1.0
+    cold_slack: _NotNegative = 0.0
 
 
 class _Limits(msgspec.Struct):
--- a/tests/gateway/test_zone_failures.py
+++ b/tests/gateway/test_zone_failures.py
@@ -62,3 +62,20 @@
             gateway.groups.append(ServedGroup("large", lost))
         responses = [await gateway.async_request() for _ in range(3)]
     assert all(response.startswith(b"HTTP/1.1 200") for response in responses)
+
+
+async def test_server_of_the_only_zone_is_tried_after_failures_of_others() -> None:
+    """Guards against sound groups that are refused as no zone seems within reach."""
+
+    async def async_script(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(stream_head(request) + chunk(event(1)) + chunk(b""))
+
+    alive = ScriptedServer("alive", async_script)
+    async with async_gateway((stream_route(),), leaders=(alive,)) as gateway:
+        now_s = asyncio.get_running_loop().time()
+        for server_id in ("s1", "s2"):
+            gateway.state.zone_failures.record_failure("z", server_id, now_s)
+        response = await gateway.async_request()
+    assert response.startswith(b"HTTP/1.1 200")
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -110,6 +110,10 @@
     monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
     with pytest.raises(PlatformSettingsError, match="zones"):
         load_settings()
+    bounds = {**SETTINGS["bounds"], "evacuation_ms": -1}
+    path.write_text(json.dumps({**SETTINGS, "bounds": bounds}))
+    with pytest.raises(PlatformSettingsError, match="evacuation_ms"):
+        load_settings()
     path.write_bytes(add_nested_field(SETTINGS))
     with pytest.raises(PlatformSettingsError, match="recursion"):
         load_settings()
