Ignore numbers of many digits in callers' headers

A deadline of hundreds of digits, or a token count of thousands, raised an exception, which was answered with 500 and a logged traceback. Such values now count as malformed. The three decoders of numbers share one function.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -15,6 +15,7 @@
 )
 from .context import RequestContext, choose_service
 from .crashes import request_fingerprint
+from .header_values import decode_number
 from .models import CallerRequest, GatewayResponse
 from .plain import async_forward_plain
 from .prompt import declared_tokens, shared_prompt_parts
@@ -233,7 +234,5 @@
 
 
 def _caller_timeout_s(state: GatewayState, request: CallerRequest) -> float:
-    value = request.get(state.header_names.deadline_ms)
-    if value is None or not value.isdigit():
-        return DEFAULT_DEADLINE_S
-    return int(value) / _MS_PER_S
+    deadline_ms = decode_number(request.get(state.header_names.deadline_ms))
+    return DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / _MS_PER_S
--- a/gooseberryhall/gateway/incoming.py
+++ b/gooseberryhall/gateway/incoming.py
@@ -3,12 +3,12 @@
 from dataclasses import dataclass, field
 
 from ..transport.exchange import Headers
+from .header_values import decode_number
 from .held import request_bytes
 from .models import CallerRequest
 
 _HEADER_OVERHEAD_BYTES = 4
 _MS_PER_S = 1000
-_MAX_DIGITS = 12
 
 
 @dataclass(slots=True)
@@ -49,10 +49,8 @@
         A caller that sends slowly has until its own deadline, if that is later than the
         idle timeout.
         """
-        value = self.get(deadline_header) or b""
-        is_number = value.isdigit() and len(value) <= _MAX_DIGITS
-        deadline_s = int(value) / _MS_PER_S if is_number else 0.0
-        return max(idle_timeout_s, min(deadline_s, max_s))
+        deadline_ms = decode_number(self.get(deadline_header)) or 0
+        return max(idle_timeout_s, min(deadline_ms / _MS_PER_S, max_s))
 
     def held_bytes(self, unparsed_bytes: int) -> int:
         """Return the memory that the request takes.
--- a/gooseberryhall/gateway/prompt.py
+++ b/gooseberryhall/gateway/prompt.py
@@ -1,6 +1,7 @@
 """Size and parts of the prompt that a request declares."""
 
 from .const import MAX_DECLARED_TOKENS, MAX_PROMPT_PARTS
+from .header_values import decode_number
 
 
 def shared_prompt_parts(value: bytes | None) -> tuple[str, ...]:
@@ -22,10 +23,13 @@
     `count` holds `PROMPT,MAX_OUTPUT`, `hint` the caller's estimate of the output. None
     if the count is absent or malformed.
     """
-    prompt, _, maximum = (count or b"").partition(b",")
-    if not prompt.strip().isdigit() or not maximum.strip().isdigit():
+    prompt_value, _, maximum_value = (count or b"").partition(b",")
+    prompt = decode_number(prompt_value)
+    maximum = decode_number(maximum_value)
+    if prompt is None or maximum is None:
         return None
-    output = min(int(maximum), MAX_DECLARED_TOKENS)
-    if hint is not None and hint.strip().isdigit():
-        output = min(output, int(hint))
-    return min(int(prompt), MAX_DECLARED_TOKENS), output
+    output = min(maximum, MAX_DECLARED_TOKENS)
+    estimate = decode_number(hint)
+    if estimate is not None:
+        output = min(output, estimate)
+    return min(prompt, MAX_DECLARED_TOKENS), output
--- a/tests/gateway/common.py
+++ b/tests/gateway/common.py
@@ -44,6 +44,7 @@
     prompt_parts=b"x-prompt",
     last_event_id=b"last-event-id",
     key_scheme=b"Key ",
+    token_count=b"x-tokens",
 )
 MEMORY_BYTES = 256_000_000
 MAX_CONNECTIONS = 1000
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -55,6 +55,16 @@
     assert server.requests[-1].headers["x-priority"] == expected
 
 
+@pytest.mark.parametrize("digits", [400, 5000])
+@pytest.mark.parametrize("header", ["x-deadline: {}", "x-tokens: 1,{}"])
+async def test_number_with_many_digits_is_ignored(header: str, digits: int) -> None:
+    """Guards against a fault of the program when a header holds a huge number."""
+    server = ScriptedServer("s1", _async_ok)
+    async with async_gateway((route(),), (server,)) as gateway:
+        response = await gateway.async_request(header.format("9" * digits) + "\r\n")
+    assert response.startswith(b"HTTP/1.1 200")
+
+
 async def test_resumed_stream_is_not_late() -> None:
     """Guards against a broken stream that waits behind requests without events."""
 
