Answer 502 to a stream that a server may have run

A 503 states that the request has not run. A stream of an idempotent route whose servers broke off before the first event, or timed out, got one. It now gets 502, as plain requests and requests of a stopped node do.

tests/gateway, tests/admission, tests/limits, tests/transport pass; the new test fails without the change.

--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -178,10 +178,10 @@
 ) -> GatewayResponse:
     if outcome is _Outcome.TIMED_OUT:
         return timeout_response()
-    if ctx.ran_on and not ctx.route.idempotent:
-        return outcome_unknown_response("the server broke off")
     if state.crashes.is_blocked(ctx.traits):
-        return crashing_request_response(may_have_run=ctx.breaks > 0)
+        return crashing_request_response(may_have_run=bool(ctx.ran_on or ctx.breaks))
+    if ctx.ran_on or ctx.breaks:
+        return outcome_unknown_response("the server broke off")
     return unserved_response(state, ctx)
 
 
--- a/tests/gateway/test_stream.py
+++ b/tests/gateway/test_stream.py
@@ -97,6 +97,26 @@
     assert leaders[1].requests == []
 
 
+async def test_stream_that_may_have_run_is_not_refused() -> None:
+    """Guards against a 503, which says that a request has not run, after it was sent.
+
+    The only group breaks off before its first event.
+    """
+
+    async def async_break(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(stream_head(request))
+        await writer.drain()
+        writer.transport.abort()
+
+    leader = ScriptedServer("h1", async_break)
+    async with async_gateway((stream_route(),), leaders=(leader,)) as gateway:
+        response = await gateway.async_request("x-model: large\r\n")
+    assert len(leader.requests) == 1
+    assert response.startswith(b"HTTP/1.1 502")
+
+
 @asynccontextmanager
 async def _stall_checks(gateway: Gateway) -> AsyncIterator[None]:
     """Check for stalled groups as the node program does."""
