Count only declared deadlines for the time already spent

One request without a deadline header raised the longest deadline of its route to the route's timeout, so that all requests with shorter deadlines counted as late from then on.

tests/gateway and tests/admission pass; the new test fails without the change.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -188,7 +188,9 @@
     service = choose_service(route, state.rng)
     team_name = team.name if team else ""
     timeout_s = min(_caller_timeout_s(state, request), route.timeout_s)
-    spent_s = state.observed.spent_s(route.name, route.timeout_s, timeout_s)
+    spent_s = 0.0
+    if _declared_timeout_s(state, request) is not None:
+        spent_s = state.observed.spent_s(route.name, route.timeout_s, timeout_s)
     return RequestContext(
         request=request,
         request_id=request_id,
@@ -234,5 +236,11 @@
 
 
 def _caller_timeout_s(state: GatewayState, request: CallerRequest) -> float:
+    timeout_s = _declared_timeout_s(state, request)
+    return DEFAULT_DEADLINE_S if timeout_s is None else timeout_s
+
+
+def _declared_timeout_s(state: GatewayState, request: CallerRequest) -> float | None:
+    """Return how long the caller says that it waits; None if it does not say it."""
     deadline_ms = decode_number(request.get(state.header_names.deadline_ms))
-    return DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / _MS_PER_S
+    return None if deadline_ms is None else deadline_ms / _MS_PER_S
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -55,6 +55,18 @@
     assert server.requests[-1].headers["x-priority"] == expected
 
 
+async def test_request_without_a_deadline_does_not_make_others_late() -> None:
+    """Guards against callers with deadlines that count as late ever after.
+
+    The time already spent follows from the longest deadline that callers declared.
+    """
+    server = ScriptedServer("s1", _async_ok)
+    async with async_gateway((route(),), (server,)) as gateway:
+        await gateway.async_request()
+        await gateway.async_request("x-deadline: 700\r\n")
+    assert server.requests[-1].headers["x-priority"] == "2"
+
+
 @pytest.mark.parametrize("digits", [400, 5000])
 @pytest.mark.parametrize("header", ["x-deadline: {}", "x-tokens: 1,{}"])
 async def test_number_with_many_digits_is_ignored(header: str, digits: int) -> None:
