Send no second copies to a zone while its load is shifted

The servers of a zone that is evacuated were possible servers of a second copy until the zone was cut off.

tests/gateway pass; the extended test fails without the change.

--- a/gooseberryhall/gateway/hedging.py
+++ b/gooseberryhall/gateway/hedging.py
@@ -225,6 +225,7 @@
         if not candidate.suspected
         and not candidate.leaving
         and not candidate.cold
+        and candidate.zone_share >= 1
         and candidate.in_flight < candidate.slots
     ]
 
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -127,13 +127,14 @@
 
 
 def test_servers_without_a_free_slot_get_no_copy() -> None:
-    """Guards against a copy that waits behind other requests."""
+    """Guards against a copy that waits, or that goes to a zone that is evacuated."""
     free = Candidate("free", 3, 4, True)
     others = [
         Candidate("full", 4, 4, True),
         Candidate("suspected", 0, 4, True, suspected=True),
         Candidate("leaving", 0, 4, True, leaving=True),
         Candidate("cold", 0, 4, True, cold=True),
+        Candidate("evacuated", 0, 4, True, zone_share=0.5),
     ]
     assert free_candidates([*others, free]) == [free]
 
