Plan second copies by the objective from the first attempt

The objective of a repeated request counted from its arrival at this node, unlike everywhere else, so the copy was planned too late to be in time.

tests/gateway pass; the new test fails without the change.

--- a/gooseberryhall/gateway/second_copy.py
+++ b/gooseberryhall/gateway/second_copy.py
@@ -109,7 +109,7 @@
     now_s = asyncio.get_running_loop().time()
     timing = HedgeTiming(
         started_s=now_s,
-        objective_s=ctx.request.received_s + ctx.route.latency_objective_s,
+        objective_s=ctx.objective_s,
         deadline_s=ctx.deadline_s,
     )
     estimate = hedging.latencies[ctx.route.name].estimate(hedging.quantile, now_s)
--- a/tests/gateway/test_second_copies.py
+++ b/tests/gateway/test_second_copies.py
@@ -7,14 +7,19 @@
 import pytest
 
 from gooseberryhall.fleet.models import Route
+from gooseberryhall.gateway.app import route_request
 from gooseberryhall.gateway.budget import RetryBudget
+from gooseberryhall.gateway.context import RequestContext
 from gooseberryhall.gateway.crashes import request_fingerprint
 from gooseberryhall.gateway.hedging import Hedging
+from gooseberryhall.gateway.models import CallerRequest
+from gooseberryhall.gateway.second_copy import HedgedRequest, plan_copy
 from gooseberryhall.gateway.stopping import StopSchedule
 from tests.gateway.common import (
     Gateway,
     ReceivedRequest,
     Script,
+    async_gateway,
     async_hedging_gateway,
     async_until,
     encode_response,
@@ -273,3 +278,17 @@
         assert len(first.requests) == 1
         assert not other.requests
         assert gateway.state.metrics.hedges_withheld.values.store == {}
+
+
+async def test_objective_counts_from_the_first_attempt() -> None:
+    """Guards against a copy of a repeated request that is planned too late."""
+    async with async_gateway((route(),)) as gateway:
+        state = gateway.state
+        state.observed.spent_s("r", 1.0, 1.0)
+        headers = [(b"host", b"example"), (b"x-id", b"1")]
+        headers += [(b"authorization", b"Key secret"), (b"x-deadline", b"900")]
+        request = CallerRequest(b"GET", b"/a/1", headers, b"", False, 100.0)
+        ctx = route_request(state, state.configuration(), request)
+        assert isinstance(ctx, RequestContext)
+        timing, _ = plan_copy(HedgedRequest(state, Hedging(0.1, 0.95), ctx))
+    assert timing.objective_s == pytest.approx(100.1)
