Remove unused code from the request path and shorten its terms

HeldBytes.size had no caller, and the search for an answer among the results of several copies could not find one, as an answer ends them. The type of kinds was written out twice. Behaviour is unchanged.

tests/gateway, tests/admission, tests/limits, tests/transport pass.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -17,6 +17,7 @@
 from .crashes import request_fingerprint
 from .header_values import decode_number
 from .models import CallerRequest, GatewayResponse
+from .observed import Kind
 from .plain import async_forward_plain
 from .prompt import declared_tokens, shared_prompt_parts
 from .refusals import (
@@ -212,9 +213,7 @@
     )
 
 
-def _kind(
-    cfg: Configuration, service: str, model: str | None
-) -> tuple[str, str | None]:
+def _kind(cfg: Configuration, service: str, model: str | None) -> Kind:
     """Return the service and the model if it is configured.
 
     State is kept by kind, so a caller must not be able to name many of them.
--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -12,6 +12,7 @@
 from .const import LATE_PRIORITY_STEP, MAX_PRIORITY
 from .header_names import HeaderNames
 from .models import CallerRequest
+from .observed import Kind
 
 _MS_PER_S = 1000
 
@@ -41,9 +42,8 @@
     breaks: int = 0
     # Event loop time until which an answer is in time.
     objective_s: float = math.inf
-    # Service and model, as far as these are configured; requests of a kind compete for
-    # the same servers.
-    kind: tuple[str, str | None] = ("", None)
+    # Requests of a kind compete for the same servers.
+    kind: Kind = ("", None)
     # Place among the waiting requests of this node, if it has waited.
     place: Place | None = None
     wait_end: WaitEnd | None = None
@@ -51,7 +51,6 @@
     expected_wait_s: float = 0.0
     # Tokens of the prompt, and expected tokens of the answer; None if not declared.
     tokens: tuple[int, int] | None = None
-
     # Servers that did not get the request because they are cold.
     withheld_servers: set[str] = field(default_factory=set)
 
--- a/gooseberryhall/gateway/held.py
+++ b/gooseberryhall/gateway/held.py
@@ -91,7 +91,7 @@
         self.make_room()
 
     def remove_connection(self) -> None:
-        """Stop to count a connection."""
+        """Stop counting a connection."""
         self.connections -= 1
 
     def make_room(self) -> None:
--- a/gooseberryhall/gateway/observed.py
+++ b/gooseberryhall/gateway/observed.py
@@ -5,7 +5,8 @@
 
 from ..admission.estimate import UNKNOWN_TIMES, SlotTimes, update_low, update_mean
 
-# A service and a model; plain services have no model.
+# A service and a model of the configuration; None for plain services, and for models
+# that are not configured.
 Kind = tuple[str, str | None]
 
 
--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """The server for a request, or when it is worth another look."""
+    """The server for a request, or the time after which to choose again."""
 
     candidate: Candidate | None = None
     # Time until this node may use a place of a server that has one; None if it is
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -101,11 +101,13 @@
 
 
 def _final_result(results: Sequence[AttemptResult]) -> AttemptResult:
-    """Return an answer, or else the first failure; one of a server goes first."""
-    answers = [result for result in results if _is_answer(result)]
+    """Return the first response of a server, or else the first failure.
+
+    An answer is the only result; see `async_run_copies`.
+    """
     responses = [result for result in results if isinstance(result, tuple)]
     failures = [result for result in results if result is not None]
-    return next(iter((*answers, *responses, *failures)), None)
+    return next(iter((*responses, *failures)), None)
 
 
 async def _async_attempt(
--- a/gooseberryhall/gateway/waiting_pool.py
+++ b/gooseberryhall/gateway/waiting_pool.py
@@ -55,13 +55,13 @@
             key=lambda item: order_key(item.place, now_s),
         )
 
-    def start_timer(self, delay_s: float, look: Callable[[], None]) -> None:
-        """Look at the places after a time, and no earlier."""
+    def start_timer(self, delay_s: float, on_expiry: Callable[[], None]) -> None:
+        """Start the timer of the next place, instead of the one that runs."""
         self.cancel_timer()
-        self.timer = asyncio.get_running_loop().call_later(delay_s, look)
+        self.timer = asyncio.get_running_loop().call_later(delay_s, on_expiry)
 
     def cancel_timer(self) -> None:
-        """Cancel the next look at the places."""
+        """Cancel the timer of the next place, if it runs."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/gooseberryhall/transport/exchange.py
+++ b/gooseberryhall/transport/exchange.py
@@ -136,7 +136,7 @@
         self._chunks.clear()
 
     def release(self) -> None:
-        """Stop to count the response in the memory of responses."""
+        """Stop counting the response in the memory of responses."""
         if self.memory is not None:
             self.memory.release(self)
 
--- a/gooseberryhall/transport/memory.py
+++ b/gooseberryhall/transport/memory.py
@@ -45,7 +45,7 @@
         self.on_hold()
 
     def release(self, holder: Holder, size: int | None = None) -> None:
-        """Stop to count bytes of a holder, or all of them."""
+        """Stop counting `size` bytes of a holder, or all of them."""
         held = self._held.pop(holder, 0)
         released = held if size is None else min(size, held)
         self.held_bytes -= released
@@ -60,10 +60,6 @@
         elif change < 0:
             self.release(holder, -change)
 
-    def size(self, holder: Holder) -> int:
-        """Return the bytes that are counted for a holder."""
-        return self._held.get(holder, 0)
-
     def give_up_largest(self, more_than_bytes: int = 0) -> bool:
         """Give up the largest incomplete holder above a size, if there is one."""
         incomplete = [
