Refuse requests for models that are not configured at once

They waited for a group that could not come, in the pool of the requests without a model, whose turn they delayed.

tests/gateway and tests/admission pass; the new test fails without the change.

--- a/gooseberryhall/gateway/choosing.py
+++ b/gooseberryhall/gateway/choosing.py
@@ -55,11 +55,18 @@
                 for item in candidates
             ]
             return Outlook(usable=True, wait_s=min(waits_s))
-        if ctx.excluded_servers and not self.state.is_grouped(ctx.service):
+        if self._is_unservable(ctx):
             return Outlook(usable=False, wait_s=math.inf)
         pause_s = self.state.soonest_return_s(ctx, now_s)
         return Outlook(usable=False, wait_s=pause_s or 0.0)
 
+    def _is_unservable(self, ctx: RequestContext) -> bool:
+        """Return whether waiting is in vain for a request without candidates."""
+        if self.state.is_grouped(ctx.service):
+            # The model is not configured, so no group will serve it.
+            return ctx.model is not None and ctx.kind[1] is None
+        return bool(ctx.excluded_servers)
+
     def expected_times(self, ctx: RequestContext) -> SlotTimes:
         """Return the expected times of a request."""
         return self.state.expected_times(ctx)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gooseberryhall.admission.decision import WaitEnd
 from gooseberryhall.gateway.app import route_request
 from gooseberryhall.gateway.context import RequestContext
 from gooseberryhall.gateway.models import CallerRequest
@@ -189,6 +190,21 @@
         assert [item.in_flight for item in state.candidates(ctx, 0.0)] == [0]
 
 
+async def test_request_for_a_model_that_is_not_configured_does_not_wait() -> None:
+    """Guards against callers of unknown models that take the places of others."""
+    leader = ScriptedServer("a", _async_stream)
+    async with async_gateway((stream_route(),), (), (leader,)) as gateway:
+        state = gateway.state
+        now_s = asyncio.get_running_loop().time()
+        headers = [(b"host", b"example"), (b"x-id", b"1"), (b"x-model", b"other")]
+        headers.append((b"authorization", b"Key secret"))
+        request = CallerRequest(b"GET", b"/a/1", headers, b"", False, now_s)
+        ctx = route_request(state, state.configuration(), request)
+        assert isinstance(ctx, RequestContext)
+        assert await state.waiting.async_choose(ctx) is None
+    assert ctx.wait_end is WaitEnd.UNSERVABLE
+
+
 async def test_slots_go_to_streams_that_can_be_in_time() -> None:
     """Guards against late streams that take the slots of those in time.
 
