Move the recording of results out of the module that sends

Behaviour is unchanged; the logger of request events keeps its name.

tests/gateway, tests/admission and tests/cli/test_request_chain.py pass.

--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -13,6 +13,14 @@
 from .const import MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .models import GatewayResponse
+from .recording import (
+    record_complete,
+    record_crash,
+    record_first_event,
+    record_rejection,
+    record_success,
+    record_unsent,
+)
 from .refusals import outcome_unknown_response, timeout_response
 from .refusing import unserved_response
 from .second_copy import HedgedRequest, async_run_copies, may_hedge
@@ -24,12 +32,6 @@
     is_server_failure,
     is_success,
     log_request,
-    record_complete,
-    record_crash,
-    record_first_event,
-    record_rejection,
-    record_success,
-    record_unsent,
 )
 from .state import GatewayState
 
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -1,4 +1,7 @@
-"""Sends a request to one server and classifies its response."""
+"""Sends a request to one server and classifies its response.
+
+The results of attempts are recorded in `recording`.
+"""
 
 import asyncio
 import logging
@@ -14,7 +17,6 @@
 from ..transport.exceptions import (
     ConnectFailedError,
     SendWithheldError,
-    TransportError,
 )
 from ..transport.exchange import Exchange, ResponseHead
 from .backends import Attempt
@@ -24,7 +26,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_HTTP_MISDIRECTED_REQUEST = 421
+HTTP_MISDIRECTED_REQUEST = 421
 _HTTP_SERVER_ERROR = 500
 _HTTP_SUCCESS = range(200, 300)
 _MAX_LOGGED_BYTES = 40
@@ -68,9 +70,7 @@
 
     def on_head(head: ResponseHead) -> None:
         nonlocal rejected
-        rejected = (
-            is_rejection(state, head) and head.status != _HTTP_MISDIRECTED_REQUEST
-        )
+        rejected = is_rejection(state, head) and head.status != HTTP_MISDIRECTED_REQUEST
         record_progress()
         _record_statement(state, ctx, server, head)
         if state.hedging is not None and is_full(state, head):
@@ -147,7 +147,7 @@
 ) -> None:
     """Record what a server says of itself in an answer to a request."""
     # An answer of another server at this address says nothing about this one.
-    if head.status == _HTTP_MISDIRECTED_REQUEST:
+    if head.status == HTTP_MISDIRECTED_REQUEST:
         return
     statement = state.decode_statement(head)
     for value in statement.unusable:
@@ -190,14 +190,14 @@
 def is_rejection(state: GatewayState, head: ResponseHead) -> bool:
     """Return whether the server rejected the request without running it."""
     return (
-        head.status == _HTTP_MISDIRECTED_REQUEST
+        head.status == HTTP_MISDIRECTED_REQUEST
         or head.get(state.header_names.not_run) is not None
     )
 
 
 def is_full(state: GatewayState, head: ResponseHead) -> bool:
     """Return whether the server rejected the request because of its load."""
-    return head.status != _HTTP_MISDIRECTED_REQUEST and is_rejection(state, head)
+    return head.status != HTTP_MISDIRECTED_REQUEST and is_rejection(state, head)
 
 
 def is_success(state: GatewayState, head: ResponseHead) -> bool:
@@ -213,96 +213,6 @@
     return head.status >= _HTTP_SERVER_ERROR
 
 
-def record_crash(state: GatewayState, ctx: RequestContext, server_id: str) -> None:
-    """Record that a server broke off while it ran the request."""
-    now_s = asyncio.get_running_loop().time()
-    state.crashes.record_crash(ctx.fingerprint, server_id, now_s, ctx.prompt_parts)
-    state.on_crash()
-
-
-def record_unsent(ctx: RequestContext, server_id: str, exc: ConnectFailedError) -> None:
-    """Record that nothing was sent to a server."""
-    ctx.rejections += 1
-    log_request(LogEvent.SEND_FAILED, str(exc), ctx, server=server_id, ran="no")
-
-
-def record_rejection(ctx: RequestContext, server_id: str, head: ResponseHead) -> None:
-    """Record that a server did not run the request.
-
-    A server that was full may get it later, when one of its requests has ended.
-    """
-    ctx.rejections += 1
-    if head.status != _HTTP_MISDIRECTED_REQUEST:
-        ctx.excluded_servers.discard(server_id)
-    log_request(
-        LogEvent.REQUEST_REJECTED,
-        "server did not run the request",
-        ctx,
-        server=server_id,
-        status=head.status,
-    )
-
-
-def record_break(
-    state: GatewayState,
-    ctx: RequestContext,
-    server_id: str,
-    exc: TransportError,
-    *,
-    is_crash: bool,
-    **fields: Any,
-) -> None:
-    """Record that a server did not complete the request.
-
-    `is_crash` tells whether the request may have crashed the server.
-    """
-    loop = asyncio.get_running_loop()
-    state.backends.record_result(server_id, failed=True)
-    ctx.breaks += 1
-    if is_crash:
-        record_crash(state, ctx, server_id)
-    elif state.crashes.is_blocked(ctx.traits):
-        state.crashes.record_abandoned(
-            ctx.fingerprint, server_id, loop.time(), ctx.prompt_parts
-        )
-    log_request(
-        LogEvent.SEND_FAILED,
-        str(exc),
-        ctx,
-        server=server_id,
-        parts=ctx.prompt_parts,
-        crashed=state.crashes.crashed_servers(ctx.fingerprint),
-        **fields,
-    )
-    state.metrics.retries.inc({"cause": "broken"})
-
-
-def record_success(state: GatewayState, ctx: RequestContext) -> None:
-    """Record that a server completed the request, so that it is harmless."""
-    now_s = asyncio.get_running_loop().time()
-    state.crashes.record_success(ctx.fingerprint, now_s, ctx.prompt_parts)
-
-
-def record_first_event(
-    state: GatewayState, ctx: RequestContext, sent: SentRequest
-) -> None:
-    """Record how long a server took for the first event or a complete answer."""
-    if sent.unqueued and ctx.sends == 1:
-        took_s = asyncio.get_running_loop().time() - sent.sent_s
-        profile = state.profile_times(ctx)
-        state.observed.record_first_event(ctx.kind, profile, took_s)
-
-
-def record_complete(
-    state: GatewayState, ctx: RequestContext, sent: SentRequest
-) -> None:
-    """Record for how long a request took a slot of a server."""
-    if sent.unqueued and ctx.sends == 1:
-        took_s = asyncio.get_running_loop().time() - sent.sent_s
-        profile = state.profile_times(ctx)
-        state.observed.record_complete(ctx.kind, profile, took_s)
-
-
 def log_request(
     event: LogEvent, message: str, ctx: RequestContext, **fields: Any
 ) -> None:
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -19,6 +19,14 @@
 from .context import RequestContext
 from .events import EventSplitter
 from .models import GatewayResponse
+from .recording import (
+    record_break,
+    record_complete,
+    record_first_event,
+    record_rejection,
+    record_success,
+    record_unsent,
+)
 from .refusals import (
     crashing_request_response,
     outcome_unknown_response,
@@ -34,12 +42,6 @@
     is_rejection,
     is_success,
     log_request,
-    record_break,
-    record_complete,
-    record_first_event,
-    record_rejection,
-    record_success,
-    record_unsent,
 )
 from .state import GatewayState
 from .takeover import (
--- a/gooseberryhall/gateway/takeover.py
+++ b/gooseberryhall/gateway/takeover.py
@@ -21,15 +21,17 @@
 from .const import MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .events import EventSplitter
+from .recording import (
+    record_break,
+    record_rejection,
+    record_unsent,
+)
 from .sending import (
     SentRequest,
     async_send,
     is_rejection,
     is_success,
     log_request,
-    record_break,
-    record_rejection,
-    record_unsent,
 )
 from .state import GatewayState
 
