--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -15,7 +15,9 @@
 )
 from .context import RequestContext, choose_service
 from .crashes import request_fingerprint
+from .header_values import decode_number
 from .models import CallerRequest, GatewayResponse
+from .observed import Kind
 from .plain import async_forward_plain
 from .prompt import declared_tokens, shared_prompt_parts
 from .refusals import (
@@ -187,7 +189,9 @@
     service = choose_service(route, state.rng)
     team_name = team.name if team else ""
     timeout_s = min(_caller_timeout_s(state, request), route.timeout_s)
-    spent_s = state.observed.spent_s(route.name, route.timeout_s, timeout_s)
+    spent_s = 0.0
+    if _declared_timeout_s(state, request) is not None:
+        spent_s = state.observed.spent_s(route.name, route.timeout_s, timeout_s)
     return RequestContext(
         request=request,
         request_id=request_id,
@@ -209,9 +213,7 @@
     )
 
 
-def _kind(
-    cfg: Configuration, service: str, model: str | None
-) -> tuple[str, str | None]:
+def _kind(cfg: Configuration, service: str, model: str | None) -> Kind:
     """Return the service and the model if it is configured.
 
     State is kept by kind, so a caller must not be able to name many of them.
@@ -233,7 +235,11 @@
 
 
 def _caller_timeout_s(state: GatewayState, request: CallerRequest) -> float:
-    value = request.get(state.header_names.deadline_ms)
-    if value is None or not value.isdigit():
-        return DEFAULT_DEADLINE_S
-    return int(value) / _MS_PER_S
+    timeout_s = _declared_timeout_s(state, request)
+    return DEFAULT_DEADLINE_S if timeout_s is None else timeout_s
+
+
+def _declared_timeout_s(state: GatewayState, request: CallerRequest) -> float | None:
+    """Return how long the caller says that it waits; None if it does not say it."""
+    deadline_ms = decode_number(request.get(state.header_names.deadline_ms))
+    return None if deadline_ms is None else deadline_ms / _MS_PER_S
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -13,6 +13,14 @@
 from .const import MAX_REJECTIONS, MIN_REMAINING_S
 from .context import RequestContext
 from .models import GatewayResponse
+from .recording import (
+    record_complete,
+    record_crash,
+    record_first_event,
+    record_rejection,
+    record_success,
+    record_unsent,
+)
 from .refusals import outcome_unknown_response, timeout_response
 from .refusing import unserved_response
 from .second_copy import HedgedRequest, async_run_copies, may_hedge
@@ -24,12 +32,6 @@
     is_server_failure,
     is_success,
     log_request,
-    record_complete,
-    record_crash,
-    record_first_event,
-    record_rejection,
-    record_success,
-    record_unsent,
 )
 from .state import GatewayState
 
@@ -101,11 +103,13 @@
 
 
 def _final_result(results: Sequence[AttemptResult]) -> AttemptResult:
-    """Return an answer, or else the first failure; one of a server goes first."""
-    answers = [result for result in results if _is_answer(result)]
+    """Return the first response of a server, or else the first failure.
+
+    An answer is the only result; see `async_run_copies`.
+    """
     responses = [result for result in results if isinstance(result, tuple)]
     failures = [result for result in results if result is not None]
-    return next(iter((*answers, *responses, *failures)), None)
+    return next(iter((*responses, *failures)), None)
 
 
 async def _async_attempt(
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -19,6 +19,14 @@
 from .context import RequestContext
 from .events import EventSplitter
 from .models import GatewayResponse
+from .recording import (
+    record_break,
+    record_complete,
+    record_first_event,
+    record_rejection,
+    record_success,
+    record_unsent,
+)
 from .refusals import (
     crashing_request_response,
     outcome_unknown_response,
@@ -34,12 +42,6 @@
     is_rejection,
     is_success,
     log_request,
-    record_break,
-    record_complete,
-    record_first_event,
-    record_rejection,
-    record_success,
-    record_unsent,
 )
 from .state import GatewayState
 from .takeover import (
@@ -178,10 +180,10 @@
 ) -> GatewayResponse:
     if outcome is _Outcome.TIMED_OUT:
         return timeout_response()
-    if ctx.ran_on and not ctx.route.idempotent:
-        return outcome_unknown_response("the server broke off")
     if state.crashes.is_blocked(ctx.traits):
-        return crashing_request_response(may_have_run=ctx.breaks > 0)
+        return crashing_request_response(may_have_run=bool(ctx.ran_on or ctx.breaks))
+    if ctx.ran_on or ctx.breaks:
+        return outcome_unknown_response("the server broke off")
     return unserved_response(state, ctx)
 
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gooseberryhall.admission.decision import WaitEnd
 from gooseberryhall.gateway.app import route_request
 from gooseberryhall.gateway.context import RequestContext
 from gooseberryhall.gateway.models import CallerRequest
@@ -55,6 +56,28 @@
     assert server.requests[-1].headers["x-priority"] == expected
 
 
+async def test_request_without_a_deadline_does_not_make_others_late() -> None:
+    """Guards against callers with deadlines that count as late ever after.
+
+    The time already spent follows from the longest deadline that callers declared.
+    """
+    server = ScriptedServer("s1", _async_ok)
+    async with async_gateway((route(),), (server,)) as gateway:
+        await gateway.async_request()
+        await gateway.async_request("x-deadline: 700\r\n")
+    assert server.requests[-1].headers["x-priority"] == "2"
+
+
+@pytest.mark.parametrize("digits", [400, 5000])
+@pytest.mark.parametrize("header", ["x-deadline: {}", "x-tokens: 1,{}"])
+async def test_number_with_many_digits_is_ignored(header: str, digits: int) -> None:
+    """Guards against a fault of the program when a header holds a huge number."""
+    server = ScriptedServer("s1", _async_ok)
+    async with async_gateway((route(),), (server,)) as gateway:
+        response = await gateway.async_request(header.format("9" * digits) + "\r\n")
+    assert response.startswith(b"HTTP/1.1 200")
+
+
 async def test_resumed_stream_is_not_late() -> None:
     """Guards against a broken stream that waits behind requests without events."""
 
@@ -167,6 +190,21 @@
         assert [item.in_flight for item in state.candidates(ctx, 0.0)] == [0]
 
 
+async def test_request_for_a_model_that_is_not_configured_does_not_wait() -> None:
+    """Guards against callers of unknown models that take the places of others."""
+    leader = ScriptedServer("a", _async_stream)
+    async with async_gateway((stream_route(),), (), (leader,)) as gateway:
+        state = gateway.state
+        now_s = asyncio.get_running_loop().time()
+        headers = [(b"host", b"example"), (b"x-id", b"1"), (b"x-model", b"other")]
+        headers.append((b"authorization", b"Key secret"))
+        request = CallerRequest(b"GET", b"/a/1", headers, b"", False, now_s)
+        ctx = route_request(state, state.configuration(), request)
+        assert isinstance(ctx, RequestContext)
+        assert await state.waiting.async_choose(ctx) is None
+    assert ctx.wait_end is WaitEnd.UNSERVABLE
+
+
 async def test_slots_go_to_streams_that_can_be_in_time() -> None:
     """Guards against late streams that take the slots of those in time.
 
