Separate decisions about waiting and copies from their records

The decision whether a request may wait, and the choice of the server of a second copy, were mixed with counters, logs and queues, so they could not be asked without changing them. They are functions of their own now, and allowances, cold servers and waiting requests can be copied for a decision. No behaviour changes.

tests/gateway, tests/node and tests/admission: passed.

--- a/gooseberryhall/gateway/allowances.py
+++ b/gooseberryhall/gateway/allowances.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..admission.share import Allowance, Supply
 from .observed import Kind
@@ -34,6 +34,11 @@
             return 0.0
         return allowance.delay_s(node_places)
 
+    def snapshot(self, rng: random.Random) -> "Allowances":
+        """Return a copy whose use does not change this one."""
+        by_kind = {kind: replace(item) for kind, item in self._by_kind.items()}
+        return Allowances(rng, self.node_count, by_kind)
+
     def spend(self, kind: Kind) -> None:
         """Use a place."""
         if kind in self._by_kind:
--- a/gooseberryhall/gateway/cold.py
+++ b/gooseberryhall/gateway/cold.py
@@ -3,6 +3,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable
+from copy import deepcopy
 from dataclasses import dataclass, field, replace
 
 from ..core.clock import now_s as boot_time_s
@@ -59,6 +60,15 @@
     # Earlier grants may be older than the time of their arrival.
     _valid_from_s: float = 0.0
 
+    def snapshot(self) -> "ColdServers":
+        """Return a copy for decisions that must not change this one."""
+        return replace(
+            self,
+            _window=deepcopy(self._window),
+            _placed=self._placed.copy(),
+            _known=dict(self._known),
+        )
+
     def observe_clock(self) -> float:
         """Return the time; after a pause of this process, discard earlier grants."""
         now_s = self.clock()
--- a/gooseberryhall/gateway/second_copy.py
+++ b/gooseberryhall/gateway/second_copy.py
@@ -105,6 +105,17 @@
 
 def plan_copy(request: HedgedRequest) -> tuple[HedgeTiming, HedgePlan | None]:
     """Return the times of a request that is sent now, and when a copy is due."""
+    timing, plan = plan_times(request)
+    if isinstance(plan, WithheldReason):
+        _record_withheld(request, plan)
+        return timing, None
+    return timing, plan
+
+
+def plan_times(
+    request: HedgedRequest,
+) -> tuple[HedgeTiming, HedgePlan | WithheldReason]:
+    """Return the times of a request, and when a copy is due or why there is none."""
     hedging, ctx = request.hedging, request.ctx
     now_s = asyncio.get_running_loop().time()
     timing = HedgeTiming(
@@ -113,11 +124,7 @@
         deadline_s=ctx.deadline_s,
     )
     estimate = hedging.latencies[ctx.route.name].estimate(hedging.quantile, now_s)
-    plan = plan_hedge(timing, estimate)
-    if isinstance(plan, WithheldReason):
-        _record_withheld(request, plan)
-        return timing, None
-    return timing, plan
+    return timing, plan_hedge(timing, estimate)
 
 
 def acquire_server(
@@ -127,6 +134,29 @@
     plan: HedgePlan,
 ) -> BackendServer | None:
     """Return the server of a second copy that is due; None if it is withheld."""
+    other = choose_copy(request, current, timing, plan)
+    if isinstance(other, WithheldReason):
+        _record_withheld(request, other)
+        return None
+    record_event(request, "sent")
+    log_request(
+        LogEvent.HEDGE_SENT,
+        "answer is late, a second copy of the request is sent",
+        request.ctx,
+        first=current.server_id,
+        server=other.server_id,
+        after_s=round(asyncio.get_running_loop().time() - timing.started_s, 3),
+    )
+    return other
+
+
+def choose_copy(
+    request: HedgedRequest,
+    current: BackendServer,
+    timing: HedgeTiming,
+    plan: HedgePlan,
+) -> BackendServer | WithheldReason:
+    """Return the server of a second copy and count it, or why it is withheld."""
     state, hedging, ctx = request.state, request.hedging, request.ctx
     now_s = asyncio.get_running_loop().time()
     choose = choose_group if state.is_grouped(ctx.service) else choose_server
@@ -145,19 +175,7 @@
     if reason is None:
         budget = state.budget(ctx.service)
         reason = hedging.share(ctx.service).try_acquire(budget, now_s)
-    if reason is not None or other is None:
-        _record_withheld(request, reason or WithheldReason.NO_SERVER)
-        return None
-    record_event(request, "sent")
-    log_request(
-        LogEvent.HEDGE_SENT,
-        "answer is late, a second copy of the request is sent",
-        ctx,
-        first=current.server_id,
-        server=other.server_id,
-        after_s=round(now_s - timing.started_s, 3),
-    )
-    return other
+    return reason or other or WithheldReason.NO_SERVER
 
 
 def record_latency(request: HedgedRequest, timing: HedgeTiming) -> None:
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -294,7 +294,7 @@
         return self.statements.soonest_return_s(
             [
                 server
-                for server in self._servers_for(ctx)
+                for server in self.servers_for(ctx)
                 if not self.statements.is_leaving(server, now_s)
             ],
             now_s,
@@ -307,12 +307,13 @@
         """
         left_s = [
             self.cold.left_s(server)
-            for server in self._servers_for(ctx)
+            for server in self.servers_for(ctx)
             if not self.statements.is_leaving(server, now_s)
         ]
         return min([*left_s, SEND_WINDOW_S]) or None if left_s else None
 
-    def _servers_for(self, ctx: RequestContext) -> list[BackendServer]:
+    def servers_for(self, ctx: RequestContext) -> list[BackendServer]:
+        """Return the leaders or plain servers of a request, also unusable ones."""
         if self.is_grouped(ctx.service):
             servers = [
                 group.leader
@@ -329,7 +330,7 @@
             return False
         if self.evacuations.all_cut_off(now_s):
             return True
-        zones = {server.zone for server in self._servers_for(ctx)}
+        zones = {server.zone for server in self.servers_for(ctx)}
         return bool(zones) and not any(
             self.evacuations.may_send(zone, now_s) for zone in zones
         )
--- a/gooseberryhall/gateway/waiting.py
+++ b/gooseberryhall/gateway/waiting.py
@@ -7,7 +7,7 @@
 import asyncio
 import math
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from ..admission.const import MAX_TRIES
 from ..admission.decision import (
@@ -53,6 +53,16 @@
         """Return the expected times of a request."""
 
 
+class Assessment(NamedTuple):
+    """Whether a request that got no server may wait."""
+
+    place: Place
+    limit_s: float
+    expected_wait_s: float
+    # Why the request may not wait; None if it may.
+    end: WaitEnd | None
+
+
 @dataclass(slots=True)
 class WaitingRequests:
     """Waiting requests by service and model."""
@@ -85,6 +95,35 @@
         pool = self._pools.get(kind)
         return pool is not None and bool(pool.waiting)
 
+    def snapshot(self, chooser: Chooser, metrics: GatewayMetrics) -> "WaitingRequests":
+        """Return a view of the waiting requests for `assess` and `retry_after_s`."""
+        return WaitingRequests(chooser, metrics, self.closed, dict(self._pools))
+
+    def assess(self, ctx: RequestContext, now_s: float) -> Assessment:
+        """Return whether a request may wait, and for how long."""
+        pool = self._pools.get(ctx.kind) or Pool()
+        first_event_s = self.chooser.expected_times(ctx).first_event_s
+        place = self._create_place(ctx, first_event_s, now_s)
+        limit_s = wait_limit_s(
+            ctx.route.latency_objective_s,
+            ctx.deadline_s - now_s - max(MIN_REMAINING_S, first_event_s),
+            late=place.is_late(now_s),
+        )
+        queue_wait_s = self._queue_wait_s(pool, place, now_s)
+        outlook = self.chooser.outlook(ctx, now_s)
+        expected_s = min(queue_wait_s + outlook.wait_s, ctx.deadline_s - now_s)
+        if not outlook.usable and outlook.wait_s > limit_s:
+            return Assessment(place, limit_s, expected_s, WaitEnd.UNSERVABLE)
+        verdict = decide(
+            has_server=False,
+            wait_limit_s=0.0 if self.closed else limit_s,
+            expected_wait_s=queue_wait_s,
+        )
+        end = None
+        if verdict is Verdict.REFUSE:
+            end = WaitEnd.STOPPED if self.closed else WaitEnd.HOPELESS
+        return Assessment(place, limit_s, expected_s, end)
+
     def wake(self) -> None:
         """Look for servers of waiting requests."""
         if self._count and not self._scheduled:
@@ -125,30 +164,14 @@
     ) -> BackendServer | None:
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        first_event_s = self.chooser.expected_times(ctx).first_event_s
-        place = self._create_place(ctx, first_event_s, now_s)
-        limit_s = wait_limit_s(
-            ctx.route.latency_objective_s,
-            ctx.deadline_s - now_s - max(MIN_REMAINING_S, first_event_s),
-            late=place.is_late(now_s),
-        )
-        queue_wait_s = self._queue_wait_s(pool, place, now_s)
-        outlook = self.chooser.outlook(ctx, now_s)
-        ctx.expected_wait_s = min(queue_wait_s + outlook.wait_s, ctx.deadline_s - now_s)
-        if not outlook.usable and outlook.wait_s > limit_s:
-            ctx.wait_end = WaitEnd.UNSERVABLE
-            return None
-        verdict = decide(
-            has_server=False,
-            wait_limit_s=0.0 if self.closed else limit_s,
-            expected_wait_s=queue_wait_s,
-        )
-        if verdict is Verdict.REFUSE:
+        place, limit_s, ctx.expected_wait_s, end = self.assess(ctx, now_s)
+        if end is not None:
             # Requests ahead of it may need a freer server than it does.
-            server, _ = self._try(pool, ctx, now_s)
-            if server is not None:
-                return server
-            ctx.wait_end = WaitEnd.STOPPED if self.closed else WaitEnd.HOPELESS
+            if end is not WaitEnd.UNSERVABLE:
+                server, _ = self._try(pool, ctx, now_s)
+                if server is not None:
+                    return server
+            ctx.wait_end = end
             return None
         item = WaitingRequest(ctx, place, loop.create_future())
         self._add(pool, item, now_s)
