Explain at a node where a request would be sent

GET /explain at the metrics listener describes a request and gets the verdict, the candidates with their figures and reasons, and what would become of a retry and a second copy. The decisions are those of the request path, made on a copy of its state, so that nothing is sent, counted or drawn.

--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -22,6 +22,7 @@
 from ..telemetry.logs import log_event
 from ..transport.address import Address
 from .directory import PlatformAdapter
+from .explain import create_explain_handler
 from .listeners import (
     Listener,
     async_listen,
@@ -82,7 +83,9 @@
         await async_listen(
             stack, settings.readiness, readiness, limits=Limits, intake=node.intake
         )
-        metrics = create_metrics_handler(node.gateway.metrics.registry)
+        metrics = create_explain_handler(
+            node.gateway, create_metrics_handler(node.gateway.metrics.registry)
+        )
         await async_listen(
             stack, settings.metrics, metrics, limits=Limits, intake=node.intake
         )
