Add the command explain route

It asks a node program where it would send a request and shows the verdict and a table of the candidates, or the answer as JSON.

--- a/gooseberryhall/cli/view_commands.py
+++ b/gooseberryhall/cli/view_commands.py
@@ -19,6 +19,7 @@
     timeline_lines,
 )
 from .request_chain import find_chain
+from .route import async_explain_route, route_lines
 from .timeline import MergedEvent, async_read_timelines, filter_events, merge_timelines
 
 
@@ -32,7 +33,7 @@
 
 
 @click.command()
-@click.argument("kind", type=click.Choice(["group", "vm", "request", "team"]))
+@click.argument("kind", type=click.Choice(["group", "vm", "request", "team", "route"]))
 @click.argument("name")
 @click.option(
     "--logs",
@@ -40,15 +41,46 @@
     type=click.Path(exists=True, path_type=Path),
     help="For `request`: log file of a node program, or a directory of them.",
 )
+@click.option("--node", metavar="URL", help="For `route`: a node's metrics port.")
+@click.option("--method", help="For `route`: method of the request.")
+@click.option("--model", help="For `route`: model of the request.")
+@click.option("--tokens", metavar="PROMPT,MAX_OUTPUT", help="For `route`.")
+@click.option("--deadline-ms", help="For `route`: remaining time of the caller.")
+@click.option("--team", help="For `route`: name of the caller's team.")
+@click.option("--json", "as_json", is_flag=True, help="Same as --output json.")
 @output_option
 @pass_context
-def explain(cli: CliContext, kind: str, name: str, logs: tuple[Path, ...]) -> None:
+def explain(
+    cli: CliContext,
+    /,
+    *,
+    kind: str,
+    name: str,
+    logs: tuple[Path, ...],
+    node: str | None,
+    as_json: bool,
+    **fields: str | None,
+) -> None:
     """Explain why a group, VM, request or team is in the state it is in.
 
     For `group`, NAME is a group or a group spec. For `request`, only the entry VM that
     answers is searched; `timeline --request` searches several. With `--logs`, no
     program is asked: the request is explained from the logs of node programs.
+
+    For `route`, NAME is HOST/PATH of a request: a node program tells where it would
+    send it now, and why. Nothing is sent.
     """
+    if as_json:
+        cli.output = "json"
+    given = {key: value for key, value in fields.items() if value is not None}
+    if kind == "route":
+        if node is None or logs:
+            raise click.UsageError("`explain route` needs --node and takes no --logs")
+        answer = asyncio.run(async_explain_route(node, name, given))
+        cli.show(answer, route_lines(answer))
+        return
+    if given or node is not None:
+        raise click.UsageError("--node and the fields of a request are for `route`")
     if logs:
         _explain_from_logs(cli, kind, name, logs)
         return
