Test the explanation of a route at a node program

The node program is started on loopback addresses and asked at its metrics port; the answer names the server, which gets no further request.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -54,6 +54,10 @@
     assert wrong.startswith(b"HTTP/1.1 401")
     metrics = await node.async_get(METRICS_PORT, "/metrics")
     assert b'gooseberryhall_requests_total{outcome="relayed",route="r"} 1' in metrics
+    query = "host=a.example&path=/p/1&team=t&deadline_ms=900"
+    answer = await node.async_get(METRICS_PORT, f"/explain?{query}")
+    assert json.loads(answer.partition(b"\r\n\r\n")[2])["server"] == "i-9"
+    assert len(node.server.requests) == 1
 
 
 async def test_odd_entries_do_not_affect_the_node(node: RunningNode) -> None:
