Count servers that were asked beside a silent one against the attempts

A group that was asked to go on with a stream did not count if it was silent, too, or was given up, and a silent group that broke off without an event did not count either. Both count now; servers that only crash one after the other still do not.

test_request_runs_on_no_third_server_after_two_silent_ones failed before; tests/gateway pass.

--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -262,7 +262,9 @@
             # The server was late, which is no failure.
             ctx.ran_on.append(server_id)
             return _Outcome.MOVED
-        if server_id not in ctx.ran_on and not ctx.route.idempotent:
+        # A server that broke off does not count against the attempts of an idempotent
+        # request, unless another one was asked beside it.
+        if server_id not in ctx.ran_on and (ctx.ran_on or not ctx.route.idempotent):
             ctx.ran_on.append(server_id)
         record_break(
             state,
--- a/gooseberryhall/gateway/takeover.py
+++ b/gooseberryhall/gateway/takeover.py
@@ -229,8 +229,6 @@
         record_break(state, ctx, server_id, exc, is_crash=is_crash)
         return None
     except asyncio.CancelledError:
-        # The server may have begun to run it.
-        ctx.ran_on.append(server_id)
         state.metrics.hedges.inc({"route": ctx.route.name, "event": "cancelled"})
         raise
     finally:
@@ -280,13 +278,15 @@
                 can_abandon=lambda: not answering,
             )
         )
+        # The group may run the request although it is silent, or is given up.
+        ctx.ran_on.append(server_id)
         await _async_wait(sent.exchange)
         head = await sent.exchange.async_read_head()
         if is_rejection(state, head):
+            ctx.ran_on.remove(server_id)
             record_rejection(ctx, server_id, head)
             return None
         if not is_success(state, head):
-            ctx.ran_on.append(server_id)
             raise TransportError(f"server answered {head.status}")
         source = StreamSource(server, sent, splitter)
         while not source.has_news:
@@ -294,7 +294,6 @@
             await source.async_read()
         answering = True
         sent.record_progress()
-        ctx.ran_on.append(server_id)
         return Successor(source, head, stack.pop_all())
     return None
 
--- a/tests/gateway/test_silent_groups.py
+++ b/tests/gateway/test_silent_groups.py
@@ -92,6 +92,14 @@
     await _async_go_on(request, writer)
 
 
+async def _async_break_before_head(
+    _: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Break off without a byte, long after the stall timeout."""
+    await asyncio.sleep(3 * GROUP_STALL_TIMEOUT_S)
+    writer.transport.abort()
+
+
 async def _async_hang(_: ReceivedRequest, __: asyncio.StreamWriter) -> None:
     await asyncio.sleep(60)
 
@@ -271,3 +279,24 @@
     assert other.requests[0].headers["last-event-id"] == "2"
     assert event_ids(response) == _COMPLETE
     assert response.endswith(b"0\r\n\r\n")
+
+
+async def test_request_runs_on_no_third_server_after_two_silent_ones() -> None:
+    """Guards against more servers than the route's attempts around a silent group.
+
+    The silent group breaks off after another one, which was silent, too, was asked.
+    """
+    silent = ScriptedServer("s1", _async_break_before_head)
+    second, third = (
+        ScriptedServer("s2", _async_hang),
+        ScriptedServer("s3", _async_go_on),
+    )
+    async with _async_two_groups(silent, second, third) as gateway:
+        request = asyncio.create_task(gateway.async_request())
+        await async_until(lambda: bool(silent.requests))
+        gateway.groups.append(ServedGroup("large", gateway.servers["s2"]))
+        await async_until(lambda: bool(second.requests))
+        gateway.groups.append(ServedGroup("large", gateway.servers["s3"]))
+        response = await request
+    assert third.requests == []
+    assert response.startswith(b"HTTP/1.1 502")
