--- a/gooseberryhall/fleet/evacuation.py
+++ b/gooseberryhall/fleet/evacuation.py
@@ -13,12 +13,12 @@
 # Share of the limit within which the load is shifted. The rest covers the time until
 # the last node learns of the evacuation, and requests that are on their way.
 SHIFT_SHARE: Final = 0.5
-# Time for which nodes tell that an evacuation ended, so that older news lose.
-END_TOLD_S: Final = 30.0
+# Time for which nodes announce that an evacuation ended, so that older updates lose.
+END_ANNOUNCED_S: Final = 30.0
 
 
 @dataclass(frozen=True, slots=True)
-class EvacuationNews:
+class EvacuationUpdate:
     """The last known write of a zone's row."""
 
     # Version of the row, or of the store if the row was found missing.
@@ -33,7 +33,7 @@
 class EvacuationRows:
     """Rows of evacuations that the store returned, by zone."""
 
-    news: Mapping[str, EvacuationNews]
+    updates: Mapping[str, EvacuationUpdate]
     # Version of the store that the rows reach.
     version: int
     # Whether these are all rows, so that other zones are not evacuated.
@@ -52,8 +52,8 @@
     since_s: float
     # When the evacuation ended on this node's clock.
     ended_s: float | None = None
-    # Until when peers are told that it ended.
-    told_until_s: float = 0.0
+    # Until when peers are informed that it ended.
+    announced_until_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -70,7 +70,7 @@
     # Zones that rows name but the deployment does not have.
     unknown_zones: set[str] = field(default_factory=set)
     _evacuations: dict[str, _Evacuation] = field(default_factory=dict)
-    # Whether the store or a peer told which zones are evacuated.
+    # Whether the store or a peer stated which zones are evacuated.
     _informed: bool = False
     # Version of the last complete read.
     _read_version: int = 0
@@ -90,40 +90,42 @@
         if not self.limit_s:
             return False
         since_s = now_s if recent else now_s - self.limit_s
-        known = self._known_zones(rows.news)
-        changed = [self._apply(zone, rows.news[zone], since_s, now_s) for zone in known]
+        known = self._known_zones(rows.updates)
+        changed = [
+            self._apply(zone, rows.updates[zone], since_s, now_s) for zone in known
+        ]
         if rows.complete:
-            missing = EvacuationNews(rows.version, active=False)
-            ended = [zone for zone in self.active_zones() if zone not in rows.news]
+            missing = EvacuationUpdate(rows.version, active=False)
+            ended = [zone for zone in self.active_zones() if zone not in rows.updates]
             changed += [self._apply(zone, missing, now_s, now_s) for zone in ended]
             self._read_version = max(self._read_version, rows.version)
             self._informed = True
         return any(changed)
 
-    def apply_peer(self, news: Mapping[str, EvacuationNews], now_s: float) -> bool:
-        """Apply what a peer told; return whether anything changed."""
+    def apply_peer(self, updates: Mapping[str, EvacuationUpdate], now_s: float) -> bool:
+        """Apply the updates of a peer; return whether anything changed."""
         if not self.limit_s:
             return False
         self._informed = True
         changed = False
-        for zone in self._known_zones(news):
-            item = news[zone]
+        for zone in self._known_zones(updates):
+            item = updates[zone]
             if item.active and self._is_outdated(zone, item.version):
-                self._tell_end(zone, now_s)
+                self._announce_end(zone, now_s)
             elif self._apply(zone, item, now_s - item.age_s, now_s):
                 changed = True
         return changed
 
-    def told(self, now_s: float) -> dict[str, EvacuationNews]:
-        """Return what peers are told: active evacuations and those that ended lately.
+    def updates(self, now_s: float) -> dict[str, EvacuationUpdate]:
+        """Return the updates for peers: active evacuations and those that ended lately.
 
         The age lets a node that learns of an evacuation late shift its load in the time
         that is left, and one that learns late of its end know when it was.
         """
         return {
-            zone: EvacuationNews(item.version, item.active, self._age_s(item, now_s))
+            zone: EvacuationUpdate(item.version, item.active, self._age_s(item, now_s))
             for zone, item in self._evacuations.items()
-            if item.active or now_s < item.told_until_s
+            if item.active or now_s < item.announced_until_s
         }
 
     def active_zones(self) -> list[str]:
@@ -177,43 +179,43 @@
             return version <= self._read_version
         return not item.active and version < item.version
 
-    def _tell_end(self, zone: str, now_s: float) -> None:
+    def _announce_end(self, zone: str, now_s: float) -> None:
         """Tell peers for a time that an evacuation ended, as one of them missed it."""
         item = self._evacuations.get(zone)
         if item is None:
             item = _Evacuation(self._read_version, False, now_s, now_s)
             self._evacuations[zone] = item
-        item.told_until_s = now_s + END_TOLD_S
+        item.announced_until_s = now_s + END_ANNOUNCED_S
 
     def _apply(
-        self, zone: str, news: EvacuationNews, since_s: float, now_s: float
+        self, zone: str, update: EvacuationUpdate, since_s: float, now_s: float
     ) -> bool:
         item = self._evacuations.get(zone)
-        learned_s = now_s - news.age_s
-        if item is not None and news.version <= item.version:
-            if news.version == item.version and item.active:
+        learned_s = now_s - update.age_s
+        if item is not None and update.version <= item.version:
+            if update.version == item.version and item.active:
                 item.learned_s = min(item.learned_s, learned_s)
                 item.since_s = min(item.since_s, since_s)
             return False
-        if not news.active:
+        if not update.active:
             self._evacuations[zone] = _Evacuation(
-                news.version,
+                update.version,
                 active=False,
                 learned_s=learned_s,
                 since_s=since_s,
                 ended_s=learned_s,
-                told_until_s=now_s + END_TOLD_S,
+                announced_until_s=now_s + END_ANNOUNCED_S,
             )
             return True
         if item is not None and item.active:
             # The row was written again, or was removed for a moment only. This node
             # sent nothing meanwhile, so the load is not shifted a second time.
             since_s = min(since_s, item.since_s)
-        self._evacuations[zone] = _Evacuation(news.version, True, learned_s, since_s)
+        self._evacuations[zone] = _Evacuation(update.version, True, learned_s, since_s)
         return True
 
     def _age_s(self, item: _Evacuation, now_s: float) -> float:
-        """Return the age that peers are told, up to the limit if it is active."""
+        """Return the age for peers, up to the limit if it is active."""
         if not item.active:
             return 0.0 if item.ended_s is None else max(0.0, now_s - item.ended_s)
         return min(max(0.0, now_s - item.learned_s), self.limit_s)
--- a/gooseberryhall/fleet/pause.py
+++ b/gooseberryhall/fleet/pause.py
@@ -20,7 +20,7 @@
     """Whether this process was paused and has not heard of anybody since then."""
 
     _ticked_s: float | None = None
-    # When the process went on, until it has heard the news.
+    # When the process went on; None after a peer was heard.
     _resumed_s: float | None = None
 
     def record_tick(self, now_s: float) -> float | None:
@@ -31,8 +31,8 @@
         self._resumed_s = now_s
         return now_s - ticked_s
 
-    def record_news(self, now_s: float) -> None:
-        """Record that a peer told what it knows."""
+    def record_update(self, now_s: float) -> None:
+        """Record that an update of a peer was received."""
         if (
             self._resumed_s is not None
             and now_s - self._resumed_s >= DRAIN_S
@@ -41,7 +41,7 @@
             self._resumed_s = None
 
     def is_held(self, now_s: float) -> bool:
-        """Return whether news that came during a pause may not be applied yet.
+        """Return whether updates received during a pause may not be applied yet.
 
         Tasks go on before the first tick after a pause, so the time since the last tick
         counts.
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -7,7 +7,7 @@
 import cbor2
 
 from ..exceptions import InvalidInputError
-from ..fleet.evacuation import EvacuationNews
+from ..fleet.evacuation import EvacuationUpdate
 from ..fleet.models import BackendServer, ServedGroup
 from ..gateway.models import CrashReport
 from ..transport.address import MAX_PORT, create_address
@@ -75,7 +75,7 @@
     # Incarnation tags of servers that told this node that they leave.
     leaving: dict[str, int] = field(default_factory=dict)
     # Evacuations of zones; None if this node does not know which zones are evacuated.
-    evacuations: dict[str, EvacuationNews] | None = None
+    evacuations: dict[str, EvacuationUpdate] | None = None
 
 
 def encode(gossip: Gossip) -> bytes:
@@ -195,22 +195,22 @@
 
 
 def _encode_evacuations(
-    evacuations: dict[str, EvacuationNews] | None,
+    evacuations: dict[str, EvacuationUpdate] | None,
 ) -> dict[str, list[Any]] | None:
     """Encode evacuations as version, whether it is active, and age in milliseconds."""
     if evacuations is None:
         return None
     return {
-        zone: [news.version, news.active, int(news.age_s * MS_PER_S)]
-        for zone, news in evacuations.items()
+        zone: [update.version, update.active, int(update.age_s * MS_PER_S)]
+        for zone, update in evacuations.items()
     }
 
 
-def _decode_evacuations(values: Any) -> dict[str, EvacuationNews] | None:
+def _decode_evacuations(values: Any) -> dict[str, EvacuationUpdate] | None:
     if values is None:
         return None
     return {
-        _require_text(zone): EvacuationNews(
+        _require_text(zone): EvacuationUpdate(
             version=int(fields[0]),
             active=bool(fields[1]),
             age_s=max(0, int(fields[2])) / MS_PER_S if fields[2:] else 0.0,
--- a/gooseberryhall/node/evacuation.py
+++ b/gooseberryhall/node/evacuation.py
@@ -1,4 +1,4 @@
-"""Applies news of evacuations, and tells peers and operators of them."""
+"""Applies updates of evacuations, and passes them on to peers and operators."""
 
 import asyncio
 import logging
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..core.clock import now_s as boot_time_s
-from ..fleet.evacuation import EvacuationNews, EvacuationRows, Evacuations
+from ..fleet.evacuation import EvacuationRows, Evacuations, EvacuationUpdate
 from ..fleet.models import BackendServer
 from ..fleet.pause import PauseHold
 from ..gateway.metrics import GatewayMetrics
@@ -26,7 +26,7 @@
     servers: Callable[[], Mapping[str, BackendServer]]
     # Requests of this node in flight, by server.
     local_load: Callable[[], Mapping[str, int]]
-    # Called when peers should be told at once.
+    # Called when peers should be informed at once.
     on_change: Callable[[], None]
     _hold: PauseHold = field(default_factory=PauseHold)
     # Zones whose evacuation is logged, with the servers that got requests there.
@@ -45,22 +45,22 @@
         if self.evacuations.apply_rows(rows, _now_s(), recent=recent):
             self.on_change()
 
-    def apply_peer(self, news: Mapping[str, EvacuationNews] | None) -> None:
-        """Apply what a peer told; None if it does not know the evacuations."""
-        if news is None:
+    def apply_peer(self, updates: Mapping[str, EvacuationUpdate] | None) -> None:
+        """Apply the updates of a peer; None if it does not know the evacuations."""
+        if updates is None:
             return
-        if self.evacuations.apply_peer(news, _now_s()):
+        if self.evacuations.apply_peer(updates, _now_s()):
             self.on_change()
-        self._hold.record_news(boot_time_s())
+        self._hold.record_update(boot_time_s())
 
-    def told(self) -> dict[str, EvacuationNews] | None:
-        """Return what peers are told; None if this node may not know it."""
+    def updates(self) -> dict[str, EvacuationUpdate] | None:
+        """Return the updates for peers; None if this node may not know them."""
         if not self.evacuations.limit_s:
             return None
-        told = self.evacuations.told(_now_s())
-        if not told and (self.is_held() or not self.evacuations.is_known):
+        updates = self.evacuations.updates(_now_s())
+        if not updates and (self.is_held() or not self.evacuations.is_known):
             return None
-        return told
+        return updates
 
     def is_held(self) -> bool:
         """Return whether this process may have missed an evacuation in a pause."""
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -334,7 +334,7 @@
             traffic=self._reported_traffic,
             stalled_leaders=tuple(self._stalled_leaders),
             announcement=announcement,
-            evacuations=self.evacuation.told(),
+            evacuations=self.evacuation.updates(),
         )
 
     def receive_gossip(self, gossip: Gossip) -> None:
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from ..core.clock import now_s as boot_time_s
-from ..fleet.evacuation import EvacuationNews, EvacuationRows
+from ..fleet.evacuation import EvacuationRows, EvacuationUpdate
 from ..fleet.models import BackendServer, Configuration
 from ..node.directory import ConfigurationListener, NodeRecord, ServerListener
 from ..telemetry.catalogue import LogEvent
@@ -192,15 +192,15 @@
 
     Of several changes of a row only the last one counts.
     """
-    news: dict[str, EvacuationNews] = {}
+    updates: dict[str, EvacuationUpdate] = {}
     for row in rows.rows:
         if not row.key.startswith(EVACUATION_PREFIX):
             continue
         zone = row.key.removeprefix(EVACUATION_PREFIX)
         version = row.version or rows.version
-        if zone not in news or version >= news[zone].version:
-            news[zone] = EvacuationNews(version, active=row.value is not None)
-    return EvacuationRows(news, rows.version, complete)
+        if zone not in updates or version >= updates[zone].version:
+            updates[zone] = EvacuationUpdate(version, active=row.value is not None)
+    return EvacuationRows(updates, rows.version, complete)
 
 
 def _decode_server(row: Row) -> BackendServer | None:
--- a/tests/fleet/test_evacuation.py
+++ b/tests/fleet/test_evacuation.py
@@ -3,10 +3,10 @@
 import pytest
 
 from gooseberryhall.fleet.evacuation import (
-    END_TOLD_S,
-    EvacuationNews,
+    END_ANNOUNCED_S,
     EvacuationRows,
     Evacuations,
+    EvacuationUpdate,
 )
 from gooseberryhall.fleet.pause import DRAIN_S, MAX_HOLD_S, PauseHold
 
@@ -15,8 +15,8 @@
 
 def _read(version: int, **zones: int) -> EvacuationRows:
     """Return a complete read at a version, with the row version of each zone."""
-    news = {zone: EvacuationNews(row, active=True) for zone, row in zones.items()}
-    return EvacuationRows(news, version, complete=True)
+    updates = {zone: EvacuationUpdate(row, active=True) for zone, row in zones.items()}
+    return EvacuationRows(updates, version, complete=True)
 
 
 def _evacuations(version: int = 1, **zones: int) -> Evacuations:
@@ -30,8 +30,8 @@
     evacuations: Evacuations, version: int, now_s: float, **zones: bool
 ) -> None:
     """Apply a change of rows, which now exist or were removed."""
-    news = {zone: EvacuationNews(version, zones[zone]) for zone in zones}
-    rows = EvacuationRows(news, version, complete=False)
+    updates = {zone: EvacuationUpdate(version, zones[zone]) for zone in zones}
+    rows = EvacuationRows(updates, version, complete=False)
     evacuations.apply_rows(rows, now_s, recent=True)
 
 
@@ -51,38 +51,38 @@
     restarted = _evacuations(9, z=5)
     assert not restarted.may_send("z", 0.0)
     # Its peers go on with their shift.
-    assert restarted.told(1.0)["z"].age_s == 1.0
+    assert restarted.updates(1.0)["z"].age_s == 1.0
     evacuations = _evacuations()
-    evacuations.apply_peer({"z": EvacuationNews(5, True, 2.0)}, 10.0)
+    evacuations.apply_peer({"z": EvacuationUpdate(5, True, 2.0)}, 10.0)
     assert evacuations.share("z", 10.0) == pytest.approx(0.2)
-    assert evacuations.told(10.1)["z"].age_s == pytest.approx(2.1)
+    assert evacuations.updates(10.1)["z"].age_s == pytest.approx(2.1)
     # Its own watch answers later with the same row.
     _change(evacuations, 5, 10.2, z=True)
     assert not evacuations.may_send("z", 10.5)
 
 
-def test_news_older_than_the_restoration_are_discarded() -> None:
+def test_updates_older_than_the_restoration_are_discarded() -> None:
     """Guards against a zone that a peer without the store evacuates again."""
     evacuations = _evacuations()
     _change(evacuations, 5, 10.0, z=True)
     assert evacuations.restored_s("z") is None
     _change(evacuations, 8, 20.0, z=False)
     assert evacuations.restored_s("z") == 20.0
-    assert evacuations.told(20.0 + END_TOLD_S - 1)["z"].version == 8
-    assert evacuations.told(20.0 + END_TOLD_S) == {}
-    assert not evacuations.apply_peer({"z": EvacuationNews(5, True)}, 90.0)
+    assert evacuations.updates(20.0 + END_ANNOUNCED_S - 1)["z"].version == 8
+    assert evacuations.updates(20.0 + END_ANNOUNCED_S) == {}
+    assert not evacuations.apply_peer({"z": EvacuationUpdate(5, True)}, 90.0)
     assert evacuations.may_send("z", 99.0)
     # Whoever still tells of it is told when it ended.
-    assert evacuations.told(90.0) == {"z": EvacuationNews(8, False, 70.0)}
+    assert evacuations.updates(90.0) == {"z": EvacuationUpdate(8, False, 70.0)}
     late = _evacuations(5, z=5)
-    late.apply_peer(evacuations.told(90.0), 190.0)
+    late.apply_peer(evacuations.updates(90.0), 190.0)
     assert late.may_send("z", 190.0)
     assert late.restored_s("z") == 120.0
     # A node that knew nothing of it compares with its last read.
     restarted = _evacuations(9)
-    restarted.apply_peer({"z": EvacuationNews(5, True)}, 1.0)
+    restarted.apply_peer({"z": EvacuationUpdate(5, True)}, 1.0)
     assert restarted.may_send("z", 9.0)
-    assert not restarted.told(9.0)["z"].active
+    assert not restarted.updates(9.0)["z"].active
 
 
 def test_zone_that_is_evacuated_again_between_two_reads_stays_cut_off() -> None:
@@ -90,7 +90,7 @@
     evacuations = _evacuations()
     _change(evacuations, 5, 10.0, z=True)
     _change(evacuations, 7, 30.0, z=True)
-    evacuations.apply_peer({"z": EvacuationNews(6, False)}, 31.0)
+    evacuations.apply_peer({"z": EvacuationUpdate(6, False)}, 31.0)
     assert not evacuations.may_send("z", 31.0)
     # A node that noticed the restoration shifts its load again.
     _change(evacuations, 8, 40.0, z=False)
@@ -102,11 +102,11 @@
 def test_complete_read_ends_only_older_evacuations() -> None:
     """Guards against a slow read that ends an evacuation that began meanwhile."""
     evacuations = _evacuations()
-    evacuations.apply_peer({"z": EvacuationNews(12, True, LIMIT_S)}, 10.0)
+    evacuations.apply_peer({"z": EvacuationUpdate(12, True, LIMIT_S)}, 10.0)
     evacuations.apply_rows(_read(11), 10.5, recent=False)
     assert not evacuations.may_send("z", 10.5)
     evacuations.apply_rows(_read(13), 11.0, recent=False)
-    assert evacuations.told(11.0) == {"z": EvacuationNews(13, False)}
+    assert evacuations.updates(11.0) == {"z": EvacuationUpdate(13, False)}
 
 
 def test_zones_are_evacuated_independently() -> None:
@@ -132,9 +132,9 @@
     assert not hold.is_held(10.7)
     assert hold.is_held(16.0)
     assert hold.record_tick(16.0) == pytest.approx(5.4)
-    hold.record_news(16.0 + DRAIN_S / 2)
+    hold.record_update(16.0 + DRAIN_S / 2)
     assert hold.is_held(16.3)
-    hold.record_news(16.3)
+    hold.record_update(16.3)
     assert not hold.is_held(16.3)
     hold.record_tick(18.0)
     hold.record_tick(18.0 + MAX_HOLD_S / 2)
--- a/tests/gateway/test_evacuated.py
+++ b/tests/gateway/test_evacuated.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gooseberryhall.fleet.evacuation import EvacuationNews, Evacuations
+from gooseberryhall.fleet.evacuation import Evacuations, EvacuationUpdate
 from gooseberryhall.fleet.models import ServedGroup
 from gooseberryhall.gateway.evacuated import draw_share
 from gooseberryhall.transport.client import ClientConnection
@@ -60,9 +60,9 @@
 
 def _evacuate(gateway: Gateway, *zones: str, share: float = 0.0) -> None:
     """Evacuate zones, of whose usual traffic a share may still be sent there."""
-    news = EvacuationNews(5, active=True, age_s=LIMIT_S / 2 * (1 - share))
+    updates = EvacuationUpdate(5, active=True, age_s=LIMIT_S / 2 * (1 - share))
     now_s = asyncio.get_running_loop().time()
-    gateway.state.evacuations.apply_peer(dict.fromkeys(zones, news), now_s)
+    gateway.state.evacuations.apply_peer(dict.fromkeys(zones, updates), now_s)
 
 
 @pytest.mark.parametrize("grouped", [False, True])
@@ -155,7 +155,7 @@
     assert [len(server.requests) for server in servers] == [2, 1]
 
 
-async def test_requests_wait_while_news_may_be_unread() -> None:
+async def test_requests_wait_while_updates_may_be_unread() -> None:
     """Guards against refusing what arrived in a pause, and giving up broken streams."""
     leaders = (ScriptedServer("s1", _async_break), ScriptedServer("s2", _async_end))
     routes = (stream_route(), route(prefix=b"/a/plain"))
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -13,7 +13,7 @@
 from gooseberryhall.admission.estimate import UNKNOWN_TIMES
 from gooseberryhall.exceptions import InvalidInputError
 from gooseberryhall.fleet.cold import ColdLimit
-from gooseberryhall.fleet.evacuation import EvacuationNews
+from gooseberryhall.fleet.evacuation import EvacuationUpdate
 from gooseberryhall.fleet.models import Limits, ServedGroup
 from gooseberryhall.gateway.explain import explain_route
 from gooseberryhall.gateway.explain_query import ExplainQuery, parse_query
@@ -73,7 +73,7 @@
     state.cold.limit = lambda _: ColdLimit(100.0, 14.0, 1.5, 5.0)
     state.cold.update(gateway.servers.values())
     state.evacuations.limit_s, state.evacuations.zones = 1000.0, ("y", "z")
-    state.evacuations.apply_peer({"y": EvacuationNews(5, active=True)}, now_s - 400)
+    state.evacuations.apply_peer({"y": EvacuationUpdate(5, active=True)}, now_s - 400)
     kind = ("engine", "large")
     state.observed.record_first_event(kind, UNKNOWN_TIMES, 0.01)
     state.observed.record_complete(kind, UNKNOWN_TIMES, 2.0)
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gooseberryhall.fleet.evacuation import EvacuationNews
+from gooseberryhall.fleet.evacuation import EvacuationUpdate
 from gooseberryhall.fleet.models import BackendServer, ColdGrant, ServedGroup
 from gooseberryhall.gateway.models import CrashReport
 from gooseberryhall.gossip.const import (
@@ -84,8 +84,8 @@
         crashes=(CrashReport("ab", ("p1", "p2"), {"s9": 3}),),
         harmless={"p3": 12},
         evacuations={
-            "z": EvacuationNews(9, active=True, age_s=1.25),
-            "y": EvacuationNews(7, active=False),
+            "z": EvacuationUpdate(9, active=True, age_s=1.25),
+            "y": EvacuationUpdate(7, active=False),
         },
     )
     assert decode(encode(gossip)) == gossip
@@ -110,12 +110,12 @@
     assert decode(encode(_gossip())).evacuations is None
     assert decode(encode(_gossip(evacuations={}))).evacuations == {}
     without_age = decode(cbor2.dumps([*earlier, {"z": [9, True]}]))
-    assert without_age.evacuations == {"z": EvacuationNews(9, active=True)}
+    assert without_age.evacuations == {"z": EvacuationUpdate(9, active=True)}
 
 
 def test_earlier_versions_decode_messages_with_evacuations() -> None:
     """Guards against a new field that moves the fields which older nodes read."""
-    gossip = _gossip(evacuations={"z": EvacuationNews(9, active=True)})
+    gossip = _gossip(evacuations={"z": EvacuationUpdate(9, active=True)})
     without = cbor2.loads(encode(replace(gossip, evacuations=None)))
     assert cbor2.loads(encode(gossip))[:15] == without[:15]
 
--- a/tests/node/common.py
+++ b/tests/node/common.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from gooseberryhall.fleet.evacuation import EvacuationNews, EvacuationRows
+from gooseberryhall.fleet.evacuation import EvacuationRows, EvacuationUpdate
 from gooseberryhall.fleet.models import (
     BackendServer,
     Configuration,
@@ -140,8 +140,8 @@
     ) -> None:
         """Pass rows of evacuations to the node, which exist or were removed."""
         assert self.directory.configuration_listener is not None
-        news = {zone: EvacuationNews(version, zones[zone]) for zone in zones}
-        rows = EvacuationRows(news, version, complete)
+        updates = {zone: EvacuationUpdate(version, zones[zone]) for zone in zones}
+        rows = EvacuationRows(updates, version, complete)
         self.directory.configuration_listener.on_evacuations(rows)
 
     def lose_store(self) -> None:
--- a/tests/node/test_evacuation.py
+++ b/tests/node/test_evacuation.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gooseberryhall.fleet.const import PAUSE_LIMIT_S
-from gooseberryhall.fleet.evacuation import EvacuationNews
+from gooseberryhall.fleet.evacuation import EvacuationUpdate
 from gooseberryhall.fleet.models import ServedGroup
 from gooseberryhall.fleet.pause import DRAIN_S
 from gooseberryhall.gateway.backends import Attempt
@@ -15,8 +15,8 @@
 from tests.node.common import OPEN_GROUP, StartedNode, create_announcement
 
 SHIFT_S = 0.2
-ACTIVE = EvacuationNews(5, active=True, age_s=1.0)
-ENDED = EvacuationNews(8, active=False)
+ACTIVE = EvacuationUpdate(5, active=True, age_s=1.0)
+ENDED = EvacuationUpdate(8, active=False)
 
 
 def _may_send(started: StartedNode, zone: str = "z") -> bool:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from gooseberryhall.fleet.evacuation import EvacuationNews, EvacuationRows
+from gooseberryhall.fleet.evacuation import EvacuationRows, EvacuationUpdate
 from gooseberryhall.fleet.exceptions import LeaseConflictError
 from gooseberryhall.fleet.models import BackendServer, Configuration
 from gooseberryhall.node.directory import (
@@ -203,16 +203,16 @@
         await _async_until(lambda: told[-1].version == 9)
         task.cancel()
     assert known_at_configuration[0] == 1
-    assert told[0] == EvacuationRows({"a": EvacuationNews(2, True)}, 2, True)
-    assert told[1] == EvacuationRows({"b": EvacuationNews(3, True)}, 3, False)
+    assert told[0] == EvacuationRows({"a": EvacuationUpdate(2, True)}, 2, True)
+    assert told[1] == EvacuationRows({"b": EvacuationUpdate(3, True)}, 3, False)
     changes = {
         zone: item
         for rows in told[2:]
         if not rows.complete
-        for zone, item in rows.news.items()
+        for zone, item in rows.updates.items()
     }
-    assert changes["a"] == EvacuationNews(4, active=False)
-    assert changes["b"] == EvacuationNews(6, active=True)
+    assert changes["a"] == EvacuationUpdate(4, active=False)
+    assert changes["b"] == EvacuationUpdate(6, active=True)
     assert told[-1] == EvacuationRows({}, 9, complete=True)
 
 
