--- a/gooseberryhall/admission/const.py
+++ b/gooseberryhall/admission/const.py
@@ -34,7 +34,7 @@
 LATE_WAIT_SHARE: Final = 0.25
 # A request whose expected wait is this many times as long as it may wait is refused at
 # once; the estimate is rough.
-HOPELESS_WAITS: Final = 2.0
+MAX_WAIT_FACTOR: Final = 2.0
 # Work of a request that does not declare its tokens.
 DEFAULT_WORK_TOKENS: Final = 500.0
 # Waiting requests that are tried when a slot may have become free. The first one may
--- a/gooseberryhall/admission/decision.py
+++ b/gooseberryhall/admission/decision.py
@@ -11,8 +11,8 @@
 
 from .const import (
     DEFAULT_WORK_TOKENS,
-    HOPELESS_WAITS,
     LATE_WAIT_SHARE,
+    MAX_WAIT_FACTOR,
     MAX_WAITING_BYTES,
     MAX_WAITING_REQUESTS,
     MIN_RETRY_AFTER_S,
@@ -36,7 +36,7 @@
 
     TIMED_OUT = "timed_out"
     # The expected wait is far longer than it may wait.
-    HOPELESS = "hopeless"
+    TOO_LONG = "too_long"
     # The node holds more waiting requests than it may.
     BOUNDS = "bounds"
     # This node stops.
@@ -126,7 +126,7 @@
     """Return what happens to a request now."""
     if has_server:
         return Verdict.SEND
-    if wait_limit_s <= 0.0 or expected_wait_s > HOPELESS_WAITS * wait_limit_s:
+    if wait_limit_s <= 0.0 or expected_wait_s > MAX_WAIT_FACTOR * wait_limit_s:
         return Verdict.REFUSE
     return Verdict.WAIT
 
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -68,7 +68,7 @@
 CAUSE_GOSSIP_SHARE: Final = 0.2
 # Prompt parts of a request that are taken into account.
 MAX_PROMPT_PARTS: Final = 16
-# Larger numbers of tokens in a header are not believed.
+# Larger numbers of tokens in a header are ignored.
 MAX_DECLARED_TOKENS: Final = 1_000_000
 # Time in which the first request of a new connection arrives.
 FIRST_REQUEST_S: Final = 0.5
--- a/gooseberryhall/gateway/refusals.py
+++ b/gooseberryhall/gateway/refusals.py
@@ -15,7 +15,7 @@
 from .models import GatewayResponse
 
 _BUSY_REASONS: Final[dict[WaitEnd | None, str]] = {
-    WaitEnd.HOPELESS: "all servers are full, and requests wait for longer",
+    WaitEnd.TOO_LONG: "all servers are full, and requests wait for longer",
     WaitEnd.BOUNDS: "too many requests wait",
 }
 
--- a/gooseberryhall/gateway/waiting.py
+++ b/gooseberryhall/gateway/waiting.py
@@ -121,7 +121,7 @@
         )
         end = None
         if verdict is Verdict.REFUSE:
-            end = WaitEnd.STOPPED if self.closed else WaitEnd.HOPELESS
+            end = WaitEnd.STOPPED if self.closed else WaitEnd.TOO_LONG
         return Assessment(place, limit_s, expected_s, end)
 
     def wake(self) -> None:
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -203,4 +203,4 @@
     waiting = WaitingRequests(_Slots(), GatewayMetrics())
     ctx = _context("a", deadline_s=asyncio.get_running_loop().time() + 0.04)
     assert await waiting.async_choose(ctx) is None
-    assert (ctx.wait_end, ctx.waited_s) == (WaitEnd.HOPELESS, 0.0)
+    assert (ctx.wait_end, ctx.waited_s) == (WaitEnd.TOO_LONG, 0.0)
