--- a/gooseberryhall/fleet/controller.py
+++ b/gooseberryhall/fleet/controller.py
@@ -37,7 +37,6 @@
     if profile is None or _is_on_hold(zone):
         return
     now_s = asyncio.get_running_loop().time()
-    profile = _apply_demand(zone, profile, now_s)
     is_evacuated = zone.is_evacuated()
     if not is_evacuated:
         _probe_contradicted(zone)
@@ -49,19 +48,6 @@
         _plan_orders(zone, profile, now_s)
 
 
-def _apply_demand(
-    zone: ZoneState, profile: EngineProfile, now_s: float
-) -> EngineProfile:
-    """Return the profile with the models' shares of the servers by demand."""
-    if not zone.traffic_seen():
-        return profile
-    server_count = sum(
-        1 for server in zone.view.servers.values() if server.service == zone.service
-    )
-    zone.demand.update(profile, zone.requests_in_flight(), server_count, now_s)
-    return zone.demand.apply(profile)
-
-
 def probe_group(zone: ZoneState, leader_id: str) -> None:
     """Probe the members of the group whose leader stalled."""
     if zone.is_evacuated():
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -10,7 +10,6 @@
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from .const import EPOCHS_PER_TERM, UNRESPONSIVE_BACKOFF_S
-from .demand import ModelDemand
 from .exceptions import FormationError
 from .models import BackendServer, EngineProfile, Group, MemberState
 from .orders import EngineClient, Report
@@ -70,9 +69,6 @@
     create_task: Callable[[Coroutine[Any, Any, None]], None]
     # Number of zones that share the weight store.
     zone_count: int
-    # Requests in flight at the groups of all zones, by model.
-    requests_in_flight: Callable[[], Mapping[str, int]] = dict
-    demand: ModelDemand = field(default_factory=ModelDemand)
     # What servers said of themselves in their answers.
     statements: ServerStatements = field(default_factory=ServerStatements)
     groups: dict[GroupKey, ManagedGroup] = field(default_factory=dict)
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -41,12 +41,7 @@
 from .registration import async_register
 from .servers import ServerFollower
 from .settings import NodeSettings
-from .table import (
-    RoutingTable,
-    count_groups,
-    count_requests,
-    create_announcement,
-)
+from .table import RoutingTable, count_groups, create_announcement
 from .traffic import apply_peer_traffic, local_traffic, remote_traffic, total_traffic
 
 _LOGGER = logging.getLogger(__name__)
@@ -473,7 +468,6 @@
                 lambda: self.evacuations.is_active(name),
             ),
             profile=lambda: self.configuration.profile,
-            requests_in_flight=self._requests_by_model,
             other_zone_groups=lambda: count_groups(
                 self.table.groups, {name, *self.evacuations.active_zones()}
             ),
@@ -489,8 +483,5 @@
         )
         return zone
 
-    def _requests_by_model(self) -> dict[str, int]:
-        return count_requests(self.table.groups, self.gateway.backends.load)
-
     def _is_paused(self, server: BackendServer) -> bool:
         return self._statements.pause_s(server, self._loop.time()) > 0
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -128,16 +128,3 @@
         models = counts.setdefault(group.leader.zone, {})
         models[group.model] = models.get(group.model, 0) + 1
     return counts
-
-
-def count_requests(
-    groups: Sequence[ServedGroup], load: Callable[[str], int]
-) -> dict[str, int]:
-    """Return the requests in flight at all groups, by model.
-
-    `load` returns the requests in flight at a server by its id.
-    """
-    counts: dict[str, int] = {}
-    for group in groups:
-        counts[group.model] = counts.get(group.model, 0) + load(group.leader.server_id)
-    return counts
