--- a/gooseberryhall/gateway/placement.py
+++ b/gooseberryhall/gateway/placement.py
@@ -16,7 +16,7 @@
 )
 
 
-# Not frozen, as one is created for each server whenever one is chosen.
+# Not frozen: creating a frozen instance for each server of each request costs more.
 @dataclass(slots=True)
 class Candidate:
     """A server to which a request may be sent; for a group, its leader."""
