--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
-"""A request crashes both servers of a service again and again."""
+"""Machines that the store turned away once list a server that has left."""
 
 import asyncio
+import json
 import sys
 from pathlib import Path
 
@@ -9,84 +10,96 @@
 from review.standins_2.deployment import (
     ZONES,
     Deployment,
+    Node,
+    NotRunError,
     plain_route,
     run_case,
 )
-from review.standins_2.http import Message
 from review.standins_2.server import Server
 
-STABILITY_WINDOW_S = 3.0
-# Some seconds after a crash the server is back, under its id.
-BACK_S = 2.0
-PERIOD_S = 0.5
-LENGTH_S = 14.0
+ZONE = ZONES[0]
+DRAIN_TIMEOUT_S = 2.0
 CALM_S = 6.0
-CRASHES = 3
-ALLOWED_RETRIES = 3
-PATH = "/status/crash"
+OUTAGE_S = 4.0
+# The server leaves so long before the kill, and serves on for many seconds.
+GONE_BEFORE_S = 4.0
+END_S = 5.1
+LATE_S = 3.5
+PERIOD_S = 0.1
+WORK_S = 0.3
 
 
-async def async_case(deployment: Deployment, disturb: bool) -> bool:
-    """Run the case; return whether the rule was broken."""
-    restarts = set()
-
-    async def async_restart(server: Server) -> None:
-        deployment.log("crashed", server=server.server_id)
-        server.stop()
-        server.heartbeat = 0
-        await asyncio.sleep(BACK_S)
-        await server.async_start()
+def find_owner(deployment: Deployment) -> Node:
+    """Return the owner of the zone, which last wrote to the store for it."""
+    for (_, _, key), (value, _) in deployment.store.rows.items():
+        if key == ZONE and value is not None:
+            owner = json.loads(value)["owner"]
+            return next(node for node in deployment.nodes if node.name == owner)
+    raise NotRunError("the zone has no owner")
 
-    async def async_run(
-        server: Server, message: Message, writer: asyncio.StreamWriter
-    ) -> None:
-        if disturb and message.target == PATH:
-            restarts.add(asyncio.create_task(async_restart(server)))
-            await asyncio.sleep(1)
-        await server.async_send_body(message, writer)
 
+async def async_case(deployment: Deployment, disturb: bool) -> bool:
+    """Run the case; return whether the rule was broken."""
+    deployment.node_zones = (ZONE, ZONE, ZONE, *ZONES[1:])
     servers = [
-        Server(f"i-{number}d9e6b4", "silo-control", zone, deployment.store,
-               deployment.log, grouped=False, async_run=async_run)
-        for number, zone in enumerate(ZONES[:2], start=1)
-    ]  # fmt: skip
+        Server(
+            f"i-{number}d9e6b4",
+            "silo-control",
+            zone,
+            deployment.store,
+            deployment.log,
+            grouped=False,
+            work_s=WORK_S,
+        )
+        for number, zone in enumerate((ZONE, *ZONES, *ZONES[1:]), start=1)
+    ]
     command = plain_route(
         name="fan-command", prefix="/command/", kind="unsafe", attempts=1
     )
     await deployment.async_start(servers, [plain_route(), command])
     await asyncio.sleep(CALM_S)
+    away: list[str] = []
+    if disturb:
+        # The store turns the owner of the zone and another one of its machines away.
+        owner = find_owner(deployment)
+        same = [node for node in deployment.nodes[:3] if node is not owner]
+        away = [owner.name, same[0].name]
+        deployment.store.turned_away.update(away)
+        deployment.log("store_turns_away", nodes=away)
+        await asyncio.sleep(OUTAGE_S)
+        deployment.store.turned_away.clear()
+        deployment.log("store_serves_all")
+    await asyncio.sleep(2 * CALM_S)
+    server = servers[0]
+    server.leave_unannounced()
+    gone_s = deployment.now_s()
+    await asyncio.sleep(GONE_BEFORE_S)
+    owner = find_owner(deployment)
+    others = [node for node in deployment.nodes if node is not owner]
+    if disturb:
+        deployment.log("killed", node=owner.name)
+        owner.kill()
+    end = asyncio.get_running_loop().call_later(END_S - GONE_BEFORE_S, server.stop)
     calls = []
-    until_s = deployment.now_s() + LENGTH_S
+    until_s = deployment.now_s() + LATE_S
     number = 0
     while deployment.now_s() < until_s:
-        node = deployment.nodes[number % len(deployment.nodes)]
-        calls.append(asyncio.create_task(deployment.async_call(node, "GET", PATH)))
-        command_call = deployment.async_call(node, "POST", f"/command/{number}", b"on")
-        calls.append(asyncio.create_task(command_call))
-        number += 1
+        for node in others:
+            number += 1
+            call = deployment.async_call(node, "POST", f"/command/{number}", b"on")
+            calls.append(asyncio.create_task(call))
         await asyncio.sleep(PERIOD_S)
-    await asyncio.gather(*calls)
-    for task in restarts:
-        task.cancel()
-    lost = [
-        line["id"]
-        for line in deployment.lines
-        if line["event"] == "answered" and line["outcome"] in {"502", "cut"}
-    ]
-    crashed_s = [
-        line["at_s"] for line in deployment.lines if line["event"] == "crashed"
-    ]
-    deployment.log("crashes", at_s=crashed_s, answers_lost=len(lost))
-    if len(crashed_s) < CRASHES:
-        return False
-    since_s = crashed_s[CRASHES - 1] + STABILITY_WINDOW_S
-    late = [
-        line["at_s"]
+    outcomes = {call[0]: call[1] for call in await asyncio.gather(*calls)}
+    end.cancel()
+    found = [
+        (line["id"], outcomes[line["id"]], round(line["at_s"] - gone_s, 2))
         for line in deployment.lines
-        if line["event"] == "run" and PATH in line["line"] and line["at_s"] > since_s
+        if line["event"] == "run"
+        and line["id"] in outcomes
+        and line["server"] == server.server_id
     ]
-    deployment.log("retries_that_reached_servers", since_s=since_s, at_s=late)
-    return len(late) > ALLOWED_RETRIES
+    deployment.log("run_by_a_server_that_is_gone", requests=found)
+    return bool(found)
 
 
 run_case(Path(__file__).with_name("record.txt"), async_case)
--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -15,6 +15,7 @@
 import tomllib
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -79,6 +80,9 @@
     nodes: list[Node] = field(default_factory=list)
     bounds: dict[str, Any] = field(default_factory=dict)
     model_size: int = 1
+    # Zone of each program.
+    node_zones: tuple[str, ...] = ZONES
+    internal_port: int = field(default_factory=lambda: random.randint(20000, 30000))
     lines: list[dict[str, Any]] = field(default_factory=list)
     version: int = 0
     _started_s: float = field(default_factory=time.monotonic)
@@ -86,7 +90,7 @@
         default_factory=lambda: Path(tempfile.mkdtemp(prefix="review-"))
     )
     _ids: Any = field(default_factory=random.Random)
-    _listener: asyncio.Server | None = None
+    _listeners: list[asyncio.Server] = field(default_factory=list)
 
     def now_s(self) -> float:
         """Return the time since the start of the case."""
@@ -104,18 +108,22 @@
     async def async_start(self, servers: Sequence[Server], routes: list[Any]) -> None:
         """Start store, servers and programs; wait until all programs are ready."""
         self.servers = list(servers)
-        self._listener = await asyncio.start_server(
-            self.store.async_serve, "127.0.0.1", 0
-        )
-        store_port = self._listener.sockets[0].getsockname()[1]
         self.configure(routes)
         for server in self.servers:
             await server.async_start()
         command = read_command()
         network = f"127.{random.randint(2, 250)}.{random.randint(2, 250)}"
-        for number, zone in enumerate(ZONES, start=2):
+        for number, zone in enumerate(self.node_zones, start=2):
             host = f"{network}.{number}"
-            node = self._create_node(zone, host, store_port)
+            count = self.node_zones[: number - 1].count(zone)
+            name = f"frontend-{zone}-{count}"
+            # Each machine has an address of the store of its own.
+            listener = await asyncio.start_server(
+                partial(self.store.async_serve, name), "127.0.0.1", 0
+            )
+            self._listeners.append(listener)
+            store_port = listener.sockets[0].getsockname()[1]
+            node = self._create_node(name, zone, host, store_port)
             node.start(command)
             self.nodes.append(node)
         await self._async_wait_ready()
@@ -127,8 +135,8 @@
         for server in self.servers:
             if server.running:
                 server.stop()
-        if self._listener is not None:
-            self._listener.close()
+        for listener in self._listeners:
+            listener.close()
         shutil.rmtree(self._directory, ignore_errors=True)
 
     def configure(self, routes: list[Any]) -> None:
@@ -158,9 +166,9 @@
         self.store.put("op", "config", json.dumps(content).encode())
         self.log("configured", version=self.version)
 
-    def _create_node(self, zone: str, host: str, store_port: int) -> Node:
-        name = f"frontend-{zone}-1"
-        caller_port, ready_port, control_port, first = free_ports(host)
+    def _create_node(self, name: str, zone: str, host: str, store_port: int) -> Node:
+        caller_port, ready_port, control_port = free_ports(host)
+        first = self.internal_port
         settings = {
             "node_name": name,
             "role": "node",
@@ -332,15 +340,14 @@
     return [sys.executable if command[0] == "python3" else command[0], *command[1:]]
 
 
-def free_ports(host: str) -> tuple[int, int, int, int]:
-    """Return free ports for callers, readiness and control, and a free range."""
-    first = random.randint(20000, 30000)
+def free_ports(host: str) -> tuple[int, int, int]:
+    """Return free ports for callers, readiness and control."""
     ports = []
     for _ in range(3):
         with contextlib.closing(socket.socket()) as sock:
             sock.bind((host, 0))
             ports.append(sock.getsockname()[1])
-    return ports[0], ports[1], ports[2], first
+    return ports[0], ports[1], ports[2]
 
 
 async def async_is_ready(node: Node) -> bool:
--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -24,6 +24,8 @@
         default_factory=dict
     )
     version: int = 0
+    # Machines that are turned away with 503, which means that nothing was done.
+    turned_away: set[str] = field(default_factory=set)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, table: str, key: str, value: bytes | None, part: str = "") -> int:
@@ -40,14 +42,18 @@
         self.changed = asyncio.Event()
 
     async def async_serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, machine: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Answer the calls of one connection."""
+        """Answer the calls of one connection of a machine."""
         try:
             while True:
                 message = await async_read_head(reader)
                 message.body = await async_read_body(reader, message)
-                status, content = await self._async_call(message.target, message.body)
+                status, content = 503, {}
+                if machine not in self.turned_away:
+                    status, content = await self._async_call(
+                        message.target, message.body
+                    )
                 await asyncio.sleep(ANSWER_S)
                 data = json.dumps(content).encode()
                 headers = {"Content-Type": "application/json"}
