--- a/review/9/case.py
+++ b/review/9/case.py
@@ -39,7 +39,7 @@
 
 async def async_case(deployment: Deployment, disturb: bool) -> bool:
     """Run the case; return whether the rule was broken."""
-    deployment.node_zones = (ZONE, ZONE, ZONE, *ZONES[1:])
+    deployment.node_zones = (ZONE, ZONE, ZONE, ZONES[1], *ZONES[1:])
     servers = [
         Server(
             f"i-{number}d9e6b4",
@@ -50,7 +50,7 @@
             grouped=False,
             work_s=WORK_S,
         )
-        for number, zone in enumerate((ZONE, *ZONES, *ZONES[1:]), start=1)
+        for number, zone in enumerate((ZONE, *ZONES, *ZONES[1:] * 2), start=1)
     ]
     command = plain_route(
         name="fan-command", prefix="/command/", kind="unsafe", attempts=1
--- a/review/standins_2/server.py
+++ b/review/standins_2/server.py
@@ -48,6 +48,8 @@
     ) = None
     events: int = 10
     event_gap_s: float = 0.05
+    # Fabric domain; servers of a zone share one by default.
+    domain: str = ""
     work_s: float = 0.03
     port: int = 0
     # The number of the last heartbeat; a new life starts anew.
@@ -138,7 +140,7 @@
         return {
             "stage": "combined",
             "models": models if self.last_model else [],
-            "domain": f"{self.zone}-d",
+            "domain": self.domain or f"{self.zone}-d",
             "staged": [self.staged] if self.staged else [],
             "group": group,
         }
