Log servers that are kept without a record, and records that have no effect

Nothing in the logs told a server that is kept because its record may have lapsed in an outage from one that is listed, or a draining record that was dropped as older from one that never came. GH1806 names the servers that are kept, GH1807 the dropped record with the number of its heartbeat and its start beside the known ones. No decision changes.

--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -55,19 +55,22 @@
     # Servers with a record that contradicts their last report and may be newer than it.
     _contradicted: set[str] = field(default_factory=set)
 
-    def apply_record(self, server: BackendServer, now_s: float) -> None:
-        """Apply a server record of the store, unless the current state is newer."""
+    def apply_record(self, server: BackendServer, now_s: float) -> bool:
+        """Apply a server record of the store, unless the current state is newer.
+
+        Returns whether it was applied.
+        """
         self._lapsed.pop(server.server_id, None)
         self._removed.pop(server.server_id, None)
         current = self.servers.get(server.server_id)
         if current is None or current.started_at_ms < server.started_at_ms:
             self.servers[server.server_id] = server
-            return
+            return True
         if (
             current.started_at_ms > server.started_at_ms
             or current.heartbeat > server.heartbeat
         ):
-            return
+            return False
         if (current.started_at_ms, current.heartbeat) == (
             server.started_at_ms,
             server.heartbeat,
@@ -89,6 +92,7 @@
                 last_model=current.last_model,
             )
         self.servers[server.server_id] = server
+        return True
 
     def _is_stale(
         self, membership: Membership | None, current: BackendServer, now_s: float
@@ -146,6 +150,10 @@
         for server in listed.values():
             self.apply_record(server, now_s)
 
+    def lapsed_servers(self) -> set[str]:
+        """Return the servers that are kept although their record is missing."""
+        return set(self._lapsed)
+
     def remove_lapsed(self, now_s: float) -> list[str]:
         """Remove the servers whose records did not return; return their ids."""
         due = [key for key, until_s in self._lapsed.items() if until_s <= now_s]
--- a/gooseberryhall/node/servers.py
+++ b/gooseberryhall/node/servers.py
@@ -88,6 +88,13 @@
     ) -> None:
         self.view.apply_snapshot(records, after_outage=after_outage, now_s=_now_s())
         self.following = True
+        if kept := self.view.lapsed_servers():
+            log_event(
+                _LOGGER,
+                LogEvent.LAPSED_SERVERS_KEPT,
+                "records are missing after an outage; their servers are kept",
+                servers=sorted(kept),
+            )
 
     def _on_store_state(self, answered: bool) -> None:
         """Record whether the store answered; without it the view stays as it is."""
@@ -99,8 +106,19 @@
 
     def _on_record(self, server: BackendServer) -> None:
         previous = self.view.servers.get(server.server_id)
-        self.view.apply_record(server, _now_s())
-        if previous is None:
+        applied = self.view.apply_record(server, _now_s())
+        if not applied and server.leaving:
+            log_event(
+                _LOGGER,
+                LogEvent.RECORD_OUTDATED,
+                "record of a leaving server is older than what is known; it is ignored",
+                server=server.server_id,
+                heartbeat=server.heartbeat,
+                known_heartbeat=previous.heartbeat if previous else None,
+                started_at_ms=server.started_at_ms,
+                known_start_ms=previous.started_at_ms if previous else None,
+            )
+        elif previous is None:
             _log_server(server.server_id, "new server record")
         elif server.leaving and not previous.leaving:
             _log_server(server.server_id, "server is leaving")
