--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -100,3 +100,34 @@
         now_s=6.0,
     )
     assert view.servers["a"].cold_remaining_s is None
+
+
+def test_leaving_of_a_new_life_is_noticed_after_its_report() -> None:
+    """Guards against requests to a leaving server that came back under its id.
+
+    Its heartbeats count from the start, and a report may tell of the new life first.
+    """
+    view = FleetView()
+    view.apply_record(server("a", heartbeat=40), 0.0)
+    _report_restart(view)
+    view.apply_record(server("a", started_at_ms=2, heartbeat=1, leaving=True), 2.0)
+    assert view.servers["a"].leaving
+
+
+def test_leaving_of_the_earlier_life_does_not_hold_after_a_report() -> None:
+    """Guards against a restarted server that gets no work, as it left before."""
+    view = FleetView()
+    view.apply_record(server("a", heartbeat=40, leaving=True), 0.0)
+    _report_restart(view)
+    assert not view.servers["a"].leaving
+
+
+def _report_restart(view: FleetView) -> None:
+    view.apply_report(
+        "a",
+        started_at_ms=2,
+        membership=None,
+        staged=frozenset(),
+        last_model=None,
+        now_s=1.0,
+    )
--- a/tests/node/test_servers.py
+++ b/tests/node/test_servers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gooseberryhall.fleet.view import LAPSED_RECORD_GRACE_S
 from gooseberryhall.node.const import RECORD_READERS
 from tests.fleet.common import server
 from tests.node.common import SETTINGS, StartedNode, create_announcement
@@ -85,3 +86,50 @@
     node.owner._owner_seen_s["z"] = asyncio.get_running_loop().time()
     node.servers.update_demand()
     assert await asyncio.wait_for(waiting, 0.1)
+
+
+async def test_removal_of_one_of_three_servers_is_no_outage(
+    started: StartedNode,
+) -> None:
+    """Guards against requests to a server that left a small deployment (review/8)."""
+    started.list_servers([server(f"s{number}") for number in range(3)])
+    assert started.directory.listener is not None
+    started.directory.listener.on_removed(["s0"])
+    assert set(started.node.servers.view.servers) == {"s1", "s2"}
+
+
+async def test_later_lapses_do_not_keep_servers_that_lapsed_before(
+    started: StartedNode,
+) -> None:
+    """Guards against a server without a record that is listed for good (review/8)."""
+    started.list_servers([server(f"s{number}") for number in range(9)])
+    assert started.directory.listener is not None
+    started.directory.listener.on_removed([f"s{number}" for number in range(4)])
+    started.directory.listener.on_removed([f"s{number}" for number in range(4, 8)])
+    due_s = asyncio.get_running_loop().time() + LAPSED_RECORD_GRACE_S
+    started.node.servers.view.remove_lapsed(due_s + 0.1)
+    assert set(started.node.servers.view.servers) == {"s8"}
+
+
+async def test_server_that_left_while_records_were_not_read_is_dropped(
+    started: StartedNode,
+) -> None:
+    """Guards against requests to a server that no owner lists any more (review/9).
+
+    Its last record is old, so an outage of the store cannot have made it lapse.
+    """
+    node, listener = started.node, started.directory.listener
+    assert listener is not None
+    started.list_servers([server("h1"), server("gone")])
+    started.receive("n9", announcement=create_announcement(1, "h1"))
+    node.tick()
+    waiting = asyncio.create_task(listener.async_wait_needed())  # type: ignore[arg-type]
+    await asyncio.sleep(0.01)
+    assert not waiting.done()
+    received = node.peers.announcements["z"]
+    node.peers.announcements["z"] = replace(received, received_s=0.0)
+    node.owner._owner_seen_s["z"] = 0.0
+    node.servers.update_demand()
+    assert await asyncio.wait_for(waiting, 0.1)
+    listener.on_snapshot([], True)
+    assert set(node.servers.view.servers) == {"h1"}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -316,3 +317,70 @@
         task.cancel()
     assert outages[0] is False
     assert "i-bad" not in servers
+
+
+async def test_one_failed_call_is_no_outage() -> None:
+    """Guards against requests to a server that left while one call failed.
+
+    No record lapses in so short a time, so a missing one was removed.
+    """
+    servers: dict[str, BackendServer] = {}
+    outages: list[bool] = []
+    listener = _server_listener(servers, outages)
+    record = json.dumps(SERVER_RECORD).encode()
+    async with async_store() as (stand_in, store):
+        stand_in.put("servers", "i-1", record)
+        stand_in.put("servers", "i-2", record)
+        task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
+        await _async_until(lambda: "i-2" in servers)
+        stand_in.lose_answers = 1
+        stand_in.put("servers", "i-2", None)
+        await _async_until(lambda: "i-2" not in servers)
+        task.cancel()
+    assert outages == [False, False]
+
+
+async def test_records_may_lapse_in_a_long_outage() -> None:
+    """Guards against the removal of all servers after the store was away."""
+    outages: list[bool] = []
+    listener = _server_listener({}, outages)
+    async with async_store() as (stand_in, store):
+        task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
+        await _async_until(lambda: bool(outages))
+        stand_in.status = 503
+        await asyncio.sleep(2.5)
+        stand_in.status = 0
+        await _async_until(lambda: len(outages) > 1)
+        task.cancel()
+    assert outages == [False, True]
+
+
+async def test_outage_before_the_records_were_needed_is_over() -> None:
+    """Guards against requests to a server that left long after an outage (review/9)."""
+    servers: dict[str, BackendServer] = {}
+    outages: list[bool] = []
+    not_needed = asyncio.Event()
+    needed = asyncio.Event()
+
+    async def async_wait_needed() -> bool:
+        if not not_needed.is_set():
+            return False
+        not_needed.clear()
+        await needed.wait()
+        return True
+
+    listener = replace(
+        _server_listener(servers, outages), async_wait_needed=async_wait_needed
+    )
+    async with async_store() as (stand_in, store):
+        task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
+        await _async_until(lambda: bool(outages))
+        stand_in.status = 503
+        await asyncio.sleep(2.5)
+        not_needed.set()
+        await asyncio.sleep(0.7)
+        stand_in.status = 0
+        needed.set()
+        await _async_until(lambda: len(outages) > 1)
+        task.cancel()
+    assert outages == [False, False]
