Let a new life of a server replace what its earlier life said

Cause: a report of a server that came back under its id brought its new start time into the view, while heartbeat number and state stayed those of the earlier life. Heartbeats count from the start, so each record of the new life was dropped as older until it had written as many as the earlier one: its owner did not see that it drains, nor its groups.

--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -11,6 +11,9 @@
 # Time for which the last record of a removed server is kept.
 REMOVED_RECORD_RETENTION_S = 60.0
 
+# Number before the first heartbeat of an incarnation.
+NO_HEARTBEAT = -1
+
 # A record that a server wrote before a report may arrive after the report.
 REPORT_PRECEDENCE_S = 0.3
 # A report may be some hundred milliseconds old, so that it still names a group that the
@@ -203,8 +206,14 @@
             self._contradicted.add(server_id)
             membership = None
         if started_at_ms > current.started_at_ms:
-            # The cold time in the record is that of an earlier incarnation.
-            current = replace(current, cold_remaining_s=None)
+            # The rest of the record is of an earlier incarnation, whose heartbeats are
+            # no measure for the records of this one.
+            current = replace(
+                current,
+                leaving=False,
+                heartbeat=NO_HEARTBEAT,
+                cold_remaining_s=None,
+            )
         self.servers[server_id] = replace(
             current,
             started_at_ms=started_at_ms,
