Keep servers without a record only after an outage in which records lapse

Cause: one call to the store that failed, for whatever reason, counted as an outage. The next read then kept the servers whose record was gone for 2 s, as long as the whole limit of a small deployment, and the owner announced them to all nodes. A record lapses after three heartbeats that are missing, so a server that is not listed after a short failure left. Change: the follower measures the time from its first failed call to the answer; below two heartbeats, less the timeout of that call, missing records were removed. The interval of heartbeats comes from the settings. STORE_REGAINED is logged after every failure.

--- a/gooseberryhall/node/settings.py
+++ b/gooseberryhall/node/settings.py
@@ -41,6 +41,8 @@
     # factor, plus the constant.
     cold_overrun: float = 1.0
     cold_slack: float = 0.0
+    # Time between two writes of a server's record.
+    heartbeat_interval_s: float = 1.2
     # Descriptors that the process may have open.
     file_descriptors: int = 1024
     options: NodeOptions = DEFAULT_OPTIONS
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -17,7 +17,7 @@
 from .exceptions import HistoryLostError, RowFormatError, StoreError
 from .leases import async_read_nodes, async_register_node
 from .servers import decode_server_record
-from .store import Row, RowSet, Store
+from .store import WATCH_TIMEOUT_MARGIN_S, Row, RowSet, Store
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -32,15 +32,31 @@
 # on the announcements of the owner.
 SERVER_WATCH_WAIT_S: Final = 0.75
 MIN_RETRY_DELAY_S: Final = 0.3
+# Heartbeats without which a record lapses; the last one may just have been written when
+# an outage begins.
+LAPSE_HEARTBEATS: Final = 3
+HEARTBEAT_INTERVAL_S: Final = 1.2
 MAX_DOUBLINGS: Final = 8
 
 
 class StoreDirectory:
     """Reads tables and follows their changes."""
 
-    def __init__(self, store: Store) -> None:
-        """Create a directory that uses a store client."""
+    def __init__(
+        self, store: Store, heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
+    ) -> None:
+        """Create a directory that uses a store client.
+
+        Servers write their records at the interval of heartbeats.
+        """
         self._store = store
+        # Shortest time from the first failed call to an answer in which a record can
+        # lapse. That call may have begun with the outage.
+        self._min_outage_s = (
+            (LAPSE_HEARTBEATS - 1) * heartbeat_interval_s
+            - SERVER_WATCH_WAIT_S
+            - WATCH_TIMEOUT_MARGIN_S
+        )
 
     async def async_follow_configuration(self, listener: ConfigurationListener) -> None:
         """Notify the listener of each new version until cancelled."""
@@ -112,12 +128,13 @@
         """Read a table and follow its changes; read it again after each gap."""
         version: int | None = None
         failures = 0
+        failed_since_s = 0.0
         while True:
             if await listener.async_wait_needed():
                 version = None
             try:
-                outage = failures > 0
-                version = await self._async_follow_once(listener, version, outage)
+                failed_s = _now_s() - failed_since_s if failures else 0.0
+                version = await self._async_follow_once(listener, version, failed_s)
                 failures = 0
                 listener.on_store_state(True)
                 await asyncio.sleep(listener.pause_s())
@@ -129,6 +146,8 @@
                     _log_fault(listener.table)
                 elif not failures:
                     _log(LogEvent.STORE_LOST, str(exc), listener.table)
+                if not failures:
+                    failed_since_s = _now_s()
                 failures += 1
                 version = None
                 listener.on_store_state(False)
@@ -137,9 +156,12 @@
                 )
 
     async def _async_follow_once(
-        self, listener: "_TableListener", version: int | None, outage: bool
+        self, listener: "_TableListener", version: int | None, failed_s: float
     ) -> int:
-        """Notify the listener of changes and return the version that they reach."""
+        """Notify the listener of changes and return the version that they reach.
+
+        `failed_s` is the time since the first of the calls that failed before this one.
+        """
         if version is not None:
             rows = await self._store.async_watch(
                 listener.table, version, listener.wait_s()
@@ -147,9 +169,10 @@
             listener.on_rows(rows)
             return rows.version
         rows = await self._store.async_read(listener.table)
-        if outage:
+        if failed_s:
             _log(LogEvent.STORE_REGAINED, "store is available again", listener.table)
-        listener.on_snapshot(rows, outage)
+        may_lapse = failed_s > 0 and failed_s >= self._min_outage_s
+        listener.on_snapshot(rows, may_lapse)
         return rows.version
 
 
@@ -167,6 +190,10 @@
     pause_s: Callable[[], float] = lambda: 0.0
 
 
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _retry_delay_s(failures: int, max_delay_s: float) -> float:
     """Return a delay with exponential backoff and jitter."""
     longest_s = min(
--- a/gooseberryhall/platform/program.py
+++ b/gooseberryhall/platform/program.py
@@ -29,7 +29,7 @@
     statements = ServerStatements()
     return PlatformAdapter(
         header_names=HEADER_NAMES,
-        directory=StoreDirectory(store),
+        directory=StoreDirectory(store, settings.heartbeat_interval_s),
         leases=RowLeaseStore(store),
         engines=HttpEngineClient(ConnectionPool(HEADER_NAMES.request_id), statements),
         statements=statements,
--- a/gooseberryhall/platform/settings.py
+++ b/gooseberryhall/platform/settings.py
@@ -70,6 +70,8 @@
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Time between two writes of a server's record.
+    heartbeat_interval_ms: _NotNegative = 1200.0
 
 
 def load_settings() -> NodeSettings:
@@ -109,6 +111,7 @@
         evacuation_limit_s=bounds.evacuation_ms / MS_PER_S,
         cold_overrun=bounds.cold_overrun,
         cold_slack=bounds.cold_slack,
+        heartbeat_interval_s=raw.heartbeat_interval_ms / MS_PER_S,
         file_descriptors=_descriptors(raw.limits.file_descriptors),
         options=load_options(),
     )
