Forget an outage, and servers that nobody lists, when records are read again

Cause: a node that reads the records only at times kept its count of failed calls, and its list of servers, from the last time. Change: when records are needed again, the failures are forgotten, and the list keeps only servers that owners announced meanwhile. An outage that is still on keeps those, as before.

--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -1,6 +1,6 @@
 """Backend servers, merged from the server records of the store and direct reports."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 
 from .models import BackendServer, Group, Membership, MemberState
@@ -153,6 +153,11 @@
         for server in listed.values():
             self.apply_record(server, now_s)
 
+    def keep_only(self, server_ids: Collection[str], now_s: float) -> None:
+        """Remove the servers that are not in `server_ids`."""
+        for server_id in self.servers.keys() - server_ids:
+            self.remove_server(server_id, now_s)
+
     def lapsed_servers(self) -> set[str]:
         """Return the servers that are kept although their record is missing."""
         return set(self._lapsed)
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -113,7 +113,7 @@
             settings,
             is_owner=lambda: self.is_owner,
             without_owner_s=self.owner.without_owner_s,
-            has_servers=lambda: bool(self.table.servers),
+            routable=lambda: self.table.servers,
         )
 
     @property
--- a/gooseberryhall/node/servers.py
+++ b/gooseberryhall/node/servers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from ..core.clock import now_s as boot_time_s
@@ -44,8 +44,8 @@
     is_owner: Callable[[], bool]
     # Time since a zone, by name, last had an owner with access to the store.
     without_owner_s: Callable[[str, float], float]
-    # Whether requests can be sent to any server.
-    has_servers: Callable[[], bool]
+    # Ids of the servers to which requests can be sent.
+    routable: Callable[[], Collection[str]]
     view: FleetView = field(default_factory=FleetView)
     # Whether the view is up to date with the store. It need not be while all zones have
     # owners that announce their groups.
@@ -152,6 +152,8 @@
         # Only the configuration is followed now.
         self.store_lost = False
         await self._needed.wait()
+        # Since the records were last read, owners have told which servers there are.
+        self.view.keep_only(self.routable(), _now_s())
         return True
 
     def _is_needed(self) -> bool:
@@ -173,7 +175,7 @@
         if zone == self.settings.zone and self._is_contender(zone, now_s):
             return True
         wait_s = self._spare_s() * OWNER_WAIT_SHARE
-        if not self.has_servers():
+        if not self.routable():
             # Callers wait for the first groups; a live owner makes itself known sooner.
             wait_s = min(wait_s, STARTUP_OWNER_WAIT_S)
         return self.without_owner_s(zone, now_s) >= wait_s
@@ -196,7 +198,7 @@
 
     def _max_retry_delay_s(self) -> float:
         # Owners need the records first; other nodes receive announcements from them.
-        if self.is_owner() or not self.has_servers():
+        if self.is_owner() or not self.routable():
             return MAX_RETRY_DELAY_S
         return BACKGROUND_MAX_RETRY_DELAY_S
 
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -132,6 +132,7 @@
         while True:
             if await listener.async_wait_needed():
                 version = None
+                failures = 0
             try:
                 failed_s = _now_s() - failed_since_s if failures else 0.0
                 version = await self._async_follow_once(listener, version, failed_s)
