Let each server whose record lapsed have its own grace period

And a third of the records disappearing together counts as an outage, which is one of three servers. Change: the view marks the servers that lapsed and touches no other; up to two that disappear together are taken as leaving in any deployment. Before: test_removal_of_one_of_three_servers_is_no_outage and test_later_lapses_do_not_keep_servers_that_lapsed_before failed. After: both pass, and 69 of the store, tests/node and the view.

--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -143,12 +143,11 @@
         `LAPSED_RECORD_GRACE_S`, because their records may return.
         """
         listed = {server.server_id: server for server in records}
-        for server_id in list(self.servers):
-            if server_id in listed:
-                continue
-            if after_outage:
-                self._lapsed.setdefault(server_id, now_s + LAPSED_RECORD_GRACE_S)
-            else:
+        missing = self.servers.keys() - listed
+        if after_outage:
+            self.keep_lapsed(missing, now_s)
+        else:
+            for server_id in missing:
                 self.remove_server(server_id, now_s)
         for server in listed.values():
             self.apply_record(server, now_s)
@@ -158,6 +157,11 @@
         for server_id in self.servers.keys() - server_ids:
             self.remove_server(server_id, now_s)
 
+    def keep_lapsed(self, server_ids: Iterable[str], now_s: float) -> None:
+        """Keep servers whose records disappeared in an outage for the grace period."""
+        for server_id in server_ids:
+            self._lapsed.setdefault(server_id, now_s + LAPSED_RECORD_GRACE_S)
+
     def lapsed_servers(self) -> set[str]:
         """Return the servers that are kept although their record is missing."""
         return set(self._lapsed)
--- a/gooseberryhall/node/servers.py
+++ b/gooseberryhall/node/servers.py
@@ -16,6 +16,7 @@
     BACKGROUND_MAX_RETRY_DELAY_S,
     LAPSED_SHARE,
     LEAVING_SERVER_DELAY_S,
+    MAX_LEAVING,
     MAX_RETRY_DELAY_S,
     OUTDATED_RECORDS_S,
     OWNER_PAUSE_SHARE,
@@ -88,6 +89,9 @@
     ) -> None:
         self.view.apply_snapshot(records, after_outage=after_outage, now_s=_now_s())
         self.following = True
+        self._log_kept()
+
+    def _log_kept(self) -> None:
         if kept := self.view.lapsed_servers():
             log_event(
                 _LOGGER,
@@ -125,13 +129,9 @@
 
     def _on_removed(self, server_ids: list[str]) -> None:
         removed = [key for key in server_ids if key in self.view.servers]
-        if len(removed) > LAPSED_SHARE * len(self.view.servers):
-            kept = [
-                server
-                for key, server in self.view.servers.items()
-                if key not in set(removed)
-            ]
-            self._on_snapshot(kept, after_outage=True)
+        if len(removed) > max(MAX_LEAVING, LAPSED_SHARE * len(self.view.servers)):
+            self.view.keep_lapsed(removed, _now_s())
+            self._log_kept()
             return
         for server_id in removed:
             self.view.remove_server(server_id, _now_s())
