--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -29,11 +29,14 @@
     decode,
     encode,
 )
-from gooseberryhall.gossip.models import PeerTraffic
+from gooseberryhall.gossip.models import Peer, PeerTraffic
 from gooseberryhall.gossip.peers import Peers
 from gooseberryhall.gossip.service import GossipService
+from gooseberryhall.gossip.turns import Period, Turn, choose_turn
 from gooseberryhall.transport.address import Address
 
+# Peers besides the owners, however many there are.
+MAX_PEERS_LOOKED_AT = 8
 LEADER = BackendServer("s1", "engine", Address("10.0.0.1", 80), "z", False, 13)
 
 
@@ -477,3 +480,41 @@
     known, live = peers.zone_nodes(5.1)
     assert known == {"n1", "n2", "n3", "n5"}
     assert live == {"n1", "n2"}
+
+
+async def test_unchanged_groups_of_an_announcement_are_not_decoded_again() -> None:
+    """Guards against work for all groups of a zone in each of its datagrams.
+
+    With 195 nodes each of them gets 15 announcements a second.
+    """
+    peers = _peers()
+    service = GossipService(peers, list, lambda _: None)
+    found = []
+    for sequence in (1, 2):
+        traffic = {"s1": ServerTraffic(sequence)}
+        group = ServedGroup("m", LEADER)
+        announcement = ZoneAnnouncement("z", 3, (group,), (LEADER,), traffic)
+        data = encode(_gossip(sequence=sequence, announcement=announcement))
+        service.datagram_received(data, ("10.0.0.2", 7000))
+        found.append(peers.announcements["z"].announcement)
+    assert found[1].traffic == {"s1": ServerTraffic(2)}
+    assert found[1].groups is found[0].groups
+    assert found[1].servers is found[0].servers
+
+
+def test_node_without_a_zone_does_not_look_at_all_peers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against work for all nodes in each period of each node."""
+    peers = _large_deployment()
+    seen: list[str] = []
+
+    def count_turn(peer: Peer, period: Period) -> Turn:
+        seen.append(peer.name)
+        return choose_turn(peer, period)
+
+    monkeypatch.setattr("gooseberryhall.gossip.peers.choose_turn", count_turn)
+    due = _due_names(peers, 10.1)
+    assert {"n-z00", "n-a00", "n-b00", "n-c00", "n-d00"} <= due
+    assert len(due) == 5 + PEERS_PER_PERIOD_WITH_OWNERS
+    assert len(seen) <= 5 + MAX_PEERS_LOOKED_AT
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -145,3 +145,20 @@
     hedging = Node(settings, adapter, incarnation=1).gateway.hedging
     assert hedging is not None
     assert (hedging.max_share, hedging.quantile) == (0.1, 0.9)
+
+
+async def test_table_is_kept_while_the_groups_are_unchanged(
+    started: StartedNode,
+) -> None:
+    """Guards against a new table of all servers for each datagram of an owner."""
+    node = started.node
+    announcement = create_announcement(1, "h1", "h2")
+    started.receive("n9", announcement=announcement)
+    node.tick()
+    table = node.table
+    traffic = {"h1": ServerTraffic(7)}
+    started.receive("n9", announcement=replace(announcement, traffic=traffic))
+    node.tick()
+    assert node.table is table
+    assert node.gateway.backends.load("h1") == 7
+    assert node.gateway.backends.load("h2") == 0
