Decode the servers of an announcement only when they changed

Cause: each datagram of an owner repeats all groups and plain servers of its zone, and each node created an object for each of them anew, 15 times a second with 195 nodes; this grows with nodes times servers. Change: the last decoded servers of a zone are kept with the values from which they were made, and reused while these are the same. Traffic is decoded each time. Announcements with cold times are decoded in full.

--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -2,7 +2,7 @@
 
 import io
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Any, NamedTuple
 
 import cbor2
 
@@ -78,6 +78,33 @@
     evacuations: dict[str, EvacuationUpdate] | None = None
 
 
+@dataclass(slots=True)
+class KnownServers:
+    """Groups and servers of the last announcement of each zone.
+
+    Announcements repeat them several times a second, and they seldom change.
+    """
+
+    _by_zone: dict[str, "_DecodedServers"] = field(default_factory=dict)
+
+    def find(self, zone: str, values: list[Any]) -> "_DecodedServers | None":
+        """Return what was decoded from the same values."""
+        known = self._by_zone.get(zone)
+        return known if known is not None and known.values == values else None
+
+    def keep(self, zone: str, decoded: "_DecodedServers") -> None:
+        """Replace what is known of a zone."""
+        self._by_zone[zone] = decoded
+
+
+class _DecodedServers(NamedTuple):
+    """Groups and plain servers as they were sent, and decoded."""
+
+    values: list[Any]
+    groups: tuple[ServedGroup, ...]
+    servers: tuple[BackendServer, ...]
+
+
 def encode(gossip: Gossip) -> bytes:
     """Encode a message as a datagram."""
     return cbor2.dumps(
@@ -107,10 +134,13 @@
     )
 
 
-def decode(data: bytes, now_s: float = 0.0) -> Gossip:
+def decode(
+    data: bytes, now_s: float = 0.0, known: KnownServers | None = None
+) -> Gossip:
     """Decode a datagram that arrived at `now_s`. Raises `GossipError`.
 
-    `now_s` is of the clock that counts suspended time.
+    `now_s` is of the clock that counts suspended time. Servers that `known` has are not
+    decoded again.
     """
     try:
         values: Any = cbor2.load(io.BytesIO(data))
@@ -126,7 +156,7 @@
             traffic=_decode_traffic(values[8]),
             stalled_leaders=tuple(_require_text(value) for value in values[9]),
             announcement=_decode_announcement(
-                values[10], _require_text(values[1]), now_s
+                values[10], _require_text(values[1]), now_s, known or KnownServers()
             )
             if values[10] is not None
             else None,
@@ -240,10 +270,34 @@
 
 
 def _decode_announcement(
-    values: Any, owner_zone: str, now_s: float
+    values: Any, owner_zone: str, now_s: float, known: KnownServers
 ) -> ZoneAnnouncement:
     zone = _require_text(values[0])
     cold_known = any(bool(value) for value in values[7:8])
+    sent = list(values[2:4])
+    # Cold times count from the arrival of their datagram.
+    decoded = None if cold_known else known.find(zone, sent)
+    if decoded is None:
+        decoded = _decode_servers(sent, zone, owner_zone, now_s, cold_known=cold_known)
+        if not cold_known:
+            known.keep(zone, decoded)
+    return ZoneAnnouncement(
+        zone=zone,
+        term=int(values[1]),
+        groups=decoded.groups,
+        servers=decoded.servers,
+        traffic=_decode_traffic(values[4]),
+        # Nodes of an earlier version do not send the next two fields.
+        successors=_decode_names(values[5:6]),
+        other_owners=_decode_names(values[6:7]),
+        cold_known=cold_known,
+    )
+
+
+def _decode_servers(
+    values: list[Any], zone: str, owner_zone: str, now_s: float, *, cold_known: bool
+) -> _DecodedServers:
+    """Decode the groups and the plain servers of an announcement."""
 
     def decode_server(server: Any) -> BackendServer:
         decoded = _decode_server(server, zone, now_s)
@@ -252,21 +306,16 @@
         remaining_s, grant = decode_cold(server[7:], owner_zone, now_s)
         return replace(decoded, cold_remaining_s=remaining_s, cold_grant=grant)
 
-    return ZoneAnnouncement(
-        zone=zone,
-        term=int(values[1]),
-        groups=tuple(
+    groups, servers = values
+    return _DecodedServers(
+        values,
+        tuple(
             ServedGroup(
                 _require_text(group[0]), decode_server(group[2]), bool(group[1])
             )
-            for group in values[2]
+            for group in groups
         ),
-        servers=tuple(decode_server(server) for server in values[3]),
-        traffic=_decode_traffic(values[4]),
-        # Nodes of an earlier version do not send the next two fields.
-        successors=_decode_names(values[5:6]),
-        other_owners=_decode_names(values[6:7]),
-        cold_known=cold_known,
+        tuple(decode_server(server) for server in servers),
     )
 
 
--- a/gooseberryhall/gossip/service.py
+++ b/gooseberryhall/gossip/service.py
@@ -9,7 +9,7 @@
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from .const import BATCH_DATAGRAMS, BATCH_PAUSE_S, MAX_DATAGRAM_BYTES
-from .messages import Gossip, GossipError, decode, encode
+from .messages import Gossip, GossipError, KnownServers, decode, encode
 from .models import Peer
 from .peers import Peers
 
@@ -34,6 +34,7 @@
         # Peers and datagrams that are not sent yet, by name of the peer.
         self._waiting: dict[str, tuple[Peer, list[bytes]]] = {}
         self._next_batch: asyncio.TimerHandle | None = None
+        self._known_servers = KnownServers()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the socket."""
@@ -42,7 +43,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str | object, int]) -> None:
         """Decode and apply a datagram of a peer."""
         try:
-            gossip = decode(data, boot_time_s())
+            gossip = decode(data, boot_time_s(), self._known_servers)
         except GossipError as exc:
             log_event(
                 _LOGGER,
