Send to owners and the next peer without looking at all peers

Cause: every 0.15 s each node looked at all peers to find the owners and one other peer that gets its datagram, counted the peers of other zones, and built sets of all servers to know which owners are near. This grows with the square of the nodes. Change: a node without a zone, while its own zone has an owner, looks up the owners by name and takes the next others from a rotation. Owners, and nodes of a zone without owner, go through all peers as before, as they send to all of them. The counts and sets are kept until they change.

--- a/gooseberryhall/gossip/const.py
+++ b/gooseberryhall/gossip/const.py
@@ -17,6 +17,8 @@
 # zones have owners, peers learn everything from them.
 PEERS_PER_PERIOD: Final = 6
 PEERS_PER_PERIOD_WITH_OWNERS: Final = 1
+# Peers, owners for example, that a node passes over in a period to find the next ones.
+PEERS_PASSED_OVER: Final = 7
 # Number of peers of other zones that exchange datagrams with an owner in a period. If
 # there are more, each of them has a longer interval, of several periods at most.
 REMOTE_PEERS_PER_PERIOD: Final = 48
--- a/gooseberryhall/gossip/peers.py
+++ b/gooseberryhall/gossip/peers.py
@@ -1,6 +1,8 @@
 """Peers of a node and the announcements of zones."""
 
+from collections import deque
 from collections.abc import Collection
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from ..transport.address import Address
@@ -10,6 +12,7 @@
     MAX_REMOTE_PERIODS,
     PEER_DOWN_S,
     PEER_REMOVAL_S,
+    PEERS_PASSED_OVER,
     PEERS_PER_PERIOD,
     PEERS_PER_PERIOD_WITH_OWNERS,
     REMOTE_PEERS_PER_PERIOD,
@@ -32,6 +35,14 @@
     announcements: dict[str, ReceivedAnnouncement] = field(default_factory=dict)
     # Time of the last datagram of any peer; None if there was none.
     last_received_s: float | None = None
+    # Names of all peers in the order in which they get datagrams.
+    _rotation: deque[str] = field(default_factory=deque)
+    # Number of peers in other zones; None if it must be counted again.
+    _remote_count: int | None = None
+    # Servers of each zone, and the announcement that lists them.
+    _zone_servers: dict[str, tuple[ZoneAnnouncement, set[str]]] = field(
+        default_factory=dict
+    )
 
     def add(self, name: str, zone: str, address: Address, now_s: float) -> None:
         """Add a peer that is listed in the store."""
@@ -39,7 +50,7 @@
             return
         peer = self.peers.get(name)
         if peer is None:
-            self.peers[name] = Peer(name, zone, address, now_s - PEER_DOWN_S)
+            self._add(Peer(name, zone, address, now_s - PEER_DOWN_S))
         elif now_s - peer.received_s >= self._down_s(self.remote_interval_s()):
             peer.address = address
 
@@ -51,7 +62,7 @@
         peer = self.peers.get(gossip.node)
         if peer is None:
             peer = Peer(gossip.node, gossip.zone, address, now_s)
-            self.peers[gossip.node] = peer
+            self._add(peer)
         message = peer.message
         if (
             message is not None
@@ -60,7 +71,9 @@
         ):
             return False
         peer.message = gossip
-        peer.zone = gossip.zone
+        if peer.zone != gossip.zone:
+            peer.zone = gossip.zone
+            self._remote_count = None
         peer.received_s = now_s
         peer.address = address
         self.last_received_s = now_s
@@ -71,6 +84,17 @@
             self._apply_announcement(received)
         return True
 
+    def _add(self, peer: Peer) -> None:
+        self.peers[peer.name] = peer
+        self._rotation.append(peer.name)
+        self._remote_count = None
+
+    def _remove(self, name: str) -> None:
+        del self.peers[name]
+        with suppress(ValueError):
+            self._rotation.remove(name)
+        self._remote_count = None
+
     def due_peers(
         self, messages: Collection[Gossip], now_s: float, *, urgent: bool = False
     ) -> list[Peer]:
@@ -83,23 +107,53 @@
         the owner before it knew the others.
         """
         period = self._create_round(messages, now_s, urgent=urgent)
+        if not period.owned and period.ownerless_zone is None:
+            return self._due_owners(period) + self._next_others(period)
         peers: dict[Turn, list[Peer]] = {turn: [] for turn in Turn}
         for name, peer in list(self.peers.items()):
             if now_s - peer.received_s > PEER_REMOVAL_S:
-                del self.peers[name]
+                self._remove(name)
                 continue
             peers[choose_turn(peer, period)].append(peer)
         others = peers[Turn.OTHER]
         if not period.owned:
-            has_owners = all(
-                self.fresh_announcement(zone, now_s) for zone in self.zones
-            )
-            count = PEERS_PER_PERIOD_WITH_OWNERS if has_owners else PEERS_PER_PERIOD
-            others = sorted(others, key=lambda peer: peer.sent_s)[:count]
+            others = sorted(others, key=lambda peer: peer.sent_s)
+            others = others[: self._others_per_period(now_s)]
         # The nodes do not know a new owner before its first announcement, so an owner
         # sends to all others.
         return peers[Turn.FIRST] + peers[Turn.SECOND] + others
 
+    def _due_owners(self, period: Period) -> list[Peer]:
+        """Return the owners that get the messages of a node without a zone."""
+        peers: dict[Turn, list[Peer]] = {turn: [] for turn in Turn}
+        for name in sorted(period.owners & self.peers.keys()):
+            peer = self.peers[name]
+            peers[choose_turn(peer, period)].append(peer)
+        return peers[Turn.FIRST] + peers[Turn.SECOND]
+
+    def _next_others(self, period: Period) -> list[Peer]:
+        """Return the next peers that are no owners; looks at few of them only."""
+        found: list[Peer] = []
+        count = self._others_per_period(period.now_s)
+        for _ in range(min(len(self._rotation), count + PEERS_PASSED_OVER)):
+            name = self._rotation.popleft()
+            peer = self.peers.get(name)
+            if peer is None:
+                continue
+            if period.now_s - peer.received_s > PEER_REMOVAL_S:
+                self._remove(name)
+                continue
+            self._rotation.append(name)
+            if choose_turn(peer, period) is Turn.OTHER:
+                found.append(peer)
+            if len(found) == count:
+                break
+        return found
+
+    def _others_per_period(self, now_s: float) -> int:
+        has_owners = all(self.fresh_announcement(zone, now_s) for zone in self.zones)
+        return PEERS_PER_PERIOD_WITH_OWNERS if has_owners else PEERS_PER_PERIOD
+
     def _create_round(
         self, messages: Collection[Gossip], now_s: float, *, urgent: bool
     ) -> Period:
@@ -124,8 +178,12 @@
 
     def remote_interval_s(self) -> float:
         """Return the time between two datagrams of a node and another zone's owner."""
-        remote = sum(1 for peer in self.peers.values() if peer.zone != self.zone)
-        periods = min(max(1.0, remote / REMOTE_PEERS_PER_PERIOD), MAX_REMOTE_PERIODS)
+        if self._remote_count is None:
+            self._remote_count = sum(
+                1 for peer in self.peers.values() if peer.zone != self.zone
+            )
+        periods = self._remote_count / REMOTE_PEERS_PER_PERIOD
+        periods = min(max(1.0, periods), MAX_REMOTE_PERIODS)
         return periods * GOSSIP_PERIOD_S
 
     def is_isolated(self, now_s: float) -> bool:
@@ -231,9 +289,22 @@
             for zone, received in self.announcements.items()
             if received.is_fresh(now_s)
             if zone == self.zone
-            or not server_ids(received.announcement).isdisjoint(traffic)
+            or (traffic and not self._servers_of(received).isdisjoint(traffic))
         }
 
+    def _servers_of(self, received: ReceivedAnnouncement) -> set[str]:
+        """Return the ids of the servers that an announcement lists."""
+        announcement = received.announcement
+        known = self._zone_servers.get(announcement.zone)
+        if known is not None and (
+            known[0].groups is announcement.groups
+            and known[0].servers is announcement.servers
+        ):
+            return known[1]
+        ids = server_ids(announcement)
+        self._zone_servers[announcement.zone] = (announcement, ids)
+        return ids
+
     def _live_peers(self, now_s: float) -> list[tuple[Peer, Gossip]]:
         """Return the peers that sent a datagram within the last few intervals.
 
