Keep the routing table while announcements list the same servers

Cause: each announcement made a new table of the groups and servers of all zones, and the traffic of all of them was applied anew. Change: while the table depends on announcements alone, and they list the same servers, it is kept, and only the traffic of zones with news is applied. A node that follows the records makes a new table at each tick, so a record that changes is used at once. Measured: with 300 nodes 145 us before and 4 us after for a tick without change. test_table_is_kept_while_the_groups_are_unchanged failed before and passes.

--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 from dataclasses import replace
 
 from ..core.clock import now_s as boot_time_s
@@ -27,6 +28,7 @@
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
+from ..gossip.models import ReceivedAnnouncement
 from ..gossip.peers import Peers
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
@@ -42,7 +44,13 @@
 from .servers import ServerFollower
 from .settings import NodeSettings
 from .table import RoutingTable, count_groups, create_announcement
-from .traffic import apply_peer_traffic, local_traffic, remote_traffic, total_traffic
+from .traffic import (
+    apply_peer_traffic,
+    local_traffic,
+    remote_traffic,
+    replace_peer_traffic,
+    total_traffic,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -69,8 +77,8 @@
         self._loop = asyncio.get_running_loop()
         self._was_ready = False
         self._stalls_checked_s: float | None = None
-        # Times of the announcements from which the routing table was built.
-        self._announced_s: list[float] | None = None
+        # The announcements of all zones if the routing table depends on them alone.
+        self._announced: list[ReceivedAnnouncement] | None = None
         # Whether groups changed since the last announcement.
         self._announcement_requested = False
         # Traffic in the last messages to the peers.
@@ -178,10 +186,36 @@
         records are used, and without the store the last announcement.
         """
         now_s = self._loop.time()
-        announced_s = self._announcement_times_s(now_s)
-        if announced_s is not None and announced_s == self._announced_s:
-            return
-        self._announced_s = announced_s
+        announced = self._settled_announcements(now_s)
+        previous, self._announced = self._announced, announced
+        if announced and previous and _list_same_servers(previous, announced):
+            if not self._update_traffic(previous, announced):
+                return
+        else:
+            self._build_table(now_s)
+        self.gateway.waiting.wake()
+
+    def _update_traffic(
+        self,
+        previous: Sequence[ReceivedAnnouncement],
+        announced: Sequence[ReceivedAnnouncement],
+    ) -> bool:
+        """Apply the traffic of zones with news; return whether there are any."""
+        changed = [
+            (old, new)
+            for old, new in zip(previous, announced, strict=True)
+            if old is not new
+        ]
+        for old, new in changed:
+            replace_peer_traffic(
+                self.gateway.backends,
+                old.announcement.traffic,
+                remote_traffic(new, self._reported_traffic),
+            )
+        return bool(changed)
+
+    def _build_table(self, now_s: float) -> None:
+        """Create the routing table anew from all that is known of the zones."""
         table = RoutingTable()
         traffic = self.peers.traffic(now_s) if self.is_owner else {}
         for zone in self.settings.zones:
@@ -203,22 +237,21 @@
                 table.add(last, outdated=True)
         self.table = table
         apply_peer_traffic(self.gateway.backends, traffic)
-        self.gateway.waiting.wake()
 
-    def _announcement_times_s(self, now_s: float) -> list[float] | None:
-        """Return when the announcements of all zones were received.
+    def _settled_announcements(self, now_s: float) -> list[ReceivedAnnouncement] | None:
+        """Return the announcements of all zones.
 
         None if the routing table depends on more than these, because this node is an
-        owner or a zone has no owner that follows the store.
+        owner or follows the records, or a zone has no owner that does.
         """
-        if self.is_owner:
+        if self.is_owner or self.servers.following:
             return None
         found = []
         for zone in self.settings.zones:
             received = self.peers.fresh_announcement(zone, now_s)
             if received is None or received.store_lost:
                 return None
-            found.append(received.received_s)
+            found.append(received)
         return found
 
     def _announce_owned_zone(self, zone: str) -> ZoneAnnouncement:
@@ -485,3 +518,17 @@
 
     def _is_paused(self, server: BackendServer) -> bool:
         return self._statements.pause_s(server, self._loop.time()) > 0
+
+
+def _list_same_servers(
+    previous: Sequence[ReceivedAnnouncement], announced: Sequence[ReceivedAnnouncement]
+) -> bool:
+    """Return whether announcements of the same zones list the same servers."""
+    return all(
+        old is new
+        or (
+            old.announcement.groups == new.announcement.groups
+            and old.announcement.servers == new.announcement.servers
+        )
+        for old, new in zip(previous, announced, strict=True)
+    )
--- a/gooseberryhall/node/traffic.py
+++ b/gooseberryhall/node/traffic.py
@@ -1,5 +1,7 @@
 """Exchange of traffic figures between nodes."""
 
+from collections.abc import Iterable
+
 from ..gateway.backends import Backends
 from ..gossip.const import MAX_PROGRESS_AGE_S, MS_PER_S
 from ..gossip.messages import ServerTraffic
@@ -48,6 +50,18 @@
     }
 
 
+def replace_peer_traffic(
+    backends: Backends, server_ids: Iterable[str], traffic: dict[str, PeerTraffic]
+) -> None:
+    """Replace the traffic of other nodes to some servers."""
+    for server_id in server_ids:
+        backends.peer_load.pop(server_id, None)
+        backends.peer_progress_s.pop(server_id, None)
+    for server_id, item in traffic.items():
+        backends.peer_load[server_id] = max(0, item.in_flight)
+        backends.peer_progress_s[server_id] = item.progress_s
+
+
 def _describe(in_flight: int, progress_s: float, now_s: float) -> ServerTraffic:
     age_s = now_s - progress_s
     if progress_s == 0.0 or age_s > MAX_PROGRESS_AGE_S:
