Look at a sample of the servers for each request

Cause: each request, and each try of one that waits, looked at all groups and at all servers of the deployment, and computed what each of them takes. In a burst the waiting requests of a node are tried after each datagram. Change: the table keeps an index by service and model, and a request looks at 32 of what it may use, drawn at random. Deployments with up to 32 groups of a model, and as many servers of a plain service, choose as before. The places that a node may use are scaled from the sample to all servers.

--- a/gooseberryhall/admission/share.py
+++ b/gooseberryhall/admission/share.py
@@ -23,6 +23,15 @@
     own: int = 0
     total: int = 0
 
+    def scale(self, factor: float) -> "Supply":
+        """Return the supply of all servers, of which this one counts a sample."""
+        return Supply(
+            int(self.free * factor),
+            self.places * factor,
+            int(self.own * factor),
+            int(self.total * factor),
+        )
+
     def is_scarce(self, nodes: int) -> bool:
         """Return whether there are too few free slots for all nodes."""
         return self.free < SCARCE_SLOTS_PER_NODE * nodes
--- a/gooseberryhall/gateway/choosing.py
+++ b/gooseberryhall/gateway/choosing.py
@@ -34,6 +34,7 @@
         supply = measure_supply(candidates)
         if supply is None:
             return Choice(chosen)
+        supply = supply.scale(self.state.sampling_factor(ctx))
         delay_s = self.allowances.delay_s(ctx.kind, supply, now_s)
         if delay_s != 0.0 and ctx.time_left_s(now_s) < math.inf:
             return Choice(delay_s=delay_s)
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -34,6 +34,7 @@
 from .metrics import GatewayMetrics
 from .observed import ObservedTimes
 from .placement import Candidate, choose_group, choose_server
+from .server_index import MAX_CANDIDATES, ServerIndex, create_index, sample
 from .stopping import Stopping, StopSchedule
 from .waiting import WaitingRequests
 from .zone_failures import ZoneFailures
@@ -80,6 +81,8 @@
     observed: ObservedTimes = field(default_factory=ObservedTimes)
     # Returns the number of live nodes, including this one.
     node_count: Callable[[], int] = lambda: 1
+    # Returns the index of `groups` and `servers`; without it, it is made for each use.
+    find_index: Callable[[], ServerIndex] | None = None
     allowances: Allowances = field(init=False)
     waiting: WaitingRequests = field(init=False)
 
@@ -109,6 +112,12 @@
             self.budgets[service] = self.create_budget()
         return self.budgets[service]
 
+    def index(self) -> ServerIndex:
+        """Return the groups and servers by what a request asks for."""
+        if self.find_index is not None:
+            return self.find_index()
+        return create_index(self.groups(), self.servers().values())
+
     def is_grouped(self, service: str) -> bool:
         """Return whether the servers of a service form groups."""
         cfg = self.configuration()
@@ -163,11 +172,14 @@
         if not self.zone_failures.is_suspected(server.zone, now_s):
             return False
         # If no zone seems within reach, the servers are tried one by one.
-        zones = {other.zone for other in self.servers().values()}
+        zones = self.index().zones
         return not all(self.zone_failures.is_suspected(zone, now_s) for zone in zones)
 
     def candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
-        """Return the groups or plain servers to which the request may be sent."""
+        """Return groups or plain servers to which the request may be sent.
+
+        In a large deployment these are some of them, drawn at random.
+        """
         if self.is_grouped(ctx.service):
             return self.group_candidates(ctx, now_s)
         return self.server_candidates(ctx, now_s)
@@ -199,17 +211,14 @@
         return chosen
 
     def group_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
-        """Return the groups to which the request may be sent."""
+        """Return a sample of the groups to which the request may be sent."""
         slots = self._group_slots(ctx.service)
         times = self.expected_times(ctx)
         time_left_s = ctx.time_left_s(now_s)
         candidates = []
-        for group in self.groups():
+        groups = self.index().groups(ctx.service, ctx.model)
+        for group in sample(groups, self.rng):
             leader = group.leader
-            if leader.service != ctx.service:
-                continue
-            if ctx.model is not None and group.model != ctx.model:
-                continue
             if leader.server_id in ctx.excluded_servers:
                 continue
             if not self.may_place(ctx, leader, now_s):
@@ -237,13 +246,11 @@
         return candidates
 
     def server_candidates(self, ctx: RequestContext, now_s: float) -> list[Candidate]:
-        """Return the plain servers to which the request may be sent."""
+        """Return a sample of the plain servers to which the request may be sent."""
         times = self.expected_times(ctx)
         time_left_s = ctx.time_left_s(now_s)
         candidates = []
-        for server in self.servers().values():
-            if server.service != ctx.service:
-                continue
+        for server in sample(self.index().servers(ctx.service), self.rng):
             if server.server_id in ctx.excluded_servers:
                 continue
             if not self.may_place(ctx, server, now_s):
@@ -298,7 +305,7 @@
         return self.statements.soonest_return_s(
             [
                 server
-                for server in self.servers_for(ctx)
+                for server in sample(self.servers_for(ctx), self.rng)
                 if not self.statements.is_leaving(server, now_s)
             ],
             now_s,
@@ -311,22 +318,26 @@
         """
         left_s = [
             self.cold.left_s(server)
-            for server in self.servers_for(ctx)
+            for server in sample(self.servers_for(ctx), self.rng)
             if not self.statements.is_leaving(server, now_s)
         ]
         return min([*left_s, SEND_WINDOW_S]) or None if left_s else None
 
     def servers_for(self, ctx: RequestContext) -> list[BackendServer]:
         """Return the leaders or plain servers of a request, also unusable ones."""
+        index = self.index()
+        if self.is_grouped(ctx.service):
+            return [item.leader for item in index.groups(ctx.service, ctx.model)]
+        return list(index.servers(ctx.service))
+
+    def sampling_factor(self, ctx: RequestContext) -> float:
+        """Return how many servers each one in `candidates` stands for."""
+        index = self.index()
         if self.is_grouped(ctx.service):
-            servers = [
-                group.leader
-                for group in self.groups()
-                if ctx.model is None or group.model == ctx.model
-            ]
+            count = len(index.groups(ctx.service, ctx.model))
         else:
-            servers = list(self.servers().values())
-        return [server for server in servers if server.service == ctx.service]
+            count = len(index.servers(ctx.service))
+        return max(1.0, count / MAX_CANDIDATES)
 
     def is_evacuated(self, ctx: RequestContext, now_s: float) -> bool:
         """Return whether all servers for a request are in zones that are cut off."""
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -26,6 +26,7 @@
 from ..gateway.hedging import create_hedging
 from ..gateway.intake import max_connections
 from ..gateway.metrics import GatewayMetrics
+from ..gateway.server_index import ServerIndex
 from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
 from ..gossip.models import ReceivedAnnouncement
@@ -436,6 +437,7 @@
             configuration=lambda: self.configuration.current,
             servers=lambda: self.table.servers,
             groups=lambda: self.table.groups,
+            find_index=self._find_index,
             create_budget=self._create_budget,
             on_crash=self._apply_crash_causes,
             evacuations=self.evacuations,
@@ -444,6 +446,9 @@
             cold=self._create_cold_servers(adapter.statements),
         )
 
+    def _find_index(self) -> ServerIndex:
+        return self.table.index()
+
     def _create_cold_servers(self, statements: ServerStatements) -> ColdServers:
         return ColdServers(
             node=self.settings.node,
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -5,6 +5,7 @@
 
 from ..fleet.models import BackendServer, Group, ServedGroup
 from ..fleet.view import FleetView
+from ..gateway.server_index import ServerIndex, create_index
 from ..gossip.messages import ServerTraffic, ZoneAnnouncement
 
 
@@ -14,6 +15,14 @@
 
     groups: list[ServedGroup] = field(default_factory=list)
     servers: dict[str, BackendServer] = field(default_factory=dict)
+    _index: ServerIndex | None = None
+    _leaders: set[str] | None = None
+
+    def index(self) -> ServerIndex:
+        """Return the index of the table, which must not change afterwards."""
+        if self._index is None:
+            self._index = create_index(self.groups, self.servers.values())
+        return self._index
 
     def add(self, announcement: ZoneAnnouncement, *, outdated: bool = False) -> None:
         """Add the groups and servers of a zone; outdated groups are used last."""
@@ -44,8 +53,10 @@
         self.add(replace(announcement, groups=groups, servers=servers))
 
     def leaders(self) -> set[str]:
-        """Return the server ids of the leaders of all groups."""
-        return {group.leader.server_id for group in self.groups}
+        """Return the server ids of the leaders of all groups, as `index` does."""
+        if self._leaders is None:
+            self._leaders = {group.leader.server_id for group in self.groups}
+        return self._leaders
 
 
 def create_announcement(
