Send requests by way of a peer while this node reaches no server

Cause: a node has one way to a server, its own connection. When the network between its VM and the servers is lost, it knows which servers work and which nodes reach them, and can use neither. Change: if connections to two servers fail, a request that cannot connect is sent to a peer in the form in which it would go to the server. The peer passes it on over a connection of its own and the answer back; it refuses what it must not send itself (a server that leaves, paused or not listed) and if it is cut off, too. An answer that a peer got from a server which this node does not reach proves the cut, and all requests go by way of peers until a connection that is tried every 0.5 s succeeds. Peers of the own zone go first, those of other zones if they fail. Streams on connections that fell silent move as if their group were silent. The node of the caller keeps retries, limits, crash suspects and order. What servers say of themselves is recorded by both nodes.

--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -18,6 +18,7 @@
 
 _FAILURE_WEIGHT = 0.2
 _MIN_SHARING_SERVERS = 2
+_MIN_SILENT_REQUESTS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,6 +229,28 @@
             (health.last_progress_s for health in self._health.values()), default=0.0
         )
 
+    def exchanges(self) -> list[Exchange]:
+        """Return the exchanges of all attempts in flight."""
+        return [
+            attempt.exchange
+            for health in self._health.values()
+            for attempt in health.in_flight.values()
+        ]
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether requests are in flight and nothing arrives for any of them."""
+        waiting = [item for item in self._health.values() if item.in_flight]
+        if sum(len(item.in_flight) for item in waiting) < _MIN_SILENT_REQUESTS:
+            return False
+        since_s = max(item.no_progress_since_s for item in waiting)
+        return now_s - since_s >= GROUP_STALL_TIMEOUT_S
+
+    def forget_suspicions(self) -> None:
+        """End the backoff of all servers."""
+        for health in self._health.values():
+            health.suspected_until_s = 0.0
+            health.backoff_s = STALL_BACKOFF_S
+
     def abort_crashing(self, is_blocked: Callable[[frozenset[str]], bool]) -> None:
         """Abort requests that would crash their servers, before they are answered."""
         for health in self._health.values():
--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -30,9 +30,21 @@
     hedges_withheld: Counter = field(init=False)
     cold_servers: Gauge = field(init=False)
     cold_withheld: Counter = field(init=False)
+    relayed: Counter = field(init=False)
+    cut_off: Gauge = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
+        self.relayed = Counter(
+            "gooseberryhall_relayed_requests_total",
+            "Requests sent by way of a peer, or passed on for one, by result.",
+            registry=self.registry,
+        )
+        self.cut_off = Gauge(
+            "gooseberryhall_cut_off_from_servers",
+            "Whether this node is cut off from the servers: 0, or 1 if peers help it.",
+            registry=self.registry,
+        )
         self.requests = Counter(
             "gooseberryhall_requests_total",
             "Requests by route and outcome.",
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -22,6 +22,7 @@
 from .backends import Attempt
 from .const import FIRST_ATTEMPT_SHARE, HOLD_POLL_S
 from .context import RequestContext
+from .paths import Path, async_send_by_path, is_refused_by_relay, release_path
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -67,12 +68,15 @@
         state.zone_failures.record_progress(server.zone)
 
     rejected = False
+    path = Path(server)
 
     def on_head(head: ResponseHead) -> None:
         nonlocal rejected
+        if is_refused_by_relay(state, ctx, path, head):
+            return
         rejected = is_rejection(state, head) and head.status != HTTP_MISDIRECTED_REQUEST
         record_progress()
-        _record_statement(state, ctx, server, head)
+        record_statement(state, server, head, ctx)
         if state.hedging is not None and is_full(state, head):
             state.hedging.record_rejection(ctx.service, loop.time())
 
@@ -84,7 +88,6 @@
     )
     attempt = Attempt(exchange, ctx.traits, can_abandon)
     key = state.backends.start_attempt(server.server_id, attempt, loop.time())
-    conn: ClientConnection | None = None
     try:
         data = ctx.encode(
             state.header_names,
@@ -94,18 +97,9 @@
             late=state.is_late(ctx, loop.time()),
         )
         ctx.sends += 1
-        # The server may close a reused connection at the same time. It would then be
-        # unknown whether a request that must run at most once was run.
         state.cold.start_placing(server)
         try:
-            conn = await state.pool.async_send_request(
-                server.address,
-                data,
-                exchange,
-                new_connection=not ctx.route.idempotent,
-                may_send=lambda: state.may_send(server, loop.time()),
-                on_sent=lambda: state.cold.record_sent(server),
-            )
+            conn = await async_send_by_path(state, ctx, path, data, exchange)
         finally:
             state.cold.end_placing(server)
         unqueued = state.backends.load(server.server_id) <= state.slots(server)
@@ -125,8 +119,7 @@
             # The places of this server were overestimated.
             state.backends.mark_full(server.server_id, loop.time())
             state.allowances.refund(ctx.kind)
-        if conn is not None:
-            state.pool.release(server.address, conn)
+        release_path(state, path)
 
 
 async def async_wait_until_released(state: GatewayState, ctx: RequestContext) -> None:
@@ -142,17 +135,23 @@
         await asyncio.sleep(HOLD_POLL_S)
 
 
-def _record_statement(
-    state: GatewayState, ctx: RequestContext, server: BackendServer, head: ResponseHead
+def record_statement(
+    state: GatewayState,
+    server: BackendServer,
+    head: ResponseHead,
+    ctx: RequestContext | None = None,
 ) -> None:
-    """Record what a server says of itself in an answer to a request."""
+    """Record what a server says of itself in an answer to a request.
+
+    `ctx` is None if the request is one that a peer passes on by way of this node.
+    """
     # An answer of another server at this address says nothing about this one.
     if head.status == HTTP_MISDIRECTED_REQUEST:
         return
     statement = state.decode_statement(head)
     for value in statement.unusable:
         state.metrics.statements.inc({"kind": "unusable"})
-        log_request(
+        _log_statement(
             LogEvent.STATEMENT_REFUSED,
             "server sent a malformed value about itself; it is ignored",
             ctx,
@@ -163,7 +162,7 @@
     if not state.statements.record(server, statement, now_s):
         return
     state.metrics.statements.inc({"kind": "leaving" if statement.leaving else "pause"})
-    log_request(
+    _log_statement(
         LogEvent.SERVER_STATEMENT,
         "server leaves; it gets no more requests"
         if statement.leaving
@@ -176,6 +175,15 @@
         state.on_leaving()
 
 
+def _log_statement(
+    event: LogEvent, message: str, ctx: RequestContext | None, **fields: Any
+) -> None:
+    if ctx is not None:
+        log_request(event, message, ctx, **fields)
+    else:
+        log_event(_LOGGER, event, message, **fields)
+
+
 def attempt_deadline_s(ctx: RequestContext) -> float:
     """Return the deadline of this attempt.
 
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -34,6 +34,8 @@
 from .metrics import GatewayMetrics
 from .observed import ObservedTimes
 from .placement import Candidate, choose_group, choose_server
+from .reach import ServerReach
+from .relays import Relays
 from .server_index import MAX_CANDIDATES, ServerIndex, create_index, sample
 from .stopping import Stopping, StopSchedule
 from .waiting import WaitingRequests
@@ -79,6 +81,10 @@
     is_held: Callable[[], bool] = lambda: False
     zone_failures: ZoneFailures = field(default_factory=ZoneFailures)
     observed: ObservedTimes = field(default_factory=ObservedTimes)
+    # Whether this node reaches the servers, and the peers that pass requests on if it
+    # does not; None if peers pass nothing on.
+    reach: ServerReach = field(default_factory=ServerReach)
+    relays: Relays | None = None
     # Returns the number of live nodes, including this one.
     node_count: Callable[[], int] = lambda: 1
     # Returns the index of `groups` and `servers`; without it, it is made for each use.
@@ -92,6 +98,7 @@
         chooser = ServerChooser(self, self.allowances)
         self.waiting = WaitingRequests(chooser, self.metrics)
         self.backends.on_end = self.waiting.wake
+        self.pool.on_connected = self.reach.record_connected
 
     def is_started(self) -> bool:
         """Return whether this node knows what it needs to send requests."""
@@ -138,6 +145,13 @@
         self.metrics.cold_withheld.inc({})
         return False
 
+    def may_relay(self, server: BackendServer, now_s: float) -> bool:
+        """Return whether a request of a peer may be passed on to a server now.
+
+        The peer counts its own requests to cold servers.
+        """
+        return self._takes_requests(server, now_s)
+
     def may_place(
         self, ctx: RequestContext, server: BackendServer, now_s: float
     ) -> bool:
--- a/gooseberryhall/gateway/zone_failures.py
+++ b/gooseberryhall/gateway/zone_failures.py
@@ -35,6 +35,10 @@
         if self._failed_s:
             self._failed_s.pop(zone, None)
 
+    def clear(self) -> None:
+        """Forget all failed connections."""
+        self._failed_s.clear()
+
     def is_suspected(self, zone: str, now_s: float) -> bool:
         """Return whether the servers of a zone seem to be out of reach."""
         failed_s = self._failed_s.get(zone, {})
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -26,6 +26,7 @@
 from ..gateway.hedging import create_hedging
 from ..gateway.intake import max_connections
 from ..gateway.metrics import GatewayMetrics
+from ..gateway.relays import Relays
 from ..gateway.server_index import ServerIndex
 from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
@@ -41,6 +42,7 @@
 from .evacuation import EvacuationFollower
 from .intake import create_intake
 from .owner import RunInZone, ZoneOwner
+from .reach import ReachWatcher, list_relays
 from .registration import async_register
 from .servers import ServerFollower
 from .settings import NodeSettings
@@ -97,6 +99,7 @@
             settings.options.input_limits.connections,
         )
         self.gateway = self._create_gateway(adapter, metrics)
+        self.reach = ReachWatcher(self.gateway, self.tasks.create)
         self.evacuation = EvacuationFollower(
             self.evacuations,
             metrics,
@@ -162,6 +165,7 @@
     def tick(self) -> None:
         """Update the routing table and reconcile the owned zones."""
         self.evacuation.tick()
+        self.reach.check()
         self.servers.update_demand()
         self.servers.remove_lapsed()
         self._update_table()
@@ -319,6 +323,8 @@
         """Close expired connections and remove expired state."""
         now_s = self._loop.time()
         self.gateway.pool.close_expired()
+        if self.gateway.relays is not None:
+            self.gateway.relays.pool.close_expired()
         self.gateway.backends.remove_unused(set(self.table.servers))
         self.gateway.crashes.remove_expired(now_s)
         listed = self.table.servers.keys() | self.servers.view.servers.keys()
@@ -441,6 +447,13 @@
             create_budget=self._create_budget,
             on_crash=self._apply_crash_causes,
             evacuations=self.evacuations,
+            relays=Relays(
+                self.settings.zone,
+                ConnectionPool(
+                    adapter.header_names.request_id, max_idle=self.max_connections // 2
+                ),
+                lambda: list_relays(self.peers.peers.values()),
+            ),
             node_count=lambda: 1 + len(self.peers.peers),
             hedging=create_hedging(hedging.max_share, hedging.quantile),
             cold=self._create_cold_servers(adapter.statements),
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -15,6 +15,7 @@
 from ..gateway.app import async_handle_request
 from ..gateway.const import INTAKE_CHECK_PERIOD_S, STALL_CHECK_PERIOD_S
 from ..gateway.refusals import stopping_response
+from ..gateway.relaying import async_relay_request, relay_limits
 from ..gateway.stopping import StopOutcome, StopSchedule
 from ..gossip.const import GOSSIP_PERIOD_S
 from ..gossip.service import GossipService
@@ -69,6 +70,8 @@
         node.tasks.create(timer.async_run())
         stack.push_async_callback(node.tasks.async_cancel)
         stack.callback(node.gateway.pool.close)
+        if node.gateway.relays is not None:
+            stack.callback(node.gateway.relays.pool.close)
         callers = await async_listen(
             stack,
             settings.callers,
@@ -90,6 +93,14 @@
             stack, settings.metrics, metrics, limits=Limits, intake=node.intake
         )
         await _async_start_gossip(stack, node, settings)
+        await async_listen(
+            stack,
+            Address(settings.host, settings.internal_port),
+            lambda conn, req: async_relay_request(node.gateway, conn, req),
+            limits=lambda: relay_limits(node.configuration.limits),
+            intake=node.intake,
+            max_connections=node.max_connections,
+        )
         node.start()
         timer.async_subscribe(TICK_PERIOD_S, node.tick)
         timer.async_subscribe(STALL_CHECK_PERIOD_S, node.check_stalls)
--- a/gooseberryhall/transport/exchange.py
+++ b/gooseberryhall/transport/exchange.py
@@ -49,6 +49,8 @@
     set_reading: Callable[[bool], None] = _do_nothing
     head: ResponseHead | None = None
     complete: bool = False
+    # Number of times at which a part of the response arrived.
+    received_count: int = 0
     error: TransportError | None = None
     # Whether the server was found silent, and this was not noticed yet.
     _silent: bool = False
@@ -93,6 +95,7 @@
     def receive_head(self, head: ResponseHead) -> None:
         """Store the received status and headers."""
         self.head = head
+        self.received_count += 1
         self.on_head(head)
         self._wake()
 
@@ -101,6 +104,7 @@
         if self.error is not None:
             return
         self._chunks.append(data)
+        self.received_count += 1
         self._hold(len(data))
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._paused:
--- a/gooseberryhall/transport/pool.py
+++ b/gooseberryhall/transport/pool.py
@@ -19,6 +19,8 @@
     id_header: bytes
     # Idle connections to all addresses together.
     max_idle: int | None = None
+    # Called after a connection was opened.
+    on_connected: Callable[[], None] = lambda: None
     _idle: defaultdict[Address, list[ClientConnection]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -43,6 +45,7 @@
         conn = None if new_connection else self._pop_idle(address)
         if conn is None:
             conn = await self._async_connect(address, connect_timeout_s)
+            self.on_connected()
         if not may_send():
             self.release(address, conn)
             raise SendWithheldError(f"{address} must get no request now")
@@ -50,6 +53,16 @@
             on_sent()
         return conn
 
+    async def async_try_connect(self, address: Address) -> bool:
+        """Return whether a connection can be opened; it is closed again."""
+        try:
+            conn = await self._async_connect(address, CONNECT_TIMEOUT_S)
+        except ConnectFailedError:
+            return False
+        conn.close()
+        self.on_connected()
+        return True
+
     def release(self, address: Address, conn: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         idle = self._idle[address]
