Take a status outside of 100 to 599 for a malformed answer

Cause: the parser accepts any three digits. In the node program 000 to 099 counted as an interim response: nothing of it reached the caller, but the request waited for another answer until its time was over, and a command got no answer. 600 and above was passed on as it came. The entry program failed with an error of its own on 000. Change: such an answer breaks the exchange off in both programs. What may run again goes to another server at once; a command is answered with unknown outcome.

--- a/gooseberryhall/adapters/service.py
+++ b/gooseberryhall/adapters/service.py
@@ -35,6 +35,7 @@
 )
 _FRAMING_HEADERS = frozenset(("Content-Length", "Transfer-Encoding"))
 _SUCCESS_STATUSES = range(200, 300)
+_STATUSES = range(100, 600)
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
@@ -81,6 +82,7 @@
             allow_redirects=False,
             middlewares=(_async_translate_errors,),
         ) as response:
+            _check_status(response)
             _check_echo(response, call)
             return await _async_read_response(response)
     except (aiohttp.ClientError, TimeoutError, OSError) as exc:
@@ -107,6 +109,12 @@
     ]
 
 
+def _check_status(response: aiohttp.ClientResponse) -> None:
+    if response.status not in _STATUSES:
+        response.close()
+        raise ExchangeBrokenError(f"{response.status:03} is no status")
+
+
 def _check_echo(response: aiohttp.ClientResponse, call: ServiceCall) -> None:
     if response.headers.get(HEADER_REQUEST_ID) != call.request_id:
         response.close()
--- a/gooseberryhall/transport/client.py
+++ b/gooseberryhall/transport/client.py
@@ -13,6 +13,7 @@
 from .exceptions import ConnectionBrokenError, MalformedResponseError
 from .exchange import Exchange, Headers, ResponseHead
 
+_STATUSES = range(100, 600)
 _FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset({204, 304})
 _SUCCESS_STATUSES = range(200, 300)
@@ -141,6 +142,10 @@
         """
         exchange = self._exchange
         status = self._parser.get_status_code()
+        if status not in _STATUSES:
+            self._skip_response = True
+            self._fail(MalformedResponseError(f"{status:03} is no status"))
+            return
         if exchange is None or status < _FIRST_FINAL_STATUS:
             self._skip_response = True
             return
--- a/tests/entry/test_services.py
+++ b/tests/entry/test_services.py
@@ -25,6 +25,8 @@
     status: int = 200
     echo: str | None = None
     hang: bool = False
+    # Three digits that are sent in place of the status.
+    raw_status: str = ""
     address: str = ""
     release: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -45,6 +47,11 @@
             await self.release.wait()
         if self.abort and req.transport is not None:
             req.transport.abort()
+        if self.raw_status and req.transport is not None:
+            head = f"HTTP/1.1 {self.raw_status} X\r\nContent-Length: 0\r\n"
+            request_id = req.headers["X-Request-Id"]
+            req.transport.write(f"{head}X-Request-Id: {request_id}\r\n\r\n".encode())
+            await self.release.wait()
         headers = {"X-Request-Id": self.echo or req.headers["X-Request-Id"]}
         return web.json_response(
             {"server": self.name}, status=self.status, headers=headers
@@ -205,3 +212,13 @@
     """Guards against a request of an unknown kind, which may be unsafe to repeat."""
     status, body = await silo.async_send("POST", "/fans/3")
     assert (status, body["error"]["code"]) == (404, "unknown_request_kind")
+
+
+async def test_status_that_is_none_does_not_reach_the_caller(silo: Silo) -> None:
+    """Guards against an answer with the status 000 (MIXED)."""
+    silo.near.raw_status = "000"
+    status, body = await silo.async_send("PUT", "/fans/3/start", key="k1")
+    assert (status, body["error"]["code"]) == (409, "outcome_unknown")
+    assert silo.far.runs == []
+    status, answer = await silo.async_send("GET", "/fans/3")
+    assert (status, answer["server"]) == (200, "far")
--- a/tests/gateway/test_faulty_answers.py
+++ b/tests/gateway/test_faulty_answers.py
@@ -263,3 +263,56 @@
     resumed = await _async_ask_stream(async_unframed, _async_whole)
     assert resumed.count(b"piece 2\n") == 1
     assert resumed.endswith(_LAST_CHUNK)
+
+
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+@pytest.mark.parametrize("streaming", [False, True])
+async def test_status_that_is_none_does_not_reach_the_caller(
+    status: str, streaming: bool
+) -> None:
+    """Guards against an answer with a status such as 000 (MIXED).
+
+    Another server is asked at once; the answer is no interim response, either.
+    """
+
+    async def async_odd(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        head = f"HTTP/1.1 {status} X\r\nx-id: {request.headers['x-id']}\r\n"
+        writer.write(f"{head}x-signature: s\r\ncontent-length: 3\r\n\r\nodd".encode())
+
+    if streaming:
+        response = await _async_ask_stream(async_odd, _async_whole)
+        assert response.endswith(_LAST_CHUNK)
+    else:
+        answers = [async_odd, _async_answer_whole]
+        servers = tuple(
+            ScriptedServer(f"s{number}", script)
+            for number, script in enumerate(answers)
+        )
+        async with async_gateway((route(),), servers) as gateway:
+            gateway.prefer("s0")
+            response = await asyncio.wait_for(gateway.async_request(), 0.3)
+        assert response.endswith(b"whole")
+        assert len(servers[0].requests) == 1
+    assert response.startswith(b"HTTP/1.1 200")
+
+
+async def _async_answer_whole(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(encode_response(request, b"whole"))
+
+
+async def test_command_gets_no_status_that_is_none() -> None:
+    """Guards against a command that is answered with 000, or sent again (MIXED)."""
+
+    async def async_odd(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        head = f"HTTP/1.1 000 X\r\nx-id: {request.headers['x-id']}\r\n"
+        writer.write(f"{head}content-length: 0\r\n\r\n".encode())
+
+    servers = (ScriptedServer("s0", async_odd), ScriptedServer("s1", async_odd))
+    unsafe = route(idempotent=False)
+    async with async_gateway((unsafe,), servers) as gateway:
+        request = gateway.async_request(method="POST", body="x")
+        response = await asyncio.wait_for(request, 0.3)
+    assert response.startswith(b"HTTP/1.1 502")
+    assert sum(len(server.requests) for server in servers) == 1
