--- a/tests/node/test_cut_off.py
+++ b/tests/node/test_cut_off.py
@@ -62,3 +62,32 @@
         others = await cluster.async_count_served("b1", REQUESTS)
     assert served == [REQUESTS] * 3
     assert others == REQUESTS
+
+
+async def test_connections_that_a_cut_resets_are_no_crashes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against sound requests that all nodes refuse after a cut.
+
+    Three servers seemed to crash under the same request, as its connections to them
+    were reset at the same moment (GH1528 in the incident).
+    """
+
+    async def async_wait(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(0.3)
+        writer.write(encode_response(request))
+
+    servers = tuple(ScriptedServer(f"s{number}", async_wait) for number in range(4))
+    async with async_cluster(monkeypatch, NODES, *servers) as cluster:
+        calls = [cluster.async_ask("a1", "/a/same") for _ in range(8)]
+        waiting = asyncio.gather(*calls)
+        await asyncio.sleep(0.15)
+        cluster.cut_off(Cut.RESET, "a1")
+        await waiting
+        await asyncio.sleep(REPLACED_S)
+        served = [
+            await cluster.async_count_served(name, 4, path="/a/same") for name in NODES
+        ]
+    assert served == [4, 4, 4]
