Call a node that reaches no server partitioned

The glossary has "cut off" for evacuated zones; one word stands for one thing. Names and texts only; 25 tests of these parts pass.

--- a/gooseberryhall/gateway/metrics.py
+++ b/gooseberryhall/gateway/metrics.py
@@ -31,7 +31,7 @@
     cold_servers: Gauge = field(init=False)
     cold_withheld: Counter = field(init=False)
     relayed: Counter = field(init=False)
-    cut_off: Gauge = field(init=False)
+    partitioned: Gauge = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the collectors."""
@@ -40,9 +40,9 @@
             "Requests sent by way of a peer, or passed on for one, by result.",
             registry=self.registry,
         )
-        self.cut_off = Gauge(
-            "gooseberryhall_cut_off_from_servers",
-            "Whether this node is cut off from the servers: 0, or 1 if peers help it.",
+        self.partitioned = Gauge(
+            "gooseberryhall_partitioned_from_servers",
+            "1 while this node reaches no server and peers pass its requests on.",
             registry=self.registry,
         )
         self.requests = Counter(
--- a/gooseberryhall/gateway/paths.py
+++ b/gooseberryhall/gateway/paths.py
@@ -1,6 +1,6 @@
 """Sends a request to its server, by itself or by way of a peer.
 
-A node that is cut off from the servers sends each request to a peer, in the form in
+A node that is partitioned from the servers sends each request to a peer, in the form in
 which it would send it to the server. The peer passes it on and the answer back, so that
 retries, limits and the order of requests stay with the node of the caller.
 """
@@ -30,7 +30,7 @@
 class RelayRefusal(StrEnum):
     """Why a peer did not pass a request on, so that it has not run."""
 
-    # The peer stops, or is cut off, too.
+    # The peer stops, or is partitioned, too.
     UNAVAILABLE = "unavailable"
     # The peer does not reach this server, or must not send to it.
     SERVER = "server"
@@ -56,7 +56,7 @@
     """Send an encoded request. Raises `ConnectFailedError` if nothing was sent.
 
     A request that cannot connect is sent by way of a peer at once if this node may be
-    cut off.
+    partitioned.
     """
     loop = asyncio.get_running_loop()
     tried: set[str] = set()
--- a/gooseberryhall/gateway/reach.py
+++ b/gooseberryhall/gateway/reach.py
@@ -22,7 +22,7 @@
     # Connections failed; it is not known whether the servers or this VM are the cause.
     DOUBTED = "doubted"
     # A peer reaches servers that this node does not.
-    CUT_OFF = "cut_off"
+    PARTITIONED = "partitioned"
 
 
 @dataclass(slots=True)
@@ -37,7 +37,7 @@
         """Return whether requests go to a server by way of a peer."""
         if self.state is Reach.DOUBTED:
             return server_id in self._failed_s
-        return self.state is Reach.CUT_OFF
+        return self.state is Reach.PARTITIONED
 
     def record_connected(self) -> None:
         """Record that this node opened a connection to a server."""
@@ -57,4 +57,4 @@
     def record_relayed(self, server_id: str) -> None:
         """Record that a peer passed a server's answer on."""
         if self.state is Reach.DOUBTED and server_id in self._failed_s:
-            self.state = Reach.CUT_OFF
+            self.state = Reach.PARTITIONED
--- a/gooseberryhall/gateway/relaying.py
+++ b/gooseberryhall/gateway/relaying.py
@@ -88,7 +88,7 @@
 def _find_refusal(
     state: GatewayState, server: BackendServer | None
 ) -> RelayRefusal | None:
-    if state.reach.state is Reach.CUT_OFF or state.stopping.schedule is not None:
+    if state.reach.state is Reach.PARTITIONED or state.stopping.schedule is not None:
         return RelayRefusal.UNAVAILABLE
     now_s = asyncio.get_running_loop().time()
     if server is None or not state.may_relay(server, now_s):
--- a/gooseberryhall/gateway/relays.py
+++ b/gooseberryhall/gateway/relays.py
@@ -8,7 +8,7 @@
 from ..transport.address import Address
 from ..transport.pool import ConnectionPool
 
-# Peers that share the requests of a node which is cut off.
+# Peers that share the requests of a node which is partitioned.
 RELAYS: Final = 3
 # Time for which a peer that could not pass a request on is not asked.
 RELAY_BACKOFF_S: Final = 2.0
@@ -81,7 +81,7 @@
     def _draw_other(self, tried: Collection[str], now_s: float) -> Relay | None:
         """Return a peer that is not proved; those of the own zone go first.
 
-        All nodes of a zone may be cut off together.
+        All nodes of a zone may be partitioned together.
         """
         self._list(now_s)
         lists = [self._local, self._remote]
--- a/gooseberryhall/node/reach.py
+++ b/gooseberryhall/node/reach.py
@@ -54,9 +54,9 @@
             previous=self._seen,
         )
         self._seen = state
-        is_cut_off = state is Reach.CUT_OFF
-        self.gateway.metrics.cut_off.set({}, int(is_cut_off))
-        if is_cut_off:
+        is_partitioned = state is Reach.PARTITIONED
+        self.gateway.metrics.partitioned.set({}, int(is_partitioned))
+        if is_partitioned:
             # The servers seemed to fail because this node did not reach them.
             self.gateway.backends.forget_suspicions()
             self.gateway.zone_failures.clear()
--- a/tests/gateway/test_reach.py
+++ b/tests/gateway/test_reach.py
@@ -1,4 +1,4 @@
-"""Tests of the decisions of a node that may be cut off from the servers."""
+"""Tests of the decisions of a node that may be partitioned from the servers."""
 
 import random
 
@@ -62,7 +62,7 @@
     reach = _doubting()
     assert reach.needs_peer("b")
     reach.record_relayed("b")
-    assert reach.state is Reach.CUT_OFF
+    assert reach.state is Reach.PARTITIONED
     assert reach.needs_peer("c")
 
 
@@ -77,7 +77,7 @@
 
 
 def test_peers_of_other_zones_are_asked_if_those_of_the_zone_fail() -> None:
-    """Guards against refusals while all nodes of a zone are cut off."""
+    """Guards against refusals while all nodes of a zone are partitioned."""
     relays = _relays(*(f"z{number}" for number in range(20)), "y1", "y2")
     for _ in range(MAX_FAILED_IN_ZONE):
         relay = relays.choose((), 0.0)
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -126,10 +126,10 @@
     assert len(server.requests) == 1
 
 
-async def test_node_that_is_cut_off_itself_passes_nothing_on() -> None:
-    """Guards against requests that go round among nodes that are cut off."""
+async def test_node_that_is_partitioned_itself_passes_nothing_on() -> None:
+    """Guards against requests that go round among nodes that are partitioned."""
     async with _async_relay(_async_ok) as (gateway, server, address):
-        _cut_off(gateway.state)
+        _partition(gateway.state)
         assert REFUSAL_HEADER + b": unavailable" in await _async_ask(address)
     assert not server.requests
 
@@ -141,5 +141,5 @@
     assert not server.requests
 
 
-def _cut_off(state: GatewayState) -> None:
-    state.reach.state = Reach.CUT_OFF
+def _partition(state: GatewayState) -> None:
+    state.reach.state = Reach.PARTITIONED
--- a/tests/node/cluster.py
+++ b/tests/node/cluster.py
@@ -1,4 +1,4 @@
-"""Several nodes in one process, some of which are cut off from all servers."""
+"""Several nodes in one process, some of which are partitioned from all servers."""
 
 import asyncio
 import contextlib
@@ -82,11 +82,11 @@
 
     settings: dict[str, NodeSettings]
     servers: tuple[ScriptedServer, ...]
-    # Nodes that are cut off from all servers.
+    # Nodes that are partitioned from all servers.
     cut: dict[str, Cut] = field(default_factory=dict)
     _open: list[tuple[str, ClientConnection]] = field(default_factory=list)
 
-    def cut_off(self, how: Cut, *names: str) -> None:
+    def partition(self, how: Cut, *names: str) -> None:
         """Cut nodes off from all servers."""
         self.cut = dict.fromkeys(names, how)
         for name, conn in self._open:
@@ -99,14 +99,14 @@
     async def async_connect(
         self, pool: ConnectionPool, address: Address, timeout_s: float
     ) -> ClientConnection:
-        """Connect as the pool does, unless the node is cut off from the address."""
+        """Connect as the pool does, unless the node is partitioned from the address."""
         name = _NODE.get()
         is_server = address in {server.address for server in self.servers}
         how = self.cut.get(name)
         if is_server and how is not None:
             if how is Cut.HANG:
                 await asyncio.sleep(timeout_s)
-            raise ConnectFailedError(f"{name} is cut off from {address}")
+            raise ConnectFailedError(f"{name} is partitioned from {address}")
         conn = await _async_connect(pool, address, timeout_s)
         if is_server:
             self._open.append((name, conn))
--- a/tests/node/test_cut_off.py
+++ b/tests/node/test_partitioned.py
@@ -16,7 +16,7 @@
 
 NODES = {"a1": "a", "a2": "a", "b1": "b"}
 REQUESTS = 20
-# Time in which a node notices that it is cut off. It gets requests meanwhile.
+# Time in which a node notices that it is partitioned. It gets requests meanwhile.
 NOTICE_S = 2.0
 PERIOD_S = 0.1
 REPLACED_S = 1.5
@@ -39,15 +39,15 @@
 
 @pytest.mark.parametrize("how", Cut)
 @pytest.mark.parametrize("names", [("a1",), ("a1", "a2")])
-async def test_callers_of_a_node_that_is_cut_off_from_all_servers_are_served(
+async def test_callers_of_a_node_that_is_partitioned_from_all_servers_are_served(
     monkeypatch: pytest.MonkeyPatch, names: tuple[str, ...], how: Cut
 ) -> None:
     """Guards against refusals to callers whose node alone reaches no server (RECOVER).
 
-    Their node reaches others that do, also if all nodes of its zone are cut off.
+    Their node reaches others that do, also if all nodes of its zone are partitioned.
     """
     async with async_cluster(monkeypatch, NODES, *_servers()) as cluster:
-        cluster.cut_off(how, *names)
+        cluster.partition(how, *names)
         for _ in range(int(NOTICE_S / PERIOD_S)):
             asyncio.get_running_loop().create_task(cluster.async_ask("a1"))
             await asyncio.sleep(PERIOD_S)
@@ -84,7 +84,7 @@
         calls = [cluster.async_ask("a1", "/a/same") for _ in range(8)]
         waiting = asyncio.gather(*calls)
         await asyncio.sleep(0.15)
-        cluster.cut_off(Cut.RESET, "a1")
+        cluster.partition(Cut.RESET, "a1")
         await waiting
         await asyncio.sleep(REPLACED_S)
         served = [
