Pass HEAD requests on for partitioned peers, too

Answers to HEAD end with their head now, so they need no way of their own. The tests of tests/gateway/test_relaying.py pass.

--- a/gooseberryhall/gateway/paths.py
+++ b/gooseberryhall/gateway/paths.py
@@ -62,7 +62,7 @@
     tried: set[str] = set()
     failure: ConnectFailedError | None = None
     while len(tried) < MAX_RELAYS_TRIED:
-        path.relay = _choose_relay(state, ctx, path.server, tried)
+        path.relay = _choose_relay(state, path.server, tried)
         if path.relay is None and failure is not None:
             raise failure
         try:
@@ -116,12 +116,9 @@
 
 
 def _choose_relay(
-    state: GatewayState, ctx: RequestContext, server: BackendServer, tried: set[str]
+    state: GatewayState, server: BackendServer, tried: set[str]
 ) -> Relay | None:
-    # The answer of a peer to HEAD has no body from which its end would follow.
-    if state.relays is None or ctx.request.method == b"HEAD":
-        return None
-    if not state.reach.needs_peer(server.server_id):
+    if state.relays is None or not state.reach.needs_peer(server.server_id):
         return None
     return state.relays.choose(tried, asyncio.get_running_loop().time())
 
--- a/gooseberryhall/gateway/relaying.py
+++ b/gooseberryhall/gateway/relaying.py
@@ -47,6 +47,7 @@
         return
     exchange = Exchange(
         expected_id=request.get(state.header_names.request_id),
+        is_head_method=request.method == b"HEAD",
         on_head=lambda head: record_statement(state, server, head),
         memory=state.memory,
     )
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -45,6 +45,10 @@
     writer.close()
 
 
+async def _async_head(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(encode_response(request, b""))
+
+
 @asynccontextmanager
 async def _async_relay(
     script: Script,
@@ -64,10 +68,12 @@
         yield gateway, server, Address(*relay.server.sockets[0].getsockname()[:2])
 
 
-async def _async_ask(address: Address, server_id: str = "s1") -> bytes:
+async def _async_ask(
+    address: Address, server_id: str = "s1", method: str = "POST"
+) -> bytes:
     reader, writer = await asyncio.open_connection(address.host, address.port)
     writer.write(
-        f"POST /a/1?q=2 HTTP/1.1\r\nhost: example\r\nx-id: 17\r\nx-team: team-a\r\n"
+        f"{method} /a/1?q=2 HTTP/1.1\r\nhost: example\r\nx-id: 17\r\nx-team: team-a\r\n"
         f"x-server: {server_id}\r\nx-deadline: 900\r\nconnection: close\r\n"
         f"content-length: 4\r\n\r\nbody".encode()
     )
@@ -134,6 +140,14 @@
     assert not server.requests
 
 
+async def test_answer_to_head_is_passed_on_without_a_body() -> None:
+    """Guards against a HEAD request that waits for a body."""
+    async with _async_relay(_async_head) as (_, _server, address):
+        answer = await _async_ask(address, method="HEAD")
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert answer.endswith(b"\r\n\r\n")
+
+
 async def test_unknown_server_is_refused() -> None:
     """Guards against a node that connects to whatever a peer names."""
     async with _async_relay(_async_ok) as (_, server, address):
