Move the creation of a node's request path and zones out of its class

The functions that create the gateway's state and the state of a zone are in node/composition.py, the comparison of announcements is beside the table.

--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -5,48 +5,36 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from ..core.clock import now_s as boot_time_s
 from ..core.tasks import TaskSet
 from ..fleet.const import UNRESPONSIVE_BACKOFF_S
 from ..fleet.controller import probe_group, reconcile
 from ..fleet.evacuation import Evacuations
-from ..fleet.guard import GuardedEngines
-from ..fleet.models import BackendServer
-from ..fleet.statements import ServerStatements
-from ..fleet.zone import ZoneState
-from ..gateway.backends import Backends, Stall
-from ..gateway.budget import RetryBudget
-from ..gateway.cold import ColdServers
+from ..gateway.backends import Stall
 from ..gateway.const import (
     CAUSE_GOSSIP_SHARE,
     MAX_CHECK_DELAY_S,
-    RETRY_SLACK_SHARE,
     STALL_CHECK_PERIOD_S,
 )
-from ..gateway.hedging import create_hedging
 from ..gateway.intake import max_connections
 from ..gateway.metrics import GatewayMetrics
-from ..gateway.relays import Relays
-from ..gateway.server_index import ServerIndex
-from ..gateway.state import GatewayState
 from ..gossip.messages import Gossip, ServerTraffic, ZoneAnnouncement
 from ..gossip.models import ReceivedAnnouncement
 from ..gossip.peers import Peers
 from ..gossip.service import GossipService
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
-from ..transport.pool import ConnectionPool
 from .cold import ColdLimits, create_description
+from .composition import create_gateway, create_zone
 from .configuration import ConfigurationFollower
 from .directory import PlatformAdapter
 from .evacuation import EvacuationFollower
 from .intake import create_intake
-from .owner import RunInZone, ZoneOwner
-from .reach import ReachWatcher, list_relays
+from .owner import ZoneOwner
+from .reach import ReachWatcher
 from .registration import async_register
 from .servers import ServerFollower
 from .settings import NodeSettings
-from .table import RoutingTable, count_groups, create_announcement
+from .table import RoutingTable, create_announcement, list_same_servers
 from .traffic import (
     apply_peer_traffic,
     local_traffic,
@@ -71,8 +59,6 @@
         self.tasks = TaskSet()
         self.peers = Peers(settings.node, settings.zone, settings.zones)
         self.table = RoutingTable()
-        self._leases = adapter.leases
-        self._engines = adapter.engines
         self._directory = adapter.directory
         self._statements = adapter.statements
         self._incarnation = incarnation
@@ -98,14 +84,20 @@
             settings.file_descriptors,
             settings.options.input_limits.connections,
         )
-        self.gateway = self._create_gateway(adapter, metrics)
+        self.gateway = create_gateway(
+            self,
+            adapter,
+            metrics,
+            on_stall=self._on_stall,
+            on_crash=self._apply_crash_causes,
+        )
         self.reach = ReachWatcher(self.gateway, self.tasks.create)
         self.evacuation = EvacuationFollower(
             self.evacuations,
             metrics,
             servers=lambda: self.table.servers,
             local_load=self.gateway.backends.local_load,
-            on_change=self._request_announcement,
+            on_change=self.request_announcement,
         )
         self.gateway.is_held = self.evacuation.is_held
         self.configuration = ConfigurationFollower(
@@ -114,10 +106,10 @@
             lambda: self.is_owner or not self.peers.announcements,
             self.evacuation.apply_rows,
         )
-        self._cold_limits = ColdLimits(
+        self.cold_limits = ColdLimits(
             lambda: self.configuration.current, lambda: self.settings
         )
-        self.owner = self._create_owner()
+        self.owner = self._create_owner(adapter)
         self.servers = ServerFollower(
             adapter.directory,
             self.tasks.create,
@@ -193,7 +185,7 @@
         now_s = self._loop.time()
         announced = self._settled_announcements(now_s)
         previous, self._announced = self._announced, announced
-        if announced and previous and _list_same_servers(previous, announced):
+        if announced and previous and list_same_servers(previous, announced):
             if not self._update_traffic(previous, announced):
                 return
         else:
@@ -278,13 +270,13 @@
             describe_cold=create_description(
                 self.gateway.cold, self.peers, state, self._loop.time()
             )
-            if self._cold_limits.by_service()
+            if self.cold_limits.by_service()
             else None,
         )
 
     def _update_cold(self) -> None:
         """Notice cold servers; without limits there are none."""
-        limits = self._cold_limits.by_service()
+        limits = self.cold_limits.by_service()
         servers = self.table.servers.values() if limits else ()
         count = self.gateway.cold.update(servers)
         self.gateway.metrics.cold_servers.set({}, count)
@@ -303,7 +295,7 @@
             ),
         )
 
-    def _request_announcement(self) -> None:
+    def request_announcement(self) -> None:
         """Send an announcement at the next tick.
 
         One datagram to each node is enough if several groups change together.
@@ -424,129 +416,18 @@
         for zone in self.owner.zones.values():
             probe_group(zone, leader)
 
-    def _create_gateway(
-        self, adapter: PlatformAdapter, metrics: GatewayMetrics
-    ) -> GatewayState:
-        hedging = self.settings.options.hedging
-        return GatewayState(
-            zone=self.settings.zone,
-            header_names=adapter.header_names,
-            pool=ConnectionPool(
-                adapter.header_names.request_id, max_idle=self.max_connections // 2
-            ),
-            statements=adapter.statements,
-            decode_statement=adapter.decode_statement,
-            on_leaving=lambda: self.gossip.send(urgent=True),
-            backends=Backends(self._on_stall, traffic_known=False),
-            memory=self.intake.held.responses,
-            metrics=metrics,
-            configuration=lambda: self.configuration.current,
-            servers=lambda: self.table.servers,
-            groups=lambda: self.table.groups,
-            find_index=self._find_index,
-            create_budget=self._create_budget,
-            on_crash=self._apply_crash_causes,
-            evacuations=self.evacuations,
-            relays=Relays(
-                self.settings.zone,
-                ConnectionPool(
-                    adapter.header_names.request_id, max_idle=self.max_connections // 2
-                ),
-                lambda: list_relays(self.peers.peers.values()),
-            ),
-            node_count=lambda: 1 + len(self.peers.peers),
-            hedging=create_hedging(hedging.max_share, hedging.quantile),
-            cold=self._create_cold_servers(adapter.statements),
-        )
-
-    def _find_index(self) -> ServerIndex:
-        return self.table.index()
-
-    def _create_cold_servers(self, statements: ServerStatements) -> ColdServers:
-        return ColdServers(
-            node=self.settings.node,
-            zone=self.settings.zone,
-            limit=lambda service: self._cold_limits.by_service().get(service),
-            stated=statements.stated_cold,
-            traffic_seen=lambda: self.gateway.traffic_seen,
-            restored_s=self._restored_s,
-        )
-
-    def _restored_s(self, zone: str) -> float | None:
-        """Return when a zone was restored, on the clock that counts suspended time."""
-        ended_s = self.evacuations.restored_s(zone)
-        if ended_s is None:
-            return None
-        return boot_time_s() - (self._loop.time() - ended_s)
-
-    def _create_owner(self) -> ZoneOwner:
+    def _create_owner(self, adapter: PlatformAdapter) -> ZoneOwner:
         return ZoneOwner(
             settings=self.settings,
-            leases=self._leases,
+            leases=adapter.leases,
             peers=self.peers,
             can_own=self._can_own,
-            create_zone=self._create_zone,
+            create_zone=lambda name, term, run_in_zone: create_zone(
+                self, adapter, name, term, run_in_zone
+            ),
             create_task=self.tasks.create,
             started_s=self._loop.time(),
         )
 
     def _can_own(self) -> bool:
         return self.servers.following and self.configuration.engine_service is not None
-
-    def _create_budget(self) -> RetryBudget:
-        nodes = 1 + len(self.peers.peers)
-        return RetryBudget(
-            ratio=self.settings.retry_ratio,
-            slack=self.settings.retry_slack * RETRY_SLACK_SHARE / nodes,
-            window_s=self.settings.retry_window_s,
-        )
-
-    def _create_zone(
-        self, name: str, term: int, run_in_zone: RunInZone
-    ) -> ZoneState | None:
-        service = self.configuration.engine_service
-        if service is None:
-            return None
-        zone = ZoneState(
-            name=name,
-            service=service.name,
-            term=term,
-            view=self.servers.view,
-            engines=GuardedEngines(
-                self._engines,
-                lambda: zone.last_reconcile_s,
-                self._is_paused,
-                lambda: self.evacuations.is_active(name),
-            ),
-            profile=lambda: self.configuration.profile,
-            other_zone_groups=lambda: count_groups(
-                self.table.groups, {name, *self.evacuations.active_zones()}
-            ),
-            traffic_seen=lambda: self.gateway.traffic_seen,
-            on_change=self._request_announcement,
-            on_superseded=lambda: self.owner.verify_lease(name),
-            create_task=run_in_zone,
-            zone_count=len(self.settings.zones),
-            statements=self._statements,
-            traffic_progress_s=self.gateway.backends.latest_progress_s,
-            is_evacuated=lambda: self.evacuations.is_active(name),
-            acquired_s=self._loop.time(),
-        )
-        return zone
-
-    def _is_paused(self, server: BackendServer) -> bool:
-        return self._statements.pause_s(server, self._loop.time()) > 0
-
-
-def _list_same_servers(
-    previous: Sequence[ReceivedAnnouncement], announced: Sequence[ReceivedAnnouncement]
-) -> bool:
-    """Return whether announcements of the same zones list the same servers."""
-    return all(
-        old is new
-        or (
-            old.announcement.groups == new.announcement.groups
-            and old.announcement.servers == new.announcement.servers
-        )
-        for old, new in zip(previous, announced, strict=True)
-    )
--- a/gooseberryhall/node/program.py
+++ b/gooseberryhall/node/program.py
@@ -43,6 +43,8 @@
 # reach their callers.
 ANSWER_MARGIN_S = 0.6
 SHUTDOWN_POLL_S = 0.05
+# Part of the connections to callers up to which peers may have requests passed on.
+RELAYED_CONNECTION_PARTS = 4
 POOL_CLEANUP_PERIOD_S = 0.5
 
 
@@ -99,7 +101,7 @@
             lambda conn, req: async_relay_request(node.gateway, conn, req),
             limits=lambda: relay_limits(node.configuration.limits),
             intake=node.intake,
-            max_connections=node.max_connections,
+            max_connections=node.max_connections // RELAYED_CONNECTION_PARTS,
         )
         node.start()
         timer.async_subscribe(TICK_PERIOD_S, node.tick)
--- a/gooseberryhall/node/table.py
+++ b/gooseberryhall/node/table.py
@@ -7,6 +7,7 @@
 from ..fleet.view import FleetView
 from ..gateway.server_index import ServerIndex, create_index
 from ..gossip.messages import ServerTraffic, ZoneAnnouncement
+from ..gossip.models import ReceivedAnnouncement
 
 
 @dataclass(slots=True)
@@ -139,3 +140,17 @@
         models = counts.setdefault(group.leader.zone, {})
         models[group.model] = models.get(group.model, 0) + 1
     return counts
+
+
+def list_same_servers(
+    previous: Sequence[ReceivedAnnouncement], announced: Sequence[ReceivedAnnouncement]
+) -> bool:
+    """Return whether announcements of the same zones list the same servers."""
+    return all(
+        old is new
+        or (
+            old.announcement.groups == new.announcement.groups
+            and old.announcement.servers == new.announcement.servers
+        )
+        for old, new in zip(previous, announced, strict=True)
+    )
