--- a/gooseberryhall/gateway/explain.py
+++ b/gooseberryhall/gateway/explain.py
@@ -159,6 +159,8 @@
     if view.is_held():
         return "this process was paused"
     left_s = view.cold.left_s(server)
+    if not left_s:
+        return "not drawn among the servers that are looked at"
     return f"cold for {left_s:.3f} s, and this node may not send it more now"
 
 
--- a/tests/gateway/test_large_deployments.py
+++ b/tests/gateway/test_large_deployments.py
@@ -8,6 +8,8 @@
 from gooseberryhall.gateway.app import route_request
 from gooseberryhall.gateway.backends import Backends
 from gooseberryhall.gateway.context import RequestContext
+from gooseberryhall.gateway.explain import explain_route
+from gooseberryhall.gateway.explain_query import ExplainQuery
 from gooseberryhall.gateway.models import CallerRequest
 from gooseberryhall.gateway.state import GatewayState
 from gooseberryhall.transport.address import Address
@@ -35,6 +37,19 @@
     return ctx
 
 
+async def test_explanation_names_servers_that_are_not_looked_at() -> None:
+    """Guards against a server that is called cold because it was not drawn."""
+    async with async_gateway((route(),)) as gateway:
+        servers = [_server(number, "plain") for number in range(GROUPS)]
+        gateway.servers.update({item.server_id: item for item in servers})
+        query = ExplainQuery(host="example", path="/a/1", team="team-a")
+        now_s = asyncio.get_running_loop().time()
+        answer = explain_route(gateway.state, query, now_s)
+    reasons = [item["reason"] for item in answer["candidates"]]
+    missing = reasons.count("not drawn among the servers that are looked at")
+    assert GROUPS - MAX_LOOKED_AT - 1 <= missing < GROUPS
+
+
 @pytest.mark.parametrize("in_flight", [0, 3, 6, 20])
 @pytest.mark.parametrize("service", ["engine", "plain"])
 async def test_request_looks_at_a_bounded_number_of_servers(
