Know the traffic from the first announcement that has some

Cause: traffic that is applied to a kept table did not mark it as known. On a node whose groups never changed after the first request, all groups looked at least half full for good. Change: traffic of single zones marks it, too. Before: test_traffic_is_known_from_the_first_announcement_with_traffic failed. After: it passes with the other tests of the file.

--- a/gooseberryhall/node/traffic.py
+++ b/gooseberryhall/node/traffic.py
@@ -54,6 +54,8 @@
     backends: Backends, server_ids: Iterable[str], traffic: dict[str, PeerTraffic]
 ) -> None:
     """Replace the traffic of other nodes to some servers."""
+    if traffic:
+        backends.traffic_known = True
     for server_id in server_ids:
         backends.peer_load.pop(server_id, None)
         backends.peer_progress_s.pop(server_id, None)
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -162,3 +162,20 @@
     assert node.table is table
     assert node.gateway.backends.load("h1") == 7
     assert node.gateway.backends.load("h2") == 0
+
+
+async def test_traffic_is_known_from_the_first_announcement_with_traffic(
+    started: StartedNode,
+) -> None:
+    """Guards against groups that look half full for good as they never changed.
+
+    Announcements before the first request hold no traffic.
+    """
+    node = started.node
+    announcement = create_announcement(1, "h1", "h2")
+    started.receive("n9", announcement=replace(announcement, traffic={}))
+    node.tick()
+    assert not node.gateway.backends.traffic_known
+    started.receive("n9", announcement=announcement)
+    node.tick()
+    assert node.gateway.backends.traffic_known
