Review 3: end the processes of a case at SIGTERM and after 110 s

Cause: a case that got SIGTERM left its programs running. Change: the main function of the cases cancels the run, which ends them.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -32,6 +32,7 @@
 FORMATION_S = 0.3
 STALL_S = 4.0
 CRASHED_S = 3.0
+MAX_RUN_S = 110.0
 LAPSE_S = 3 * HEARTBEAT_S
 CALLER_PORT, READY_PORT, CONTROL_PORT = 8227, 8220, 8229
 
@@ -952,11 +953,22 @@
 
 
 def main(run: Callable[[Path, bool], Awaitable[int]], directory: Path) -> None:
-    """Run a case; TROUBLE=0 leaves the disruption out. Exits with its result."""
+    """Run a case; TROUBLE=0 leaves the disruption out. Exits with its result.
+
+    All processes are ended also at SIGTERM and if the case takes too long.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run_limited() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        async with asyncio.timeout(MAX_RUN_S):
+            return await run(directory, trouble)
+
     try:
-        code = asyncio.run(run(directory, trouble))
-    except Exception as exc:  # noqa: BLE001
+        code = asyncio.run(run_limited())
+    except (Exception, asyncio.CancelledError) as exc:  # noqa: BLE001
         print(f"the case could not run: {exc!r}", flush=True)
         code = 2
     sys.exit(code)
