--- a/review/11/case.py
+++ b/review/11/case.py
@@ -4,6 +4,7 @@
 import asyncio
 import itertools
 import json
+import os
 import signal
 import sys
 import tempfile
@@ -35,10 +36,10 @@
 WATCHED_S = 8.0
 
 
-async def run(directory: Path, trouble: bool) -> int:
+async def run(record: Path, trouble: bool) -> int:
     """Run the case; return 1 if the rule was broken."""
     with tempfile.TemporaryDirectory() as temporary:
-        world = World(directory, Path(temporary), ZONES)
+        world = World(record, Path(temporary), ZONES)
         world.configure(
             [
                 {
@@ -172,4 +173,5 @@
 
 
 if __name__ == "__main__":
-    main(run, HERE)
+    # TROUBLE=0 leaves the disruption out.
+    main(run, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -34,10 +34,10 @@
     return ",".join([*shared, f"{attempt}:400"])
 
 
-async def run(directory: Path, trouble: bool) -> int:
+async def run(record: Path, trouble: bool) -> int:
     """Run the case; return 1 if the rule was broken."""
     with tempfile.TemporaryDirectory() as temporary:
-        world = World(directory, Path(temporary), ZONES)
+        world = World(record, Path(temporary), ZONES)
         world.poison = POISON
         world.configure(
             [
@@ -121,4 +121,5 @@
 
 
 if __name__ == "__main__":
-    main(run, HERE)
+    # TROUBLE=0 leaves the disruption out.
+    main(run, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 import tempfile
 from collections import Counter
@@ -24,10 +25,10 @@
 REQUEST_PERIOD_S = 0.06
 
 
-async def run(directory: Path, trouble: bool) -> int:
+async def run(record: Path, trouble: bool) -> int:
     """Run the case; return 1 if the rule was broken."""
     with tempfile.TemporaryDirectory() as temporary:
-        world = World(directory, Path(temporary), ZONES)
+        world = World(record, Path(temporary), ZONES)
         world.bounds = {
             "stability_window_ms": STABILITY_S * 1000,
             "evacuation_ms": EVACUATION_S * 1000,
@@ -118,4 +119,5 @@
 
 
 if __name__ == "__main__":
-    main(run, HERE)
+    # TROUBLE=0 leaves the disruption out.
+    main(run, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 import tempfile
 from collections import Counter
@@ -28,10 +29,10 @@
 REQUEST_PERIOD_S = 0.03
 
 
-async def run(directory: Path, trouble: bool) -> int:
+async def run(record: Path, trouble: bool) -> int:
     """Run the case; return 1 if the rule was broken."""
     with tempfile.TemporaryDirectory() as temporary:
-        world = World(directory, Path(temporary), ZONES)
+        world = World(record, Path(temporary), ZONES)
         world.configure(
             [
                 {
@@ -143,4 +144,5 @@
 
 
 if __name__ == "__main__":
-    main(run, HERE)
+    # TROUBLE=0 leaves the disruption out.
+    main(run, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -40,10 +40,10 @@
 class Record:
     """Writes record.txt and keeps the time since the start of the case."""
 
-    def __init__(self, directory: Path) -> None:
+    def __init__(self, path: Path) -> None:
         """Open the file."""
         self.started_s = time.monotonic()
-        self._file = (directory / "record.txt").open("w")
+        self._file = path.open("w")
 
     def now_s(self) -> float:
         """Return the seconds since the start."""
@@ -690,9 +690,9 @@
 class World:
     """All parts of a case."""
 
-    def __init__(self, directory: Path, temporary: Path, zones: list[str]) -> None:
+    def __init__(self, record: Path, temporary: Path, zones: list[str]) -> None:
         """Create the parts; `start` starts them."""
-        self.record = Record(directory)
+        self.record = Record(record)
         self.temporary = temporary
         self.zones = zones
         self.store = Store(self.record)
@@ -952,19 +952,20 @@
     return message(f"{method} {path} HTTP/1.1", headers)
 
 
-def main(run: Callable[[Path, bool], Awaitable[int]], directory: Path) -> None:
-    """Run a case; TROUBLE=0 leaves the disruption out. Exits with its result.
+def main(
+    run: Callable[[Path, bool], Awaitable[int]], record: Path, *, trouble: bool
+) -> None:
+    """Run a case, with or without its disruption, and exit with its result.
 
     All processes are ended also at SIGTERM and if the case takes too long.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run_limited() -> int:
         task = asyncio.current_task()
         assert task is not None
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(MAX_RUN_S):
-            return await run(directory, trouble)
+            return await run(record, trouble)
 
     try:
         code = asyncio.run(run_limited())
