Give no term of a lease out again after the store went back

Two owners had one term, and their groups had the same names.

Cause: a term was the number in the stored row plus one, and the row was taken to grow only. A store that comes back from an earlier copy gives the next owner a term that was in use. Names of groups, epochs and fencing tokens derive from it.

The row of a lease states the era in which it was written, and next_term leaves room for the leases that may be lost, also if the copy is from before an earlier drill. Terms that peers announced are a floor. A write in another era than the read before it does not count. An owner gives out no epoch that a server reports.

--- a/gooseberryhall/fleet/const.py
+++ b/gooseberryhall/fleet/const.py
@@ -26,6 +26,11 @@
 OPEN_TIMEOUT_MARGIN_S: Final = 1.5
 LEAVE_RETRY_S: Final = 0.3
 EPOCHS_PER_TERM: Final = 1_000_000
+# Terms by which leases exceed those of the era before, when the store went back. They
+# cover minutes in which a zone changes its owner as often as it can.
+TERMS_PER_ERA: Final = 1_000
+# Keeps epochs within the integers that all JSON decoders represent exactly.
+MAX_LOST_ERAS: Final = 1_000_000
 # Time for which planning in a domain waits for the servers of a dissolving group.
 DISSOLVE_WAIT_S: Final = 0.5
 SUMMARY_PERIOD_S: Final = 2.0
--- a/gooseberryhall/fleet/orders.py
+++ b/gooseberryhall/fleet/orders.py
@@ -91,22 +91,28 @@
     """Ownership of a zone's groups; `term` grows with each change of owner."""
 
     zone: str
+    # Name of the node; empty if no lease is stored.
     owner: str
     term: int
     # Version of the stored row; 0 if it is absent.
     version: int
+    # Lowest term of the next lease; see `ownership.next_term`.
+    next_term: int
+    # Era of the store in which the lease was read or written; None if it states none.
+    era: int | None = None
 
 
 class LeaseStore(Protocol):
     """Store of the leases that make nodes owners of zones."""
 
-    async def async_read_lease(self, zone: str) -> Lease | None:
-        """Return the stored lease. Raises `UnavailableError`."""
+    async def async_read_lease(self, zone: str) -> Lease:
+        """Return the stored lease, or one without owner. Raises `UnavailableError`."""
 
     async def async_acquire_lease(
-        self, zone: str, owner: str, previous: Lease | None
+        self, owner: str, previous: Lease, later_than: int
     ) -> Lease:
-        """Replace the lease `previous` by a lease of the next term.
+        """Replace the lease `previous` by one of a term above `later_than`.
 
-        Raises `LeaseConflictError` if another lease is stored, or `UnavailableError`.
+        Raises `LeaseConflictError` if another lease is stored or if the store went back
+        since `previous` was read, or `UnavailableError`.
         """
--- a/gooseberryhall/fleet/ownership.py
+++ b/gooseberryhall/fleet/ownership.py
@@ -6,8 +6,10 @@
     CONTENTION_STEP_S,
     ISOLATED_NODE_DELAY_S,
     MAX_CONTENTION_RANK,
+    MAX_LOST_ERAS,
     OTHER_ZONE_DELAY_S,
     STARTUP_GRACE_S,
+    TERMS_PER_ERA,
 )
 
 
@@ -29,6 +31,21 @@
     uptime_s: float
 
 
+def next_term(term: int, written_era: int | None, era: int | None) -> int:
+    """Return the lowest term of the lease that follows a stored one.
+
+    A store that went back to an earlier copy may have lost later leases, whose terms
+    owners, servers and names of groups still have. `written_era` is the era in which
+    the stored lease was written; nodes of an earlier build do not state it, and then
+    leases of any earlier era may be lost. `era` is the current one, None if the store
+    states none.
+    """
+    if era is None:
+        return term + 1
+    lost_eras = max(0, era - (written_era or 0))
+    return term + 1 + TERMS_PER_ERA * min(lost_eras, MAX_LOST_ERAS)
+
+
 def should_acquire_lease(facts: OwnershipFacts) -> bool:
     """Return whether this node should acquire the lease of the zone now.
 
--- a/gooseberryhall/fleet/zone.py
+++ b/gooseberryhall/fleet/zone.py
@@ -202,9 +202,20 @@
         return server
 
     def next_epoch(self) -> int:
-        """Return an epoch that is higher than all earlier ones of the zone."""
-        self.epoch_count += 1
-        return self.term * EPOCHS_PER_TERM + self.epoch_count
+        """Return an epoch that is higher than all earlier ones of the zone.
+
+        Names of groups derive from it. Epochs of this term that servers report and this
+        owner did not give out are those of another owner with an equal term.
+        """
+        first = self.term * EPOCHS_PER_TERM
+        seen = [
+            server.membership.epoch - first
+            for server in self.servers()
+            if server.membership is not None
+        ]
+        used = [count for count in seen if count < EPOCHS_PER_TERM]
+        self.epoch_count = max([self.epoch_count, *used]) + 1
+        return first + self.epoch_count
 
     def log(self, event: LogEvent, message: str, **fields: Any) -> None:
         """Log an event with the zone and its term."""
--- a/gooseberryhall/node/owner.py
+++ b/gooseberryhall/node/owner.py
@@ -41,7 +41,7 @@
     started_s: float
     zones: dict[str, ZoneState] = field(default_factory=dict)
     _owner_seen_s: dict[str, float] = field(default_factory=dict)
-    # Terms of the leases that this node read, by zone.
+    # Highest terms of the leases that this node read or owned, by zone.
     _stored_terms: dict[str, int] = field(default_factory=dict)
     # Zones whose lease is being read or acquired.
     _pending: set[str] = field(default_factory=set)
@@ -57,8 +57,16 @@
                 self._owner_seen_s[name] = now_s
             if zone is None:
                 self._contend_for(name, received, now_s)
-            elif received is not None and received.announcement.term > zone.term:
-                self._release(name, "a peer owns a later term")
+            elif received is not None:
+                self._resolve_rival(zone, received.announcement.term)
+
+    def _resolve_rival(self, zone: ZoneState, term: int) -> None:
+        """Give a zone up, or check its lease, if a peer owns it too."""
+        if term > zone.term:
+            self._release(zone.name, "a peer owns a later term")
+        elif term == zone.term:
+            # Nodes of an earlier build give a term out again if the store went back.
+            self.verify_lease(zone.name)
 
     def become_owner(self, name: str, term: int) -> None:
         """Start to manage the groups of a zone under a term."""
@@ -66,6 +74,7 @@
         if zone is None:
             return
         self.zones[name] = zone
+        self._stored_terms[name] = max(term, self._stored_terms.get(name, 0))
         log_event(_LOGGER, LogEvent.ZONE_OWNED, "acquired zone", zone=name, term=term)
         # The first announcement must list the groups that the earlier owner left.
         reconcile(zone)
@@ -111,12 +120,12 @@
     async def _async_acquire(self, name: str) -> None:
         try:
             stored = await self.leases.async_read_lease(name)
-            if stored is not None and self._is_unheard_owner(stored):
+            if self._is_unheard_owner(stored):
                 now_s = asyncio.get_running_loop().time()
                 self._owner_seen_s[name] = now_s + FIRST_ANNOUNCEMENT_S
                 return
             lease = await self.leases.async_acquire_lease(
-                name, self.settings.node, stored
+                self.settings.node, stored, self._heard_term(name)
             )
         except (LeaseConflictError, UnavailableError) as exc:
             log_event(_LOGGER, LogEvent.ZONE_RELEASED, str(exc), zone=name)
@@ -132,22 +141,54 @@
         Nodes that start together do not know each other yet. Each of them would take
         the zone from the one before.
         """
-        last = self.peers.last_announcement(stored.zone)
-        known = max(last.term if last else 0, self._stored_terms.get(stored.zone, 0))
-        self._stored_terms[stored.zone] = stored.term
+        known = self._heard_term(stored.zone)
+        self._stored_terms[stored.zone] = max(
+            stored.term, self._stored_terms.get(stored.zone, 0)
+        )
         return stored.owner != self.settings.node and stored.term > known
 
+    def _heard_term(self, name: str) -> int:
+        """Return the highest term of a zone that this node read or was told."""
+        last = self.peers.last_announcement(name)
+        return max(last.term if last else 0, self._stored_terms.get(name, 0))
+
     async def _async_verify_lease(self, name: str) -> None:
         try:
             stored = await self.leases.async_read_lease(name)
-        except UnavailableError as exc:
+            zone = self.zones.get(name)
+            if zone is None:
+                return
+            if self._is_superseded(zone, stored):
+                self._release(name, f"{stored.owner} owns term {stored.term}")
+            elif self._has_rival(zone):
+                await self._async_renew(zone, stored)
+        except (LeaseConflictError, UnavailableError) as exc:
             log_event(_LOGGER, LogEvent.STORE_LOST, str(exc), table="leases")
-            return
         finally:
             self._pending.discard(name)
-        zone = self.zones.get(name)
-        if stored is not None and zone is not None and stored.term > zone.term:
-            self._release(name, f"{stored.owner} owns a later term")
+
+    def _is_superseded(self, zone: ZoneState, stored: Lease) -> bool:
+        """Return whether another node holds the lease of a zone that this node owns."""
+        if stored.term == zone.term:
+            return stored.owner != self.settings.node
+        return stored.term > zone.term
+
+    def _has_rival(self, zone: ZoneState) -> bool:
+        """Return whether a peer announces a zone under the term of this node."""
+        now_s = asyncio.get_running_loop().time()
+        received = self.peers.fresh_announcement(zone.name, now_s)
+        return received is not None and received.announcement.term == zone.term
+
+    async def _async_renew(self, zone: ZoneState, stored: Lease) -> None:
+        """Own a zone under a later term, so that its other owner gives it up."""
+        name = zone.name
+        lease = await self.leases.async_acquire_lease(
+            self.settings.node, stored, self._heard_term(name)
+        )
+        if self.zones.get(name) is zone:
+            self._release(name, "a peer owns the same term")
+        if lease.term > self._heard_term(name):
+            self.become_owner(name, lease.term)
 
     def _release(self, name: str, reason: str) -> None:
         del self.zones[name]
--- a/gooseberryhall/platform/leases.py
+++ b/gooseberryhall/platform/leases.py
@@ -7,6 +7,7 @@
 
 from ..fleet.exceptions import LeaseConflictError
 from ..fleet.orders import Lease
+from ..fleet.ownership import next_term
 from ..node.directory import NodeRecord
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
@@ -21,9 +22,12 @@
 NODE_TABLE: Final = "nodes"
 
 
-class _LeaseRow(msgspec.Struct):
+class _LeaseRow(msgspec.Struct, omit_defaults=True):
     owner: str
     term: int
+    # Era of the store in which the row was written. Nodes of an earlier build neither
+    # write nor read it.
+    era: int | None = None
 
 
 class _NodeRow(msgspec.Struct):
@@ -39,33 +43,44 @@
         """Create a lease store that uses a store client."""
         self._store = store
 
-    async def async_read_lease(self, zone: str) -> Lease | None:
-        """Return the stored lease, or None. Raises `StoreUnavailableError`."""
-        for row in (await self._store.async_read(LEASE_TABLE)).rows:
+    async def async_read_lease(self, zone: str) -> Lease:
+        """Return the stored lease, or one without owner.
+
+        Raises `StoreUnavailableError`.
+        """
+        read = await self._store.async_read(LEASE_TABLE)
+        stored, version = _LeaseRow("", 0), 0
+        for row in read.rows:
             if row.key != zone or row.value is None:
                 continue
             try:
                 stored = decode_json(row.value, _LeaseRow, f"lease of {zone}")
             except RowFormatError as exc:
                 raise StoreUnavailableError(str(exc)) from exc
-            return Lease(zone, stored.owner, stored.term, row.version)
-        return None
+            version = row.version
+        following = next_term(stored.term, stored.era, read.era)
+        return Lease(zone, stored.owner, stored.term, version, following, read.era)
 
     async def async_acquire_lease(
-        self, zone: str, owner: str, previous: Lease | None
+        self, owner: str, previous: Lease, later_than: int
     ) -> Lease:
-        """Replace the lease `previous` by a lease of the next term.
+        """Replace the lease `previous` by one of a term above `later_than`.
 
         Raises `LeaseConflictError` or `StoreUnavailableError`.
         """
-        term = previous.term + 1 if previous else 1
-        value = msgspec.json.encode(_LeaseRow(owner, term))
-        version = previous.version if previous else 0
+        zone, era = previous.zone, previous.era
+        term = max(previous.next_term, later_than + 1)
+        value = msgspec.json.encode(_LeaseRow(owner, term, era))
         try:
-            new = await self._store.async_write(LEASE_TABLE, zone, value, version)
+            written = await self._store.async_write(
+                LEASE_TABLE, zone, value, previous.version
+            )
         except StoreConflictError as exc:
             raise LeaseConflictError(f"lease of {zone} has a new owner") from exc
-        return Lease(zone, owner, term, new)
+        if written.era != era:
+            # The row may have had the expected version by chance only.
+            raise LeaseConflictError("the store went back since the lease was read")
+        return Lease(zone, owner, term, written.version, term + 1, era)
 
 
 async def async_register_node(store: Store, record: NodeRecord) -> None:
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -25,6 +25,9 @@
     compacted_version: int = 0
     lose_answers: int = 0
     reads: int = 0
+    # Stated in all responses; rises when the store goes back to an earlier copy.
+    era: int | None = None
+    copied: tuple[dict[tuple[str, str], tuple[bytes | None, int]], int] = ({}, 0)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, table: str, key: str, value: bytes | None) -> None:
@@ -34,6 +37,24 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self) -> None:
+        """Keep a copy to which `go_back` returns."""
+        self.copied = (dict(self.rows), self.version)
+
+    def go_back(self, *, restored: bool = True) -> None:
+        """Return to the copy; its versions are given out again.
+
+        The operator and the servers write again what was lost, if `restored`.
+        """
+        lost = self.rows
+        self.rows, self.version = dict(self.copied[0]), self.copied[1]
+        self.era = (self.era or 0) + 1
+        for (table, key), (value, _) in lost.items():
+            if not restored or table not in {"op", "servers"}:
+                continue
+            if self.rows.get((table, key), (None, 0))[0] != value:
+                self.put(table, key, value)
+
     async def async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -51,6 +72,8 @@
                     return
                 data = json.dumps(content).encode()
                 start = f"HTTP/1.1 {status} X\r\ncontent-length: {len(data)}"
+                if self.era is not None:
+                    start += f"\r\nstore-era: {self.era}"
                 writer.write(start.encode() + b"\r\n\r\n" + data)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
@@ -70,7 +93,7 @@
             self.reads += 1
             return 200, self._page(query)
         after = int(query["after"])
-        if after < self.compacted_version:
+        if after < self.compacted_version or after > self.version:
             return 410, {}
         if not self._changes(query["table"], after):
             with contextlib.suppress(TimeoutError):
--- a/tests/node/common.py
+++ b/tests/node/common.py
@@ -64,6 +64,7 @@
 
     listener: ServerListener | None = None
     on_configuration_store_state: Callable[[bool], None] | None = None
+    registered: list[NodeRecord] = field(default_factory=list)
     configuration_listener: ConfigurationListener | None = None
 
     async def async_follow_configuration(self, listener: ConfigurationListener) -> None:
@@ -81,7 +82,8 @@
         self.listener = listener
 
     async def async_register(self, record: NodeRecord) -> None:
-        """Do nothing."""
+        """Keep the record."""
+        self.registered.append(record)
 
     async def async_list_nodes(self) -> list[NodeRecord]:
         """Return no peers."""
@@ -93,17 +95,21 @@
     """Lease store that grants every lease."""
 
     acquired: list[str] = field(default_factory=list)
+    owner: str = "n0"
+    term: int = 1
 
-    async def async_read_lease(self, zone: str) -> Lease | None:
-        """Return a lease of another node."""
-        return Lease(zone, "n0", 1, 5)
+    async def async_read_lease(self, zone: str) -> Lease:
+        """Return the stored lease, which is another node's at first."""
+        return Lease(zone, self.owner, self.term, 5, self.term + 1)
 
     async def async_acquire_lease(
-        self, zone: str, owner: str, previous: Lease | None
+        self, owner: str, previous: Lease, later_than: int
     ) -> Lease:
-        """Return the next term."""
-        self.acquired.append(zone)
-        return Lease(zone, owner, (previous.term if previous else 0) + 1, 6)
+        """Store the next term."""
+        self.acquired.append(previous.zone)
+        self.owner = owner
+        self.term = max(previous.next_term, later_than + 1)
+        return Lease(previous.zone, owner, self.term, 6, self.term + 1)
 
 
 class FakeGossip:
--- a/tests/node/test_owner.py
+++ b/tests/node/test_owner.py
@@ -187,3 +187,59 @@
     )
     (group,) = announcement.groups
     assert group.leaving is leaving
+
+
+async def test_owner_gives_up_a_zone_whose_stored_lease_is_of_another_owner(
+    started: StartedNode,
+) -> None:
+    """Guards against two owners under one term, of which neither gives way (review/11).
+
+    Nodes of an earlier build give a term out again if the store lost a lease.
+    """
+    started.list_servers([server("h1")])
+    started.node.owner.become_owner("z", 2)
+    started.leases.owner, started.leases.term = "n0", 2
+    started.receive(announcement=create_announcement(2, "h1"))
+    started.node.owner.contend()
+    await asyncio.sleep(0.01)
+    assert started.node.owner.zones == {}
+
+
+@pytest.mark.parametrize(("owner", "term"), [("n1", 2), ("n0", 1)])
+async def test_owner_takes_a_later_term_than_its_rival(
+    started: StartedNode, owner: str, term: int
+) -> None:
+    """Guards against a rival of an earlier build, which gives way to later terms only.
+
+    The store has the lease of this node, or neither of the two.
+    """
+    started.list_servers([server("h1")])
+    started.node.owner.become_owner("z", 2)
+    started.leases.owner, started.leases.term = owner, term
+    started.receive(announcement=create_announcement(2, "h1"))
+    started.node.owner.contend()
+    await asyncio.sleep(0.01)
+    assert started.node.owner.zones["z"].term == 3
+    assert (started.leases.owner, started.leases.term) == ("n1", 3)
+
+
+async def test_zone_is_acquired_under_a_term_above_those_that_peers_announced(
+    started: StartedNode,
+) -> None:
+    """Guards against a term that an owner has, of which the store lost the lease."""
+    started.list_servers([server("h1")])
+    started.node.owner.started_s -= 10
+    started.receive(announcement=create_announcement(7, "h1"), store_lost=True)
+    started.node.owner.contend()
+    await asyncio.sleep(0.01)
+    assert started.node.owner.zones["z"].term == 8
+
+
+async def test_owner_gives_no_epoch_out_that_servers_report(
+    started: StartedNode,
+) -> None:
+    """Guards against groups that get the names of open ones (review/11)."""
+    membership = Membership("z-2000007", 2_000_007, 0, MemberState.OPEN)
+    started.list_servers([server("h1", membership=membership)])
+    started.node.owner.become_owner("z", 2)
+    assert started.node.owner.zones["z"].next_epoch() == 2_000_008
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from gooseberryhall.fleet.evacuation import EvacuationRows, EvacuationUpdate
 from gooseberryhall.fleet.exceptions import LeaseConflictError
 from gooseberryhall.fleet.models import BackendServer, Configuration
+from gooseberryhall.fleet.orders import Lease
 from gooseberryhall.node.directory import (
     ConfigurationListener,
     NodeRecord,
@@ -62,7 +63,7 @@
 async def test_write_needs_the_expected_version() -> None:
     """Guards against two nodes that both believe that they wrote a row."""
     async with async_store() as (_, store):
-        version = await store.async_write("t", "k", b"one", 0)
+        version = (await store.async_write("t", "k", b"one", 0)).version
         with pytest.raises(StoreConflictError):
             await store.async_write("t", "k", b"two", 0)
         await store.async_write("t", "k", b"three", version)
@@ -87,11 +88,12 @@
     """Guards against two owners after two contenders read the same lease."""
     async with async_store() as (_, store):
         leases = RowLeaseStore(store)
-        assert await leases.async_read_lease("z") is None
-        first = await leases.async_acquire_lease("z", "n1", None)
+        absent = await leases.async_read_lease("z")
+        assert (absent.owner, absent.term, absent.version) == ("", 0, 0)
+        first = await leases.async_acquire_lease("n1", absent, 0)
         with pytest.raises(LeaseConflictError):
-            await leases.async_acquire_lease("z", "n2", None)
-        second = await leases.async_acquire_lease("z", "n2", first)
+            await leases.async_acquire_lease("n2", absent, 0)
+        second = await leases.async_acquire_lease("n2", first, 0)
         stored = await leases.async_read_lease("z")
     assert (first.term, second.term) == (1, 2)
     assert stored == second
@@ -106,9 +108,8 @@
         leases = RowLeaseStore(store)
         stand_in.lose_answers = 1
         with pytest.raises(StoreUnavailableError):
-            await leases.async_acquire_lease("z", "n1", None)
+            await leases.async_acquire_lease("n1", Lease("z", "", 0, 0, 1), 0)
         stored = await leases.async_read_lease("z")
-    assert stored is not None
     assert (stored.owner, stored.term) == ("n1", 1)
 
 
@@ -134,7 +135,8 @@
     assert nodes == [NodeRecord("n1", "", Address("10.0.0.1", 7000))]
 
 
-async def _async_until(condition: Callable[[], bool]) -> None:
+async def async_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition to come true, for some seconds at most."""
     for _ in range(500):
         if condition():
             return
@@ -153,16 +155,16 @@
             configurations.append, store_states.append, lambda: 2.0, lambda: 0.6
         )
         task = asyncio.create_task(directory.async_follow_configuration(listener))
-        await _async_until(lambda: bool(configurations))
+        await async_until(lambda: bool(configurations))
         stand_in.status = 503
         changed = json.dumps({**CONFIGURATION, "version": 9}).encode()
         stand_in.put("op", "config", changed)
         await asyncio.sleep(0.3)
         stand_in.status = 0
-        await _async_until(lambda: configurations[-1].version == 9)
+        await async_until(lambda: configurations[-1].version == 9)
         stand_in.put("op", "config", b"{half")
         stand_in.put("op", "config", changed.replace(b": 9", b": 11"))
-        await _async_until(lambda: configurations[-1].version == 11)
+        await async_until(lambda: configurations[-1].version == 11)
         assert False in store_states
         assert store_states[-1]
         task.cancel()
@@ -188,20 +190,20 @@
         )
         follow = StoreDirectory(store).async_follow_configuration(listener)
         task = asyncio.create_task(follow)
-        await _async_until(lambda: len(told) == 1)
+        await async_until(lambda: len(told) == 1)
         stand_in.put("op", "evacuate/b", b"{}")
-        await _async_until(lambda: len(told) == 2)
+        await async_until(lambda: len(told) == 2)
         stand_in.put("op", "evacuate/a", None)
         stand_in.put("op", "evacuate/b", None)
         stand_in.put("op", "evacuate/b", b"")
-        await _async_until(lambda: told[-1].version == 6)
+        await async_until(lambda: told[-1].version == 6)
         # Changes up to version 9 are told by a complete read only.
         stand_in.compacted_version = 9
         stand_in.put("op", "other", b"")
-        await _async_until(lambda: told[-1].complete)
+        await async_until(lambda: told[-1].complete)
         stand_in.put("op", "evacuate/b", None)
         stand_in.put("op", "other", b"")
-        await _async_until(lambda: told[-1].version == 9)
+        await async_until(lambda: told[-1].version == 9)
         task.cancel()
     assert known_at_configuration[0] == 1
     assert told[0] == EvacuationRows({"a": EvacuationUpdate(2, True)}, 2, True)
@@ -271,11 +273,11 @@
         stand_in.put("servers", "i-1", record)
         listener = _server_listener(servers, [])
         task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
-        await _async_until(lambda: "i-1" in servers)
+        await async_until(lambda: "i-1" in servers)
         stand_in.put("servers", "i-odd", add_nested_field(SERVER_RECORD))
         stand_in.put("servers", "i-1", None)
         stand_in.put("servers", "i-2", record)
-        await _async_until(lambda: set(servers) == {"i-2"})
+        await async_until(lambda: set(servers) == {"i-2"})
         task.cancel()
 
 
@@ -292,9 +294,9 @@
         stand_in.put("servers", "i-1", record)
         listener = _server_listener(servers, outages, on_record)
         task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
-        await _async_until(lambda: "i-1" in servers)
+        await async_until(lambda: "i-1" in servers)
         stand_in.put("servers", "i-2", record)
-        await _async_until(lambda: "i-2" in servers)
+        await async_until(lambda: "i-2" in servers)
         task.cancel()
     assert outages == [False, False]
 
@@ -309,11 +311,11 @@
         stand_in.put("servers", "i-1", record)
         stand_in.put("servers", "i-bad", b"?")
         task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
-        await _async_until(lambda: "i-1" in servers)
+        await async_until(lambda: "i-1" in servers)
         stand_in.compacted_version = stand_in.version + 2
         stand_in.put("servers", "i-2", record)
         stand_in.put("servers", "i-1", None)
-        await _async_until(lambda: set(servers) == {"i-2"})
+        await async_until(lambda: set(servers) == {"i-2"})
         task.cancel()
     assert outages[0] is False
     assert "i-bad" not in servers
@@ -332,10 +334,10 @@
         stand_in.put("servers", "i-1", record)
         stand_in.put("servers", "i-2", record)
         task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
-        await _async_until(lambda: "i-2" in servers)
+        await async_until(lambda: "i-2" in servers)
         stand_in.lose_answers = 1
         stand_in.put("servers", "i-2", None)
-        await _async_until(lambda: "i-2" not in servers)
+        await async_until(lambda: "i-2" not in servers)
         task.cancel()
     assert outages == [False, False]
 
@@ -346,11 +348,11 @@
     listener = _server_listener({}, outages)
     async with async_store() as (stand_in, store):
         task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
-        await _async_until(lambda: bool(outages))
+        await async_until(lambda: bool(outages))
         stand_in.status = 503
         await asyncio.sleep(2.5)
         stand_in.status = 0
-        await _async_until(lambda: len(outages) > 1)
+        await async_until(lambda: len(outages) > 1)
         task.cancel()
     assert outages == [False, True]
 
@@ -374,13 +376,13 @@
     )
     async with async_store() as (stand_in, store):
         task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
-        await _async_until(lambda: bool(outages))
+        await async_until(lambda: bool(outages))
         stand_in.status = 503
         await asyncio.sleep(2.5)
         not_needed.set()
         await asyncio.sleep(0.7)
         stand_in.status = 0
         needed.set()
-        await _async_until(lambda: len(outages) > 1)
+        await async_until(lambda: len(outages) > 1)
         task.cancel()
     assert outages == [False, False]
