Ignore records that are older than the one that was removed

Seen: by a test only. After a drill the store may return a record of a server that has left; it was taken for a new server and got requests until its record was removed again (DRAIN).

Cause: FleetView compared a record with the current one of the server, and a removed server had none. Change: a record with an earlier start or a lower heartbeat than the one that was removed is ignored. A server whose record lapsed writes a higher one.

--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -63,6 +63,8 @@
 
         Returns whether it was applied.
         """
+        if self._is_of_a_removed_server(server):
+            return False
         self._lapsed.pop(server.server_id, None)
         self._removed.pop(server.server_id, None)
         current = self.servers.get(server.server_id)
@@ -97,6 +99,17 @@
         self.servers[server.server_id] = server
         return True
 
+    def _is_of_a_removed_server(self, server: BackendServer) -> bool:
+        """Return whether a record is older than the one that was removed.
+
+        Such a record comes from an earlier copy of the store; its server may be gone.
+        """
+        removed = self.removed_server(server.server_id)
+        return removed is not None and (server.started_at_ms, server.heartbeat) < (
+            removed.started_at_ms,
+            removed.heartbeat,
+        )
+
     def _is_stale(
         self, membership: Membership | None, current: BackendServer, now_s: float
     ) -> bool:
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -131,3 +131,18 @@
         last_model=None,
         now_s=1.0,
     )
+
+
+def test_record_from_an_earlier_copy_does_not_bring_a_server_back() -> None:
+    """Guards against requests to a server that left before the store went back."""
+    view = FleetView()
+    view.apply_record(server("s1", heartbeat=9), 0.0)
+    view.remove_server("s1", 1.0)
+    view.apply_snapshot([server("s1", heartbeat=7)], after_outage=True, now_s=2.0)
+    assert view.servers == {}
+    # A server whose record lapsed writes it again.
+    view.apply_record(server("s1", heartbeat=10), 3.0)
+    assert set(view.servers) == {"s1"}
+    view.remove_server("s1", 4.0)
+    view.apply_record(server("s1", heartbeat=0, started_at_ms=2), 5.0)
+    assert set(view.servers) == {"s1"}
