Read a table again if its versions are of another era of the store

Seen: by a test only. After a drill a node did not learn of servers whose records were written under versions that it had seen before.

Cause: a follower asks for what came after its version. If the store went back and gave versions up to that one out again before it asked, it got no 410 and missed all changes in between. Change: a version counts in the era of its answer. Nothing changes on the wire.

--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -32,7 +32,8 @@
 class ServerListener:
     """Callbacks for a follower of the server records."""
 
-    # Called with all records and whether the store was unavailable before.
+    # Called with all records and whether some may be missing for a moment, because the
+    # store was unavailable before or came back from an earlier copy.
     on_snapshot: Callable[[Iterable[BackendServer], bool], None]
     on_record: Callable[[BackendServer], None]
     on_removed: Callable[[list[str]], None]
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -1,10 +1,6 @@
 """Followers of the configuration and server records in the platform's store."""
 
-import asyncio
 import logging
-import random
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Final
 
 from ..core.clock import now_s as boot_time_s
@@ -14,7 +10,8 @@
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
 from .configuration import decode_configuration
-from .exceptions import HistoryLostError, RowFormatError, StoreError
+from .exceptions import RowFormatError
+from .follower import Snapshot, TableFollower, TableListener
 from .leases import async_read_nodes, async_register_node
 from .servers import decode_server_record
 from .store import WATCH_TIMEOUT_MARGIN_S, Row, RowSet, Store
@@ -31,12 +28,10 @@
 # because a leaving server must get no requests after 2 s, also from nodes that depend
 # on the announcements of the owner.
 SERVER_WATCH_WAIT_S: Final = 0.75
-MIN_RETRY_DELAY_S: Final = 0.3
 # Heartbeats without which a record lapses; the last one may just have been written when
 # an outage begins.
 LAPSE_HEARTBEATS: Final = 3
 HEARTBEAT_INTERVAL_S: Final = 1.2
-MAX_DOUBLINGS: Final = 8
 
 
 class StoreDirectory:
@@ -71,9 +66,9 @@
         async def async_wait_needed() -> bool:
             return False
 
-        table_listener = _TableListener(
+        table_listener = TableListener(
             OPERATOR_TABLE,
-            lambda rows, _: on_rows(rows, complete=True),
+            lambda read: on_rows(read.rows, complete=True),
             on_rows,
             listener.on_store_state,
             async_wait_needed,
@@ -89,9 +84,12 @@
     async def async_follow_servers(self, listener: ServerListener) -> None:
         """Notify the listener of changes of server records until cancelled."""
 
-        def on_snapshot(rows: RowSet, after_outage: bool) -> None:
-            records = [_decode_server(row) for row in rows.rows]
-            listener.on_snapshot([record for record in records if record], after_outage)
+        def on_snapshot(read: Snapshot) -> None:
+            records = [_decode_server(row) for row in read.rows.rows]
+            may_lapse = read.failed_s > 0 and read.failed_s >= self._min_outage_s
+            listener.on_snapshot(
+                [record for record in records if record], may_lapse or read.restoring
+            )
 
         def on_rows(rows: RowSet) -> None:
             removed = []
@@ -104,7 +102,7 @@
             if removed:
                 listener.on_removed(removed)
 
-        table_listener = _TableListener(
+        table_listener = TableListener(
             SERVER_TABLE,
             on_snapshot,
             on_rows,
@@ -124,83 +122,8 @@
         """Return the records of all nodes. Raises `StoreError`."""
         return await async_read_nodes(self._store)
 
-    async def _async_follow(self, listener: "_TableListener") -> None:
-        """Read a table and follow its changes; read it again after each gap."""
-        version: int | None = None
-        failures = 0
-        failed_since_s = 0.0
-        while True:
-            if await listener.async_wait_needed():
-                version = None
-                failures = 0
-            try:
-                failed_s = _now_s() - failed_since_s if failures else 0.0
-                version = await self._async_follow_once(listener, version, failed_s)
-                failures = 0
-                listener.on_store_state(True)
-                await asyncio.sleep(listener.pause_s())
-            except HistoryLostError:
-                version = None
-            except Exception as exc:  # noqa: BLE001
-                # Nothing else reads this table, so no error may end the task.
-                if not isinstance(exc, StoreError):
-                    _log_fault(listener.table)
-                elif not failures:
-                    _log(LogEvent.STORE_LOST, str(exc), listener.table)
-                if not failures:
-                    failed_since_s = _now_s()
-                failures += 1
-                version = None
-                listener.on_store_state(False)
-                await asyncio.sleep(
-                    _retry_delay_s(failures, listener.max_retry_delay_s())
-                )
-
-    async def _async_follow_once(
-        self, listener: "_TableListener", version: int | None, failed_s: float
-    ) -> int:
-        """Notify the listener of changes and return the version that they reach.
-
-        `failed_s` is the time since the first of the calls that failed before this one.
-        """
-        if version is not None:
-            rows = await self._store.async_watch(
-                listener.table, version, listener.wait_s()
-            )
-            listener.on_rows(rows)
-            return rows.version
-        rows = await self._store.async_read(listener.table)
-        if failed_s:
-            _log(LogEvent.STORE_REGAINED, "store is available again", listener.table)
-        may_lapse = failed_s > 0 and failed_s >= self._min_outage_s
-        listener.on_snapshot(rows, may_lapse)
-        return rows.version
-
-
-@dataclass(frozen=True, slots=True)
-class _TableListener:
-    """Callbacks and periods for a follower of one table."""
-
-    table: str
-    on_snapshot: Callable[[RowSet, bool], None]
-    on_rows: Callable[[RowSet], None]
-    on_store_state: Callable[[bool], None]
-    async_wait_needed: Callable[[], Awaitable[bool]]
-    wait_s: Callable[[], float]
-    max_retry_delay_s: Callable[[], float]
-    pause_s: Callable[[], float] = lambda: 0.0
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
-
-
-def _retry_delay_s(failures: int, max_delay_s: float) -> float:
-    """Return a delay with exponential backoff and jitter."""
-    longest_s = min(
-        max_delay_s, MIN_RETRY_DELAY_S * 2 ** min(failures - 1, MAX_DOUBLINGS)
-    )
-    return random.uniform(longest_s / 2, longest_s)
+    async def _async_follow(self, listener: TableListener) -> None:
+        await TableFollower(self._store, listener).async_follow()
 
 
 def _find_configuration(rows: RowSet) -> Configuration | None:
@@ -239,18 +162,3 @@
     except RowFormatError as exc:
         log_event(_LOGGER, LogEvent.ROW_REFUSED, str(exc), level=logging.WARNING)
         return None
-
-
-def _log_fault(table: str) -> None:
-    log_event(
-        _LOGGER,
-        LogEvent.FOLLOWER_FAILED,
-        "changes of a table could not be applied; reading it again",
-        level=logging.ERROR,
-        table=table,
-        exc_info=True,
-    )
-
-
-def _log(event: LogEvent, message: str, table: str) -> None:
-    log_event(_LOGGER, event, message, table=table)
--- a/tests/platform/test_era.py
+++ b/tests/platform/test_era.py
@@ -4,20 +4,26 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import msgspec
 import pytest
 
 from gooseberryhall.fleet.exceptions import LeaseConflictError
+from gooseberryhall.fleet.models import BackendServer
 from gooseberryhall.fleet.orders import Lease
 from gooseberryhall.fleet.ownership import next_term
+from gooseberryhall.node.directory import (
+    ServerListener,
+)
+from gooseberryhall.platform.directory import StoreDirectory
 from gooseberryhall.platform.era import RESTORATION_S, StoreEra
 from gooseberryhall.platform.exceptions import StoreUnavailableError
 from gooseberryhall.platform.leases import LEASE_TABLE, RowLeaseStore
 from gooseberryhall.platform.store import Store
 from standins.row_store import RowStore
 from tests.platform.test_decoding import SERVER_RECORD
-from tests.platform.test_store import async_store
+from tests.platform.test_store import async_store, async_until
 
 RECORD = json.dumps(SERVER_RECORD).encode()
 
@@ -121,6 +127,54 @@
     assert lease.term > 3
 
 
+async def test_follower_reads_again_versions_that_were_given_out_again() -> None:
+    """Guards against changes that are missed as their versions seem to be known.
+
+    The store gives the versions up to that of the follower out again before it asks.
+    """
+    servers: dict[str, BackendServer] = {}
+    outages: list[bool] = []
+    may_ask = asyncio.Event()
+
+    async def async_wait_needed() -> bool:
+        await may_ask.wait()
+        return False
+
+    def on_snapshot(records: Any, after_outage: bool) -> None:
+        outages.append(after_outage)
+        servers.clear()
+        servers.update({record.server_id: record for record in records})
+
+    listener = ServerListener(
+        on_snapshot,
+        lambda record: servers.update({record.server_id: record}),
+        lambda keys: [servers.pop(key) for key in keys if key in servers],
+        lambda _: None,
+        async_wait_needed,
+        lambda: 0.0,
+        lambda: 0.6,
+    )
+    async with async_store_with_era() as (stand_in, store):
+        stand_in.put("servers", "i-1", RECORD)
+        stand_in.copy()
+        for number in range(4):
+            stand_in.put("other", f"k{number}", b"")
+        may_ask.set()
+        task = asyncio.create_task(StoreDirectory(store).async_follow_servers(listener))
+        await async_until(lambda: "i-1" in servers)
+        may_ask.clear()
+        await asyncio.sleep(1.0)
+        stand_in.go_back()
+        stand_in.put("servers", "i-2", RECORD)
+        for number in range(9):
+            stand_in.put("other", f"k{number}", b"")
+        may_ask.set()
+        await async_until(lambda: "i-2" in servers)
+        task.cancel()
+    # The servers write again what the store lost, so a missing record may return.
+    assert outages == [False, True]
+
+
 async def test_late_answer_of_an_earlier_era_is_refused() -> None:
     """Guards against rows of an earlier era that are taken for news."""
     async with async_store_with_era() as (stand_in, store):
