Order evacuations by the era of the store and the version of the row

Cause: updates of a row whose version is not higher than the one that is known were dropped, also those of peers. The removal before the drill had version 322, the row after it 277. Change: updates are ordered by era and version. A row that is missing right after the store went back ends no evacuation for 2 s, as the operator may write it again late; then the table is read once more.

Beside: the era is a fourth field of an evacuation in a datagram, which that build ignores (its decoder was run on such a datagram by hand). A node that starts after a drill can't tell its updates apart (docs/design/ store-eras.md).

--- a/gooseberryhall/fleet/evacuation.py
+++ b/gooseberryhall/fleet/evacuation.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, NamedTuple
 
 # Share of the limit within which the load is shifted. The rest covers the time until
 # the last node learns of the evacuation, and requests that are on their way.
@@ -17,6 +17,16 @@
 END_ANNOUNCED_S: Final = 30.0
 
 
+class _RowVersion(NamedTuple):
+    """Version of a row. A store that goes back counts again, in the next era."""
+
+    era: int
+    number: int
+
+
+_NOT_READ: Final = _RowVersion(0, 0)
+
+
 @dataclass(frozen=True, slots=True)
 class EvacuationUpdate:
     """The last known write of a zone's row."""
@@ -27,6 +37,8 @@
     active: bool
     # Time since the first node learned of the evacuation, or since it ended.
     age_s: float = 0.0
+    # Era of the store, within which versions grow; None if it is not stated.
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,13 +50,18 @@
     version: int
     # Whether these are all rows, so that other zones are not evacuated.
     complete: bool
+    # Whether the store went back to an earlier copy a moment ago, so that rows which
+    # are missing may be written again.
+    restoring: bool = False
+    # Era of the store, within which versions grow; None if it is not stated.
+    era: int | None = None
 
 
 @dataclass(slots=True)
 class _Evacuation:
     """What is known of one zone."""
 
-    version: int
+    version: _RowVersion
     active: bool
     # When the first node learned of an active evacuation, as far as this node knows.
     learned_s: float
@@ -73,7 +90,10 @@
     # Whether the store or a peer stated which zones are evacuated.
     _informed: bool = False
     # Version of the last complete read.
-    _read_version: int = 0
+    _read_version: _RowVersion = _NOT_READ
+    # First era that this node knew. Updates that state none are of nodes of an earlier
+    # build, which know of no later one.
+    _first_era: int | None = None
 
     @property
     def is_known(self) -> bool:
@@ -90,15 +110,17 @@
         if not self.limit_s:
             return False
         since_s = now_s if recent else now_s - self.limit_s
+        self._learn_era(rows.era)
         known = self._known_zones(rows.updates)
         changed = [
             self._apply(zone, rows.updates[zone], since_s, now_s) for zone in known
         ]
         if rows.complete:
-            missing = EvacuationUpdate(rows.version, active=False)
-            ended = [zone for zone in self.active_zones() if zone not in rows.updates]
-            changed += [self._apply(zone, missing, now_s, now_s) for zone in ended]
-            self._read_version = max(self._read_version, rows.version)
+            if not rows.restoring:
+                changed += self._end_missing(rows, now_s)
+            self._read_version = max(
+                self._read_version, self._version(rows.era, rows.version)
+            )
             self._informed = True
         return any(changed)
 
@@ -110,7 +132,8 @@
         changed = False
         for zone in self._known_zones(updates):
             item = updates[zone]
-            if item.active and self._is_outdated(zone, item.version):
+            self._learn_era(item.era)
+            if item.active and self._is_outdated(zone, item):
                 self._announce_end(zone, now_s)
             elif self._apply(zone, item, now_s - item.age_s, now_s):
                 changed = True
@@ -123,7 +146,12 @@
         that is left, and one that learns late of its end know when it was.
         """
         return {
-            zone: EvacuationUpdate(item.version, item.active, self._age_s(item, now_s))
+            zone: EvacuationUpdate(
+                item.version.number,
+                item.active,
+                self._age_s(item, now_s),
+                item.version.era or None,
+            )
             for zone, item in self._evacuations.items()
             if item.active or now_s < item.announced_until_s
         }
@@ -168,12 +196,26 @@
         item = self._evacuations.get(zone)
         return item.ended_s if item is not None and not item.active else None
 
+    def _end_missing(self, rows: EvacuationRows, now_s: float) -> list[bool]:
+        """End the evacuations that a complete read does not hold."""
+        missing = EvacuationUpdate(rows.version, active=False, era=rows.era)
+        ended = [zone for zone in self.active_zones() if zone not in rows.updates]
+        return [self._apply(zone, missing, now_s, now_s) for zone in ended]
+
+    def _learn_era(self, era: int | None) -> None:
+        if self._first_era is None:
+            self._first_era = era
+
+    def _version(self, era: int | None, number: int) -> _RowVersion:
+        return _RowVersion(era or self._first_era or 0, number)
+
     def _known_zones(self, zones: Iterable[str]) -> list[str]:
         self.unknown_zones.update(zone for zone in zones if zone not in self.zones)
         return [zone for zone in zones if zone in self.zones]
 
-    def _is_outdated(self, zone: str, version: int) -> bool:
-        """Return whether a zone is known to be restored after a version."""
+    def _is_outdated(self, zone: str, update: EvacuationUpdate) -> bool:
+        """Return whether a zone is known to be restored after an update."""
+        version = self._version(update.era, update.version)
         item = self._evacuations.get(zone)
         if item is None:
             return version <= self._read_version
@@ -192,14 +234,15 @@
     ) -> bool:
         item = self._evacuations.get(zone)
         learned_s = now_s - update.age_s
-        if item is not None and update.version <= item.version:
-            if update.version == item.version and item.active:
+        version = self._version(update.era, update.version)
+        if item is not None and version <= item.version:
+            if version == item.version and item.active:
                 item.learned_s = min(item.learned_s, learned_s)
                 item.since_s = min(item.since_s, since_s)
             return False
         if not update.active:
             self._evacuations[zone] = _Evacuation(
-                update.version,
+                version,
                 active=False,
                 learned_s=learned_s,
                 since_s=since_s,
@@ -211,7 +254,7 @@
             # The row was written again, or was removed for a moment only. This node
             # sent nothing meanwhile, so the load is not shifted a second time.
             since_s = min(since_s, item.since_s)
-        self._evacuations[zone] = _Evacuation(update.version, True, learned_s, since_s)
+        self._evacuations[zone] = _Evacuation(version, True, learned_s, since_s)
         return True
 
     def _age_s(self, item: _Evacuation, now_s: float) -> float:
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -227,11 +227,19 @@
 def _encode_evacuations(
     evacuations: dict[str, EvacuationUpdate] | None,
 ) -> dict[str, list[Any]] | None:
-    """Encode evacuations as version, whether it is active, and age in milliseconds."""
+    """Encode evacuations as version, whether it is active, age in ms, and era.
+
+    Nodes of an earlier build read the first three and ignore the era.
+    """
     if evacuations is None:
         return None
     return {
-        zone: [update.version, update.active, int(update.age_s * MS_PER_S)]
+        zone: [
+            update.version,
+            update.active,
+            int(update.age_s * MS_PER_S),
+            *([] if update.era is None else [update.era]),
+        ]
         for zone, update in evacuations.items()
     }
 
@@ -244,6 +252,7 @@
             version=int(fields[0]),
             active=bool(fields[1]),
             age_s=max(0, int(fields[2])) / MS_PER_S if fields[2:] else 0.0,
+            era=int(fields[3]) if fields[3:] else None,
         )
         for zone, fields in values.items()
     }
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -1,6 +1,7 @@
 """Followers of the configuration and server records in the platform's store."""
 
 import logging
+from dataclasses import replace
 from typing import Final
 
 from ..core.clock import now_s as boot_time_s
@@ -56,9 +57,12 @@
     async def async_follow_configuration(self, listener: ConfigurationListener) -> None:
         """Notify the listener of each new version until cancelled."""
 
-        def on_rows(rows: RowSet, *, complete: bool = False) -> None:
+        def on_rows(
+            rows: RowSet, *, complete: bool = False, restoring: bool = False
+        ) -> None:
             # A node must not serve before it knows the evacuations.
-            listener.on_evacuations(_find_evacuations(rows, complete=complete))
+            evacuations = _find_evacuations(rows, complete=complete)
+            listener.on_evacuations(replace(evacuations, restoring=restoring))
             cfg = _find_configuration(rows)
             if cfg is not None:
                 listener.on_configuration(cfg)
@@ -68,7 +72,7 @@
 
         table_listener = TableListener(
             OPERATOR_TABLE,
-            lambda read: on_rows(read.rows, complete=True),
+            lambda read: on_rows(read.rows, complete=True, restoring=read.restoring),
             on_rows,
             listener.on_store_state,
             async_wait_needed,
@@ -150,8 +154,10 @@
         zone = row.key.removeprefix(EVACUATION_PREFIX)
         version = row.version or rows.version
         if zone not in updates or version >= updates[zone].version:
-            updates[zone] = EvacuationUpdate(version, active=row.value is not None)
-    return EvacuationRows(updates, rows.version, complete)
+            updates[zone] = EvacuationUpdate(
+                version, active=row.value is not None, era=rows.era
+            )
+    return EvacuationRows(updates, rows.version, complete, era=rows.era)
 
 
 def _decode_server(row: Row) -> BackendServer | None:
--- a/tests/fleet/test_evacuation.py
+++ b/tests/fleet/test_evacuation.py
@@ -140,3 +140,77 @@
     hold.record_tick(18.0 + MAX_HOLD_S / 2)
     assert hold.is_held(18.0 + MAX_HOLD_S / 2)
     assert not hold.is_held(18.0 + MAX_HOLD_S)
+
+
+def test_evacuation_after_the_store_went_back_counts() -> None:
+    """Guards against an evacuation that all nodes ignore (review/13).
+
+    The removal before had a higher version, which the store lost.
+    """
+    evacuations = _evacuations_of_era(1, 40, z=30)
+    _change_in_era(evacuations, 1, 50, 20.0, z=False)
+    _change_in_era(evacuations, 2, 25, 30.0, z=True)
+    assert not evacuations.may_send("z", 36.0)
+    # A peer that did not hear of it tells what it knows.
+    evacuations.apply_peer({"z": EvacuationUpdate(50, False, 1.0, 1)}, 37.0)
+    assert not evacuations.may_send("z", 37.0)
+    # The end of an evacuation counts as well.
+    _change_in_era(evacuations, 2, 28, 40.0, z=False)
+    evacuations.apply_peer({"z": EvacuationUpdate(30, True, 9.0, 1)}, 41.0)
+    assert evacuations.may_send("z", 41.0)
+
+
+def test_peers_learn_of_an_evacuation_after_the_store_went_back() -> None:
+    """Guards against a node without the store that ignores the evacuation."""
+    evacuations = _evacuations_of_era(2, 20, z=18)
+    cut_off = _evacuations_of_era(1, 40)
+    _change_in_era(cut_off, 1, 50, 5.0, z=False)
+    assert cut_off.apply_peer(evacuations.updates(10.0), 10.0)
+    assert not cut_off.may_send("z", 20.0)
+
+
+def test_evacuation_is_kept_while_the_store_is_restored() -> None:
+    """Guards against requests to a zone whose row is not written again yet."""
+    evacuations = _evacuations_of_era(1, 40, z=30)
+    restoring = EvacuationRows({}, 20, complete=True, restoring=True, era=2)
+    evacuations.apply_rows(restoring, 10.0, recent=False)
+    assert not evacuations.may_send("z", 10.0)
+    evacuations.apply_rows(
+        EvacuationRows({}, 21, complete=True, era=2), 12.0, recent=False
+    )
+    assert evacuations.may_send("z", 12.0)
+
+
+def test_updates_of_nodes_of_an_earlier_build_are_of_the_first_era() -> None:
+    """Guards against nodes that do not obey each other in an upgrade.
+
+    Nodes of build 13336db state no era and drop versions that are not higher.
+    """
+    evacuations = _evacuations_of_era(3, 40)
+    assert evacuations.apply_peer({"z": EvacuationUpdate(45, True, 9.0)}, 10.0)
+    assert not evacuations.may_send("z", 10.0)
+    assert evacuations.apply_peer({"z": EvacuationUpdate(46, False, 1.0)}, 20.0)
+    assert evacuations.may_send("z", 20.0)
+    _change_in_era(evacuations, 4, 25, 30.0, z=True)
+    evacuations.apply_peer({"z": EvacuationUpdate(46, False, 1.0)}, 36.0)
+    assert not evacuations.may_send("z", 36.0)
+
+
+def _evacuations_of_era(era: int, version: int, **zones: int) -> Evacuations:
+    """Return the state of a node after its first read, in an era of the store."""
+    evacuations = Evacuations(LIMIT_S, ("y", "z"))
+    updates = {
+        zone: EvacuationUpdate(row, active=True, era=era) for zone, row in zones.items()
+    }
+    rows = EvacuationRows(updates, version, complete=True, era=era)
+    evacuations.apply_rows(rows, 0.0, recent=False)
+    return evacuations
+
+
+def _change_in_era(
+    evacuations: Evacuations, era: int, version: int, now_s: float, **zones: bool
+) -> None:
+    """Apply a change of rows in an era; the rows now exist or were removed."""
+    updates = {zone: EvacuationUpdate(version, zones[zone], era=era) for zone in zones}
+    rows = EvacuationRows(updates, version, complete=False, era=era)
+    evacuations.apply_rows(rows, now_s, recent=True)
--- a/tests/platform/test_era.py
+++ b/tests/platform/test_era.py
@@ -9,11 +9,13 @@
 import msgspec
 import pytest
 
+from gooseberryhall.fleet.evacuation import EvacuationRows
 from gooseberryhall.fleet.exceptions import LeaseConflictError
 from gooseberryhall.fleet.models import BackendServer
 from gooseberryhall.fleet.orders import Lease
 from gooseberryhall.fleet.ownership import next_term
 from gooseberryhall.node.directory import (
+    ConfigurationListener,
     ServerListener,
 )
 from gooseberryhall.platform.directory import StoreDirectory
@@ -22,7 +24,7 @@
 from gooseberryhall.platform.leases import LEASE_TABLE, RowLeaseStore
 from gooseberryhall.platform.store import Store
 from standins.row_store import RowStore
-from tests.platform.test_decoding import SERVER_RECORD
+from tests.platform.test_decoding import CONFIGURATION, SERVER_RECORD
 from tests.platform.test_store import async_store, async_until
 
 RECORD = json.dumps(SERVER_RECORD).encode()
@@ -127,6 +129,16 @@
     assert lease.term > 3
 
 
+def _configuration_listener(**changes: Any) -> ConfigurationListener:
+    fields: dict[str, Any] = {
+        "on_configuration": lambda _: None,
+        "on_store_state": lambda _: None,
+        "wait_s": lambda: 30.0,
+        "max_retry_delay_s": lambda: 0.6,
+    }
+    return ConfigurationListener(**{**fields, **changes})
+
+
 async def test_follower_reads_again_versions_that_were_given_out_again() -> None:
     """Guards against changes that are missed as their versions seem to be known.
 
@@ -175,6 +187,27 @@
     assert outages == [False, True]
 
 
+async def test_evacuation_that_is_written_again_late_has_not_ended() -> None:
+    """Guards against requests to a zone because its row was lost for a moment."""
+    told: list[EvacuationRows] = []
+    async with async_store_with_era() as (stand_in, store):
+        stand_in.put("op", "config", json.dumps(CONFIGURATION).encode())
+        stand_in.copy()
+        stand_in.put("op", "evacuate/a", b"{}")
+        listener = _configuration_listener(on_evacuations=told.append)
+        follow = StoreDirectory(store).async_follow_configuration(listener)
+        task = asyncio.create_task(follow)
+        await async_until(lambda: bool(told))
+        stand_in.go_back(restored=False)
+        stand_in.put("op", "other", b"")
+        await async_until(lambda: told[-1].complete and told[-1].era == 2)
+        assert told[-1].restoring
+        # What is still missing at the end of the restoration has ended.
+        async with asyncio.timeout(RESTORATION_S + 1):
+            await async_until(lambda: told[-1].complete and not told[-1].restoring)
+        task.cancel()
+
+
 async def test_late_answer_of_an_earlier_era_is_refused() -> None:
     """Guards against rows of an earlier era that are taken for news."""
     async with async_store_with_era() as (stand_in, store):
