Register a node again after the store went back

Seen: by tests only. A node that registered within the seconds that a drill takes back is not in the table of nodes; nodes that start then do not find it there, and if all owners stop meanwhile, not at all.

Cause: the record of a node was written once, at its start. Change: the client of the store tells of a new era, and the node writes its record within 1 s, spread over the nodes. A record that is still there is not written. Rows of the table are unchanged.

--- a/gooseberryhall/node/configuration.py
+++ b/gooseberryhall/node/configuration.py
@@ -34,6 +34,8 @@
     needs_short_watch: Callable[[], bool]
     # Called with the evacuations, which are in the same table.
     on_evacuations: Callable[[EvacuationRows], None] = lambda _: None
+    # Called when the store came back from an earlier copy.
+    on_went_back: Callable[[], None] = lambda: None
     current: Configuration | None = None
     # Whether the last call to the store failed.
     store_lost: bool = False
@@ -77,6 +79,7 @@
             self._wait_s,
             self._max_retry_delay_s,
             self.on_evacuations,
+            self._on_went_back,
         )
         self.create_task(self.directory.async_follow_configuration(listener))
 
@@ -117,6 +120,17 @@
     def _on_store_state(self, answered: bool) -> None:
         self.store_lost = not answered
 
+    def _on_went_back(self, last_era: int, era: int) -> None:
+        log_event(
+            _LOGGER,
+            LogEvent.STORE_WENT_BACK,
+            "store came back from an earlier copy",
+            level=logging.WARNING,
+            last_era=last_era,
+            era=era,
+        )
+        self.on_went_back()
+
     def _wait_s(self) -> float:
         if self.needs_short_watch():
             return OWNER_CONFIGURATION_WATCH_WAIT_S
--- a/gooseberryhall/node/directory.py
+++ b/gooseberryhall/node/directory.py
@@ -26,6 +26,9 @@
     max_retry_delay_s: Callable[[], float]
     # Called with the evacuations, before the configuration that was read with them.
     on_evacuations: Callable[[EvacuationRows], None] = lambda _: None
+    # Called with the last era of the store and the new one when it came back from an
+    # earlier copy: what this node wrote there may be gone.
+    on_went_back: Callable[[int, int], None] = lambda *_: None
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -31,7 +31,7 @@
 from .intake import create_intake
 from .owner import ZoneOwner
 from .reach import ReachWatcher
-from .registration import async_register
+from .registration import async_register, async_write_again
 from .servers import ServerFollower
 from .settings import NodeSettings
 from .table import RoutingTable, create_announcement, list_same_servers
@@ -105,6 +105,7 @@
             self.tasks.create,
             lambda: self.is_owner or not self.peers.announcements,
             self.evacuation.apply_rows,
+            self._register_again,
         )
         self.cold_limits = ColdLimits(
             lambda: self.configuration.current, lambda: self.settings
@@ -154,6 +155,10 @@
         )
         self.tasks.create(register)
 
+    def _register_again(self) -> None:
+        """Write the record of this node again, as the store may have lost it."""
+        self.tasks.create(async_write_again(self._directory, self.settings))
+
     def tick(self) -> None:
         """Update the routing table and reconcile the owned zones."""
         self.evacuation.tick()
--- a/gooseberryhall/platform/directory.py
+++ b/gooseberryhall/platform/directory.py
@@ -70,6 +70,7 @@
         async def async_wait_needed() -> bool:
             return False
 
+        self._store.era.subscribe(listener.on_went_back)
         table_listener = TableListener(
             OPERATOR_TABLE,
             lambda read: on_rows(read.rows, complete=True, restoring=read.restoring),
--- a/gooseberryhall/platform/leases.py
+++ b/gooseberryhall/platform/leases.py
@@ -94,8 +94,10 @@
         await store.async_write(NODE_TABLE, node, value, 0)
     except StoreConflictError:
         rows = (await store.async_read(NODE_TABLE)).rows
-        version = next((row.version for row in rows if row.key == node), 0)
-        await store.async_write(NODE_TABLE, node, value, version)
+        stored = next((row for row in rows if row.key == node), None)
+        if stored is None or stored.value != value:
+            version = stored.version if stored else 0
+            await store.async_write(NODE_TABLE, node, value, version)
 
 
 async def async_read_nodes(store: Store) -> list[NodeRecord]:
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -3,8 +3,11 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from gooseberryhall.fleet.statements import NO_STATEMENT, ServerStatements
 from gooseberryhall.gossip.messages import ServerTraffic
+from gooseberryhall.node import registration
 from gooseberryhall.node.directory import PlatformAdapter
 from gooseberryhall.node.node import Node
 from gooseberryhall.node.options import HedgingOptions, NodeOptions
@@ -179,3 +182,16 @@
     started.receive("n9", announcement=announcement)
     node.tick()
     assert node.gateway.backends.traffic_known
+
+
+async def test_node_registers_again_after_the_store_went_back(
+    started: StartedNode, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a node that new ones do not find, as its record is lost."""
+    monkeypatch.setattr(registration, "REGISTRATION_SPREAD_S", 0.0)
+    before = len(started.directory.registered)
+    assert started.directory.configuration_listener is not None
+    started.directory.configuration_listener.on_went_back(1, 2)
+    await asyncio.sleep(0.01)
+    assert len(started.directory.registered) == before + 1
+    assert started.directory.registered[-1].node == "n1"
--- a/tests/platform/test_era.py
+++ b/tests/platform/test_era.py
@@ -16,12 +16,13 @@
 from gooseberryhall.fleet.ownership import next_term
 from gooseberryhall.node.directory import (
     ConfigurationListener,
+    NodeRecord,
     ServerListener,
 )
 from gooseberryhall.platform.directory import StoreDirectory
 from gooseberryhall.platform.era import RESTORATION_S, StoreEra
 from gooseberryhall.platform.exceptions import StoreUnavailableError
-from gooseberryhall.platform.leases import LEASE_TABLE, RowLeaseStore
+from gooseberryhall.platform.leases import LEASE_TABLE, NODE_TABLE, RowLeaseStore
 from gooseberryhall.platform.store import Store
 from standins.row_store import RowStore
 from tests.platform.test_decoding import CONFIGURATION, SERVER_RECORD
@@ -208,6 +209,31 @@
         task.cancel()
 
 
+async def test_node_is_told_that_the_store_went_back() -> None:
+    """Guards against nodes that new ones do not find, as their records are lost."""
+    told: list[tuple[int, int]] = []
+    async with async_store_with_era() as (stand_in, store):
+        stand_in.put("op", "config", json.dumps(CONFIGURATION).encode())
+        directory = StoreDirectory(store)
+        record = NodeRecord("n1", "z", store._address)
+        listener = _configuration_listener(
+            on_went_back=lambda *eras: told.append(eras), wait_s=lambda: 0.1
+        )
+        task = asyncio.create_task(directory.async_follow_configuration(listener))
+        stand_in.copy()
+        await directory.async_register(record)
+        await asyncio.sleep(0.1)
+        assert told == []
+        stand_in.go_back()
+        await async_until(lambda: bool(told))
+        assert (NODE_TABLE, "n1") not in stand_in.rows
+        await directory.async_register(record)
+        await directory.async_register(record)
+        assert await directory.async_list_nodes() == [record]
+        task.cancel()
+    assert told == [(1, 2)]
+
+
 async def test_late_answer_of_an_earlier_era_is_refused() -> None:
     """Guards against rows of an earlier era that are taken for news."""
     async with async_store_with_era() as (stand_in, store):
