Keep no server whose record is removed by a store that answers

Cause: more than 30 in 100 of the records that disappear together were taken for an outage of the store, also while it answered, and their servers were kept for 2 s. The other nodes heard of the end of that time later still. Change: such records are kept only within 2 s of the return of a store that was away long enough for a record to lapse, or that went back, and until then at most.

Nothing changes on the wire.

--- a/gooseberryhall/fleet/view.py
+++ b/gooseberryhall/fleet/view.py
@@ -158,7 +158,7 @@
         listed = {server.server_id: server for server in records}
         missing = self.servers.keys() - listed
         if after_outage:
-            self.keep_lapsed(missing, now_s)
+            self.keep_lapsed(missing, now_s + LAPSED_RECORD_GRACE_S)
         else:
             for server_id in missing:
                 self.remove_server(server_id, now_s)
@@ -170,10 +170,10 @@
         for server_id in self.servers.keys() - server_ids:
             self.remove_server(server_id, now_s)
 
-    def keep_lapsed(self, server_ids: Iterable[str], now_s: float) -> None:
-        """Keep servers whose records disappeared in an outage for the grace period."""
+    def keep_lapsed(self, server_ids: Iterable[str], until_s: float) -> None:
+        """Keep servers whose records disappeared in an outage for a time."""
         for server_id in server_ids:
-            self._lapsed.setdefault(server_id, now_s + LAPSED_RECORD_GRACE_S)
+            self._lapsed.setdefault(server_id, until_s)
 
     def lapsed_servers(self) -> set[str]:
         """Return the servers that are kept although their record is missing."""
--- a/gooseberryhall/node/const.py
+++ b/gooseberryhall/node/const.py
@@ -37,7 +37,7 @@
 CONFIGURATION_RETRY_DELAY_S: Final = 0.5
 # Time in which a new owner has heard the nodes of its zone, several periods of gossip.
 PEERS_KNOWN_S: Final = 1.0
-# If more than this share of the records disappears at once, they lapsed during a store
-# outage; so few servers may leave at once in any deployment.
+# If more than this share of the records disappears right after an outage of the store,
+# they lapsed in it; so few servers may leave at once in any deployment.
 LAPSED_SHARE: Final = 0.3
 MAX_LEAVING: Final = 2
--- a/gooseberryhall/node/servers.py
+++ b/gooseberryhall/node/servers.py
@@ -8,7 +8,7 @@
 from ..core.clock import now_s as boot_time_s
 from ..core.tasks import CreateTask
 from ..fleet.models import BackendServer
-from ..fleet.view import FleetView
+from ..fleet.view import LAPSED_RECORD_GRACE_S, FleetView
 from ..gossip.peers import Peers
 from ..telemetry.catalogue import LogEvent
 from ..telemetry.logs import log_event
@@ -53,6 +53,9 @@
     following: bool = False
     # Whether the last call to the store failed.
     store_lost: bool = False
+    # End of the time in which records that lapsed in an outage of the store return, on
+    # the clock of the event loop.
+    _lapses_until_s: float = 0.0
     # Time of the last answer of the store, on the clock that includes suspended time.
     _answered_s: float = field(default_factory=boot_time_s)
     _needed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -87,7 +90,10 @@
     def _on_snapshot(
         self, records: Iterable[BackendServer], after_outage: bool
     ) -> None:
-        self.view.apply_snapshot(records, after_outage=after_outage, now_s=_now_s())
+        now_s = _now_s()
+        if after_outage:
+            self._lapses_until_s = now_s + LAPSED_RECORD_GRACE_S
+        self.view.apply_snapshot(records, after_outage=after_outage, now_s=now_s)
         self.following = True
         self._log_kept()
 
@@ -129,14 +135,24 @@
 
     def _on_removed(self, server_ids: list[str]) -> None:
         removed = [key for key in server_ids if key in self.view.servers]
-        if len(removed) > max(MAX_LEAVING, LAPSED_SHARE * len(self.view.servers)):
-            self.view.keep_lapsed(removed, _now_s())
+        if self._have_lapsed(removed):
+            self.view.keep_lapsed(removed, self._lapses_until_s)
             self._log_kept()
             return
         for server_id in removed:
             self.view.remove_server(server_id, _now_s())
             _log_server(server_id, "server record was removed")
 
+    def _have_lapsed(self, removed: list[str]) -> bool:
+        """Return whether records lapsed in an outage, rather than their servers left.
+
+        The store may remove such records when it has just come back. While it answers,
+        any number of servers may leave at once.
+        """
+        if _now_s() >= self._lapses_until_s:
+            return False
+        return len(removed) > max(MAX_LEAVING, LAPSED_SHARE * len(self.view.servers))
+
     def update_demand(self) -> None:
         """Start or stop to follow the records, depending on the owners of the zones."""
         if self._is_needed():
