Look at all parts of a prompt when servers crash

Cause: the parts beyond the 16th were dropped before the tracker of crashes saw them. The same class: each datagram repeated the same eight requests at crashes and the same 16 harmless traits, whatever else there was to tell, and prompts of many parts displaced the answers of the last minute in seconds.

Change: all parts that a head can hold count. Memory is bounded otherwise: a request in flight keeps its header only, and the parts are decoded when they are needed; the tracker keeps 16,384 traits of suspects at most, those of causes first; long ids become digests. Traits of the same requests are handled together in the search for causes. A datagram tells the most suspect requests and parts, and others in turn among equals; peers add up the parts of a request.

Beside: the fields are unchanged.

--- a/gooseberryhall/gateway/app.py
+++ b/gooseberryhall/gateway/app.py
@@ -9,6 +9,7 @@
 from .caller import CallerConnection
 from .const import (
     DEFAULT_DEADLINE_S,
+    MAX_LOGGED_PARTS,
     STARTUP_POLL_S,
     STARTUP_WAIT_S,
     STARTUP_WAIT_SHARE,
@@ -19,7 +20,7 @@
 from .models import CallerRequest, GatewayResponse
 from .observed import Kind
 from .plain import async_forward_plain
-from .prompt import declared_tokens, shared_prompt_parts
+from .prompt import declared_tokens
 from .refusals import (
     crashing_request_response,
     evacuated_response,
@@ -79,7 +80,7 @@
         return
     if response.status == 503:  # noqa: PLR2004
         state.metrics.refusals.inc({"reason": response.reason})
-    if state.crashes.is_blocked(routed.traits):
+    if state.crashes_servers(routed):
         state.metrics.crash_refusals.inc({"route": routed.route.name})
     log_request(
         LogEvent.REQUEST_REFUSED,
@@ -92,7 +93,7 @@
         wait_end=routed.wait_end,
         sends=routed.sends,
         ran_on=routed.ran_on,
-        parts=routed.prompt_parts,
+        parts=routed.prompt_parts[:MAX_LOGGED_PARTS],
         crashed=state.crashes.crashed_servers(routed.fingerprint),
     )
     conn.respond(response, request_id, state.header_names.request_id)
@@ -111,7 +112,7 @@
     state.budget(ctx.service).record_request(now_s)
     if state.hedging is not None:
         state.hedging.share(ctx.service).record_request(now_s)
-    if state.crashes.is_blocked(ctx.traits):
+    if state.crashes_servers(ctx):
         return crashing_request_response(may_have_run=False)
     try:
         async with state.stopping.async_limit(lambda: conn.responded):
@@ -202,8 +203,8 @@
         fingerprint=request_fingerprint(
             team_name, request.method, request.target, request.body
         ),
-        prompt_parts=shared_prompt_parts(request.get(state.header_names.prompt_parts)),
         deadline_s=request.received_s + timeout_s,
+        declared_parts=request.get(state.header_names.prompt_parts),
         objective_s=request.received_s + route.latency_objective_s - spent_s,
         kind=_kind(cfg, service, model),
         tokens=declared_tokens(
--- a/gooseberryhall/gateway/backends.py
+++ b/gooseberryhall/gateway/backends.py
@@ -26,8 +26,9 @@
     """One send of a request to a server."""
 
     exchange: Exchange
-    # Fingerprint of the request and ids of the shared parts of its prompt.
-    traits: frozenset[str] = frozenset()
+    # Returns the fingerprint of the request and the ids of the shared parts of its
+    # prompt.
+    traits: Callable[[], frozenset[str]] = frozenset
     # Returns whether the request may be aborted if such requests crash servers.
     can_abandon: Callable[[], bool] = lambda: False
 
@@ -255,7 +256,7 @@
         """Abort requests that would crash their servers, before they are answered."""
         for health in self._health.values():
             for attempt in list(health.in_flight.values()):
-                if is_blocked(attempt.traits) and attempt.can_abandon():
+                if is_blocked(attempt.traits()) and attempt.can_abandon():
                     attempt.exchange.abort(
                         ExchangeAbortedError("requests like this one crash servers")
                     )
--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -54,20 +54,32 @@
 # Time for which a complete answer shows that a part of a prompt is harmless. Popular
 # parts are in flight at most crashes.
 ANSWER_TRUST_S: Final = 60.0
-# Requests that were in flight at crashes, and how many are kept if there are more.
+# Requests that were in flight at crashes and their traits together, and how many are
+# kept if there are more.
 MAX_SUSPECTS: Final = 320
 KEPT_SUSPECTS: Final = 256
-MAX_ANSWERED_TRAITS: Final = 4096
+MAX_SUSPECT_TRAITS: Final = 16_384
+KEPT_SUSPECT_TRAITS: Final = 12_288
+# Prompts of many parts must not displace the answers of the last minute.
+MAX_ANSWERED_TRAITS: Final = 16_384
 # A crash is included in gossip messages for this long, with at most this many requests
 # in a message, so that the loss of a group with many streams fits into a datagram.
 CRASH_GOSSIP_S: Final = 3.0
 MAX_GOSSIPED_CRASHES: Final = 8
 MAX_GOSSIPED_ANSWERS: Final = 16
+# Prompt parts in a message, and of one request; others follow in the next messages.
+MAX_GOSSIPED_PARTS: Final = 80
+MAX_GOSSIPED_PARTS_OF_REQUEST: Final = 16
 # Share of the messages that repeat the requests from which causes are derived, so that
 # a node that has just started knows them within about a second.
 CAUSE_GOSSIP_SHARE: Final = 0.2
-# Prompt parts of a request that are taken into account.
-MAX_PROMPT_PARTS: Final = 16
+# Prompt parts of a request that are taken into account: more than a head within the
+# platform's limits holds, as any of them may crash servers.
+MAX_PROMPT_PARTS: Final = 4096
+# Longer ids of parts are replaced by a digest.
+MAX_PART_ID: Final = 32
+# Prompt parts in a log event.
+MAX_LOGGED_PARTS: Final = 16
 # Larger numbers of tokens in a header are ignored.
 MAX_DECLARED_TOKENS: Final = 1_000_000
 # Time in which the first request of a new connection arrives.
--- a/gooseberryhall/gateway/context.py
+++ b/gooseberryhall/gateway/context.py
@@ -13,6 +13,7 @@
 from .header_names import HeaderNames
 from .models import CallerRequest
 from .observed import Kind
+from .prompt import shared_prompt_parts
 
 _MS_PER_S = 1000
 
@@ -28,10 +29,11 @@
     team: Team | None
     model: str | None
     fingerprint: str
-    # Ids of the prompt parts that other requests may share, in order.
-    prompt_parts: tuple[str, ...]
     # Event loop time of the deadline set by the caller or by the route's timeout.
     deadline_s: float
+    # Parts of the prompt as the caller declared them. A head may name thousands, so
+    # they are decoded only when they are needed.
+    declared_parts: bytes | None = None
     # Servers that ran the request or may have run it.
     ran_on: list[str] = field(default_factory=list)
     # Servers to which the request must not be sent again.
@@ -61,6 +63,11 @@
         """
         return math.inf if self.ran_on or self.breaks else self.objective_s - now_s
 
+    @property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """Return the ids of the prompt parts that other requests may share."""
+        return shared_prompt_parts(self.declared_parts)
+
     @property
     def traits(self) -> frozenset[str]:
         """Return what identifies the request and the shared parts of its prompt."""
--- a/gooseberryhall/gateway/crash_causes.py
+++ b/gooseberryhall/gateway/crash_causes.py
@@ -1,7 +1,8 @@
 """Finds what requests have in common that crash servers. Pure functions."""
 
 from collections import defaultdict
-from collections.abc import Collection
+from collections.abc import Sequence
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 
 
@@ -25,9 +26,7 @@
     traits: frozenset[str]
 
 
-def find_causes(
-    evidence: Collection[Evidence], min_crashes: int
-) -> list[frozenset[str]]:
+def find_causes(evidence: Sequence[Evidence], min_crashes: int) -> list[frozenset[str]]:
     """Return the combinations of traits that crash servers.
 
     The trait with the most crashes is a cause if it has `min_crashes` of them. Its
@@ -37,12 +36,16 @@
     the requests with it have in common, so that a request that has only some of them is
     still served: it either proves them harmless or shows which one crashes servers.
     """
-    unexplained: dict[str, set[Crash]] = defaultdict(set)
-    common: dict[str, frozenset[str]] = {}
+    crashes_of: dict[str, set[Crash]] = defaultdict(set)
     for item in evidence:
         for trait in item.traits:
-            unexplained[trait].add(item.crash)
-            common[trait] = common.get(trait, item.traits) & item.traits
+            crashes_of[trait].add(item.crash)
+    unexplained = {
+        trait: crashes
+        for trait, crashes in crashes_of.items()
+        if len(crashes) >= min_crashes
+    }
+    common = _common_traits(evidence, unexplained.keys())
     causes: list[frozenset[str]] = []
     while unexplained:
         explained = max(
@@ -67,3 +70,26 @@
             if (rest := crashes - explained)
         }
     return causes
+
+
+def _common_traits(
+    evidence: Sequence[Evidence], traits: AbstractSet[str]
+) -> dict[str, frozenset[str]]:
+    """Return what all requests with a trait have in common, for each of the traits.
+
+    Traits of the same requests share the result, as long prompts have thousands.
+    """
+    holders: dict[str, list[int]] = defaultdict(list)
+    for index, item in enumerate(evidence):
+        for trait in item.traits & traits:
+            holders[trait].append(index)
+    by_holders: dict[tuple[int, ...], frozenset[str]] = {}
+    common: dict[str, frozenset[str]] = {}
+    for trait, indexes in holders.items():
+        key = tuple(indexes)
+        if key not in by_holders:
+            by_holders[key] = frozenset.intersection(
+                *(evidence[index].traits for index in indexes)
+            )
+        common[trait] = by_holders[key]
+    return common
--- a/gooseberryhall/gateway/crashes.py
+++ b/gooseberryhall/gateway/crashes.py
@@ -1,5 +1,6 @@
 """Detects requests that crash the servers that run them."""
 
+import random
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -9,11 +10,15 @@
     CRASH_AFTER_ABORT_S,
     CRASH_GOSSIP_S,
     CRASH_RETENTION_S,
+    KEPT_SUSPECT_TRAITS,
     KEPT_SUSPECTS,
     MAX_ANSWERED_TRAITS,
     MAX_CRASHED_SERVERS,
     MAX_GOSSIPED_ANSWERS,
     MAX_GOSSIPED_CRASHES,
+    MAX_GOSSIPED_PARTS,
+    MAX_GOSSIPED_PARTS_OF_REQUEST,
+    MAX_SUSPECT_TRAITS,
     MAX_SUSPECTS,
     SAME_CRASH_S,
 )
@@ -36,16 +41,14 @@
 class _Suspect:
     """A request that was in flight at crashes."""
 
-    # Fingerprint of the request and ids of the shared parts of its prompt.
-    traits: tuple[str, ...]
+    # Fingerprint of the request.
+    fingerprint: str
+    # The fingerprint and the ids of the shared parts of its prompt, in order. Reports
+    # of peers hold some of the parts of a long prompt.
+    traits: dict[str, None]
     crashes: set[Crash] = field(default_factory=set)
     last_crash_s: float = 0.0
 
-    @property
-    def parts(self) -> tuple[str, ...]:
-        """Return the ids of the shared parts of its prompt."""
-        return self.traits[1:]
-
     def add(self, crash: Crash) -> None:
         """Add a crash."""
         self.crashes.add(crash)
@@ -80,6 +83,10 @@
     _answered_s: dict[str, float] = field(default_factory=dict)
     # Combinations of traits that crash servers; None if they must be derived again.
     _causes: list[frozenset[str]] | None = None
+    # Number of traits of all suspects.
+    _trait_count: int = 0
+    # Chooses what is told to peers first if there is too much for a message.
+    _rng: random.Random = field(default_factory=random.Random)
 
     def record_crash(
         self,
@@ -150,6 +157,8 @@
 
         Those of the last seconds are included, and with `with_causes` also those from
         which the causes are derived, so that nodes that have just started know them.
+        Of equally suspect requests and parts, each message holds others, so that peers
+        learn of all of them.
         """
         causes = self.causes() if with_causes else []
         chosen = {
@@ -159,26 +168,44 @@
             or any(cause.issubset(suspect.traits) for cause in causes)
         }
         ranked = sorted(
-            chosen,
+            self._shuffled(chosen),
             key=lambda key: (
                 self._crash_count(chosen[key]),
                 len(chosen[key].crashes),
                 chosen[key].last_crash_s,
             ),
             reverse=True,
+        )[:MAX_GOSSIPED_CRASHES]
+        max_parts = min(
+            MAX_GOSSIPED_PARTS_OF_REQUEST, MAX_GOSSIPED_PARTS // max(1, len(ranked))
         )
         return tuple(
             CrashReport(
                 fingerprint=key,
-                parts=chosen[key].parts,
+                parts=self._most_suspect_parts(chosen[key], max_parts),
                 crash_ages_s={
                     crash.server_id: int(now_s - crash.at_s)
                     for crash in sorted(chosen[key].crashes, key=_crash_time_s)
                 },
             )
-            for key in ranked[:MAX_GOSSIPED_CRASHES]
+            for key in ranked
         )
 
+    def _most_suspect_parts(self, suspect: _Suspect, count: int) -> tuple[str, ...]:
+        """Return the parts with the most crashes; those that are harmless last."""
+        parts = [trait for trait in suspect.traits if trait != suspect.fingerprint]
+        if len(parts) <= count:
+            return tuple(parts)
+
+        def rank(part: str) -> tuple[bool, int]:
+            harmless = self._is_harmless(part, suspect.last_crash_s)
+            return harmless, -len(self._by_trait.get(part, ()))
+
+        return tuple(sorted(self._shuffled(parts), key=rank)[:count])
+
+    def _shuffled(self, items: Collection[str]) -> list[str]:
+        return self._rng.sample(list(items), len(items))
+
     def harmless_traits(self, now_s: float) -> dict[str, int]:
         """Return traits of recent suspects that are harmless, for gossip.
 
@@ -192,7 +219,8 @@
                 answered_s = self._answered_s.get(trait)
                 if answered_s is not None and now_s - answered_s < ANSWER_TRUST_S:
                     found[trait] = int(now_s - answered_s)
-        return dict(list(found.items())[-MAX_GOSSIPED_ANSWERS:])
+        told = self._shuffled(found)[:MAX_GOSSIPED_ANSWERS]
+        return {trait: found[trait] for trait in told}
 
     def merge(
         self,
@@ -243,25 +271,41 @@
         ranked = sorted(
             self._suspects.items(),
             key=lambda item: (
-                self._crash_count(item[1]) >= MAX_CRASHED_SERVERS,
+                min(self._crash_count(item[1]), MAX_CRASHED_SERVERS),
                 item[1].last_crash_s,
             ),
+            reverse=True,
         )
-        self._keep_suspects(dict(ranked[-KEPT_SUSPECTS:]))
+        kept: dict[str, _Suspect] = {}
+        trait_count = 0
+        for key, suspect in ranked[:KEPT_SUSPECTS]:
+            trait_count += len(suspect.traits)
+            if trait_count > KEPT_SUSPECT_TRAITS:
+                break
+            kept[key] = suspect
+        self._keep_suspects(kept)
 
     def _keep_suspects(self, suspects: dict[str, _Suspect]) -> None:
         self._suspects = suspects
+        self._trait_count = sum(len(suspect.traits) for suspect in suspects.values())
         self._by_trait = {}
         for suspect in suspects.values():
             for trait in suspect.traits:
                 self._by_trait.setdefault(trait, set()).update(suspect.crashes)
 
     def _add(self, fingerprint: str, parts: tuple[str, ...], crash: Crash) -> None:
-        suspect = self._suspects.setdefault(
-            fingerprint, _Suspect((fingerprint, *parts))
-        )
-        if crash in suspect.crashes:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            suspect = self._suspects[fingerprint] = _Suspect(fingerprint, {})
+        added = [
+            trait for trait in (fingerprint, *parts) if trait not in suspect.traits
+        ]
+        if crash in suspect.crashes and not added:
             return
+        suspect.traits.update(dict.fromkeys(added))
+        self._trait_count += len(added)
+        for trait in added:
+            self._by_trait.setdefault(trait, set()).update(suspect.crashes)
         suspect.add(crash)
         for trait in suspect.traits:
             self._by_trait.setdefault(trait, set()).add(crash)
@@ -269,7 +313,7 @@
         # that break off together. Fewer crashes of a trait than this change nothing.
         if self._crash_count(suspect) >= MAX_CRASHED_SERVERS:
             self._causes = None
-        if len(self._suspects) > MAX_SUSPECTS:
+        if len(self._suspects) > MAX_SUSPECTS or self._trait_count > MAX_SUSPECT_TRAITS:
             self._remove_least_suspect()
 
     def _crash_count(self, suspect: _Suspect) -> int:
--- a/gooseberryhall/gateway/explain.py
+++ b/gooseberryhall/gateway/explain.py
@@ -100,7 +100,7 @@
         return stopping_response(view.rng)
     if view.is_evacuated(ctx, now_s):
         return evacuated_response(view.rng)
-    if view.crashes.is_blocked(ctx.traits):
+    if view.crashes_servers(ctx):
         return crashing_request_response(may_have_run=False)
     if ctx.deadline_s - now_s < MIN_REMAINING_S:
         return unserved_response(view, ctx)
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -75,7 +75,7 @@
         return None
     if ctx.ran_on and not ctx.is_retryable():
         return None
-    if ctx.sends and state.crashes.is_blocked(ctx.traits):
+    if ctx.sends and state.crashes_servers(ctx):
         return None
     server = await state.waiting.async_choose(ctx)
     if server is None or (
--- a/gooseberryhall/gateway/prompt.py
+++ b/gooseberryhall/gateway/prompt.py
@@ -1,8 +1,13 @@
 """Size and parts of the prompt that a request declares."""
 
-from .const import MAX_DECLARED_TOKENS, MAX_PROMPT_PARTS
+from hashlib import blake2b
+from typing import Final
+
+from .const import MAX_DECLARED_TOKENS, MAX_PART_ID, MAX_PROMPT_PARTS
 from .header_values import decode_number
 
+_DIGEST_BYTES: Final = 12
+
 
 def shared_prompt_parts(value: bytes | None) -> tuple[str, ...]:
     """Return the ids of the prompt parts that other requests may share, in order.
@@ -13,10 +18,17 @@
     if value is None:
         return ()
     entries = value.decode("latin-1").split(",")[:-1]
-    ids = (entry.partition(":")[0].strip() for entry in entries)
+    ids = (_part_id(entry.partition(":")[0].strip()) for entry in entries)
     return tuple(dict.fromkeys(part for part in ids if part))[:MAX_PROMPT_PARTS]
 
 
+def _part_id(value: str) -> str:
+    """Return the id of a part, or a digest of a long one, as many of them are kept."""
+    if len(value) <= MAX_PART_ID:
+        return value
+    return blake2b(value.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+
+
 def declared_tokens(count: bytes | None, hint: bytes | None) -> tuple[int, int] | None:
     """Return the tokens of the prompt and, as far as the caller knows, of the answer.
 
--- a/gooseberryhall/gateway/recording.py
+++ b/gooseberryhall/gateway/recording.py
@@ -6,6 +6,7 @@
 from ..telemetry.catalogue import LogEvent
 from ..transport.exceptions import ConnectFailedError, TransportError
 from ..transport.exchange import ResponseHead
+from .const import MAX_LOGGED_PARTS
 from .context import RequestContext
 from .sending import HTTP_MISDIRECTED_REQUEST, SentRequest, log_request
 from .state import GatewayState
@@ -59,7 +60,7 @@
     ctx.breaks += 1
     if is_crash:
         record_crash(state, ctx, server_id)
-    elif state.crashes.is_blocked(ctx.traits):
+    elif state.crashes_servers(ctx):
         state.crashes.record_abandoned(
             ctx.fingerprint, server_id, loop.time(), ctx.prompt_parts
         )
@@ -68,7 +69,7 @@
         str(exc),
         ctx,
         server=server_id,
-        parts=ctx.prompt_parts,
+        parts=ctx.prompt_parts[:MAX_LOGGED_PARTS],
         crashed=state.crashes.crashed_servers(ctx.fingerprint),
         **fields,
     )
--- a/gooseberryhall/gateway/second_copy.py
+++ b/gooseberryhall/gateway/second_copy.py
@@ -165,7 +165,7 @@
     crashed = state.crashes.crashed_servers(ctx.fingerprint)
     conditions = HedgeConditions(
         stopping=state.stopping.schedule is not None,
-        crashes_servers=bool(crashed) or state.crashes.is_blocked(ctx.traits),
+        crashes_servers=bool(crashed) or state.crashes_servers(ctx),
         attempt_left=len({*ctx.ran_on, current.server_id}) < ctx.route.attempts,
         overloaded=hedging.was_rejected(ctx.service, now_s)
         or state.waiting.has_waiting(ctx.kind),
--- a/gooseberryhall/gateway/sending.py
+++ b/gooseberryhall/gateway/sending.py
@@ -86,7 +86,7 @@
         on_head=on_head,
         memory=state.memory,
     )
-    attempt = Attempt(exchange, ctx.traits, can_abandon)
+    attempt = Attempt(exchange, lambda: ctx.traits, can_abandon)
     key = state.backends.start_attempt(server.server_id, attempt, loop.time())
     try:
         data = ctx.encode(
--- a/gooseberryhall/gateway/state.py
+++ b/gooseberryhall/gateway/state.py
@@ -125,6 +125,10 @@
             return self.find_index()
         return create_index(self.groups(), self.servers().values())
 
+    def crashes_servers(self, ctx: RequestContext) -> bool:
+        """Return whether requests like this one crash servers."""
+        return bool(self.crashes.causes()) and self.crashes.is_blocked(ctx.traits)
+
     def is_grouped(self, service: str) -> bool:
         """Return whether the servers of a service form groups."""
         cfg = self.configuration()
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -158,7 +158,7 @@
     server = await state.waiting.async_choose(ctx)
     if server is None or ctx.deadline_s - loop.time() < MIN_REMAINING_S:
         return None
-    if state.crashes.is_blocked(ctx.traits):
+    if state.crashes_servers(ctx):
         return None
     if ctx.sends and not state.budget(ctx.service).try_acquire(loop.time()):
         log_request(LogEvent.RETRY_BUDGET_EMPTY, "retry budget is exhausted", ctx)
@@ -180,7 +180,7 @@
 ) -> GatewayResponse:
     if outcome is _Outcome.TIMED_OUT:
         return timeout_response()
-    if state.crashes.is_blocked(ctx.traits):
+    if state.crashes_servers(ctx):
         return crashing_request_response(may_have_run=bool(ctx.ran_on or ctx.breaks))
     if ctx.ran_on or ctx.breaks:
         return outcome_unknown_response("the server broke off")
--- a/gooseberryhall/gateway/takeover.py
+++ b/gooseberryhall/gateway/takeover.py
@@ -241,7 +241,7 @@
 def _acquire_server(state: GatewayState, ctx: RequestContext) -> BackendServer | None:
     """Return a server to ask, for which the retry budget has a place."""
     now_s = asyncio.get_running_loop().time()
-    if ctx.deadline_s - now_s < MIN_REMAINING_S or state.crashes.is_blocked(ctx.traits):
+    if ctx.deadline_s - now_s < MIN_REMAINING_S or state.crashes_servers(ctx):
         return None
     chosen = state.choose_candidate(ctx, now_s)
     server = state.servers().get(chosen.server_id) if chosen else None
--- a/gooseberryhall/node/node.py
+++ b/gooseberryhall/node/node.py
@@ -13,6 +13,7 @@
 from ..gateway.const import (
     CAUSE_GOSSIP_SHARE,
     MAX_CHECK_DELAY_S,
+    MAX_LOGGED_PARTS,
     STALL_CHECK_PERIOD_S,
 )
 from ..gateway.intake import max_connections
@@ -395,7 +396,7 @@
                 _LOGGER,
                 LogEvent.CRASH_CAUSE_FOUND,
                 "requests with these traits crash servers and are refused",
-                cause=sorted(cause),
+                cause=sorted(cause)[:MAX_LOGGED_PARTS],
                 crashed=crashes.servers_crashed_by(cause),
             )
         if found:
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -260,7 +260,7 @@
         (b"own:5", ()),
         (b"a:40,b:20,own:5", ("a", "b")),
         (b" a:40 , :3,a:2,own:5", ("a",)),
-        (b",".join(b"p%d:1" % number for number in range(99)), None),
+        (b",".join(b"p%d:1" % number for number in range(9_999)), None),
     ],
 )
 def test_last_prompt_part_is_not_shared(
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -58,7 +58,6 @@
         "team": None,
         "model": None,
         "fingerprint": name,
-        "prompt_parts": (),
         "deadline_s": now_s + 4,
         "objective_s": now_s + 0.8,
     }
