Count the crashes of each incarnation of a server

Cause: all broken connections of one id within 10 s were one crash, since a faulty server may break single requests without one. That the server had started again was known by its record and not looked at. A report to peers named each server once for a request. Change: breaks of different incarnations are different crashes; those of one incarnation within 10 s are one, as before. Reports hold the latest eight crashes of a request, also of one id.

--- a/gooseberryhall/gateway/const.py
+++ b/gooseberryhall/gateway/const.py
@@ -46,8 +46,8 @@
 # A stream that began longer ago is not the cause of a crash, as servers crash when they
 # begin to answer.
 CRASH_ONSET_S: Final = 1.0
-# Broken connections of one server within this time count as one crash. A faulty server
-# may break single requests again and again without a crash.
+# Broken connections of one incarnation of a server within this time count as one crash.
+# A faulty server may break single requests again and again without a crash.
 SAME_CRASH_S: Final = 10.0
 # A server that crashes this soon after a request was aborted may have begun to run it.
 CRASH_AFTER_ABORT_S: Final = 2.0
@@ -66,6 +66,7 @@
 # in a message, so that the loss of a group with many streams fits into a datagram.
 CRASH_GOSSIP_S: Final = 3.0
 MAX_GOSSIPED_CRASHES: Final = 8
+MAX_GOSSIPED_CRASHES_OF_REQUEST: Final = 8
 MAX_GOSSIPED_ANSWERS: Final = 16
 # Prompt parts in a message, and of one request; others follow in the next messages.
 MAX_GOSSIPED_PARTS: Final = 80
--- a/gooseberryhall/gateway/crash_causes.py
+++ b/gooseberryhall/gateway/crash_causes.py
@@ -12,6 +12,8 @@
 
     server_id: str
     at_s: float
+    # Tag of the incarnation that crashed; 0 if unknown.
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/gateway/crashes.py
+++ b/gooseberryhall/gateway/crashes.py
@@ -16,6 +16,7 @@
     MAX_CRASHED_SERVERS,
     MAX_GOSSIPED_ANSWERS,
     MAX_GOSSIPED_CRASHES,
+    MAX_GOSSIPED_CRASHES_OF_REQUEST,
     MAX_GOSSIPED_PARTS,
     MAX_GOSSIPED_PARTS_OF_REQUEST,
     MAX_SUSPECT_TRAITS,
@@ -23,7 +24,7 @@
     SAME_CRASH_S,
 )
 from .crash_causes import Crash, Evidence, find_causes
-from .models import CrashReport
+from .models import CrashReport, ReportedCrash
 
 _DIGEST_BYTES = 12
 
@@ -94,12 +95,15 @@
         server_id: str,
         now_s: float,
         parts: tuple[str, ...] = (),
+        incarnation: int = 0,
     ) -> None:
         """Record that a server's connection broke while it ran a request.
 
-        `parts` are the ids of the shared parts of its prompt.
+        `parts` are the ids of the shared parts of its prompt, `incarnation` is the tag
+        of the server's incarnation, 0 if it is unknown.
         """
-        self._add(fingerprint, parts, self._find_crash(server_id, now_s))
+        crash = self._find_crash(Crash(server_id, now_s, incarnation))
+        self._add(fingerprint, parts, crash)
 
     def record_abandoned(
         self, fingerprint: str, server_id: str, now_s: float, parts: tuple[str, ...]
@@ -183,10 +187,7 @@
             CrashReport(
                 fingerprint=key,
                 parts=self._most_suspect_parts(chosen[key], max_parts),
-                crash_ages_s={
-                    crash.server_id: int(now_s - crash.at_s)
-                    for crash in sorted(chosen[key].crashes, key=_crash_time_s)
-                },
+                crashes=_report_crashes(chosen[key].crashes, now_s),
             )
             for key in ranked
         )
@@ -232,10 +233,13 @@
         for trait, age_s in harmless.items():
             self._record_answer(trait, now_s - age_s)
         for report in reports:
-            for server_id, age_s in report.crash_ages_s.items():
-                if age_s < CRASH_RETENTION_S:
-                    crash = self._find_crash(server_id, now_s - age_s)
-                    self._add(report.fingerprint, report.parts, crash)
+            for reported in report.crashes:
+                if reported.age_s < CRASH_RETENTION_S:
+                    crash = Crash(
+                        reported.server_id, now_s - reported.age_s, reported.incarnation
+                    )
+                    known = self._find_crash(crash)
+                    self._add(report.fingerprint, report.parts, known)
 
     def remove_expired(self, now_s: float) -> None:
         """Remove crashes that are older than `CRASH_RETENTION_S`."""
@@ -325,17 +329,23 @@
             for trait in suspect.traits
         )
 
-    def _find_crash(self, server_id: str, at_s: float) -> Crash:
-        """Return the known crash of a server at about this time, or a new one.
+    def _find_crash(self, crash: Crash) -> Crash:
+        """Return the known crash of a server at about this time, or keep this one.
 
         Nodes report the same crash at slightly different times. A server that started
-        again with its old id may crash once more.
+        again with its old id may crash once more, also soon after.
         """
-        crashes = self._crashes.setdefault(server_id, [])
-        for crash in crashes:
-            if abs(crash.at_s - at_s) < SAME_CRASH_S:
-                return crash
-        crash = Crash(server_id, at_s)
+        crashes = self._crashes.setdefault(crash.server_id, [])
+        same = [known for known in crashes if _is_same(known, crash)]
+        if same:
+            # Nodes of an earlier build do not tell the incarnation.
+            return min(
+                same,
+                key=lambda known: (
+                    known.incarnation != crash.incarnation,
+                    abs(known.at_s - crash.at_s),
+                ),
+            )
         crashes.append(crash)
         self._blame_abandoned(crash)
         return crash
@@ -373,5 +383,20 @@
         return answered_s is not None and crashed_s < answered_s + ANSWER_TRUST_S
 
 
-def _crash_time_s(crash: Crash) -> float:
-    return crash.at_s
+def _is_same(known: Crash, crash: Crash) -> bool:
+    """Return whether two records of a server may be of one crash."""
+    tags = {known.incarnation, crash.incarnation}
+    if len(tags) > 1 and 0 not in tags:
+        return False
+    return abs(known.at_s - crash.at_s) < SAME_CRASH_S
+
+
+def _report_crashes(
+    crashes: Collection[Crash], now_s: float
+) -> tuple[ReportedCrash, ...]:
+    """Return the latest crashes for a report, oldest first."""
+    latest = sorted(crashes, key=lambda crash: crash.at_s)
+    return tuple(
+        ReportedCrash(crash.server_id, int(now_s - crash.at_s), crash.incarnation)
+        for crash in latest[-MAX_GOSSIPED_CRASHES_OF_REQUEST:]
+    )
--- a/gooseberryhall/gateway/models.py
+++ b/gooseberryhall/gateway/models.py
@@ -37,8 +37,19 @@
     fingerprint: str
     # Ids of the parts of its prompt that other requests may share.
     parts: tuple[str, ...]
-    # Seconds since the crash, by server id.
-    crash_ages_s: dict[str, int]
+    # The latest crashes, oldest first.
+    crashes: tuple["ReportedCrash", ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedCrash:
+    """A crash of a server; one that starts again under its id may crash again."""
+
+    server_id: str
+    # Seconds since the crash.
+    age_s: int
+    # Tag of the incarnation of the server; 0 if unknown.
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryhall/gateway/plain.py
+++ b/gooseberryhall/gateway/plain.py
@@ -144,7 +144,7 @@
         return timeout_response()
     except TransportError as exc:
         state.backends.record_result(server_id, failed=True)
-        record_crash(state, ctx, server_id)
+        record_crash(state, ctx, server)
         log_request(
             LogEvent.SEND_FAILED,
             str(exc),
--- a/gooseberryhall/gateway/recording.py
+++ b/gooseberryhall/gateway/recording.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+from ..fleet.models import BackendServer
 from ..telemetry.catalogue import LogEvent
 from ..transport.exceptions import ConnectFailedError, TransportError
 from ..transport.exchange import ResponseHead
@@ -12,10 +13,17 @@
 from .state import GatewayState
 
 
-def record_crash(state: GatewayState, ctx: RequestContext, server_id: str) -> None:
+def record_crash(
+    state: GatewayState, ctx: RequestContext, server: BackendServer
+) -> None:
     """Record that a server broke off while it ran the request."""
-    now_s = asyncio.get_running_loop().time()
-    state.crashes.record_crash(ctx.fingerprint, server_id, now_s, ctx.prompt_parts)
+    state.crashes.record_crash(
+        ctx.fingerprint,
+        server.server_id,
+        asyncio.get_running_loop().time(),
+        ctx.prompt_parts,
+        server.incarnation_tag,
+    )
     state.on_crash()
 
 
@@ -45,7 +53,7 @@
 def record_break(
     state: GatewayState,
     ctx: RequestContext,
-    server_id: str,
+    server: BackendServer,
     exc: TransportError,
     *,
     is_crash: bool,
@@ -56,10 +64,11 @@
     `is_crash` tells whether the request may have crashed the server.
     """
     loop = asyncio.get_running_loop()
+    server_id = server.server_id
     state.backends.record_result(server_id, failed=True)
     ctx.breaks += 1
     if is_crash:
-        record_crash(state, ctx, server_id)
+        record_crash(state, ctx, server)
     elif state.crashes_servers(ctx):
         state.crashes.record_abandoned(
             ctx.fingerprint, server_id, loop.time(), ctx.prompt_parts
--- a/gooseberryhall/gateway/stream.py
+++ b/gooseberryhall/gateway/stream.py
@@ -210,7 +210,7 @@
             relay.timeout = timeout
             return await _async_relay(state, ctx, relay, sent)
 
-    return await _async_classify(state, ctx, relay, server.server_id, async_relay)
+    return await _async_classify(state, ctx, relay, server, async_relay)
 
 
 async def _async_go_on(
@@ -229,19 +229,20 @@
         async with asyncio.timeout_at(ctx.deadline_s), successor.stack:
             return await _async_relay_events(state, ctx, relay, successor.source)
 
-    server_id = successor.source.server.server_id
-    return await _async_classify(state, ctx, relay, server_id, async_relay)
+    server = successor.source.server
+    return await _async_classify(state, ctx, relay, server, async_relay)
 
 
 async def _async_classify(
     state: GatewayState,
     ctx: RequestContext,
     relay: _RelayedResponse,
-    server_id: str,
+    server: BackendServer,
     async_relay: Callable[[], Awaitable[_Outcome]],
 ) -> _Outcome:
     """Run one attempt and return its outcome, also if it fails."""
     loop = asyncio.get_running_loop()
+    server_id = server.server_id
     sent_s = loop.time()
     try:
         return await async_relay()
@@ -269,7 +270,7 @@
         record_break(
             state,
             ctx,
-            server_id,
+            server,
             exc,
             is_crash=isinstance(exc, ConnectionBrokenError) and _may_be_cause(relay),
             events=relay.splitter.event_count,
--- a/gooseberryhall/gateway/takeover.py
+++ b/gooseberryhall/gateway/takeover.py
@@ -202,7 +202,7 @@
             continue
         except TransportError as exc:
             is_crash = isinstance(exc, ConnectionBrokenError)
-            record_break(state, ctx, server.server_id, exc, is_crash=is_crash)
+            record_break(state, ctx, server, exc, is_crash=is_crash)
             return None
         if successor is not None:
             return successor
@@ -226,7 +226,7 @@
         return None
     except TransportError as exc:
         is_crash = isinstance(exc, ConnectionBrokenError)
-        record_break(state, ctx, server_id, exc, is_crash=is_crash)
+        record_break(state, ctx, server, exc, is_crash=is_crash)
         return None
     except asyncio.CancelledError:
         state.metrics.hedges.inc({"route": ctx.route.name, "event": "cancelled"})
--- a/gooseberryhall/gossip/messages.py
+++ b/gooseberryhall/gossip/messages.py
@@ -9,7 +9,7 @@
 from ..exceptions import InvalidInputError
 from ..fleet.evacuation import EvacuationUpdate
 from ..fleet.models import BackendServer, ServedGroup
-from ..gateway.models import CrashReport
+from ..gateway.models import CrashReport, ReportedCrash
 from ..transport.address import MAX_PORT, create_address
 from .cold import decode_cold, encode_cold
 from .const import MS_PER_S
@@ -122,14 +122,21 @@
             None
             if gossip.announcement is None
             else _encode_announcement(gossip.announcement),
-            {item.fingerprint: list(item.crash_ages_s) for item in gossip.crashes},
             {
-                item.fingerprint: [item.parts, list(item.crash_ages_s.values())]
+                item.fingerprint: [crash.server_id for crash in item.crashes]
+                for item in gossip.crashes
+            },
+            {
+                item.fingerprint: [item.parts, [crash.age_s for crash in item.crashes]]
                 for item in gossip.crashes
             },
             gossip.harmless,
             gossip.leaving,
             _encode_evacuations(gossip.evacuations),
+            {
+                item.fingerprint: [crash.incarnation for crash in item.crashes]
+                for item in gossip.crashes
+            },
         ]
     )
 
@@ -161,7 +168,11 @@
             if values[10] is not None
             else None,
             # Nodes of an earlier version do not send the fields after the servers.
-            crashes=_decode_crashes(values[11], values[12] if values[12:] else {}),
+            crashes=_decode_crashes(
+                values[11],
+                values[12] if values[12:] else {},
+                values[16] if values[16:] else {},
+            ),
             harmless={
                 _require_text(trait): int(age_s)
                 for fields in values[13:14]
@@ -203,22 +214,26 @@
     }
 
 
-def _decode_crashes(servers: Any, details: Any) -> tuple[CrashReport, ...]:
+def _decode_crashes(servers: Any, details: Any, tags: Any) -> tuple[CrashReport, ...]:
     """Decode crash reports.
 
     The details of a request are its prompt parts and the age of each crash in seconds.
+    `tags` are those of the incarnations that crashed.
     """
     reports = []
     for key, server_ids in servers.items():
-        parts, ages_s = details.get(key, ((), (0,) * len(server_ids)))
+        unknown = (0,) * len(server_ids)
+        parts, ages_s = details.get(key, ((), unknown))
         reports.append(
             CrashReport(
                 fingerprint=_require_text(key),
                 parts=tuple(_require_text(part) for part in parts),
-                crash_ages_s={
-                    _require_text(server_id): int(age_s)
-                    for server_id, age_s in zip(server_ids, ages_s, strict=True)
-                },
+                crashes=tuple(
+                    ReportedCrash(_require_text(server_id), int(age_s), int(tag))
+                    for server_id, age_s, tag in zip(
+                        server_ids, ages_s, tags.get(key, unknown), strict=True
+                    )
+                ),
             )
         )
     return tuple(reports)
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -11,11 +11,13 @@
     MAX_ANSWERED_TRAITS,
     MAX_CRASHED_SERVERS,
     MAX_GOSSIPED_CRASHES,
+    MAX_GOSSIPED_CRASHES_OF_REQUEST,
     MAX_PROMPT_PARTS,
     MAX_SUSPECTS,
 )
 from gooseberryhall.gateway.crash_causes import Crash, Evidence, find_causes
 from gooseberryhall.gateway.crashes import CrashTracker, request_fingerprint
+from gooseberryhall.gateway.models import CrashReport, ReportedCrash
 from gooseberryhall.gateway.prompt import shared_prompt_parts
 
 
@@ -253,6 +255,59 @@
     assert not _is_blocked(tracker, "q1 part")
 
 
+def test_each_incarnation_of_a_server_may_crash() -> None:
+    """Guards against a request that crashes two servers again and again (review/10).
+
+    Each of them starts again under its id some seconds later. It was refused only after
+    a server had crashed twice within more than ten seconds.
+    """
+    tracker = CrashTracker()
+    for at_s, incarnation in ((0.0, 7), (2.5, 8)):
+        tracker.record_crash("q1", "a", at_s, incarnation=incarnation)
+    tracker.record_crash("q1", "b", 0.5, incarnation=9)
+    assert _is_blocked(tracker, "q1")
+    # Peers count each of these crashes, and each of them once.
+    peer = CrashTracker()
+    for _ in range(2):
+        peer.merge(tracker.reports(3.0, with_causes=False), {}, 3.0)
+    assert _is_blocked(peer, "q1")
+    assert len(peer._suspects["q1"].crashes) == MAX_CRASHED_SERVERS
+
+
+def test_incarnation_that_breaks_single_requests_does_not_crash_each_time() -> None:
+    """Guards against refusing a harmless request since its server is known."""
+    tracker = CrashTracker()
+    for number in range(MAX_CRASHED_SERVERS + 1):
+        tracker.record_crash("q1", "a", float(number), incarnation=7)
+    assert not _is_blocked(tracker, "q1")
+
+
+def test_crash_that_a_node_of_an_earlier_build_tells_counts_once() -> None:
+    """Guards against crashes that count twice in an upgrade.
+
+    Nodes of build 13336db do not tell the incarnation; of two crashes of a server the
+    nearest one is meant.
+    """
+    tracker = CrashTracker()
+    tracker.record_crash("q1", "a", 0.0, incarnation=7)
+    tracker.record_crash("q1", "a", 3.0, incarnation=8)
+    for age_s in (0, 3):
+        told = CrashReport("q1", (), (ReportedCrash("a", age_s),))
+        tracker.merge((told,), {}, 3.2)
+    assert len(tracker._suspects["q1"].crashes) == 2
+    assert not _is_blocked(tracker, "q1")
+
+
+def test_report_of_many_crashes_is_short() -> None:
+    """Guards against datagrams that grow with each crash of a request."""
+    tracker = CrashTracker()
+    for number in range(50):
+        tracker.record_crash("q1", f"s{number}", float(number))
+    (report,) = tracker.reports(50.0, with_causes=True)
+    assert len(report.crashes) == MAX_GOSSIPED_CRASHES_OF_REQUEST
+    assert report.crashes[-1].server_id == "s49"
+
+
 @pytest.mark.parametrize(
     ("value", "expected"),
     [
--- a/tests/gossip/test_builds.py
+++ b/tests/gossip/test_builds.py
@@ -8,6 +8,7 @@
 import cbor2
 
 from gooseberryhall.fleet.evacuation import EvacuationUpdate
+from gooseberryhall.gateway.models import CrashReport, ReportedCrash
 from gooseberryhall.gossip.messages import Gossip, decode, encode
 
 # A datagram of build 13336db: an announcement of zone z, a crash report, evacuations.
@@ -25,6 +26,8 @@
     assert gossip.announcement is not None
     assert gossip.announcement.term == 2
     assert gossip.leaving == {"i-4": 77}
+    crashes = (ReportedCrash("i-1", 3), ReportedCrash("i-2", 1))
+    assert gossip.crashes == (CrashReport("ab", ("p1", "p2"), crashes),)
     assert gossip.evacuations == {
         "z": EvacuationUpdate(9, active=True, age_s=1.25),
         "y": EvacuationUpdate(7, active=False, age_s=0.5),
@@ -39,3 +42,20 @@
     values: list[Any] = cbor2.loads(encode(gossip))
     version, active, age_ms = values[15]["z"][:3]
     assert (version, active, age_ms) == (9, True, 1250)
+
+
+def test_the_earlier_build_reads_two_crashes_of_one_server() -> None:
+    """Guards against crash reports that the earlier build refuses as malformed.
+
+    It pairs each server id with an age, expects two details of a request, and ignores
+    what follows the evacuations.
+    """
+    crashes = (ReportedCrash("i-1", 6, 71), ReportedCrash("i-1", 2, 72))
+    gossip = Gossip(
+        "n1", "z", 7, 3, 7340, crashes=(CrashReport("ab", ("p1",), crashes),)
+    )
+    assert decode(encode(gossip)) == gossip
+    values: list[Any] = cbor2.loads(encode(gossip))
+    parts, ages_s = values[12]["ab"]
+    assert dict(zip(values[11]["ab"], ages_s, strict=True)) == {"i-1": 2}
+    assert parts == ["p1"]
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -12,7 +12,7 @@
 
 from gooseberryhall.fleet.evacuation import EvacuationUpdate
 from gooseberryhall.fleet.models import BackendServer, ColdGrant, ServedGroup
-from gooseberryhall.gateway.models import CrashReport
+from gooseberryhall.gateway.models import CrashReport, ReportedCrash
 from gooseberryhall.gossip.const import (
     BATCH_DATAGRAMS,
     GOSSIP_PERIOD_S,
@@ -84,7 +84,7 @@
             ("n3", "n4"),
             ("n9",),
         ),
-        crashes=(CrashReport("ab", ("p1", "p2"), {"s9": 3}),),
+        crashes=(CrashReport("ab", ("p1", "p2"), (ReportedCrash("s9", 3, 7),)),),
         harmless={"p3": 12},
         evacuations={
             "z": EvacuationUpdate(9, active=True, age_s=1.25),
@@ -98,7 +98,9 @@
     """Guards against datagrams that are refused while nodes are updated in turn."""
     values = cbor2.loads(encode(_gossip()))[:11]
     earlier = decode(cbor2.dumps([*values, {"ab": ["s9", "s8"]}]))
-    assert earlier.crashes == (CrashReport("ab", (), {"s9": 0, "s8": 0}),)
+    assert earlier.crashes == (
+        CrashReport("ab", (), (ReportedCrash("s9", 0), ReportedCrash("s8", 0))),
+    )
     assert earlier.harmless == {}
 
 
--- a/tests/node/test_owner.py
+++ b/tests/node/test_owner.py
@@ -8,7 +8,7 @@
 from gooseberryhall.fleet.const import FIRST_ANNOUNCEMENT_S
 from gooseberryhall.fleet.models import Group, Membership, MemberState
 from gooseberryhall.fleet.view import FleetView
-from gooseberryhall.gateway.models import CrashReport
+from gooseberryhall.gateway.models import CrashReport, ReportedCrash
 from gooseberryhall.gossip.messages import ServerTraffic
 from gooseberryhall.node.table import create_announcement as create_zone_announcement
 from tests.fleet.common import server
@@ -154,7 +154,7 @@
     assert announcement.announcement is not None
     assert announcement.crashes == ()
     assert crashes.announcement is None
-    assert crashes.crashes == (CrashReport("ab", (), {"h1": 0}),)
+    assert crashes.crashes == (CrashReport("ab", (), (ReportedCrash("h1", 0),)),)
     # Peers ignore a datagram that arrives after one with a higher sequence.
     assert announcement.sequence > crashes.sequence
 
