--- a/standins/soak/const.py
+++ b/standins/soak/const.py
@@ -39,9 +39,13 @@
 LAPSE_S: Final = 3.0
 STOPPED_NODES: Final = 2
 STOP_INTERVAL_S: Final = 1.0
+# Time for which the store is away before it comes back from an earlier copy.
+AWAY_S: Final = 0.5
 # Prompt parts that requests share; one of them crashes servers that answer.
 SHARED_PART: Final = "5a"
 CRASHING_PART: Final = "bad"
+# Parts before the crashing one, as long prompts have.
+EARLIER_PARTS: Final = tuple(f"e{number}" for number in range(20))
 CRASHING_REQUESTS: Final = 10
 CRASHING_REQUEST_PERIOD_S: Final = 0.4
 # The cause is known after five crashes; three more requests may be on their way.
--- a/standins/soak/environment.py
+++ b/standins/soak/environment.py
@@ -105,7 +105,7 @@
     directory: Path
     records: Records
     stack: AsyncExitStack
-    store: RowStore = field(default_factory=RowStore)
+    store: RowStore = field(default_factory=lambda: RowStore(era=1))
     servers: dict[str, Server] = field(default_factory=dict)
     nodes: list[SoakNode] = field(default_factory=list)
     version: int = 0
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -9,6 +9,7 @@
 from ..proxy import Direction
 from .callers import Callers, RequestKind
 from .const import (
+    AWAY_S,
     CALLER_PERIOD_S,
     CONFIG_LIMIT_S,
     DRAIN_LIMIT_S,
@@ -28,6 +29,7 @@
 
 MEAN_INTERVAL_S = 0.7
 MEAN_LATER_INTERVAL_S = 2.5
+MEAN_LATEST_INTERVAL_S = 6.0
 RESTART_S = (0.1, 1.5)
 STOP_SLACK_S = 1.5
 
@@ -47,8 +49,9 @@
     faults: list[Fault] = []
     # Kinds that were added later follow, so that a seed keeps its former faults.
     for kinds, mean_interval_s in (
-        (sorted(INJECTORS.keys() - LATER_KINDS), MEAN_INTERVAL_S),
+        (sorted(INJECTORS.keys() - LATER_KINDS - LATEST_KINDS), MEAN_INTERVAL_S),
         (sorted(LATER_KINDS), MEAN_LATER_INTERVAL_S),
+        (sorted(LATEST_KINDS), MEAN_LATEST_INTERVAL_S),
     ):
         at_s = rng.expovariate(1 / mean_interval_s)
         while at_s <= length_s:
@@ -203,6 +206,18 @@
     env.store.compacted_version = env.store.version
 
 
+async def _async_store_goes_back(env: Environment, _: Callers, fault: Fault) -> None:
+    """Let the store come back from a copy that is as old as the fault is long."""
+    env.records.mark_disturbed(STORE, fault.for_s + AWAY_S)
+    env.store.copy()
+    await asyncio.sleep(fault.for_s)
+    env.store.status = 503
+    await asyncio.sleep(AWAY_S)
+    env.store.go_back()
+    env.store.status = 0
+    env.records.mark_disturbed(STORE)
+
+
 async def _async_disconnect_store(env: Environment, _: Callers, fault: Fault) -> None:
     """Disconnect one node from the store, either unresponsive or with resets."""
     node = _select_node(env, fault)
@@ -366,8 +381,10 @@
     "silence store": _async_stall_store_connections,
     "stop": _async_stop,
     "store forgets": _async_compact_store,
+    "store goes back": _async_store_goes_back,
     "store loses answers": _async_store_loses_responses,
     "store refuses": _async_store_refuses,
     "store slow": _async_store_slow,
 }
 LATER_KINDS = frozenset({"crowd", "evacuate", "lapse"})
+LATEST_KINDS = frozenset({"store goes back"})
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -12,6 +12,7 @@
     CRASHING_PART,
     CRASHING_REQUEST_PERIOD_S,
     CRASHING_REQUESTS,
+    EARLIER_PARTS,
     FAULTS_S,
     GRACE_PERIOD_S,
     GROUP_SIZE,
@@ -163,7 +164,7 @@
         crashes = env.records.prompt_crashes
         node = env.nodes[number % len(env.nodes)]
         call = callers.async_call(
-            node, RequestKind.CHAT, parts=(SHARED_PART, CRASHING_PART)
+            node, RequestKind.CHAT, parts=(SHARED_PART, *EARLIER_PARTS, CRASHING_PART)
         )
         bad.append(asyncio.create_task(call))
         sound.extend(
