Move the suspects of crashes to a module, and bound aborted requests

Change: gateway/suspects.py holds the suspects and their bounds; the tracker keeps what it believes of them. An aborted request keeps the parts of known causes only, which is what explains the crash of its server. Result: test_aborted_requests_keep_the_parts_of_their_cause_only is new; the tests of tests/gateway, tests/gossip and tests/node pass.

--- a/gooseberryhall/gateway/crashes.py
+++ b/gooseberryhall/gateway/crashes.py
@@ -4,14 +4,13 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from typing import TypeVar
 
 from .const import (
     ANSWER_TRUST_S,
     CRASH_AFTER_ABORT_S,
     CRASH_GOSSIP_S,
     CRASH_RETENTION_S,
-    KEPT_SUSPECT_TRAITS,
-    KEPT_SUSPECTS,
     MAX_ANSWERED_TRAITS,
     MAX_CRASHED_SERVERS,
     MAX_GOSSIPED_ANSWERS,
@@ -19,12 +18,13 @@
     MAX_GOSSIPED_CRASHES_OF_REQUEST,
     MAX_GOSSIPED_PARTS,
     MAX_GOSSIPED_PARTS_OF_REQUEST,
-    MAX_SUSPECT_TRAITS,
-    MAX_SUSPECTS,
     SAME_CRASH_S,
 )
 from .crash_causes import Crash, Evidence, find_causes
 from .models import CrashReport, ReportedCrash
+from .suspects import Suspect, Suspects
+
+_T = TypeVar("_T")
 
 _DIGEST_BYTES = 12
 
@@ -38,24 +38,6 @@
     return digest.hexdigest()
 
 
-@dataclass(slots=True)
-class _Suspect:
-    """A request that was in flight at crashes."""
-
-    # Fingerprint of the request.
-    fingerprint: str
-    # The fingerprint and the ids of the shared parts of its prompt, in order. Reports
-    # of peers hold some of the parts of a long prompt.
-    traits: dict[str, None]
-    crashes: set[Crash] = field(default_factory=set)
-    last_crash_s: float = 0.0
-
-    def add(self, crash: Crash) -> None:
-        """Add a crash."""
-        self.crashes.add(crash)
-        self.last_crash_s = max(self.last_crash_s, crash.at_s)
-
-
 @dataclass(frozen=True, slots=True)
 class _Abandoned:
     """A request that was aborted before its server answered."""
@@ -72,20 +54,15 @@
     A trait is the fingerprint of a request or the id of a part of its prompt.
     """
 
-    # By fingerprint.
-    _suspects: dict[str, _Suspect] = field(default_factory=dict)
+    _suspects: Suspects = field(default_factory=Suspects)
     # Known crashes by server id, in the order in which they were recorded.
     _crashes: dict[str, list[Crash]] = field(default_factory=dict)
-    # Crashes by trait of the suspects, also of harmless traits.
-    _by_trait: dict[str, set[Crash]] = field(default_factory=dict)
     # Requests that this node aborted because of a cause, by server id.
     _abandoned: dict[str, list[_Abandoned]] = field(default_factory=dict)
     # Time of the last complete answer to a request with a trait, oldest first.
     _answered_s: dict[str, float] = field(default_factory=dict)
     # Combinations of traits that crash servers; None if they must be derived again.
     _causes: list[frozenset[str]] | None = None
-    # Number of traits of all suspects.
-    _trait_count: int = 0
     # Chooses what is told to peers first if there is too much for a message.
     _rng: random.Random = field(default_factory=random.Random)
 
@@ -111,8 +88,10 @@
         """Record that a request with a known cause was aborted at a server.
 
         It may already have begun to run. If the server crashes now, the other requests
-        in flight there must not be blamed.
+        in flight there must not be blamed. The parts of the cause explain the crash.
         """
+        explained = frozenset[str]().union(*self.causes())
+        parts = tuple(part for part in parts if part in explained)
         item = _Abandoned(fingerprint, parts, now_s)
         self._abandoned.setdefault(server_id, []).append(item)
         for crash in self._crashes.get(server_id, ()):
@@ -150,7 +129,7 @@
         return sorted(
             {
                 crash.server_id
-                for suspect in self._suspects.values()
+                for suspect in self._suspects.all()
                 if cause.issubset(suspect.traits)
                 for crash in suspect.crashes
             }
@@ -165,18 +144,18 @@
         learn of all of them.
         """
         causes = self.causes() if with_causes else []
-        chosen = {
-            key: suspect
-            for key, suspect in self._suspects.items()
+        chosen = [
+            suspect
+            for suspect in self._suspects.all()
             if now_s - suspect.last_crash_s < CRASH_GOSSIP_S
             or any(cause.issubset(suspect.traits) for cause in causes)
-        }
+        ]
         ranked = sorted(
             self._shuffled(chosen),
-            key=lambda key: (
-                self._crash_count(chosen[key]),
-                len(chosen[key].crashes),
-                chosen[key].last_crash_s,
+            key=lambda suspect: (
+                self._crash_count(suspect),
+                len(suspect.crashes),
+                suspect.last_crash_s,
             ),
             reverse=True,
         )[:MAX_GOSSIPED_CRASHES]
@@ -185,26 +164,26 @@
         )
         return tuple(
             CrashReport(
-                fingerprint=key,
-                parts=self._most_suspect_parts(chosen[key], max_parts),
-                crashes=_report_crashes(chosen[key].crashes, now_s),
+                fingerprint=suspect.fingerprint,
+                parts=self._most_suspect_parts(suspect, max_parts),
+                crashes=_report_crashes(suspect.crashes, now_s),
             )
-            for key in ranked
+            for suspect in ranked
         )
 
-    def _most_suspect_parts(self, suspect: _Suspect, count: int) -> tuple[str, ...]:
+    def _most_suspect_parts(self, suspect: Suspect, count: int) -> tuple[str, ...]:
         """Return the parts with the most crashes; those that are harmless last."""
-        parts = [trait for trait in suspect.traits if trait != suspect.fingerprint]
+        parts = suspect.parts
         if len(parts) <= count:
             return tuple(parts)
 
         def rank(part: str) -> tuple[bool, int]:
             harmless = self._is_harmless(part, suspect.last_crash_s)
-            return harmless, -len(self._by_trait.get(part, ()))
+            return harmless, -len(self._suspects.crashes_of(part))
 
         return tuple(sorted(self._shuffled(parts), key=rank)[:count])
 
-    def _shuffled(self, items: Collection[str]) -> list[str]:
+    def _shuffled(self, items: Collection[_T]) -> list[_T]:
         return self._rng.sample(list(items), len(items))
 
     def harmless_traits(self, now_s: float) -> dict[str, int]:
@@ -213,7 +192,7 @@
         The values are the seconds since the last complete answer.
         """
         found: dict[str, int] = {}
-        for suspect in self._suspects.values():
+        for suspect in self._suspects.all():
             if now_s - suspect.last_crash_s >= CRASH_GOSSIP_S:
                 continue
             for trait in suspect.traits:
@@ -264,68 +243,30 @@
             ]
             if not self._crashes[server_id]:
                 del self._crashes[server_id]
-        for suspect in self._suspects.values():
-            suspect.crashes -= expired
-        self._keep_suspects(
-            {key: suspect for key, suspect in self._suspects.items() if suspect.crashes}
-        )
-
-    def _remove_least_suspect(self) -> None:
-        """Remove requests that were merely in flight; those of causes are kept."""
-        ranked = sorted(
-            self._suspects.items(),
-            key=lambda item: (
-                min(self._crash_count(item[1]), MAX_CRASHED_SERVERS),
-                item[1].last_crash_s,
-            ),
-            reverse=True,
-        )
-        kept: dict[str, _Suspect] = {}
-        trait_count = 0
-        for key, suspect in ranked[:KEPT_SUSPECTS]:
-            trait_count += len(suspect.traits)
-            if trait_count > KEPT_SUSPECT_TRAITS:
-                break
-            kept[key] = suspect
-        self._keep_suspects(kept)
-
-    def _keep_suspects(self, suspects: dict[str, _Suspect]) -> None:
-        self._suspects = suspects
-        self._trait_count = sum(len(suspect.traits) for suspect in suspects.values())
-        self._by_trait = {}
-        for suspect in suspects.values():
-            for trait in suspect.traits:
-                self._by_trait.setdefault(trait, set()).update(suspect.crashes)
+        self._suspects.remove_crashes(expired)
 
     def _add(self, fingerprint: str, parts: tuple[str, ...], crash: Crash) -> None:
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.add(fingerprint, parts, crash)
         if suspect is None:
-            suspect = self._suspects[fingerprint] = _Suspect(fingerprint, {})
-        added = [
-            trait for trait in (fingerprint, *parts) if trait not in suspect.traits
-        ]
-        if crash in suspect.crashes and not added:
             return
-        suspect.traits.update(dict.fromkeys(added))
-        self._trait_count += len(added)
-        for trait in added:
-            self._by_trait.setdefault(trait, set()).update(suspect.crashes)
-        suspect.add(crash)
-        for trait in suspect.traits:
-            self._by_trait.setdefault(trait, set()).add(crash)
         # Deriving the causes takes milliseconds, too much for each of the many streams
         # that break off together. Fewer crashes of a trait than this change nothing.
         if self._crash_count(suspect) >= MAX_CRASHED_SERVERS:
             self._causes = None
-        if len(self._suspects) > MAX_SUSPECTS or self._trait_count > MAX_SUSPECT_TRAITS:
-            self._remove_least_suspect()
+        if self._suspects.is_full:
+            # Requests that were merely in flight go; those of causes are kept.
+            self._suspects.remove_lowest(self._suspicion)
+
+    def _suspicion(self, suspect: Suspect) -> tuple[int, float]:
+        crashes = min(self._crash_count(suspect), MAX_CRASHED_SERVERS)
+        return crashes, suspect.last_crash_s
 
-    def _crash_count(self, suspect: _Suspect) -> int:
+    def _crash_count(self, suspect: Suspect) -> int:
         """Return the most crashes of a trait of the request that is not harmless."""
         return max(
             0
             if self._is_harmless(trait, suspect.last_crash_s)
-            else len(self._by_trait.get(trait, ()))
+            else len(self._suspects.crashes_of(trait))
             for trait in suspect.traits
         )
 
@@ -366,7 +307,7 @@
     def _evidence(self) -> list[Evidence]:
         """Return the evidence without traits that were harmless before or since."""
         found = []
-        for suspect in self._suspects.values():
+        for suspect in self._suspects.all():
             for crash in suspect.crashes:
                 traits = frozenset(
                     trait
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -43,6 +43,11 @@
     return tracker.is_blocked(frozenset(traits.split()))
 
 
+def _count_crashes(tracker: CrashTracker, fingerprint: str) -> int:
+    suspect = tracker._suspects.get(fingerprint)
+    return len(suspect.crashes) if suspect else 0
+
+
 def test_success_clears_the_crashes_of_a_request() -> None:
     """Guards against blocking a harmless request that many callers repeat.
 
@@ -271,7 +276,7 @@
     for _ in range(2):
         peer.merge(tracker.reports(3.0, with_causes=False), {}, 3.0)
     assert _is_blocked(peer, "q1")
-    assert len(peer._suspects["q1"].crashes) == MAX_CRASHED_SERVERS
+    assert _count_crashes(peer, "q1") == MAX_CRASHED_SERVERS
 
 
 def test_incarnation_that_breaks_single_requests_does_not_crash_each_time() -> None:
@@ -294,7 +299,7 @@
     for age_s in (0, 3):
         told = CrashReport("q1", (), (ReportedCrash("a", age_s),))
         tracker.merge((told,), {}, 3.2)
-    assert len(tracker._suspects["q1"].crashes) == 2
+    assert _count_crashes(tracker, "q1") == 2
     assert not _is_blocked(tracker, "q1")
 
 
--- a/tests/gateway/test_long_prompts.py
+++ b/tests/gateway/test_long_prompts.py
@@ -92,10 +92,26 @@
     for number in range(200):
         parts = _prompt(*_parts(f"{number}", 1_000))
         tracker.record_crash(f"p{number}", f"j-{number}", 5.0, parts)
-    assert len(tracker._by_trait) <= MAX_SUSPECT_TRAITS
+    assert len(tracker._suspects._by_trait) <= MAX_SUSPECT_TRAITS
     assert tracker.causes() == [frozenset({"bad"})]
 
 
+def test_aborted_requests_keep_the_parts_of_their_cause_only() -> None:
+    """Guards against thousands of parts for each request that is aborted.
+
+    The crash of its server is still explained by the cause.
+    """
+    tracker = CrashTracker()
+    for number in range(MAX_CRASHED_SERVERS):
+        tracker.record_crash(f"q{number}", f"i-{number}", 0.0, ("bad",))
+    parts = _prompt(*_parts("s", 1_000), "bad")
+    tracker.record_abandoned("q9", "j", 1.0, parts)
+    (kept,) = tracker._abandoned["j"]
+    assert kept.parts == ("bad",)
+    tracker.record_crash("sound", "j", 1.1, _prompt("other"))
+    assert "j" in tracker.servers_crashed_by(frozenset({"bad"}))
+
+
 def test_long_ids_of_parts_are_shortened() -> None:
     """Guards against ids of kilobytes that are kept and sent to peers."""
     first, second = _prompt("a" * 9_000, "a" * 9_001)
