--- a/gooseberryhall/platform/era.py
+++ b/gooseberryhall/platform/era.py
@@ -29,7 +29,7 @@
         self._listeners.append(listener)
 
     def observe(self, era: int | None, known: int | None, now_s: float) -> bool:
-        """Record the era of an answer; return False if it is an answer of earlier days.
+        """Record the era of an answer; return False if the answer is outdated.
 
         `known` is the era that was current when the call began. Answers of another call
         may have told of a later era meanwhile.
