Choose ports of listeners in tests below those of connections

Cause: free_port() asked the system for a port and closed it again; until the listener opens, the system may give it to an outgoing connection, and the bind then fails (shown by a few lines that do just that). It has nothing to do with the node. Change: the ports are below those that the system gives to connections.

--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -1,9 +1,10 @@
 """Fixtures that run the components of the entry program with fake engines."""
 
 import asyncio
+import random
 import socket
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass, field
 from hashlib import sha256
 
@@ -31,12 +32,18 @@
 LIMIT_S = 10.0
 
 
+# Below the ports that the system gives to outgoing connections, which may take a port
+# between its choice and the start of its listener.
+LISTENER_PORTS = range(20_000, 32_000)
+
+
 def free_port() -> int:
-    """Return a port that is currently free."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a port that is currently free and that no connection is given."""
+    for port in random.sample(LISTENER_PORTS, len(LISTENER_PORTS)):
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise OSError("no free port")
 
 
 @dataclass
